--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Program.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/audit/audit_record.rs
@@ -0,0 +1,121 @@
+//! One audit record.
+
+use {
+    sha2::{Digest, Sha256},
+    std::fmt,
+};
+
+/// SHA-256 of a record's encoding.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    bincode::Encode,
+    bincode::Decode,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct RecordHash(pub [u8; 32]);
+
+impl fmt::Display for RecordHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+/// What changed.
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    bincode::Encode,
+    bincode::Decode,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum AuditAction {
+    /// A configuration was applied.
+    Apply {
+        /// Version before.
+        before: u64,
+        /// Version after.
+        after: u64,
+        /// SHA-256 of the content, in hex.
+        content: String,
+    },
+    /// An operator's order, such as drain or pin.
+    Order {
+        /// Version before.
+        before: u64,
+        /// Version after.
+        after: u64,
+        /// The order as text.
+        order: String,
+    },
+    /// A controller took over a scope.
+    Takeover {
+        /// Term before.
+        before: u64,
+        /// Term after.
+        after: u64,
+    },
+    /// The electors of a scope changed.
+    Electors {
+        /// New electors.
+        electors: Vec<String>,
+    },
+    /// Shards changed owner, one record for a batch.
+    Ownership {
+        /// One line a move: shard, old owner, new owner, token, reason.
+        moves: Vec<String>,
+    },
+    /// A request of an operator was refused.
+    Refused {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// One audit record.
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    bincode::Encode,
+    bincode::Decode,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct AuditRecord {
+    /// Number in its stream, from 1 without gaps.
+    pub number: u64,
+    /// Wall-clock time in milliseconds since 1970; for people, never for decisions.
+    pub wall_millis: u64,
+    /// Operator's key id, or the host that acted.
+    pub actor: String,
+    /// What changed.
+    pub action: AuditAction,
+    /// Reason given.
+    pub reason: String,
+    /// Hash of the record before; zeros for the first.
+    pub previous: RecordHash,
+}
+
+impl AuditRecord {
+    /// Hash over all fields, the previous hash included.
+    pub fn hash(&self) -> RecordHash {
+        let encoded = bincode::encode_to_vec(self, bincode::config::standard())
+            .unwrap_or_else(|error| unreachable!("encoding to memory cannot fail: {error}"));
+        RecordHash(Sha256::digest(&encoded).into())
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids/mod.rs
@@ -0,0 +1,13 @@
+//! Identifiers, tokens and versions.
+
+mod fencing_token;
+mod names;
+mod numbers;
+
+pub use {
+    fencing_token::{FencingToken, TokenError},
+    names::{
+        HostId, NameError, RegionName, RequestId, ServerId, ServiceName, ZoneName, check_name,
+    },
+    numbers::{ConfigVersion, Epoch, ObjectVersion, ShardId},
+};
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,3 @@
+//! The camphorcove router daemon.
+
+pub mod maps;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,8 @@
+//! What the camphorcove programs share around the core: the boot-time clock,
+//! the adapters to the platform and to backend servers, the peer protocol and
+//! logging.
+
+pub mod clock;
+pub mod peer;
+pub mod platform;
+pub mod servers;
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
