Add the peer client, the peer server, authentication and JSON logging

Hosts had message types but no way to exchange them. Control calls carry an HMAC tag over kind, sender, receiver, start nonce, session, counter and body; the session is drawn per connection by the server, so a recorded message is refused on any other connection and after a restart of the receiver.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 //! logging.
 
 pub mod clock;
+pub mod log;
 pub mod peer;
 pub mod platform;
 pub mod servers;
--- /dev/null
+++ b/crates/net/src/log/mod.rs
@@ -0,0 +1,5 @@
+//! Logging: one JSON object a line on standard error.
+
+mod json_log;
+
+pub use json_log::{LogSetup, set_level, start};
--- a/crates/net/src/peer/messages.rs
+++ b/crates/net/src/peer/messages.rs
@@ -28,8 +28,14 @@
     pub held: Vec<(ServiceName, MapVersion)>,
     /// Configuration version held.
     pub config: ConfigVersion,
-    /// Hosts that poll the asking host, for a relay.
-    pub downstream: Vec<PeerAddress>,
+    /// Digest of the host list held; 0 for none.
+    pub hosts: u64,
+    /// Digest of `downstream`.
+    pub downstream_digest: u64,
+    /// Hosts that poll the asking host, for a relay; absent if the answerer has them.
+    pub downstream: Option<Vec<PeerAddress>>,
+    /// Answer at once instead of waiting for news.
+    pub urgent: bool,
 }
 
 /// What a peer holds of one scope.
@@ -65,8 +71,29 @@
     pub scopes: Vec<ScopeAnswer>,
     /// Configuration, if the poller's is older.
     pub config: Option<Box<ConfigSnapshot>>,
-    /// Hosts the peer knows to be live.
-    pub hosts: Vec<PeerAddress>,
+    /// Digest of the hosts that the peer knows to be live.
+    pub hosts_digest: u64,
+    /// Those hosts, if the poller's digest differs.
+    pub hosts: Option<Vec<PeerAddress>>,
+    /// The peer lacks the poller's downstream hosts; send them with the next poll.
+    pub want_downstream: bool,
+}
+
+/// Asks a host for its state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct StatusRequest;
+
+/// State of a host, for operators.
+#[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
+pub struct StatusAnswer {
+    /// The host.
+    pub from: PeerAddress,
+    /// Configuration it uses.
+    pub config: ConfigVersion,
+    /// Scopes with the map held and the validity left, in microseconds.
+    pub scopes: Vec<(ServiceName, MapVersion, u64)>,
+    /// Scopes it controls.
+    pub controls: Vec<ServiceName>,
 }
 
 /// Travels with a caller's request from the entry host to the forwarder.
--- a/crates/net/src/peer/mod.rs
+++ b/crates/net/src/peer/mod.rs
@@ -1,5 +1,31 @@
 //! Messages between the router's own processes.
+//!
+//! Every host has one TCP port for peers that speaks HTTP/2. Control messages
+//! are `POST /peer/<kind>` with a bincode body behind an [`AuthTag`]; callers'
+//! requests are `POST /peer/forward` with their envelope in a header and their
+//! body streamed.
 
+mod auth;
+mod client;
+mod frame;
 mod messages;
+mod peer_error;
+mod protocol;
+mod random;
+mod server;
+mod traffic;
 
-pub use messages::{ConfigSnapshot, ForwardEnvelope, MapAnswer, MapPoll, PeerAddress, ScopeAnswer};
+pub use {
+    auth::{AuthScope, AuthTag, KEY_BYTES_MIN, PeerKey, ReplayWindow, TAG_BYTES},
+    client::{LinkPurpose, PeerClient},
+    frame::{FRAME_BYTES_MAX, decode, encode, read_frame},
+    messages::{
+        ConfigSnapshot, ForwardEnvelope, MapAnswer, MapPoll, PeerAddress, ScopeAnswer,
+        StatusAnswer, StatusRequest,
+    },
+    peer_error::PeerError,
+    protocol::{PeerBody, PeerIdentity, PeerKind, full_body},
+    random::random_nonce,
+    server::{PeerHandler, PeerServer},
+    traffic::PeerTraffic,
+};
--- /dev/null
+++ b/crates/net/src/peer/server.rs
@@ -0,0 +1,339 @@
+//! Listener for peers.
+
+use {
+    super::{
+        AuthScope, AuthTag, ForwardEnvelope, PeerBody, PeerError, PeerIdentity, PeerKind,
+        PeerTraffic, ReplayWindow, encode, frame, full_body,
+        protocol::{
+            self, ENVELOPE_HEADER, METHOD_HEADER, SENDER_HEADER, TAG_HEADER, TARGET_HEADER,
+        },
+        read_frame,
+        traffic::CountedStream,
+    },
+    camphorcove_core::ids::HostId,
+    http::{HeaderMap, Method, Request, Response, StatusCode, Uri},
+    hyper::{body::Incoming, server::conn::http2, service::service_fn},
+    hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
+    std::{
+        convert::Infallible,
+        future::Future,
+        pin::pin,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+};
+
+/// Requests that one peer may have open on one connection.
+const STREAMS_MAX: u32 = 4_096;
+
+/// Largest header block, in bytes: a caller's headers and the envelope.
+const HEADER_BYTES_MAX: u32 = 64 << 10;
+
+/// HTTP/2 windows, in bytes.
+const STREAM_WINDOW: u32 = 1 << 20;
+const CONNECTION_WINDOW: u32 = 8 << 20;
+
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Acts on authenticated messages.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Answers a control message; an error is told to the peer as a refusal.
+    fn message(
+        &self,
+        kind: PeerKind,
+        from: HostId,
+        body: &[u8],
+    ) -> impl Future<Output = Result<Vec<u8>, PeerError>> + Send;
+
+    /// Serves a caller's request that an entry host forwarded, restored to the
+    /// caller's method and path.
+    fn forward(
+        &self,
+        envelope: ForwardEnvelope,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<PeerBody>> + Send;
+}
+
+/// Serves the peer port.
+#[derive(Debug)]
+pub struct PeerServer<H> {
+    identity: PeerIdentity,
+    handler: H,
+    traffic: Arc<PeerTraffic>,
+}
+
+/// Authentication state of one connection.
+#[derive(Debug)]
+struct Session {
+    id: u64,
+    window: Mutex<ReplayWindow>,
+    forwards: Arc<AtomicBool>,
+}
+
+impl<H: PeerHandler> PeerServer<H> {
+    /// Server for a handler.
+    pub fn new(identity: PeerIdentity, handler: H, traffic: Arc<PeerTraffic>) -> Self {
+        Self {
+            identity,
+            handler,
+            traffic,
+        }
+    }
+
+    /// Accepts connections until `stop` becomes true; open requests still finish.
+    pub async fn serve(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+        let server = Arc::new(self);
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stop.wait_for(|stop| *stop) => return,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(server.clone().connection(stream, stop.clone()));
+                }
+                Err(error) => {
+                    log::warn!("peer listener cannot accept: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(self: Arc<Self>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+        let _ = stream.set_nodelay(true);
+        let session = Arc::new(Session {
+            id: super::random_nonce(),
+            window: Mutex::default(),
+            forwards: Arc::default(),
+        });
+        let stream = CountedStream::new(stream, self.traffic.clone(), session.forwards.clone());
+        let service = service_fn(move |request| {
+            let server = self.clone();
+            let session = session.clone();
+            async move { Ok::<_, Infallible>(server.answer(&session, request).await) }
+        });
+        let mut builder = http2::Builder::new(TokioExecutor::new());
+        builder
+            .timer(TokioTimer::new())
+            .auto_date_header(false)
+            .max_concurrent_streams(STREAMS_MAX)
+            .max_header_list_size(HEADER_BYTES_MAX)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW);
+        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        let stopped = async move { stop.wait_for(|stop| *stop).await.is_ok() };
+        let result = tokio::select! {
+            result = connection.as_mut() => result,
+            _ = stopped => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = result {
+            log::debug!("peer connection ended: {error}");
+        }
+    }
+
+    async fn answer(&self, session: &Session, request: Request<Incoming>) -> Response<PeerBody> {
+        if request.method() != Method::POST {
+            return refusal(StatusCode::METHOD_NOT_ALLOWED);
+        }
+        let kind = match request.uri().path().strip_prefix("/peer/") {
+            Some(kind) => kind.to_owned(),
+            None => return refusal(StatusCode::NOT_FOUND),
+        };
+        let result = match kind.as_str() {
+            protocol::FORWARD => self.forwarded(session, request).await,
+            kind => self.control(session, kind, request).await,
+        };
+        result.unwrap_or_else(|error| {
+            log::warn!("peer message {kind} refused: {error}");
+            refusal(status_of(&error))
+        })
+    }
+
+    async fn control(
+        &self,
+        session: &Session,
+        kind: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<PeerBody>, PeerError> {
+        let sender = sender_of(request.headers())?;
+        let bytes = read_frame(request.into_body()).await?;
+        let (tag, body) = AuthTag::split(&bytes)?;
+        let expected = match kind {
+            protocol::HELLO => 0,
+            _ => session.id,
+        };
+        self.check(session, kind, &sender, &tag, expected, body)?;
+        let answer = match kind {
+            protocol::HELLO => {
+                let forwards = body.first().is_some_and(|purpose| *purpose != 0);
+                session.forwards.store(forwards, Ordering::Relaxed);
+                encode(&session.id)
+            }
+            _ => {
+                let kind = kind.parse().map_err(|()| PeerError::Malformed {
+                    what: "unknown kind",
+                })?;
+                self.handler.message(kind, sender.clone(), body).await?
+            }
+        };
+        Ok(self.sealed(kind, &sender, &tag, &answer))
+    }
+
+    fn sealed(
+        &self,
+        kind: &str,
+        receiver: &HostId,
+        asked: &AuthTag,
+        body: &[u8],
+    ) -> Response<PeerBody> {
+        let kind = format!("{kind}.reply");
+        let scope = AuthScope {
+            kind: &kind,
+            sender: &self.identity.host,
+            receiver,
+            nonce: asked.nonce,
+            session: asked.session,
+            counter: asked.counter,
+        };
+        let mut bytes = self.identity.key.seal(&scope, body).encode().to_vec();
+        bytes.extend_from_slice(body);
+        if bytes.len() > super::FRAME_BYTES_MAX {
+            log::error!("answer of {} bytes exceeds the frame limit", bytes.len());
+            return refusal(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        Response::new(full_body(bytes))
+    }
+
+    async fn forwarded(
+        &self,
+        session: &Session,
+        request: Request<Incoming>,
+    ) -> Result<Response<PeerBody>, PeerError> {
+        let (mut parts, body) = request.into_parts();
+        let sender = sender_of(&parts.headers)?;
+        let tag_bytes = take_hex(&mut parts.headers, TAG_HEADER)?;
+        let (tag, _) = AuthTag::split(&tag_bytes)?;
+        let envelope_bytes = take_hex(&mut parts.headers, ENVELOPE_HEADER)?;
+        let method = take_text(&mut parts.headers, METHOD_HEADER)?;
+        let target = take_text(&mut parts.headers, TARGET_HEADER)?;
+        parts.headers.remove(SENDER_HEADER);
+        let cover = protocol::forward_cover(&envelope_bytes, &method, &target);
+        self.check(
+            session,
+            protocol::FORWARD,
+            &sender,
+            &tag,
+            session.id,
+            &cover,
+        )?;
+        let envelope: ForwardEnvelope = frame::decode(&envelope_bytes)?;
+        if envelope.from != sender {
+            return Err(PeerError::Unauthentic {
+                what: "envelope of another host",
+            });
+        }
+        parts.method = method.parse().map_err(|_| PeerError::Malformed {
+            what: "method of a forwarded request",
+        })?;
+        parts.uri = target.parse::<Uri>().map_err(|_| PeerError::Malformed {
+            what: "target of a forwarded request",
+        })?;
+        let request = Request::from_parts(parts, body);
+        Ok(self.handler.forward(envelope, request).await)
+    }
+
+    fn check(
+        &self,
+        session: &Session,
+        kind: &str,
+        sender: &HostId,
+        tag: &AuthTag,
+        expected: u64,
+        body: &[u8],
+    ) -> Result<(), PeerError> {
+        let scope = AuthScope {
+            kind,
+            sender,
+            receiver: &self.identity.host,
+            nonce: tag.nonce,
+            session: tag.session,
+            counter: tag.counter,
+        };
+        if tag.session != expected {
+            return Err(PeerError::Unauthentic {
+                what: "session of another connection",
+            });
+        }
+        if !self.identity.key.verify(&scope, body, &tag.code) {
+            return Err(PeerError::Unauthentic {
+                what: "code of a message",
+            });
+        }
+        let fresh = match session.window.lock() {
+            Ok(mut window) => window.accept(tag.counter),
+            Err(_) => false,
+        };
+        match fresh {
+            true => Ok(()),
+            false => Err(PeerError::Unauthentic {
+                what: "replayed counter",
+            }),
+        }
+    }
+}
+
+fn sender_of(headers: &HeaderMap) -> Result<HostId, PeerError> {
+    let text = headers
+        .get(SENDER_HEADER)
+        .and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok())
+        .ok_or(PeerError::Malformed {
+            what: "sender missing",
+        })
+}
+
+fn take_text(headers: &mut HeaderMap, name: &str) -> Result<String, PeerError> {
+    let value = headers.remove(name);
+    value
+        .and_then(|value| value.to_str().map(str::to_owned).ok())
+        .ok_or(PeerError::Malformed {
+            what: "header of a forwarded request",
+        })
+}
+
+fn take_hex(headers: &mut HeaderMap, name: &str) -> Result<Vec<u8>, PeerError> {
+    let text = take_text(headers, name)?;
+    protocol::from_hex(text.as_bytes()).ok_or(PeerError::Malformed {
+        what: "header of a forwarded request",
+    })
+}
+
+fn status_of(error: &PeerError) -> StatusCode {
+    match error {
+        PeerError::Malformed { .. } => StatusCode::BAD_REQUEST,
+        PeerError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        PeerError::Unauthentic { .. } => StatusCode::UNAUTHORIZED,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// A refusal of the peer layer; the tag header tells it from a caller's answer.
+fn refusal(status: StatusCode) -> Response<PeerBody> {
+    let mut response = Response::new(full_body(""));
+    *response.status_mut() = status;
+    let tag = http::HeaderValue::from_static("refused");
+    response.headers_mut().insert(TAG_HEADER, tag);
+    response
+}
