--- a/crates/net/src/peer/auth.rs
+++ b/crates/net/src/peer/auth.rs
@@ -42,7 +42,7 @@
     /// Key from text in hexadecimal; white space at the ends is ignored.
     pub fn from_hex(text: &str) -> Option<Self> {
         let digits = text.trim().as_bytes();
-        if digits.len() % 2 != 0 {
+        if !digits.len().is_multiple_of(2) {
             return None;
         }
         let mut bytes = Vec::with_capacity(digits.len() / 2);
--- a/crates/net/src/peer/protocol.rs
+++ b/crates/net/src/peer/protocol.rs
@@ -112,7 +112,7 @@
 
 /// Bytes from hexadecimal.
 pub(super) fn from_hex(text: &[u8]) -> Option<Vec<u8>> {
-    if text.len() % 2 != 0 {
+    if !text.len().is_multiple_of(2) {
         return None;
     }
     let mut bytes = Vec::with_capacity(text.len() / 2);
--- a/crates/net/src/peer/server.rs
+++ b/crates/net/src/peer/server.rs
@@ -78,6 +78,14 @@
     forwards: Arc<AtomicBool>,
 }
 
+/// What a message claims about itself before it is checked.
+struct Claim<'a> {
+    kind: &'a str,
+    sender: &'a HostId,
+    tag: &'a AuthTag,
+    body: &'a [u8],
+}
+
 impl<H: PeerHandler> PeerServer<H> {
     /// Server for a handler.
     pub fn new(identity: PeerIdentity, handler: H, traffic: Arc<PeerTraffic>) -> Self {
@@ -174,7 +182,13 @@
             protocol::HELLO => 0,
             _ => session.id,
         };
-        self.check(session, kind, &sender, &tag, expected, body)?;
+        let claim = Claim {
+            kind,
+            sender: &sender,
+            tag: &tag,
+            body,
+        };
+        self.check(session, expected, &claim)?;
         let answer = match kind {
             protocol::HELLO => {
                 let forwards = body.first().is_some_and(|purpose| *purpose != 0);
@@ -230,14 +244,13 @@
         let target = take_text(&mut parts.headers, TARGET_HEADER)?;
         parts.headers.remove(SENDER_HEADER);
         let cover = protocol::forward_cover(&envelope_bytes, &method, &target);
-        self.check(
-            session,
-            protocol::FORWARD,
-            &sender,
-            &tag,
-            session.id,
-            &cover,
-        )?;
+        let claim = Claim {
+            kind: protocol::FORWARD,
+            sender: &sender,
+            tag: &tag,
+            body: &cover,
+        };
+        self.check(session, session.id, &claim)?;
         let envelope: ForwardEnvelope = frame::decode(&envelope_bytes)?;
         if envelope.from != sender {
             return Err(PeerError::Unauthentic {
@@ -254,18 +267,11 @@
         Ok(self.handler.forward(envelope, request).await)
     }
 
-    fn check(
-        &self,
-        session: &Session,
-        kind: &str,
-        sender: &HostId,
-        tag: &AuthTag,
-        expected: u64,
-        body: &[u8],
-    ) -> Result<(), PeerError> {
+    fn check(&self, session: &Session, expected: u64, claim: &Claim<'_>) -> Result<(), PeerError> {
+        let tag = claim.tag;
         let scope = AuthScope {
-            kind,
-            sender,
+            kind: claim.kind,
+            sender: claim.sender,
             receiver: &self.identity.host,
             nonce: tag.nonce,
             session: tag.session,
@@ -276,7 +282,7 @@
                 what: "session of another connection",
             });
         }
-        if !self.identity.key.verify(&scope, body, &tag.code) {
+        if !self.identity.key.verify(&scope, claim.body, &tag.code) {
             return Err(PeerError::Unauthentic {
                 what: "code of a message",
             });
