Read and check the daemon's settings

The daemon had no settings. One TOML file is checked before anything starts; a wrong value is refused with file, line, key, what was found and what is allowed.

--- /dev/null
+++ b/crates/daemon/src/conf/mod.rs
@@ -0,0 +1,11 @@
+//! Settings of the daemon: one TOML file, read once at start.
+
+mod daemon_settings;
+mod setting_specs;
+mod settings_reader;
+
+pub use {
+    daemon_settings::DaemonSettings,
+    setting_specs::{SETTINGS, SettingSpec},
+    settings_reader::{parse, read},
+};
--- /dev/null
+++ b/crates/daemon/src/error/mod.rs
@@ -0,0 +1,5 @@
+//! Errors of the daemon.
+
+mod daemon_error;
+
+pub use daemon_error::{DaemonError, SettingsError, WrongValueSnafu};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,3 +1,5 @@
 //! The camphorcove router daemon.
 
+pub mod conf;
+pub mod error;
 pub mod maps;
