Add the HTTP adapters and the platform and backend stand-ins

The other crates need a platform and backend servers to run against. camphorcove-net gets HttpStore, HttpGrants and an HTTP client that tells unsent requests from unanswered ones; camphorcove-standin gets both stand-ins as a library and as processes with their faults. docs/platform-protocol.md describes the platform's protocol.

--- /dev/null
+++ b/crates/net/src/http/http_client.rs
@@ -0,0 +1,177 @@
+//! Client connections kept by address.
+
+use {
+    bytes::Bytes,
+    http::{HeaderValue, Request, Response, header::HOST},
+    http_body_util::{BodyExt, Full},
+    hyper::{body::Incoming, client::conn::http1},
+    hyper_util::rt::TokioIo,
+    snafu::Snafu,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        time::{Instant, timeout_at},
+    },
+};
+
+/// Idle connections kept per address; further ones are closed after use.
+const IDLE_LIMIT: usize = 8;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// Why an exchange failed.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub))]
+pub enum ExchangeError {
+    /// No byte of the request was sent.
+    #[snafu(display("request not sent: {reason}"))]
+    NotSent {
+        /// Cause.
+        reason: String,
+    },
+    /// The request may have been sent, and no complete response arrived.
+    #[snafu(display("no complete response: {reason}"))]
+    NoReply {
+        /// Cause.
+        reason: String,
+    },
+}
+
+/// Sends requests over kept connections, without retries.
+#[derive(Clone, Debug, Default)]
+pub struct HttpClient {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+}
+
+impl HttpClient {
+    /// Sends a request and reads the whole response within `timeout`.
+    ///
+    /// The connection is closed if the returned future is dropped early.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let end = Instant::now() + timeout;
+        let mut sender = self.connection(address, end).await?;
+        let request = with_host(request, address);
+        let reply = timeout_at(end, converse(&mut sender, request))
+            .await
+            .unwrap_or_else(|_| no_reply("timed out"))?;
+        self.keep(address, sender);
+        Ok(reply)
+    }
+
+    async fn connection(&self, address: SocketAddr, end: Instant) -> Result<Sender, ExchangeError> {
+        while let Some(mut sender) = self.take_idle(address) {
+            let ready = timeout_at(end, sender.ready()).await;
+            match ready {
+                Ok(Ok(())) => return Ok(sender),
+                Ok(Err(_)) => continue,
+                Err(_) => return not_sent("timed out waiting for a connection"),
+            }
+        }
+        timeout_at(end, connect(address))
+            .await
+            .unwrap_or_else(|_| not_sent("timed out connecting"))
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.lock();
+        let senders = idle.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    fn keep(&self, address: SocketAddr, sender: Sender) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.lock();
+        let senders = idle.entry(address).or_default();
+        senders.retain(|sender| !sender.is_closed());
+        if senders.len() < IDLE_LIMIT {
+            senders.push(sender);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Sender>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, ExchangeError> {
+    let stream = TcpStream::connect(address)
+        .await
+        .or_else(|error| not_sent(error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .or_else(|error| not_sent(error.to_string()))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .or_else(|error| not_sent(error.to_string()))?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to {address} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+async fn converse(
+    sender: &mut Sender,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, ExchangeError> {
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut failure) => {
+            // hyper hands the request back only if it was never taken for sending.
+            let unsent = failure.take_message().is_some();
+            let reason = failure.into_error().to_string();
+            return if unsent {
+                not_sent(reason)
+            } else {
+                no_reply(reason)
+            };
+        }
+    };
+    collect(response).await
+}
+
+async fn collect(response: Response<Incoming>) -> Result<Response<Bytes>, ExchangeError> {
+    let (parts, body) = response.into_parts();
+    let body = body
+        .collect()
+        .await
+        .or_else(|error| no_reply(error.to_string()))?;
+    Ok(Response::from_parts(parts, body.to_bytes()))
+}
+
+fn with_host(mut request: Request<Full<Bytes>>, address: SocketAddr) -> Request<Full<Bytes>> {
+    if request.headers().contains_key(HOST) {
+        return request;
+    }
+    if let Ok(value) = HeaderValue::try_from(address.to_string()) {
+        request.headers_mut().insert(HOST, value);
+    }
+    request
+}
+
+fn not_sent<T>(reason: impl Into<String>) -> Result<T, ExchangeError> {
+    NotSentSnafu { reason }.fail()
+}
+
+fn no_reply<T>(reason: impl Into<String>) -> Result<T, ExchangeError> {
+    NoReplySnafu { reason }.fail()
+}
--- /dev/null
+++ b/crates/net/src/platform/http_store.rs
@@ -0,0 +1,232 @@
+//! The platform's object API over HTTP.
+
+use {
+    super::{
+        CallCounts, CallKind, ListedHost, ObjectKey, ObjectStore, PutCondition, StoreError,
+        StoredObject, WatchEvent, WatchResult,
+        store_error::{ConflictSnafu, RejectedSnafu, UnavailableSnafu, UnknownSnafu},
+        wire::{
+            HOSTS_PATH, KeyVersion, LIST_PATH, OBJECT_PATH, VERSION_HEADER, WATCH_PATH, WatchBody,
+            encode,
+        },
+    },
+    crate::http::{ExchangeError, HttpClient},
+    bytes::Bytes,
+    camphorcove_core::ids::ObjectVersion,
+    http::{Method, Request, Response, StatusCode},
+    http_body_util::Full,
+    serde::de::DeserializeOwned,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Longest time a call takes; a watch takes its wait in addition.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Client of the platform's object API.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    address: SocketAddr,
+    client: HttpClient,
+    counts: Arc<CallCounts>,
+}
+
+impl HttpStore {
+    /// Client of the platform at `address`; connects when first used.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: HttpClient::default(),
+            counts: Arc::default(),
+        }
+    }
+
+    /// Counters, shared by all clones.
+    pub fn counts(&self) -> &Arc<CallCounts> {
+        &self.counts
+    }
+
+    async fn call(
+        &self,
+        kind: CallKind,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        self.counts.add_call(kind);
+        let result = self.exchange(kind, method, target, body, timeout).await;
+        if result.is_err() {
+            self.counts.add_failure(kind);
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        kind: CallKind,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(target)
+            .body(Full::new(body))
+            .or_else(|error| rejected(error.to_string()))?;
+        let reply = self
+            .client
+            .exchange(self.address, request, timeout)
+            .await
+            .or_else(|error| exchange_failure(kind, error))?;
+        check_status(kind, reply)
+    }
+
+    async fn read(&self, kind: CallKind, target: &str) -> Result<Response<Bytes>, StoreError> {
+        self.call(kind, Method::GET, target, Bytes::new(), CALL_TIMEOUT)
+            .await
+    }
+}
+
+impl ObjectStore for HttpStore {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<StoredObject>, StoreError> {
+        let reply = self.read(CallKind::Get, &object_target(key)).await?;
+        if reply.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let Some(version) = version_of(&reply) else {
+            return unavailable("read without a version");
+        };
+        let value = reply.into_body();
+        Ok(Some(StoredObject { version, value }))
+    }
+
+    async fn put(
+        &self,
+        key: &ObjectKey,
+        condition: PutCondition,
+        value: Bytes,
+    ) -> Result<ObjectVersion, StoreError> {
+        let target = match condition {
+            PutCondition::Absent => format!("{}?if=absent", object_target(key)),
+            PutCondition::Version(version) => format!("{}?if={version}", object_target(key)),
+        };
+        let reply = self
+            .call(CallKind::Put, Method::PUT, &target, value, CALL_TIMEOUT)
+            .await?;
+        let version = version_of(&reply);
+        match (reply.status(), version) {
+            (StatusCode::CONFLICT, current) => ConflictSnafu {
+                key: key.as_str(),
+                current,
+            }
+            .fail(),
+            (StatusCode::OK, Some(version)) => Ok(version),
+            (status, _) => unknown(format!("status {status} without a version")),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<(ObjectKey, ObjectVersion)>, StoreError> {
+        let target = format!("{LIST_PATH}?prefix={}", encode(prefix));
+        let reply = self.read(CallKind::List, &target).await?;
+        let entries: Vec<KeyVersion> = parse(reply.body())?;
+        Ok(entries
+            .into_iter()
+            .map(|(key, version)| (ObjectKey::new(key), ObjectVersion(version)))
+            .collect())
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        position: u64,
+        wait: Duration,
+    ) -> Result<WatchResult, StoreError> {
+        let target = format!(
+            "{WATCH_PATH}?prefix={}&position={position}&wait_ms={}",
+            encode(prefix),
+            wait.as_millis()
+        );
+        let timeout = wait + CALL_TIMEOUT;
+        let reply = self
+            .call(CallKind::Watch, Method::GET, &target, Bytes::new(), timeout)
+            .await?;
+        parse::<WatchBody>(reply.body()).map(watch_result)
+    }
+
+    async fn hosts(&self) -> Result<Vec<ListedHost>, StoreError> {
+        let reply = self.read(CallKind::Hosts, HOSTS_PATH).await?;
+        parse(reply.body())
+    }
+}
+
+fn object_target(key: &ObjectKey) -> String {
+    format!("{OBJECT_PATH}{}", encode(key.as_str()))
+}
+
+fn watch_result(body: WatchBody) -> WatchResult {
+    let events = body
+        .events
+        .into_iter()
+        .map(|(key, version)| WatchEvent {
+            key: ObjectKey::new(key),
+            version: ObjectVersion(version),
+        })
+        .collect();
+    WatchResult {
+        position: body.position,
+        events,
+    }
+}
+
+fn version_of(reply: &Response<Bytes>) -> Option<ObjectVersion> {
+    let value = reply.headers().get(VERSION_HEADER)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+/// Passes on the statuses that the calls interpret themselves.
+fn check_status(kind: CallKind, reply: Response<Bytes>) -> Result<Response<Bytes>, StoreError> {
+    let status = reply.status();
+    match (kind, status) {
+        (_, StatusCode::OK) => Ok(reply),
+        (CallKind::Get, StatusCode::NOT_FOUND) => Ok(reply),
+        (CallKind::Put, StatusCode::CONFLICT) => Ok(reply),
+        // The protocol allows 503 only if the call had no effect.
+        (_, StatusCode::SERVICE_UNAVAILABLE) => unavailable(text_of(&reply)),
+        (_, status) if status.is_client_error() => rejected(text_of(&reply)),
+        (CallKind::Put, status) => unknown(format!("status {status}")),
+        (_, status) => unavailable(format!("status {status}")),
+    }
+}
+
+/// A read never writes, so its failure is always "unavailable".
+fn exchange_failure<T>(kind: CallKind, error: ExchangeError) -> Result<T, StoreError> {
+    match (kind, error) {
+        (CallKind::Put, ExchangeError::NoReply { reason }) => unknown(reason),
+        (_, ExchangeError::NoReply { reason } | ExchangeError::NotSent { reason }) => {
+            unavailable(reason)
+        }
+    }
+}
+
+fn text_of(reply: &Response<Bytes>) -> String {
+    let text = String::from_utf8_lossy(reply.body());
+    format!("status {}: {}", reply.status(), text.trim())
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, StoreError> {
+    serde_json::from_slice(body)
+        .or_else(|error| unavailable(format!("unreadable response: {error}")))
+}
+
+fn unavailable<T>(reason: impl Into<String>) -> Result<T, StoreError> {
+    UnavailableSnafu { reason }.fail()
+}
+
+fn unknown<T>(reason: impl Into<String>) -> Result<T, StoreError> {
+    UnknownSnafu { reason }.fail()
+}
+
+fn rejected<T>(reason: impl Into<String>) -> Result<T, StoreError> {
+    RejectedSnafu { reason }.fail()
+}
--- /dev/null
+++ b/crates/net/src/servers/http_grants.rs
@@ -0,0 +1,91 @@
+//! The grant interface over HTTP.
+
+use {
+    super::{GrantProtocol, ServerTime, StampedReply},
+    crate::http::{ExchangeError, HttpClient},
+    bytes::Bytes,
+    camphorcove_core::{
+        control::{ServerFailure, ServerOrder},
+        headers,
+        ids::ServiceName,
+    },
+    http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE},
+    http_body_util::Full,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Path of a backend server that takes orders.
+pub const ORDER_PATH: &str = "/camphorcove/order";
+
+/// Sends orders as JSON over kept connections, without retries.
+#[derive(Clone, Debug, Default)]
+pub struct HttpGrants {
+    client: HttpClient,
+}
+
+impl GrantProtocol for HttpGrants {
+    async fn send(
+        &self,
+        address: SocketAddr,
+        order: &ServerOrder,
+        deadline: Option<ServerTime>,
+        timeout: Duration,
+    ) -> Result<StampedReply, ServerFailure> {
+        let request = order_request(order, deadline).ok_or(ServerFailure::NotSent)?;
+        let reply = self
+            .client
+            .exchange(address, request, timeout)
+            .await
+            .map_err(|error| exchange_failure(address, &error))?;
+        stamped_reply(&reply).ok_or_else(|| unusable_reply(address, &reply))
+    }
+}
+
+fn order_request(
+    order: &ServerOrder,
+    deadline: Option<ServerTime>,
+) -> Option<Request<Full<Bytes>>> {
+    let body = serde_json::to_vec(order).ok()?;
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri(ORDER_PATH)
+        .header(CONTENT_TYPE, "application/json")
+        .header(headers::SERVER_SERVICE, service_of(order).as_str());
+    if let Some(deadline) = deadline {
+        builder = builder.header(headers::SERVER_DEADLINE, deadline.0);
+    }
+    builder.body(Full::new(body.into())).ok()
+}
+
+fn service_of(order: &ServerOrder) -> &ServiceName {
+    match order {
+        ServerOrder::Grant { service, .. }
+        | ServerOrder::Renew { service, .. }
+        | ServerOrder::Release { service, .. } => service,
+    }
+}
+
+fn stamped_reply(reply: &Response<Bytes>) -> Option<StampedReply> {
+    if reply.status() != StatusCode::OK {
+        return None;
+    }
+    let clock = reply.headers().get(headers::SERVER_CLOCK)?;
+    let clock = clock.to_str().ok()?.parse().ok()?;
+    Some(StampedReply {
+        reply: serde_json::from_slice(reply.body()).ok()?,
+        clock: ServerTime(clock),
+    })
+}
+
+fn exchange_failure(address: SocketAddr, error: &ExchangeError) -> ServerFailure {
+    log::debug!("order to {address} failed: {error}");
+    match error {
+        ExchangeError::NotSent { .. } => ServerFailure::NotSent,
+        ExchangeError::NoReply { .. } => ServerFailure::NoReply,
+    }
+}
+
+fn unusable_reply(address: SocketAddr, reply: &Response<Bytes>) -> ServerFailure {
+    log::debug!("unusable reply from {address}: status {}", reply.status());
+    ServerFailure::NoReply
+}
--- /dev/null
+++ b/crates/standin/src/backend/backend_standin.rs
@@ -0,0 +1,158 @@
+//! A running backend stand-in.
+
+use {
+    super::{
+        BackendSettings, BackendStats, GrantInterval, RunEntry, backend_state::BackendState,
+        control_routes::ControlHandler, order_route, request_route,
+    },
+    crate::http::{ConnectionCut, HttpHandler, HttpTask, Reply},
+    camphorcove_core::headers::SERVER_CLOCK,
+    camphorcove_net::servers::{ORDER_PATH, ServerTime},
+    http::Request,
+    hyper::body::Incoming,
+    std::{
+        io,
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+    },
+};
+
+/// Path of health probes.
+pub(super) const HEALTH_PATH: &str = "/health";
+
+/// Port 0 of the loopback address: the OS chooses the port.
+const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// How to start a backend stand-in.
+#[derive(Clone, Debug, clap::Args)]
+pub struct BackendOptions {
+    /// Address to listen on; port 0 lets the OS choose.
+    #[arg(long, default_value_t = ANY_PORT)]
+    pub listen: SocketAddr,
+    /// Address of the control port; port 0 lets the OS choose.
+    #[arg(long, default_value_t = ANY_PORT)]
+    pub control: SocketAddr,
+    /// Behaviour at the start.
+    #[command(flatten)]
+    pub settings: BackendSettings,
+}
+
+impl Default for BackendOptions {
+    fn default() -> Self {
+        Self {
+            listen: ANY_PORT,
+            control: ANY_PORT,
+            settings: BackendSettings::default(),
+        }
+    }
+}
+
+/// A backend server; ends when dropped.
+#[derive(Debug)]
+pub struct BackendStandin {
+    state: Arc<BackendState>,
+    task: HttpTask,
+    control: HttpTask,
+}
+
+impl BackendStandin {
+    /// Starts on the addresses in `options`.
+    pub async fn start(options: BackendOptions) -> io::Result<Self> {
+        let state = Arc::new(BackendState::new(options.settings));
+        let task = HttpTask::start(options.listen, state.clone()).await?;
+        let handler = Arc::new(ControlHandler(state.clone()));
+        let control = HttpTask::start(options.control, handler).await?;
+        Ok(Self {
+            state,
+            task,
+            control,
+        })
+    }
+
+    /// Starts with settings on ports chosen by the OS.
+    pub async fn with_settings(settings: BackendSettings) -> io::Result<Self> {
+        let options = BackendOptions {
+            settings,
+            ..BackendOptions::default()
+        };
+        Self::start(options).await
+    }
+
+    /// Address of the port for orders, requests and probes.
+    pub fn address(&self) -> SocketAddr {
+        self.task.address()
+    }
+
+    /// Address of the control port.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Changes the settings.
+    pub fn change(&self, change: impl FnOnce(&mut BackendSettings)) {
+        self.state.settings.send_modify(change);
+    }
+
+    /// Its own clock.
+    pub fn clock(&self) -> ServerTime {
+        self.state.clock()
+    }
+
+    /// Forgets grants and fences and starts cold, as a new process does.
+    pub fn restart(&self) {
+        self.state.restart();
+    }
+
+    /// What it ran so far.
+    pub fn ledger(&self) -> Vec<RunEntry> {
+        self.state.lock().ledger.entries().to_vec()
+    }
+
+    /// Times during which it held grants for a service's shards.
+    pub fn intervals(&self, service: &str) -> Vec<GrantInterval> {
+        self.state.intervals(service)
+    }
+
+    /// Counters.
+    pub fn stats(&self) -> BackendStats {
+        self.state.lock().stats.clone()
+    }
+}
+
+/// Counts one open connection.
+#[derive(Debug)]
+pub(super) struct ConnectionPermit(Arc<BackendState>);
+
+impl Drop for ConnectionPermit {
+    fn drop(&mut self) {
+        self.0.lock().stats.connections -= 1;
+    }
+}
+
+impl HttpHandler for BackendState {
+    type Permit = ConnectionPermit;
+
+    fn admit(self: &Arc<Self>) -> Option<ConnectionPermit> {
+        let limit = self.settings().connections;
+        let mut content = self.lock();
+        let stats = &mut content.stats;
+        if stats.connections >= limit {
+            stats.refused_connections += 1;
+            return None;
+        }
+        stats.connections += 1;
+        stats.peak_connections = stats.peak_connections.max(stats.connections);
+        Some(ConnectionPermit(self.clone()))
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, ConnectionCut> {
+        let mut reply = match request.uri().path() {
+            ORDER_PATH => order_route::route(&self, request).await?,
+            HEALTH_PATH => request_route::health(&self).await,
+            _ => request_route::route(&self, request).await?,
+        };
+        let clock = self.clock().0;
+        reply.headers_mut().insert(SERVER_CLOCK, clock.into());
+        Ok(reply)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/backend/order_route.rs
@@ -0,0 +1,82 @@
+//! Orders of the grant interface.
+
+use {
+    super::{backend_state::BackendState, request_route::is_past_deadline},
+    crate::http::{ConnectionCut, Reply, json_reply, read_json},
+    camphorcove_core::{
+        control::{ServerOrder, ServerReply, ServerResult},
+        ids::Epoch,
+    },
+    camphorcove_net::clock::BootClock,
+    http::Request,
+    hyper::body::Incoming,
+    std::sync::Arc,
+};
+
+pub(super) async fn route(
+    state: &Arc<BackendState>,
+    request: Request<Incoming>,
+) -> Result<Reply, ConnectionCut> {
+    state.thawed().await;
+    let headers = request.headers().clone();
+    let order: ServerOrder = match read_json(request).await? {
+        Ok(order) => order,
+        Err(reply) => return Ok(reply),
+    };
+    // Reading the body may have taken until after a freeze.
+    state.thawed().await;
+    let service = service_of(&order);
+    if is_past_deadline(state, &headers) {
+        return Ok(reply(state, service, ServerResult::Expired));
+    }
+    let checked = !state.settings().unchecked;
+    let result = {
+        let mut content = state.lock();
+        let book = content.books.entry(service.into()).or_default();
+        book.apply(&order, BootClock.now(), checked)
+    };
+    if let ServerOrder::Release { shards, .. } = &order {
+        let shards: Vec<u32> = shards.iter().map(|grant| grant.shard.0).collect();
+        finish_runs(state, service, &shards).await;
+        state.thawed().await;
+    }
+    Ok(reply(state, service, result))
+}
+
+/// Waits until no request for the shards runs.
+async fn finish_runs(state: &BackendState, service: &str, shards: &[u32]) {
+    let mut ended = state.run_ended.subscribe();
+    loop {
+        ended.borrow_and_update();
+        if !is_running(state, service, shards) || ended.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn is_running(state: &BackendState, service: &str, shards: &[u32]) -> bool {
+    let content = state.lock();
+    let mut running = content.running.keys();
+    running.any(|(name, shard)| name == service && shards.contains(shard))
+}
+
+fn reply(state: &BackendState, service: &str, result: ServerResult) -> Reply {
+    let epoch = {
+        let content = state.lock();
+        let book = content.books.get(service);
+        book.map_or(Epoch(0), |book| book.epoch())
+    };
+    json_reply(&ServerReply {
+        result,
+        epoch,
+        report: state.report(),
+    })
+}
+
+fn service_of(order: &ServerOrder) -> &str {
+    match order {
+        ServerOrder::Grant { service, .. }
+        | ServerOrder::Renew { service, .. }
+        | ServerOrder::Release { service, .. } => service.as_str(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/control_routes.rs
@@ -0,0 +1,46 @@
+//! Faults, the host list and call counts over the stand-in's own socket.
+
+use {
+    super::platform_state::PlatformState,
+    crate::http::{ConnectionCut, Reply, json_reply, read_json, text_reply},
+    camphorcove_net::platform::CallKind,
+    http::{Method, Request, StatusCode},
+    hyper::body::Incoming,
+    std::collections::BTreeMap,
+};
+
+/// Path prefix of these calls; no fault applies to them.
+pub(super) const CONTROL_PATH: &str = "/control/";
+
+pub(super) async fn route(
+    state: &PlatformState,
+    request: Request<Incoming>,
+) -> Result<Reply, ConnectionCut> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/control/faults") => Ok(json_reply(&state.faults())),
+        (&Method::PUT, "/control/faults") => match read_json(request).await? {
+            Ok(faults) => {
+                state.set_faults(faults);
+                Ok(text_reply(StatusCode::OK, ""))
+            }
+            Err(reply) => Ok(reply),
+        },
+        (&Method::PUT, "/control/hosts") => match read_json(request).await? {
+            Ok(hosts) => {
+                state.lock().hosts.set(hosts);
+                Ok(text_reply(StatusCode::OK, ""))
+            }
+            Err(reply) => Ok(reply),
+        },
+        (&Method::GET, "/control/calls") => Ok(json_reply(&call_table(state))),
+        _ => Ok(text_reply(StatusCode::NOT_FOUND, "no such control")),
+    }
+}
+
+fn call_table(state: &PlatformState) -> BTreeMap<&'static str, u64> {
+    let kinds = CallKind::ALL.into_iter();
+    kinds
+        .map(|kind| (kind.name(), state.calls.calls(kind)))
+        .collect()
+}
--- /dev/null
+++ b/crates/standin/src/platform/platform_state.rs
@@ -0,0 +1,65 @@
+//! State shared by the platform stand-in's connections.
+
+use {
+    super::{
+        host_history::HostHistory, object_table::ObjectTable, platform_faults::PlatformFaults,
+    },
+    camphorcove_net::platform::CallCounts,
+    std::sync::{Mutex, MutexGuard, PoisonError},
+    tokio::sync::watch,
+};
+
+/// Content that one lock protects.
+#[derive(Debug, Default)]
+pub(super) struct PlatformContent {
+    pub objects: ObjectTable,
+    /// What reads show instead of `objects` while they are stale.
+    pub stale: Option<ObjectTable>,
+    pub hosts: HostHistory,
+    pub faults: PlatformFaults,
+}
+
+impl PlatformContent {
+    /// What reads and lists show.
+    pub fn readable(&self) -> &ObjectTable {
+        self.stale.as_ref().unwrap_or(&self.objects)
+    }
+}
+
+#[derive(Debug, Default)]
+pub(super) struct PlatformState {
+    content: Mutex<PlatformContent>,
+    changed: watch::Sender<()>,
+    pub calls: CallCounts,
+}
+
+impl PlatformState {
+    pub fn lock(&self) -> MutexGuard<'_, PlatformContent> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn faults(&self) -> PlatformFaults {
+        self.lock().faults.clone()
+    }
+
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        let mut content = self.lock();
+        if !faults.stale_reads {
+            content.stale = None;
+        } else if content.stale.is_none() {
+            content.stale = Some(content.objects.clone());
+        }
+        content.faults = faults;
+        drop(content);
+        self.notify();
+    }
+
+    /// Wakes pending watches.
+    pub fn notify(&self) {
+        self.changed.send_replace(());
+    }
+
+    pub fn subscribe(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+}
