Add the configuration reader and the configuration repository

The daemon needs a configuration to load and operators need a way to change it. core::conf::parse reports all faults of a file with their positions, and net::config::ConfigRepo makes each change by one conditional update of config/head that carries the audit record. Tests cover lost answers, a writer that dies between two writes and two operators racing.

--- a/crates/core/src/audit/audit_record.rs
+++ b/crates/core/src/audit/audit_record.rs
@@ -51,6 +51,8 @@
         after: u64,
         /// SHA-256 of the content, in hex.
         content: String,
+        /// Orders withdrawn because their server is no longer configured.
+        withdrawn: Vec<String>,
     },
     /// An operator's order, such as drain or pin.
     Order {
@@ -58,6 +60,8 @@
         before: u64,
         /// Version after.
         after: u64,
+        /// SHA-256 of the content, which the order leaves as it is.
+        content: String,
         /// The order as text.
         order: String,
     },
@@ -78,11 +82,31 @@
         /// One line a move: shard, old owner, new owner, token, reason.
         moves: Vec<String>,
     },
-    /// A request of an operator was refused.
+    /// Requests of operators were refused; one record sums up a period.
     Refused {
-        /// Why.
+        /// Why, with the number of requests.
         reason: String,
     },
+    /// An earlier content was applied again.
+    Rollback {
+        /// Version before.
+        before: u64,
+        /// Version after.
+        after: u64,
+        /// SHA-256 of the content, in hex.
+        content: String,
+        /// Version whose content was applied.
+        target: u64,
+        /// Orders withdrawn because their server is no longer configured.
+        withdrawn: Vec<String>,
+    },
+    /// An operator confirmed that the old hosts of a scope have stopped.
+    LossConfirmed {
+        /// Scope.
+        scope: String,
+        /// Epoch the confirmation is for.
+        epoch: u64,
+    },
 }
 
 /// One audit record.
--- a/crates/core/src/conf/service_config.rs
+++ b/crates/core/src/conf/service_config.rs
@@ -118,6 +118,16 @@
     },
 }
 
+impl std::fmt::Display for KeySource {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Path { segment } => write!(f, "path segment {segment}"),
+            Self::Header { name } => write!(f, "header {name}"),
+            Self::Query { name } => write!(f, "query parameter {name}"),
+        }
+    }
+}
+
 /// Limits of a service's requests.
 #[derive(
     Clone,
--- /dev/null
+++ b/crates/net/src/config/change_plan.rs
@@ -0,0 +1,174 @@
+//! What a change makes of the version in force.
+
+use {
+    super::{
+        Author, ConfigHead, ConfigRepo, OperatorOrder, RepoError,
+        config_head::{StoredHead, record_hash, version_of},
+        content::find_parts,
+        order::withdraw_dangling,
+        repo_error::*,
+    },
+    crate::platform::ObjectStore,
+    camphorcove_core::{
+        audit::{AuditAction, AuditRecord},
+        conf::{OperatorOrders, RegionConfig, check_change},
+        ids::ConfigVersion,
+    },
+    snafu::OptionExt,
+};
+
+/// A change that an operator asked for.
+pub(super) enum ChangeRequest {
+    /// Apply content that has been uploaded.
+    Apply {
+        config: Box<RegionConfig>,
+        hash: String,
+        parts: Vec<String>,
+    },
+    /// Change the orders in force.
+    Order(OperatorOrder),
+    /// Apply the content of an earlier version.
+    Rollback(ConfigVersion),
+}
+
+/// What a change makes of the version in force.
+pub(super) struct NextVersion {
+    content: String,
+    parts: Vec<String>,
+    orders: OperatorOrders,
+    action: AuditAction,
+    pub(super) withdrawn: Vec<String>,
+}
+
+impl<S: ObjectStore> ConfigRepo<S> {
+    /// The next version, or `None` if the change is in force already.
+    pub(super) async fn plan(
+        &self,
+        change: &ChangeRequest,
+        base: Option<&StoredHead>,
+    ) -> Result<Option<NextVersion>, RepoError> {
+        match change {
+            ChangeRequest::Apply {
+                config,
+                hash,
+                parts,
+            } => self.plan_apply(base, config, hash, parts).await,
+            ChangeRequest::Order(order) => self.plan_order(base, order).await,
+            ChangeRequest::Rollback(target) => self.plan_rollback(base, *target).await,
+        }
+    }
+
+    async fn plan_apply(
+        &self,
+        base: Option<&StoredHead>,
+        config: &RegionConfig,
+        hash: &str,
+        parts: &[String],
+    ) -> Result<Option<NextVersion>, RepoError> {
+        if base.is_some_and(|base| base.head.content == hash) {
+            return Ok(None);
+        }
+        let mut orders = OperatorOrders::default();
+        if let Some(base) = base {
+            self.check_base(&base.head, config).await?;
+            orders = base.head.orders.clone();
+        }
+        let withdrawn = withdraw_dangling(&mut orders, config);
+        let before = version_of(base).0;
+        Ok(Some(NextVersion {
+            content: hash.to_owned(),
+            parts: parts.to_vec(),
+            orders,
+            action: AuditAction::Apply {
+                before,
+                after: before + 1,
+                content: hash.to_owned(),
+                withdrawn: withdrawn.clone(),
+            },
+            withdrawn,
+        }))
+    }
+
+    async fn plan_order(
+        &self,
+        base: Option<&StoredHead>,
+        order: &OperatorOrder,
+    ) -> Result<Option<NextVersion>, RepoError> {
+        let (what, name) = ("configuration version", "0");
+        let head = &base.context(NotFoundSnafu { what, name })?.head;
+        let config = self.read_config(head).await?;
+        let orders = order.apply(&config, &head.orders)?;
+        if orders == head.orders {
+            return Ok(None);
+        }
+        Ok(Some(NextVersion {
+            content: head.content.clone(),
+            parts: head.parts.clone(),
+            orders,
+            action: AuditAction::Order {
+                before: head.version.0,
+                after: head.version.0 + 1,
+                content: head.content.clone(),
+                order: order.to_string(),
+            },
+            withdrawn: Vec::new(),
+        }))
+    }
+
+    async fn plan_rollback(
+        &self,
+        base: Option<&StoredHead>,
+        target: ConfigVersion,
+    ) -> Result<Option<NextVersion>, RepoError> {
+        let (what, name) = ("configuration version", target.to_string());
+        let head = &base.context(NotFoundSnafu { what, name })?.head;
+        let content = self.content_of(head, target).await?;
+        if content == head.content {
+            return Ok(None);
+        }
+        let parts = find_parts(self.store(), &content).await?;
+        let config = self.read_content(&content, &parts).await?;
+        self.check_base(head, &config).await?;
+        let mut orders = head.orders.clone();
+        let withdrawn = withdraw_dangling(&mut orders, &config);
+        let action = AuditAction::Rollback {
+            before: head.version.0,
+            after: head.version.0 + 1,
+            content: content.clone(),
+            target: target.0,
+            withdrawn: withdrawn.clone(),
+        };
+        Ok(Some(NextVersion {
+            content,
+            parts,
+            orders,
+            action,
+            withdrawn,
+        }))
+    }
+
+    async fn check_base(&self, head: &ConfigHead, next: &RegionConfig) -> Result<(), RepoError> {
+        let config = self.read_config(head).await?;
+        check_change(&config, next).map_err(|faults| RepoError::Forbidden { faults })
+    }
+}
+
+impl NextVersion {
+    pub(super) fn into_head(self, base: Option<&StoredHead>, author: &Author) -> ConfigHead {
+        let version = ConfigVersion(version_of(base).0 + 1);
+        ConfigHead {
+            version,
+            content: self.content,
+            parts: self.parts,
+            orders: self.orders,
+            record: AuditRecord {
+                number: version.0,
+                wall_millis: author.wall_millis,
+                actor: author.actor.clone(),
+                action: self.action,
+                reason: author.reason.clone(),
+                previous: record_hash(base),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/config/config_repo.rs
@@ -0,0 +1,241 @@
+//! Reading and changing the configuration.
+
+use {
+    super::{
+        Author, ConfigHead, OperatorOrder, RepoError,
+        archive::{archive_key, decode_record},
+        change_plan::ChangeRequest,
+        config_head::{StoredHead, version_of},
+        content::{content_hash, download, find_parts, upload},
+        head_update::{CONFIG_STREAM, UpdateResult, replace_head},
+        repo_error::*,
+    },
+    crate::{
+        peer::ConfigSnapshot,
+        platform::{ObjectStore, StoreError},
+    },
+    camphorcove_core::{
+        audit::{AuditAction, AuditRecord},
+        conf::{RegionConfig, parse, parse_stored},
+        ids::ConfigVersion,
+    },
+    snafu::{OptionExt, ensure},
+};
+
+/// Attempts at a change without an expected version while others change too.
+const CHANGE_ATTEMPTS: u32 = 8;
+
+/// Result of an accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ChangeOutcome {
+    /// Version in force.
+    pub version: ConfigVersion,
+    /// False if the content or the order was in force already.
+    pub changed: bool,
+    /// Orders withdrawn because their server is no longer configured.
+    pub withdrawn: Vec<String>,
+}
+
+/// The configuration in the platform.
+#[derive(Clone, Debug)]
+pub struct ConfigRepo<S> {
+    store: S,
+}
+
+impl<S: ObjectStore> ConfigRepo<S> {
+    /// Repository in a platform.
+    pub fn new(store: S) -> Self {
+        Self { store }
+    }
+
+    /// The platform.
+    pub fn store(&self) -> &S {
+        &self.store
+    }
+
+    /// Configuration in force; `None` before the first.
+    ///
+    /// Damaged content is reported as [`StoreError::Rejected`].
+    pub async fn load(&self) -> Result<Option<ConfigSnapshot>, StoreError> {
+        match self.load_checked().await {
+            Ok(snapshot) => Ok(snapshot),
+            Err(RepoError::Store { source }) => Err(source),
+            Err(error) => Err(StoreError::Rejected {
+                reason: error.to_string(),
+            }),
+        }
+    }
+
+    /// The head in force; `None` before the first configuration.
+    pub async fn head(&self) -> Result<Option<ConfigHead>, RepoError> {
+        Ok(self.stored_head().await?.map(|stored| stored.head))
+    }
+
+    /// The text of a version; `None` for the version in force.
+    pub async fn content(&self, version: Option<ConfigVersion>) -> Result<String, RepoError> {
+        let stored = self.stored_head().await?;
+        let (what, name) = ("configuration version", "0");
+        let head = stored.context(NotFoundSnafu { what, name })?.head;
+        match version {
+            Some(version) if version != head.version => {
+                let hash = self.content_of(&head, version).await?;
+                let parts = find_parts(&self.store, &hash).await?;
+                download(&self.store, &hash, &parts).await
+            }
+            _ => download(&self.store, &head.content, &head.parts).await,
+        }
+    }
+
+    /// Applies a file. Content that is in force already changes nothing, whatever
+    /// version is expected, so an apply may be repeated after a lost answer.
+    pub async fn apply(
+        &self,
+        content: &str,
+        expected: Option<ConfigVersion>,
+        author: &Author,
+    ) -> Result<ChangeOutcome, RepoError> {
+        let config = parse("file", content).map_err(|faults| RepoError::Invalid { faults })?;
+        let change = ChangeRequest::Apply {
+            config: Box::new(config),
+            hash: content_hash(content.as_bytes()),
+            parts: upload(&self.store, content).await?,
+        };
+        self.change(&change, expected, author).await
+    }
+
+    /// Puts an order in force or withdraws it. An order that is in force already
+    /// changes nothing.
+    pub async fn order(
+        &self,
+        order: &OperatorOrder,
+        expected: Option<ConfigVersion>,
+        author: &Author,
+    ) -> Result<ChangeOutcome, RepoError> {
+        let change = ChangeRequest::Order(order.clone());
+        self.change(&change, expected, author).await
+    }
+
+    /// Applies the content of an earlier version as a new version. Orders stay in
+    /// force.
+    pub async fn rollback(
+        &self,
+        target: ConfigVersion,
+        expected: Option<ConfigVersion>,
+        author: &Author,
+    ) -> Result<ChangeOutcome, RepoError> {
+        let change = ChangeRequest::Rollback(target);
+        self.change(&change, expected, author).await
+    }
+
+    /// Makes one change. With an expected version it is made on that version or
+    /// not at all.
+    async fn change(
+        &self,
+        change: &ChangeRequest,
+        expected: Option<ConfigVersion>,
+        author: &Author,
+    ) -> Result<ChangeOutcome, RepoError> {
+        for _ in 0..CHANGE_ATTEMPTS {
+            let base = self.stored_head().await?;
+            let base = base.as_ref();
+            let current = version_of(base);
+            let planned = self.plan(change, base).await;
+            let mismatch = expected.filter(|expected| *expected != current);
+            if let (Some(expected), Err(_) | Ok(Some(_))) = (mismatch, &planned) {
+                return VersionMismatchSnafu { expected, current }.fail();
+            }
+            let Some(next) = planned? else {
+                return Ok(ChangeOutcome {
+                    version: current,
+                    changed: false,
+                    withdrawn: Vec::new(),
+                });
+            };
+            let withdrawn = next.withdrawn.clone();
+            let head = next.into_head(base, author);
+            let result = replace_head(&self.store, base, &head).await?;
+            if result == UpdateResult::Committed {
+                return Ok(ChangeOutcome {
+                    version: head.version,
+                    changed: true,
+                    withdrawn,
+                });
+            }
+        }
+        let attempts = CHANGE_ATTEMPTS;
+        ContendedSnafu { attempts }.fail()
+    }
+
+    /// Hash of the content of a version.
+    pub(super) async fn content_of(
+        &self,
+        head: &ConfigHead,
+        version: ConfigVersion,
+    ) -> Result<String, RepoError> {
+        match self.record_of(head, version).await?.action {
+            AuditAction::Apply { content, .. }
+            | AuditAction::Order { content, .. }
+            | AuditAction::Rollback { content, .. } => Ok(content),
+            _ => DamagedSnafu {
+                key: archive_key(CONFIG_STREAM, version.0).to_string(),
+                reason: "the audit record does not describe a configuration",
+            }
+            .fail(),
+        }
+    }
+
+    async fn record_of(
+        &self,
+        head: &ConfigHead,
+        version: ConfigVersion,
+    ) -> Result<AuditRecord, RepoError> {
+        if version == head.version {
+            return Ok(head.record.clone());
+        }
+        let (what, name) = ("configuration version", version.to_string());
+        ensure!(
+            (1..head.version.0).contains(&version.0),
+            NotFoundSnafu { what, name }
+        );
+        let key = archive_key(CONFIG_STREAM, version.0);
+        let object = self.store.get(&key).await?;
+        let record = object.and_then(|object| decode_record(&object.value));
+        record.context(DamagedSnafu {
+            key: key.to_string(),
+            reason: "the archived audit record is missing or unreadable",
+        })
+    }
+
+    pub(super) async fn read_config(&self, head: &ConfigHead) -> Result<RegionConfig, RepoError> {
+        self.read_content(&head.content, &head.parts).await
+    }
+
+    pub(super) async fn read_content(
+        &self,
+        hash: &str,
+        parts: &[String],
+    ) -> Result<RegionConfig, RepoError> {
+        let text = download(&self.store, hash, parts).await?;
+        parse_stored(&text).map_err(|reason| RepoError::Damaged {
+            key: format!("config/part/{hash}"),
+            reason,
+        })
+    }
+
+    async fn stored_head(&self) -> Result<Option<StoredHead>, RepoError> {
+        let object = self.store.get(&ConfigHead::key()).await?;
+        object.as_ref().map(StoredHead::decode).transpose()
+    }
+
+    async fn load_checked(&self) -> Result<Option<ConfigSnapshot>, RepoError> {
+        let Some(stored) = self.stored_head().await? else {
+            return Ok(None);
+        };
+        let config = self.read_config(&stored.head).await?;
+        Ok(Some(ConfigSnapshot {
+            version: stored.head.version,
+            config,
+            orders: stored.head.orders,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/net/src/config/mod.rs
@@ -0,0 +1,29 @@
+//! The configuration as the platform stores it, and the audit records.
+//!
+//! `config/head` is the only mutable object. It names the content by hash and
+//! contains the audit record of the change that produced it, so one conditional
+//! update makes a change together with its record.
+
+mod archive;
+mod author;
+mod change_plan;
+mod config_head;
+mod config_repo;
+mod content;
+mod head_update;
+mod order;
+mod repo_error;
+
+pub use {
+    archive::{archive_key, archive_record, decode_record, encode_record},
+    author::Author,
+    config_head::{ConfigHead, HEAD_KEY},
+    config_repo::{ChangeOutcome, ConfigRepo},
+    content::{CONTENT_LIMIT, content_hash},
+    order::OperatorOrder,
+    repo_error::RepoError,
+};
+
+/// Largest value written to the platform, in bytes. The platform's limit is
+/// 1 MB; the rest is a margin for the platform's own framing.
+pub const VALUE_LIMIT: usize = 960_000;
--- /dev/null
+++ b/crates/net/src/config/order.rs
@@ -0,0 +1,161 @@
+//! Orders of operators.
+
+use {
+    super::{RepoError, repo_error::*},
+    camphorcove_core::{
+        conf::{OperatorOrders, RegionConfig, RoutingMode},
+        ids::{ServerId, ServiceName},
+    },
+    snafu::{OptionExt, ensure},
+    std::fmt,
+};
+
+/// Longest key that can be pinned, in bytes; bounds the size of the head.
+const PIN_KEY_LIMIT: usize = 1_024;
+
+/// A change to the orders in force.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(tag = "order", rename_all = "snake_case", deny_unknown_fields)]
+pub enum OperatorOrder {
+    /// A server takes no new work.
+    Drain {
+        /// Service.
+        service: ServiceName,
+        /// Server.
+        server: ServerId,
+    },
+    /// A drained server takes work again.
+    Undrain {
+        /// Service.
+        service: ServiceName,
+        /// Server.
+        server: ServerId,
+    },
+    /// The shard of a key is held at a server.
+    Pin {
+        /// Service.
+        service: ServiceName,
+        /// Key.
+        key: String,
+        /// Server.
+        server: ServerId,
+    },
+    /// The shard of a key is placed freely again.
+    Unpin {
+        /// Service.
+        service: ServiceName,
+        /// Key.
+        key: String,
+    },
+}
+
+impl fmt::Display for OperatorOrder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Drain { service, server } => write!(f, "drain {service} {server}"),
+            Self::Undrain { service, server } => write!(f, "undrain {service} {server}"),
+            Self::Pin {
+                service,
+                key,
+                server,
+            } => write!(f, "pin {service} {key:?} {server}"),
+            Self::Unpin { service, key } => write!(f, "unpin {service} {key:?}"),
+        }
+    }
+}
+
+impl OperatorOrder {
+    /// Orders in force afterwards; unchanged if the order is in force already.
+    pub(super) fn apply(
+        &self,
+        config: &RegionConfig,
+        orders: &OperatorOrders,
+    ) -> Result<OperatorOrders, RepoError> {
+        let mut orders = orders.clone();
+        match self {
+            Self::Drain { service, server } => {
+                check_server(config, service, server)?;
+                let entry = (service.clone(), server.clone());
+                if !orders.drained.contains(&entry) {
+                    orders.drained.push(entry);
+                }
+            }
+            Self::Undrain { service, server } => {
+                check_server(config, service, server)?;
+                orders
+                    .drained
+                    .retain(|entry| (&entry.0, &entry.1) != (service, server));
+            }
+            Self::Pin {
+                service,
+                key,
+                server,
+            } => {
+                check_pin(config, service, key)?;
+                check_server(config, service, server)?;
+                orders.pins.retain(|pin| !is_pin(pin, service, key));
+                let pin = (service.clone(), key.clone(), server.clone());
+                orders.pins.push(pin);
+            }
+            Self::Unpin { service, key } => {
+                check_pin(config, service, key)?;
+                orders.pins.retain(|pin| !is_pin(pin, service, key));
+            }
+        }
+        orders.drained.sort();
+        orders.pins.sort();
+        Ok(orders)
+    }
+}
+
+fn is_pin(pin: &(ServiceName, String, ServerId), service: &ServiceName, key: &str) -> bool {
+    pin.0 == *service && pin.1 == key
+}
+
+fn check_server(
+    config: &RegionConfig,
+    service: &ServiceName,
+    server: &ServerId,
+) -> Result<(), RepoError> {
+    let found = config.services.iter().find(|other| other.name == *service);
+    let (what, name) = ("service", service.as_str());
+    let found = found.context(NotFoundSnafu { what, name })?;
+    let known = found.servers.iter().any(|other| other.id == *server);
+    let (what, name) = ("server", server.as_str());
+    ensure!(known, NotFoundSnafu { what, name });
+    Ok(())
+}
+
+fn check_pin(config: &RegionConfig, service: &ServiceName, key: &str) -> Result<(), RepoError> {
+    let (what, size, limit) = ("the key", key.len(), PIN_KEY_LIMIT);
+    ensure!(size <= limit, TooLargeSnafu { what, size, limit });
+    let found = config
+        .services
+        .iter()
+        .find(|other| other.name == *service && other.routing == RoutingMode::Keyed);
+    let (what, name) = ("keyed service", service.as_str());
+    found.context(NotFoundSnafu { what, name })?;
+    Ok(())
+}
+
+/// Removes orders for servers that are not configured and returns their texts.
+///
+/// Otherwise a server added later under the same id would start drained.
+pub(super) fn withdraw_dangling(orders: &mut OperatorOrders, config: &RegionConfig) -> Vec<String> {
+    let mut withdrawn = Vec::new();
+    orders.drained.retain(|(service, server)| {
+        let known = check_server(config, service, server).is_ok();
+        if !known {
+            withdrawn.push(format!("drain {service} {server}"));
+        }
+        known
+    });
+    orders.pins.retain(|(service, key, server)| {
+        let known = check_server(config, service, server).is_ok();
+        if !known {
+            withdrawn.push(format!("pin {service} {key:?} {server}"));
+        }
+        known
+    });
+    withdrawn
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 //! logging.
 
 pub mod clock;
+pub mod config;
 pub mod peer;
 pub mod platform;
 pub mod servers;
