Distribute maps and configuration between hosts

Hosts held maps and configuration without a way to obtain them. Relays now poll the controllers and read the platform, other hosts poll a relay, and a host whose map runs out asks the hosts it knows. Validity counts from before the poll was sent and nests along any path.

--- /dev/null
+++ b/crates/daemon/src/maps/controller_hints.rs
@@ -0,0 +1,37 @@
+//! Which host controls a scope, as far as this host has heard.
+
+use {
+    camphorcove_core::ids::{Epoch, HostId, ServiceName},
+    std::{
+        collections::HashMap,
+        sync::{Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Controllers by scope; only a hint where to poll.
+#[derive(Debug, Default)]
+pub struct ControllerHints {
+    hints: Mutex<HashMap<ServiceName, (Epoch, HostId)>>,
+}
+
+impl ControllerHints {
+    /// Records the controller of a term; older terms are ignored.
+    pub fn note(&self, service: &ServiceName, epoch: Epoch, controller: &HostId) {
+        let mut hints = self.hints();
+        let newer = hints
+            .get(service)
+            .is_none_or(|(known, host)| epoch > *known || epoch == *known && host != controller);
+        if newer {
+            hints.insert(service.clone(), (epoch, controller.clone()));
+        }
+    }
+
+    /// Controller of the newest known term.
+    pub fn controller(&self, service: &ServiceName) -> Option<HostId> {
+        self.hints().get(service).map(|(_, host)| host.clone())
+    }
+
+    fn hints(&self) -> MutexGuard<'_, HashMap<ServiceName, (Epoch, HostId)>> {
+        self.hints.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/daemon/src/maps/map_store.rs
+++ b/crates/daemon/src/maps/map_store.rs
@@ -2,9 +2,16 @@
 
 use {
     arc_swap::ArcSwap,
-    camphorcove_core::{ids::ServiceName, map::RoutingMap, time::BootTime},
+    camphorcove_core::{
+        ids::ServiceName,
+        map::{MapVersion, RoutingMap},
+        time::BootTime,
+    },
     camphorcove_net::peer::{ConfigSnapshot, PeerAddress},
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, PoisonError},
+    },
     tokio::sync::watch,
 };
 
@@ -17,10 +24,11 @@
     pub valid_until: BootTime,
 }
 
-/// Maps by scope. One task writes; any number of requests read.
+/// Maps by scope. Writers take turns; any number of requests read without waiting.
 #[derive(Clone, Debug)]
 pub struct MapStore {
     maps: Arc<ArcSwap<HashMap<ServiceName, HeldMap>>>,
+    writer: Arc<Mutex<()>>,
     changes: Arc<watch::Sender<u64>>,
 }
 
@@ -28,6 +36,7 @@
     fn default() -> Self {
         Self {
             maps: Arc::default(),
+            writer: Arc::default(),
             changes: Arc::new(watch::Sender::new(0)),
         }
     }
@@ -52,9 +61,8 @@
     }
 
     /// Accepts a map unless an equal or newer version with longer validity is held.
-    ///
-    /// Called by the one task that owns the store's content.
     pub fn accept(&self, held: HeldMap) {
+        let _turn = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
         let mut maps = HashMap::clone(&self.maps.load());
         let service = held.map.service.clone();
         let changed = match maps.get(&service) {
@@ -74,6 +82,29 @@
         }
     }
 
+    /// Prolongs the validity of a held version; other versions are left alone.
+    pub fn prolong(&self, service: &ServiceName, version: MapVersion, valid_until: BootTime) {
+        let Some(held) = self.held(service) else {
+            return;
+        };
+        if held.map.version == version {
+            let map = held.map;
+            self.accept(HeldMap { map, valid_until });
+        }
+    }
+
+    /// Removes the maps of services that are no longer configured.
+    pub fn retain(&self, keep: impl Fn(&ServiceName) -> bool) {
+        let _turn = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let maps = self.maps.load();
+        if maps.keys().all(&keep) {
+            return;
+        }
+        let mut maps = HashMap::clone(&maps);
+        maps.retain(|service, _| keep(service));
+        self.maps.store(Arc::new(maps));
+    }
+
     /// Signals each accepted new version.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
@@ -81,10 +112,21 @@
 }
 
 /// Configuration and live hosts, replaced as a whole.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConfigStore {
     config: Arc<ArcSwap<Option<Arc<ConfigSnapshot>>>>,
     peers: Arc<ArcSwap<Vec<PeerAddress>>>,
+    versions: Arc<watch::Sender<u64>>,
+}
+
+impl Default for ConfigStore {
+    fn default() -> Self {
+        Self {
+            config: Arc::default(),
+            peers: Arc::default(),
+            versions: Arc::new(watch::Sender::new(0)),
+        }
+    }
 }
 
 impl ConfigStore {
@@ -95,13 +137,23 @@
 
     /// Accepts a configuration if its version is higher than the one in force.
     pub fn accept(&self, snapshot: ConfigSnapshot) -> bool {
-        let newer = self
-            .config()
-            .is_none_or(|current| snapshot.version > current.version);
-        if newer {
-            self.config.store(Arc::new(Some(Arc::new(snapshot))));
-        }
-        newer
+        let version = snapshot.version.0;
+        // The watch's lock makes comparing and replacing one step.
+        self.versions.send_if_modified(|current| {
+            let newer = self
+                .config()
+                .is_none_or(|held| snapshot.version > held.version);
+            if newer {
+                self.config.store(Arc::new(Some(Arc::new(snapshot))));
+                *current = version;
+            }
+            newer
+        })
+    }
+
+    /// Signals each accepted configuration.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.versions.subscribe()
     }
 
     /// Live hosts of the region, this one included.
--- /dev/null
+++ b/crates/daemon/src/maps/poll_handler.rs
@@ -0,0 +1,89 @@
+//! Answers polls of other hosts.
+
+use {
+    super::{MapContext, host_table::digest},
+    camphorcove_core::{
+        ids::ServiceName,
+        map::MapVersion,
+        time::{BootTime, POLL_HOLD},
+    },
+    camphorcove_net::peer::{MapAnswer, MapPoll, ScopeAnswer},
+    tokio::{sync::watch, time::Instant},
+};
+
+/// Answers a poll: at once if there is news, otherwise after [`POLL_HOLD`].
+pub async fn answer_poll(context: &MapContext, poll: MapPoll) -> MapAnswer {
+    let mut maps = context.maps.changes();
+    let mut config = context.config.changes();
+    let lacking = context.hosts.note_poll(&poll, context.now());
+    if !poll.urgent && !lacking {
+        hold(context, &poll, &mut maps, &mut config).await;
+        // The poller may use what this answer carries from now on, so it counts
+        // as heard of now and not when its poll arrived.
+        context.hosts.note_poll(&poll, context.now());
+    }
+    answer_now(context, &poll, lacking)
+}
+
+async fn hold(
+    context: &MapContext,
+    poll: &MapPoll,
+    maps: &mut watch::Receiver<u64>,
+    config: &mut watch::Receiver<u64>,
+) {
+    let end = Instant::now() + POLL_HOLD;
+    while !has_news(context, poll) {
+        tokio::select! {
+            _ = tokio::time::sleep_until(end) => return,
+            changed = maps.changed() => if changed.is_err() { return },
+            changed = config.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+fn has_news(context: &MapContext, poll: &MapPoll) -> bool {
+    let config = context.config.config();
+    if config.is_some_and(|config| config.version > poll.config) {
+        return true;
+    }
+    let now = context.now();
+    let mut scopes = poll.held.iter();
+    scopes.any(|(service, version)| {
+        let held = context.maps.valid(service, now);
+        held.is_some_and(|held| held.map.version > *version)
+    })
+}
+
+fn answer_now(context: &MapContext, poll: &MapPoll, want_downstream: bool) -> MapAnswer {
+    let now = context.now();
+    let scopes = poll.held.iter();
+    let scopes = scopes.filter_map(|(service, version)| scope(context, service, *version, now));
+    let config = context.config.config();
+    let config = config.filter(|config| config.version > poll.config);
+    let hosts = context.live();
+    let hosts_digest = digest(&hosts);
+    MapAnswer {
+        from: context.me(),
+        scopes: scopes.collect(),
+        config: config.map(|config| Box::new((*config).clone())),
+        hosts_digest,
+        hosts: (hosts_digest != poll.hosts).then_some(hosts),
+        want_downstream,
+    }
+}
+
+fn scope(
+    context: &MapContext,
+    service: &ServiceName,
+    version: MapVersion,
+    now: BootTime,
+) -> Option<ScopeAnswer> {
+    let held = context.maps.valid(service, now)?;
+    let remaining = held.valid_until.since(now);
+    Some(ScopeAnswer {
+        service: service.clone(),
+        version: held.map.version,
+        remaining_micros: u64::try_from(remaining.as_micros()).unwrap_or(0),
+        map: (held.map.version > version).then(|| Box::new((*held.map).clone())),
+    })
+}
--- a/crates/net/src/peer/messages.rs
+++ b/crates/net/src/peer/messages.rs
@@ -24,15 +24,20 @@
 pub struct MapPoll {
     /// Who asks.
     pub from: PeerAddress,
-    /// Versions held.
+    /// Scopes asked for, with the versions held; the answer covers no others.
     pub held: Vec<(ServiceName, MapVersion)>,
+    /// Oldest versions that hosts behind the asking host may still use, where
+    /// older than its own.
+    pub floors: Vec<(ServiceName, MapVersion)>,
     /// Configuration version held.
     pub config: ConfigVersion,
+    /// The asking host is a relay; other hosts count as behind the answering host.
+    pub relay: bool,
     /// Digest of the host list held; 0 for none.
     pub hosts: u64,
     /// Digest of `downstream`.
     pub downstream_digest: u64,
-    /// Hosts that poll the asking host, for a relay; absent if the answerer has them.
+    /// Hosts behind the asking relay; absent if the answerer has them.
     pub downstream: Option<Vec<PeerAddress>>,
     /// Answer at once instead of waiting for news.
     pub urgent: bool,
