--- a/crates/net/src/peer/client.rs
+++ b/crates/net/src/peer/client.rs
@@ -2,27 +2,22 @@
 
 use {
     super::{
-        AuthScope, AuthTag, ForwardEnvelope, PeerBody, PeerError, PeerIdentity, PeerKind,
-        PeerTraffic, encode, frame, full_body,
-        protocol::{
-            self, ENVELOPE_HEADER, METHOD_HEADER, SENDER_HEADER, TAG_HEADER, TARGET_HEADER,
-        },
+        AuthScope, AuthTag, PeerBody, PeerError, PeerIdentity, PeerKind, PeerTraffic, encode,
+        frame, full_body,
+        protocol::{self, SENDER_HEADER},
         read_frame,
         traffic::CountedStream,
     },
     camphorcove_core::ids::HostId,
-    http::{HeaderValue, Method, Request, Response, Uri},
-    hyper::{
-        body::Incoming,
-        client::conn::http2::{self, SendRequest},
-    },
+    http::{Request, Uri},
+    hyper::client::conn::http2::{self, SendRequest},
     hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     std::{
         collections::HashMap,
         net::SocketAddr,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -36,21 +31,6 @@
 const STREAM_WINDOW: u32 = 1 << 20;
 const CONNECTION_WINDOW: u32 = 8 << 20;
 
-/// Interval and patience of HTTP/2 pings on a connection with open requests.
-///
-/// Control calls need none: each has its own timeout.
-const PING_INTERVAL: Duration = Duration::from_secs(2);
-const PING_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// What a client's connections carry; control never waits behind request bodies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LinkPurpose {
-    /// Control messages.
-    Control,
-    /// Callers' requests.
-    Forward,
-}
-
 /// Sends messages to peers.
 #[derive(Clone, Debug)]
 pub struct PeerClient {
@@ -60,7 +40,6 @@
 #[derive(Debug)]
 struct ClientInner {
     identity: PeerIdentity,
-    purpose: LinkPurpose,
     traffic: Arc<PeerTraffic>,
     counter: AtomicU64,
     slots: Mutex<HashMap<(HostId, SocketAddr), Slot>>,
@@ -77,10 +56,9 @@
 
 impl PeerClient {
     /// Client with no connection yet.
-    pub fn new(identity: PeerIdentity, purpose: LinkPurpose, traffic: Arc<PeerTraffic>) -> Self {
+    pub fn new(identity: PeerIdentity, traffic: Arc<PeerTraffic>) -> Self {
         let inner = ClientInner {
             identity,
-            purpose,
             traffic,
             counter: AtomicU64::new(1),
             slots: Mutex::default(),
@@ -129,75 +107,6 @@
         }
     }
 
-    /// Sends a caller's request; its method, path, headers and body travel unchanged.
-    ///
-    /// The answer's body is streamed. The caller sets the time limit.
-    pub async fn forward(
-        &self,
-        address: SocketAddr,
-        host: &HostId,
-        envelope: &ForwardEnvelope,
-        request: Request<PeerBody>,
-    ) -> Result<Response<Incoming>, PeerError> {
-        let mut link = self.link(host, address).await?;
-        let request = self.wrap(host, link.session, envelope, request)?;
-        let sent = link.sender.try_send_request(request).await;
-        let response = match sent {
-            Ok(response) => response,
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                let reason = error.into_error().to_string();
-                if link.sender.is_closed() {
-                    self.drop_link(host, address, link.number).await;
-                }
-                return Err(match unsent {
-                    true => PeerError::NotSent { reason },
-                    false => PeerError::NoAnswer { reason },
-                });
-            }
-        };
-        match response.headers().contains_key(TAG_HEADER) {
-            true => Err(PeerError::Refused {
-                status: response.status().as_u16(),
-            }),
-            false => Ok(response),
-        }
-    }
-
-    fn wrap(
-        &self,
-        host: &HostId,
-        session: u64,
-        envelope: &ForwardEnvelope,
-        request: Request<PeerBody>,
-    ) -> Result<Request<PeerBody>, PeerError> {
-        let (mut parts, body) = request.into_parts();
-        let envelope = encode(envelope);
-        let target = parts
-            .uri
-            .path_and_query()
-            .map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned());
-        let cover = protocol::forward_cover(&envelope, parts.method.as_str(), &target);
-        let tag = self.seal(host, protocol::FORWARD, session, &cover);
-        let texts = [
-            (SENDER_HEADER, self.inner.identity.host.to_string()),
-            (TAG_HEADER, protocol::to_hex(&tag.encode())),
-            (ENVELOPE_HEADER, protocol::to_hex(&envelope)),
-            (METHOD_HEADER, parts.method.to_string()),
-            (TARGET_HEADER, target),
-        ];
-        for (name, text) in texts {
-            let value = HeaderValue::from_str(&text).map_err(|_| PeerError::NotSent {
-                reason: format!("{name} cannot be a header"),
-            })?;
-            parts.headers.insert(name, value);
-        }
-        parts.method = Method::POST;
-        parts.uri = peer_uri(host, protocol::FORWARD)?;
-        parts.version = http::Version::HTTP_2;
-        Ok(Request::from_parts(parts, body))
-    }
-
     async fn exchange(
         &self,
         host: &HostId,
@@ -295,18 +204,12 @@
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let forwards = Arc::new(AtomicBool::new(self.inner.purpose == LinkPurpose::Forward));
-        let stream = CountedStream::new(stream, self.inner.traffic.clone(), forwards);
+        let stream = CountedStream::new(stream, self.inner.traffic.clone(), Arc::default());
         let mut builder = http2::Builder::new(TokioExecutor::new());
         builder
             .timer(TokioTimer::new())
             .initial_stream_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW);
-        if self.inner.purpose == LinkPurpose::Forward {
-            builder
-                .keep_alive_interval(PING_INTERVAL)
-                .keep_alive_timeout(PING_TIMEOUT);
-        }
         let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
             .await
@@ -321,9 +224,8 @@
             session: 0,
             number: self.inner.counter.fetch_add(1, Ordering::Relaxed),
         };
-        let purpose = [u8::from(self.inner.purpose == LinkPurpose::Forward)];
         let answer = self
-            .exchange(host, link.clone(), protocol::HELLO, &purpose)
+            .exchange(host, link.clone(), protocol::HELLO, &[])
             .await
             .map_err(|error| not_sent(format!("session refused: {error}")))?;
         let session = frame::decode(&answer).map_err(|error| not_sent(error.to_string()))?;
--- a/crates/net/src/peer/mod.rs
+++ b/crates/net/src/peer/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Every host has one TCP port for peers that speaks HTTP/2. Control messages
 //! are `POST /peer/<kind>` with a bincode body behind an [`AuthTag`]; callers'
-//! requests are `POST /peer/forward` with their envelope in a header and their
-//! body streamed.
+//! requests are `POST /peer/forward` with an authenticated envelope in a header and
+//! their body streamed.
 
 mod auth;
 mod client;
@@ -17,7 +17,7 @@
 
 pub use {
     auth::{AuthScope, AuthTag, KEY_BYTES_MIN, PeerKey, ReplayWindow, TAG_BYTES},
-    client::{LinkPurpose, PeerClient},
+    client::PeerClient,
     frame::{FRAME_BYTES_MAX, decode, encode, read_frame},
     messages::{
         ConfigSnapshot, ForwardEnvelope, MapAnswer, MapPoll, PeerAddress, ScopeAnswer,
--- a/crates/net/src/peer/protocol.rs
+++ b/crates/net/src/peer/protocol.rs
@@ -11,23 +11,11 @@
 /// Header with the sending host's id.
 pub const SENDER_HEADER: &str = "x-peer-sender";
 
-/// Header with the tag of a forwarded request, in hexadecimal.
-pub const TAG_HEADER: &str = "x-peer-tag";
-
-/// Header with the envelope of a forwarded request, in hexadecimal.
-pub const ENVELOPE_HEADER: &str = "x-peer-envelope";
-
-/// Header with the caller's method.
-pub const METHOD_HEADER: &str = "x-peer-method";
-
-/// Header with the caller's path and query.
-pub const TARGET_HEADER: &str = "x-peer-target";
-
 /// Opens a session on a new connection.
 pub const HELLO: &str = "hello";
 
-/// Carries a caller's request.
-pub const FORWARD: &str = "forward";
+/// Path of callers' requests.
+pub const FORWARD_PATH: &str = "/peer/forward";
 
 /// Body of requests and answers between peers.
 pub type PeerBody = UnsyncBoxBody<Bytes, Box<dyn Error + Send + Sync>>;
@@ -48,11 +36,13 @@
     Promise,
     /// State of a host for operators.
     Status,
+    /// A controller that leaves names its successor.
+    Handover,
 }
 
 impl PeerKind {
     /// All kinds.
-    pub const ALL: [Self; 3] = [Self::Poll, Self::Promise, Self::Status];
+    pub const ALL: [Self; 4] = [Self::Poll, Self::Promise, Self::Status, Self::Handover];
 
     /// Name in paths and codes.
     pub const fn as_str(self) -> &'static str {
@@ -60,6 +50,7 @@
             Self::Poll => "poll",
             Self::Promise => "promise",
             Self::Status => "status",
+            Self::Handover => "handover",
         }
     }
 }
@@ -89,37 +80,3 @@
     /// Random number drawn when the process started.
     pub nonce: u64,
 }
-
-/// Bytes that a forwarded request's code covers; the streamed body is not among them.
-pub(super) fn forward_cover(envelope: &[u8], method: &str, target: &str) -> Vec<u8> {
-    let mut cover = Vec::with_capacity(envelope.len() + method.len() + target.len() + 16);
-    for part in [envelope, method.as_bytes(), target.as_bytes()] {
-        cover.extend_from_slice(&(part.len() as u64).to_le_bytes());
-        cover.extend_from_slice(part);
-    }
-    cover
-}
-
-/// Bytes in hexadecimal.
-pub(super) fn to_hex(bytes: &[u8]) -> String {
-    use fmt::Write;
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
-
-/// Bytes from hexadecimal.
-pub(super) fn from_hex(text: &[u8]) -> Option<Vec<u8>> {
-    if !text.len().is_multiple_of(2) {
-        return None;
-    }
-    let mut bytes = Vec::with_capacity(text.len() / 2);
-    for pair in text.chunks_exact(2) {
-        let high = char::from(pair[0]).to_digit(16)?;
-        let low = char::from(pair[1]).to_digit(16)?;
-        bytes.push(u8::try_from(high << 4 | low).ok()?);
-    }
-    Some(bytes)
-}
--- a/crates/net/src/peer/server.rs
+++ b/crates/net/src/peer/server.rs
@@ -2,16 +2,14 @@
 
 use {
     super::{
-        AuthScope, AuthTag, ForwardEnvelope, PeerBody, PeerError, PeerIdentity, PeerKind,
-        PeerTraffic, ReplayWindow, encode, frame, full_body,
-        protocol::{
-            self, ENVELOPE_HEADER, METHOD_HEADER, SENDER_HEADER, TAG_HEADER, TARGET_HEADER,
-        },
+        AuthScope, AuthTag, PeerBody, PeerError, PeerIdentity, PeerKind, PeerTraffic, ReplayWindow,
+        encode, full_body,
+        protocol::{self, FORWARD_PATH, SENDER_HEADER},
         read_frame,
         traffic::CountedStream,
     },
     camphorcove_core::ids::HostId,
-    http::{HeaderMap, Method, Request, Response, StatusCode, Uri},
+    http::{HeaderMap, Method, Request, Response, StatusCode},
     hyper::{body::Incoming, server::conn::http2, service::service_fn},
     hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     std::{
@@ -53,11 +51,9 @@
         body: &[u8],
     ) -> impl Future<Output = Result<Vec<u8>, PeerError>> + Send;
 
-    /// Serves a caller's request that an entry host forwarded, restored to the
-    /// caller's method and path.
+    /// Serves `POST /peer/forward`; the request carries its own authentication.
     fn forward(
         &self,
-        envelope: ForwardEnvelope,
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<PeerBody>> + Send;
 }
@@ -152,6 +148,20 @@
     }
 
     async fn answer(&self, session: &Session, request: Request<Incoming>) -> Response<PeerBody> {
+        if request.method() == Method::POST && request.uri().path() == FORWARD_PATH {
+            session.forwards.store(true, Ordering::Relaxed);
+            return self.handler.forward(request).await;
+        }
+        self.answer_control(session, request)
+            .await
+            .map(Either::Left)
+    }
+
+    async fn answer_control(
+        &self,
+        session: &Session,
+        request: Request<Incoming>,
+    ) -> Response<PeerBody> {
         if request.method() != Method::POST {
             return refusal(StatusCode::METHOD_NOT_ALLOWED);
         }
@@ -159,10 +169,7 @@
             Some(kind) => kind.to_owned(),
             None => return refusal(StatusCode::NOT_FOUND),
         };
-        let result = match kind.as_str() {
-            protocol::FORWARD => self.forwarded(session, request).await,
-            kind => self.control(session, kind, request).await,
-        };
+        let result = self.control(session, &kind, request).await;
         result.unwrap_or_else(|error| {
             log::warn!("peer message {kind} refused: {error}");
             refusal(status_of(&error))
@@ -190,11 +197,7 @@
         };
         self.check(session, expected, &claim)?;
         let answer = match kind {
-            protocol::HELLO => {
-                let forwards = body.first().is_some_and(|purpose| *purpose != 0);
-                session.forwards.store(forwards, Ordering::Relaxed);
-                encode(&session.id)
-            }
+            protocol::HELLO => encode(&session.id),
             _ => {
                 let kind = kind.parse().map_err(|()| PeerError::Malformed {
                     what: "unknown kind",
@@ -230,43 +233,6 @@
         Response::new(full_body(bytes))
     }
 
-    async fn forwarded(
-        &self,
-        session: &Session,
-        request: Request<Incoming>,
-    ) -> Result<Response<PeerBody>, PeerError> {
-        let (mut parts, body) = request.into_parts();
-        let sender = sender_of(&parts.headers)?;
-        let tag_bytes = take_hex(&mut parts.headers, TAG_HEADER)?;
-        let (tag, _) = AuthTag::split(&tag_bytes)?;
-        let envelope_bytes = take_hex(&mut parts.headers, ENVELOPE_HEADER)?;
-        let method = take_text(&mut parts.headers, METHOD_HEADER)?;
-        let target = take_text(&mut parts.headers, TARGET_HEADER)?;
-        parts.headers.remove(SENDER_HEADER);
-        let cover = protocol::forward_cover(&envelope_bytes, &method, &target);
-        let claim = Claim {
-            kind: protocol::FORWARD,
-            sender: &sender,
-            tag: &tag,
-            body: &cover,
-        };
-        self.check(session, session.id, &claim)?;
-        let envelope: ForwardEnvelope = frame::decode(&envelope_bytes)?;
-        if envelope.from != sender {
-            return Err(PeerError::Unauthentic {
-                what: "envelope of another host",
-            });
-        }
-        parts.method = method.parse().map_err(|_| PeerError::Malformed {
-            what: "method of a forwarded request",
-        })?;
-        parts.uri = target.parse::<Uri>().map_err(|_| PeerError::Malformed {
-            what: "target of a forwarded request",
-        })?;
-        let request = Request::from_parts(parts, body);
-        Ok(self.handler.forward(envelope, request).await)
-    }
-
     fn check(&self, session: &Session, expected: u64, claim: &Claim<'_>) -> Result<(), PeerError> {
         let tag = claim.tag;
         let scope = AuthScope {
@@ -310,22 +276,6 @@
         })
 }
 
-fn take_text(headers: &mut HeaderMap, name: &str) -> Result<String, PeerError> {
-    let value = headers.remove(name);
-    value
-        .and_then(|value| value.to_str().map(str::to_owned).ok())
-        .ok_or(PeerError::Malformed {
-            what: "header of a forwarded request",
-        })
-}
-
-fn take_hex(headers: &mut HeaderMap, name: &str) -> Result<Vec<u8>, PeerError> {
-    let text = take_text(headers, name)?;
-    protocol::from_hex(text.as_bytes()).ok_or(PeerError::Malformed {
-        what: "header of a forwarded request",
-    })
-}
-
 fn status_of(error: &PeerError) -> StatusCode {
     match error {
         PeerError::Malformed { .. } => StatusCode::BAD_REQUEST,
@@ -335,11 +285,8 @@
     }
 }
 
-/// A refusal of the peer layer; the tag header tells it from a caller's answer.
 fn refusal(status: StatusCode) -> Response<PeerBody> {
     let mut response = Response::new(full_body(""));
     *response.status_mut() = status;
-    let tag = http::HeaderValue::from_static("refused");
-    response.headers_mut().insert(TAG_HEADER, tag);
     response
 }
