Add the elector table, the scope machine and placement

The daemon needs the full interface of the ownership logic before the logic is hardened. The machine creates the scope object, takes over, renews promises and grants, moves shards and publishes maps. It is not covered by tests yet.

--- /dev/null
+++ b/crates/core/src/control/map_builder.rs
@@ -0,0 +1,129 @@
+//! Building the routing map from the scope object and the servers' phases.
+
+use {
+    super::{scope_machine::ScopeMachine, server_track::ServerContact},
+    crate::{
+        ids::{ServerId, ZoneName},
+        map::{MapVersion, RoutingMap, ServerEntry, ShardEntry},
+        scope::{ScopeState, ShardState},
+        time::BootTime,
+    },
+};
+
+impl ScopeMachine {
+    /// Publishes the map if it changed, or prolongs its validity.
+    pub(super) fn publish_map(&mut self, now: BootTime) {
+        let authority_end = self.authority_end();
+        if authority_end <= now {
+            return;
+        }
+        self.update_forwarders(now);
+        let rebuilt = if self.dirty { self.build_map() } else { None };
+        self.dirty = false;
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        let Some(action) = term.maps.publish(rebuilt, authority_end, now) else {
+            return;
+        };
+        term.authority.mark_used(authority_end);
+        self.actions.push(action);
+    }
+
+    fn update_forwarders(&mut self, now: BootTime) {
+        let Some(spec) = &self.spec else {
+            return;
+        };
+        let servers: Vec<(ServerId, ZoneName)> = spec
+            .service
+            .servers
+            .iter()
+            .map(|server| (server.id.clone(), server.zone.clone()))
+            .collect();
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        if term.forwarders.update(&servers, &self.hosts, now) {
+            self.dirty = true;
+        }
+    }
+
+    fn build_map(&self) -> Option<RoutingMap> {
+        let spec = self.spec.as_ref()?;
+        let state = &self.held()?.state;
+        let term = self.term.as_ref()?;
+        let mut servers = Vec::new();
+        for config in &spec.service.servers {
+            servers.push(ServerEntry {
+                id: config.id.clone(),
+                address: config.address,
+                zone: config.zone.clone(),
+                weight: config.weight,
+                slots: config.slots,
+                connections: config.connections,
+                phase: self.phase(&config.id),
+                forwarder: term.forwarders.get(&config.id).cloned(),
+            });
+        }
+        self.add_removed_servers(&mut servers);
+        let shards = self.shard_entries(state, &servers);
+        Some(RoutingMap {
+            service: self.service.clone(),
+            version: MapVersion {
+                epoch: term.epoch,
+                revision: 0,
+            },
+            config: spec.version,
+            controller: self.host.id.clone(),
+            servers,
+            shards,
+        })
+    }
+
+    /// Servers that left the configuration stay in the map while they own shards.
+    fn add_removed_servers(&self, servers: &mut Vec<ServerEntry>) {
+        let ids = self.server_ids();
+        let current = self.term.as_ref().and_then(|term| term.maps.current());
+        let known = [current, self.last_map.as_ref()];
+        for old in known.into_iter().flatten().flat_map(|map| &map.servers) {
+            let listed = servers.iter().any(|server| server.id == old.id);
+            if listed || !ids.contains(&old.id) {
+                continue;
+            }
+            let mut entry = old.clone();
+            entry.phase = self.phase(&old.id);
+            servers.push(entry);
+        }
+    }
+
+    fn shard_entries(&self, state: &ScopeState, servers: &[ServerEntry]) -> Vec<ShardEntry> {
+        let checked = self.is_checked();
+        let index_of = |id: &ServerId| {
+            let index = servers.iter().position(|server| server.id == *id)?;
+            u16::try_from(index).ok()
+        };
+        let mut entries = Vec::with_capacity(state.shards.len());
+        for shard in &state.shards {
+            let entry = match shard {
+                ShardState::Unowned => ShardEntry::default(),
+                ShardState::Owned { server, token } => ShardEntry {
+                    owner: index_of(server),
+                    token: *token,
+                    moving: !checked && !self.is_up(server),
+                },
+                ShardState::Releasing { from, token, .. } => ShardEntry {
+                    owner: index_of(from),
+                    token: *token,
+                    moving: true,
+                },
+            };
+            entries.push(entry);
+        }
+        entries
+    }
+
+    fn is_up(&self, id: &ServerId) -> bool {
+        self.track(id)
+            .is_some_and(|track| track.contact == ServerContact::Up)
+    }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -4,13 +4,29 @@
 //! controller. It owns the controller's view of grants, moves and membership.
 //! The daemon feeds it [`ScopeEvent`]s and carries out its [`ScopeAction`]s.
 
+mod authority_table;
+mod candidacy;
+mod controller_term;
+mod forwarder_table;
+mod host_table;
+mod map_builder;
+mod map_publisher;
+mod object_writer;
+mod ownership_plan;
 mod scope_action;
 mod scope_event;
+mod scope_machine;
+mod scope_status;
 mod server_order;
+mod server_orders;
+mod server_track;
+mod tenure;
 
 pub use {
     scope_action::{ScopeAction, WriteId},
     scope_event::{HostInfo, ReadFailure, ScopeEvent, ScopeSpec, WriteFailure},
+    scope_machine::ScopeMachine,
+    scope_status::{ScopeCounters, ScopeRole},
     server_order::{
         OrderId, ServerFailure, ServerOrder, ServerReply, ServerReport, ServerResult, ShardGrant,
     },
--- a/crates/core/src/control/scope_action.rs
+++ b/crates/core/src/control/scope_action.rs
@@ -56,6 +56,11 @@
         /// End of its validity on this host's clock.
         valid_until: BootTime,
     },
+    /// Send the host a [`HandoverOffered`](super::ScopeEvent::HandoverOffered).
+    OfferHandover {
+        /// Proposed successor.
+        host: HostId,
+    },
     /// This host is no longer the controller.
     SteppedDown,
 }
--- a/crates/core/src/control/scope_event.rs
+++ b/crates/core/src/control/scope_event.rs
@@ -6,6 +6,7 @@
         conf::ServiceConfig,
         election::PromiseReply,
         ids::{ConfigVersion, Epoch, HostId, ObjectVersion, ServerId, ShardId, ZoneName},
+        map::{MapVersion, RoutingMap},
         scope::ScopeState,
         time::BootTime,
     },
@@ -62,6 +63,9 @@
     /// The configuration changed.
     SpecChanged(Arc<ScopeSpec>),
     /// The set of live hosts changed; this host included.
+    ///
+    /// A host is live while it polls. The machine itself waits out the map of a
+    /// host that is no longer listed.
     HostsChanged(Vec<HostInfo>),
     /// This host's copy of the scope's map: its term and the end of its validity.
     MapObserved {
@@ -69,7 +73,11 @@
         epoch: Epoch,
         /// End of validity on this host's clock.
         valid_until: BootTime,
+        /// The map, from which a successor takes the forwarders over.
+        map: Option<Arc<RoutingMap>>,
     },
+    /// Every live host holds this version or a newer one, or its older map has lapsed.
+    MapsReplaced(MapVersion),
     /// Answer to [`ReadScope`](super::ScopeAction::ReadScope); `None` if there is no object.
     ScopeRead {
         /// When the read was sent.
@@ -108,6 +116,18 @@
     LoadObserved(Vec<(ShardId, f64)>),
     /// The platform's list says these servers leave.
     ServersLeaving(Vec<ServerId>),
+    /// Wall-clock time at `now`, for audit records only; sent at start and every minute or so.
+    WallClock {
+        /// Milliseconds since 1970.
+        millis: u64,
+    },
+    /// Audit records up to this number are archived and may leave the scope object.
+    RecordsArchived {
+        /// Last archived number.
+        up_to: u64,
+    },
+    /// The controller resigned and named this host as its successor.
+    HandoverOffered,
     /// An operator confirmed that the old electors are gone for good.
     ConfirmLost,
     /// The host shuts down; hand the role over.
--- /dev/null
+++ b/crates/core/src/control/tenure.rs
@@ -0,0 +1,292 @@
+//! Holding a term: promises, adoption, electors and resignation.
+
+use {
+    super::{
+        ScopeAction, ScopeRole,
+        scope_machine::{HeldObject, ScopeMachine},
+    },
+    crate::{
+        audit::AuditAction,
+        conf::FencingMode,
+        election::{PromiseReply, PromiseRequest, RefuseReason},
+        ids::HostId,
+        scope::ScopeState,
+        time::{BootTime, MAP_TTL, PROMISE_TTL, with_drift},
+    },
+    std::time::Duration,
+};
+
+/// Without a majority for this long, a successor adopts the servers it can fence.
+const ADOPTION_DELAY: Duration = Duration::from_millis(3_000);
+
+/// Pause between changes of the electors.
+const ELECTOR_PAUSE: Duration = Duration::from_millis(1_000);
+
+impl ScopeMachine {
+    /// Drives the holder of a term.
+    pub(super) fn drive_term(&mut self, now: BootTime) {
+        self.ask_promises(now);
+        self.note_authority(now);
+        self.drive_servers(now);
+        self.write_object(now);
+        self.send_orders(now);
+        self.publish_map(now);
+        self.check_contact(now);
+    }
+
+    fn ask_promises(&mut self, now: BootTime) {
+        if self.is_marked_resigned() {
+            return;
+        }
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        let request = PromiseRequest {
+            service: self.service.clone(),
+            epoch: term.epoch,
+            controller: self.host.id.clone(),
+            nonce: self.nonce,
+            resigned: term.predecessor.resigned,
+        };
+        for elector in term.authority.due(now) {
+            self.actions.push(ScopeAction::AskPromise {
+                elector,
+                request: request.clone(),
+            });
+        }
+    }
+
+    pub(super) fn take_promise(
+        &mut self,
+        elector: &HostId,
+        sent_at: BootTime,
+        reply: Option<&PromiseReply>,
+    ) {
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        // A reply to a request of an earlier term of this process says nothing about this one.
+        if sent_at < term.acknowledged_at {
+            return;
+        }
+        let promised = reply == Some(&PromiseReply::Promised);
+        term.authority.answered(elector, sent_at, promised);
+        let Some(PromiseReply::Refused { reason, known }) = reply else {
+            return;
+        };
+        if *known > term.epoch || *reason == RefuseReason::OtherHolder {
+            self.questioned = true;
+        }
+    }
+
+    fn note_authority(&mut self, now: BootTime) {
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        let live = term.authority.end() > now;
+        if live && term.gained_at.is_none() {
+            term.gain(now);
+            term.adopting = false;
+            self.counters.takeovers += 1;
+            self.role = ScopeRole::Controller;
+            self.dirty = true;
+        }
+        let has_authority = self.has_authority(now);
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        if term.had_authority && !has_authority {
+            self.counters.authority_lapses += 1;
+        }
+        if !term.had_authority && has_authority {
+            self.dirty = true;
+        }
+        term.had_authority = has_authority;
+    }
+
+    fn is_marked_resigned(&self) -> bool {
+        self.writer
+            .pending_state()
+            .is_some_and(|state| state.resigned)
+    }
+
+    /// Writes the most urgent change of the object, if there is one.
+    fn write_object(&mut self, now: BootTime) {
+        if !self.writer.is_free(now) {
+            return;
+        }
+        let Some(object) = self.object.clone() else {
+            return;
+        };
+        let Some(state) = self.next_state(&object.state, now) else {
+            return;
+        };
+        let write = self.writer.start(Some(object.version), state, now);
+        self.actions.push(write);
+        self.dirty = true;
+    }
+
+    fn next_state(&mut self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
+        if self.resigning {
+            return Some(self.resigned_state(state, now));
+        }
+        let next = self
+            .replace_lost_electors(state, now)
+            .or_else(|| self.start_adoption(state, now))
+            .or_else(|| self.change_electors(state, now))
+            .or_else(|| self.plan_ownership(state, now))
+            .or_else(|| self.clear_flag(state, now));
+        next.map(|mut next| {
+            next.drop_records(self.archived);
+            next
+        })
+    }
+
+    fn resigned_state(&self, state: &ScopeState, now: BootTime) -> ScopeState {
+        let mut next = state.clone();
+        next.resigned = true;
+        next.drop_records(self.archived);
+        let action = AuditAction::Takeover {
+            before: next.epoch.0,
+            after: next.epoch.0,
+        };
+        next.append_record(self.wall_millis(now), action, "controller resigns");
+        next
+    }
+
+    /// The object says that this term ended; names the best successor and stops.
+    pub(super) fn finish_resignation(&mut self, now: BootTime) {
+        let mut others: Vec<HostId> = self
+            .hosts
+            .staying()
+            .map(|host| host.id.clone())
+            .filter(|id| *id != self.host.id)
+            .collect();
+        others = crate::keys::rank_hosts(self.service.as_str(), &others);
+        if let Some(host) = others.into_iter().next() {
+            self.actions.push(ScopeAction::OfferHandover { host });
+        }
+        self.step_down(now);
+    }
+
+    /// The old controllers have stopped for certain, so their electors may be replaced.
+    fn replace_lost_electors(&mut self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
+        let electors = self.hosts.choose_electors(&self.service, &state.electors);
+        let term = self.term.as_mut()?;
+        let limit_passed = now > term.outage_limit_end();
+        if term.gained_at.is_some() || !(term.old_stopped || limit_passed) {
+            return None;
+        }
+        if electors == state.electors || electors.is_empty() {
+            return None;
+        }
+        let reason = if term.old_stopped {
+            "operator confirmed that the old hosts are lost"
+        } else {
+            "outage limit has passed"
+        };
+        let mut next = state.clone();
+        next.uncovered_grants = true;
+        Some(self.elector_state(next, electors, reason, now))
+    }
+
+    pub(super) fn confirm_lost(&mut self) {
+        if let Some(term) = &mut self.term {
+            term.old_stopped = true;
+        }
+    }
+
+    /// Starts to renew the grants of checked servers by their fence alone.
+    ///
+    /// Until a majority promises, the platform takes the electors' place: the
+    /// authority is counted from the last read that showed this term.
+    fn start_adoption(&mut self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
+        let checked = self.spec.as_ref()?.service.fencing == FencingMode::Checked;
+        let term = self.term.as_mut()?;
+        let due = now >= term.acknowledged_at + ADOPTION_DELAY;
+        if term.gained_at.is_some() || term.adopting || !checked || !due {
+            return None;
+        }
+        if state.uncovered_grants {
+            term.adopting = true;
+            self.dirty = true;
+            return None;
+        }
+        let mut next = state.clone();
+        next.uncovered_grants = true;
+        Some(next)
+    }
+
+    fn clear_flag(&self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
+        let term = self.term.as_ref()?;
+        let gained_at = term.gained_at?;
+        // Grants of this term's own adoption have lapsed as well after this time.
+        let own_end = gained_at + with_drift(PROMISE_TTL + MAP_TTL);
+        let settled = now > term.old_end && now > own_end;
+        if !state.uncovered_grants || !settled || !self.has_authority(now) {
+            return None;
+        }
+        let mut next = state.clone();
+        next.uncovered_grants = false;
+        Some(next)
+    }
+
+    /// Replaces electors that are gone, with the consent of both lists.
+    fn change_electors(&mut self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
+        if !self.has_authority(now) {
+            return None;
+        }
+        let electors = self.wanted_electors(state, now);
+        let term = self.term.as_mut()?;
+        if term.gained_at.is_none() || electors == state.electors || electors.is_empty() {
+            term.authority.withdraw_proposal();
+            return None;
+        }
+        if now < term.electors_changed_at + ELECTOR_PAUSE {
+            return None;
+        }
+        if term.authority.proposed() != Some(&electors) {
+            term.authority.propose(electors);
+            return None;
+        }
+        if !term.authority.may_write_proposal(now) {
+            return None;
+        }
+        term.electors_changed_at = now;
+        Some(self.elector_state(state.clone(), electors, "electors replaced", now))
+    }
+
+    /// Electors that are merely unlisted for a moment stay.
+    fn wanted_electors(&self, state: &ScopeState, now: BootTime) -> Vec<HostId> {
+        let since = self.term.as_ref().map_or(now, |term| term.acknowledged_at);
+        let undecided = state
+            .electors
+            .iter()
+            .any(|id| self.hosts.get(id).is_none() && !self.hosts.is_gone(id, since, now));
+        if undecided {
+            return state.electors.clone();
+        }
+        self.hosts.choose_electors(&self.service, &state.electors)
+    }
+
+    fn elector_state(
+        &self,
+        mut next: ScopeState,
+        electors: Vec<HostId>,
+        reason: &str,
+        now: BootTime,
+    ) -> ScopeState {
+        next.electors = electors;
+        let action = AuditAction::Electors {
+            electors: next.electors.iter().map(HostId::to_string).collect(),
+        };
+        next.append_record(self.wall_millis(now), action, reason);
+        next
+    }
+
+    /// Object held, if this process holds its term.
+    pub(super) fn held(&self) -> Option<&HeldObject> {
+        self.term.as_ref()?;
+        self.object.as_ref()
+    }
+}
--- a/crates/core/src/election/mod.rs
+++ b/crates/core/src/election/mod.rs
@@ -5,6 +5,10 @@
 //! elector abstains until it has read the scope object from the platform and
 //! until every promise it may have given before its restart has lapsed.
 
+mod elector_table;
 mod promise;
 
-pub use promise::{PromiseReply, PromiseRequest, RefuseReason};
+pub use {
+    elector_table::ElectorTable,
+    promise::{PromiseReply, PromiseRequest, RefuseReason},
+};
--- a/crates/core/src/election/promise.rs
+++ b/crates/core/src/election/promise.rs
@@ -13,6 +13,8 @@
     pub controller: HostId,
     /// Distinguishes processes that ran under the same host id.
     pub nonce: u64,
+    /// Term whose controller resigned in the scope object; its promise no longer counts.
+    pub resigned: Option<Epoch>,
 }
 
 /// Elector's answer.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod ids;
 pub mod keys;
 pub mod map;
+pub mod placement;
 pub mod scope;
 pub mod time;
--- a/crates/core/src/scope/mod.rs
+++ b/crates/core/src/scope/mod.rs
@@ -4,6 +4,6 @@
 mod shard_state;
 
 pub use {
-    scope_state::ScopeState,
+    scope_state::{RECORD_LIMIT, ScopeState},
     shard_state::{MoveReason, ShardState},
 };
--- a/crates/core/src/scope/scope_state.rs
+++ b/crates/core/src/scope/scope_state.rs
@@ -2,7 +2,10 @@
 
 use {
     super::ShardState,
-    crate::ids::{ConfigVersion, Epoch, HostId, ServiceName},
+    crate::{
+        audit::{AuditAction, AuditRecord, RecordHash},
+        ids::{ConfigVersion, Epoch, HostId, ServiceName},
+    },
 };
 
 /// Content of a scope object.
@@ -29,6 +32,45 @@
     pub config: ConfigVersion,
     /// Shards by id.
     pub shards: Vec<ShardState>,
+    /// The controller of the term gave up its role and sends nothing more.
+    #[serde(default)]
+    pub resigned: bool,
+    /// Grants may live that no promise covers; a successor waits out a longer period.
+    #[serde(default)]
+    pub uncovered_grants: bool,
     /// Audit records not yet archived, newest last.
-    pub records: Vec<crate::audit::AuditRecord>,
+    pub records: Vec<AuditRecord>,
+}
+
+/// Records above this number block planned moves until the daemon has archived some.
+pub const RECORD_LIMIT: usize = 200;
+
+impl ScopeState {
+    /// Whether a process holds the term.
+    pub fn held_by(&self, host: &HostId, nonce: u64) -> bool {
+        self.controller == *host && self.nonce == nonce
+    }
+
+    /// Appends an audit record, chained to the newest one.
+    pub fn append_record(&mut self, wall_millis: u64, action: AuditAction, reason: &str) {
+        let (number, previous) = match self.records.last() {
+            Some(record) => (record.number + 1, record.hash()),
+            None => (1, RecordHash::default()),
+        };
+        self.records.push(AuditRecord {
+            number,
+            wall_millis,
+            actor: self.controller.to_string(),
+            action,
+            reason: reason.to_owned(),
+            previous,
+        });
+    }
+
+    /// Drops archived records; the newest stays because the next one is chained to it.
+    pub fn drop_records(&mut self, up_to: u64) {
+        let newest = self.records.last().map_or(0, |record| record.number);
+        self.records
+            .retain(|record| record.number > up_to || record.number == newest);
+    }
 }
--- a/crates/core/src/time/constants.rs
+++ b/crates/core/src/time/constants.rs
@@ -31,3 +31,8 @@
 
 /// Bound on the drift between any two clocks, in parts per million.
 pub const CLOCK_DRIFT_PPM: u32 = 5_000;
+
+/// A server drops an order that it receives later than this after it was sent.
+///
+/// The grant's length counts from receipt, so the window is taken off it.
+pub const ORDER_WINDOW: Duration = Duration::from_millis(200);
