Drive the scope machines and the elector table

The core's machines had nothing that fed them events or carried out their actions. One actor per scope does both; every order carries a deadline on the server's own clock, learned by a renewal that no server can grant.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The camphorcove router daemon.
 
 pub mod conf;
+pub mod control;
 pub mod error;
 pub mod maps;
--- a/crates/net/src/peer/server.rs
+++ b/crates/net/src/peer/server.rs
@@ -152,9 +152,7 @@
             session.forwards.store(true, Ordering::Relaxed);
             return self.handler.forward(request).await;
         }
-        self.answer_control(session, request)
-            .await
-            .map(Either::Left)
+        self.answer_control(session, request).await
     }
 
     async fn answer_control(
