Add signed operator requests and verification of audit chains

Operator requests need proof of origin, and auditors need to detect changed records. net::operator signs method, path, time, nonce and body hash and refuses unknown keys, wrong signatures, stale times and replays; core::audit::verify_chain names gaps, edits, reorders and cut ends.

--- a/crates/core/src/audit/audit_record.rs
+++ b/crates/core/src/audit/audit_record.rs
@@ -2,25 +2,48 @@
 
 use {
     sha2::{Digest, Sha256},
+    snafu::{OptionExt, Snafu, ensure},
     std::fmt,
 };
 
 /// SHA-256 of a record's encoding.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    bincode::Encode,
-    bincode::Decode,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, bincode::Encode, bincode::Decode)]
 pub struct RecordHash(pub [u8; 32]);
 
+/// Text that is not a record hash.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("expected a hash of 64 hexadecimal digits"))]
+pub struct HashError;
+
+impl std::str::FromStr for RecordHash {
+    type Err = HashError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        ensure!(text.len() == 64 && digits, HashSnafu);
+        let mut hash = Self::default();
+        for (byte, index) in hash.0.iter_mut().zip((0..64).step_by(2)) {
+            *byte = u8::from_str_radix(&text[index..index + 2], 16)
+                .ok()
+                .context(HashSnafu)?;
+        }
+        Ok(hash)
+    }
+}
+
+impl serde::Serialize for RecordHash {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for RecordHash {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = <std::borrow::Cow<'de, str>>::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
 impl fmt::Display for RecordHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for byte in self.0 {
--- a/crates/core/src/audit/mod.rs
+++ b/crates/core/src/audit/mod.rs
@@ -5,5 +5,9 @@
 //! immutable objects.
 
 mod audit_record;
+mod chain;
 
-pub use audit_record::{AuditAction, AuditRecord, RecordHash};
+pub use {
+    audit_record::{AuditAction, AuditRecord, HashError, RecordHash},
+    chain::{ChainAnchor, ChainFault, ChainReport, verify_chain},
+};
--- a/crates/net/src/config/mod.rs
+++ b/crates/net/src/config/mod.rs
@@ -5,6 +5,8 @@
 //! update makes a change together with its record.
 
 mod archive;
+mod audit_reader;
+mod audit_stream;
 mod author;
 mod change_plan;
 mod config_head;
@@ -16,6 +18,8 @@
 
 pub use {
     archive::{archive_key, archive_record, decode_record, encode_record},
+    audit_reader::AuditReader,
+    audit_stream::{OPERATOR_STREAM, append_operator_record},
     author::Author,
     config_head::{ConfigHead, HEAD_KEY},
     config_repo::{ChangeOutcome, ConfigRepo},
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod servers;
