Add the operator API of the daemon

Operators had no way to reach a running host. daemon::admin serves signed requests on a listener of its own: check, diff, apply, rollback, orders, status, services, servers, owner, moves, audit, log level and the confirmation of a loss. Refused requests are counted and summed up in the audit trail, at most one record in ten minutes and host.

--- a/crates/core/src/audit/audit_record.rs
+++ b/crates/core/src/audit/audit_record.rs
@@ -123,6 +123,15 @@
         /// Orders withdrawn because their server is no longer configured.
         withdrawn: Vec<String>,
     },
+    /// An operator changed the log level of a host.
+    LevelChanged {
+        /// Host.
+        host: String,
+        /// Level before.
+        before: String,
+        /// Level after.
+        after: String,
+    },
     /// An operator confirmed that the old hosts of a scope have stopped.
     LossConfirmed {
         /// Scope.
--- /dev/null
+++ b/crates/daemon/src/admin/change_routes.rs
@@ -0,0 +1,125 @@
+//! Routes that read and change the configuration.
+
+use {
+    super::{
+        AdminCall, AdminService, OperatorView,
+        admin_call::{AdminReply, AdminResult, check_reason, json_reply},
+        repo_failure::repo_failure,
+    },
+    camphorcove_core::{
+        conf::{check_change, diff, parse, parse_stored},
+        ids::ConfigVersion,
+    },
+    camphorcove_net::{
+        config::{Author, ChangeOutcome, RepoError},
+        operator::{ApiCode, ApiError, CheckReport, DiffReport, OrderRequest, RollbackRequest},
+        platform::ObjectStore,
+    },
+};
+
+/// File name in faults if the request names none.
+const DEFAULT_FILE: &str = "file";
+
+impl<S: ObjectStore, V: OperatorView> AdminService<S, V> {
+    pub(super) async fn config_text(&self, call: &AdminCall) -> AdminResult {
+        let version = call.optional::<ConfigVersion>("version")?;
+        let text = self.parts.repo.content(version).await;
+        text.map(AdminReply::Text).map_err(repo_failure)
+    }
+
+    pub(super) fn check(&self, call: &AdminCall) -> AdminResult {
+        let config = parse(file_name(call), call.text()?).map_err(invalid)?;
+        json_reply(&CheckReport {
+            services: config.services.len(),
+            servers: config
+                .services
+                .iter()
+                .map(|service| service.servers.len())
+                .sum(),
+        })
+    }
+
+    pub(super) async fn diff(&self, call: &AdminCall) -> AdminResult {
+        let new = parse(file_name(call), call.text()?).map_err(invalid)?;
+        let head = self.parts.repo.head().await.map_err(repo_failure)?;
+        let Some(head) = head else {
+            return json_reply(&DiffReport {
+                version: ConfigVersion(0),
+                lines: diff(None, &new),
+                rules: Vec::new(),
+            });
+        };
+        let text = self.parts.repo.content(Some(head.version)).await;
+        let old = parse_stored(&text.map_err(repo_failure)?)
+            .map_err(|reason| ApiError::new(ApiCode::Damaged, reason))?;
+        json_reply(&DiffReport {
+            version: head.version,
+            lines: diff(Some(&old), &new),
+            rules: check_change(&old, &new).err().unwrap_or_default(),
+        })
+    }
+
+    /// Every change names the version it is made on, so that repeating it after a
+    /// lost answer cannot undo somebody else's change.
+    pub(super) async fn apply(&self, call: &AdminCall) -> AdminResult {
+        let expect = call.parsed::<ConfigVersion>("expect")?;
+        let author = author(call, call.query.get("reason").unwrap_or_default())?;
+        let file = file_name(call);
+        let text = call.text()?;
+        parse(file, text).map_err(invalid)?;
+        let outcome = self.parts.repo.apply(text, Some(expect), &author).await;
+        finish("apply", &author, outcome)
+    }
+
+    pub(super) async fn rollback(&self, call: &AdminCall) -> AdminResult {
+        let request: RollbackRequest = call.json()?;
+        let author = author(call, &request.reason)?;
+        let expect = Some(request.expect);
+        let outcome = self
+            .parts
+            .repo
+            .rollback(request.target, expect, &author)
+            .await;
+        finish("rollback", &author, outcome)
+    }
+
+    pub(super) async fn order(&self, call: &AdminCall) -> AdminResult {
+        let request: OrderRequest = call.json()?;
+        let author = author(call, &request.reason)?;
+        let expect = Some(request.expect);
+        let outcome = self.parts.repo.order(&request.order, expect, &author).await;
+        finish("order", &author, outcome)
+    }
+}
+
+fn file_name(call: &AdminCall) -> &str {
+    call.query.get("file").unwrap_or(DEFAULT_FILE)
+}
+
+pub(super) fn author(call: &AdminCall, reason: &str) -> Result<Author, ApiError> {
+    check_reason(reason)?;
+    Ok(Author::now(&call.actor, reason))
+}
+
+fn invalid(faults: Vec<camphorcove_core::conf::Fault>) -> ApiError {
+    repo_failure(RepoError::Invalid { faults })
+}
+
+fn finish(what: &str, author: &Author, outcome: Result<ChangeOutcome, RepoError>) -> AdminResult {
+    match outcome {
+        Ok(outcome) => {
+            let ChangeOutcome {
+                version, changed, ..
+            } = &outcome;
+            log::info!(
+                "{what} by {}: version {version}, changed: {changed}",
+                author.actor
+            );
+            json_reply(&outcome)
+        }
+        Err(error) => {
+            log::warn!("{what} by {} failed: {error}", author.actor);
+            Err(repo_failure(error))
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin/control_routes.rs
@@ -0,0 +1,78 @@
+//! Routes that act on this host or on a scope.
+
+use {
+    super::{
+        AdminCall, AdminService, OperatorView,
+        admin_call::{AdminResult, json_reply, malformed},
+        change_routes::author,
+        repo_failure::repo_failure,
+    },
+    camphorcove_core::{audit::AuditAction, ids::Epoch},
+    camphorcove_net::{
+        config::append_operator_record,
+        operator::{ApiCode, ApiError, ConfirmRequest, LevelRequest},
+        platform::ObjectStore,
+    },
+    log::LevelFilter,
+};
+
+impl<S: ObjectStore, V: OperatorView> AdminService<S, V> {
+    /// Changes the log level even if the platform cannot take the audit record:
+    /// an outage is when more logging is needed.
+    pub(super) async fn log_level(&self, call: &AdminCall) -> AdminResult {
+        let request: LevelRequest = call.json()?;
+        let host = self.parts.view.host();
+        if request.host != host {
+            let text = format!("this is host {host}, not {}", request.host);
+            return Err(ApiError::new(ApiCode::WrongHost, text));
+        }
+        let author = author(call, &request.reason)?;
+        let level: LevelFilter = request
+            .level
+            .parse()
+            .map_err(|_| malformed("level: expected off, error, warn, info, debug or trace"))?;
+        let before = log::max_level();
+        log::set_max_level(level);
+        log::warn!(
+            "log level changed from {before} to {level} by {}",
+            author.actor
+        );
+        let action = AuditAction::LevelChanged {
+            host: host.to_string(),
+            before: before.to_string(),
+            after: level.to_string(),
+        };
+        let recorded = append_operator_record(self.parts.repo.store(), &author, action).await;
+        if let Err(error) = &recorded {
+            log::error!("the change of the log level has no audit record: {error}");
+        }
+        json_reply(&serde_json::json!({
+            "before": before.to_string(),
+            "after": level.to_string(),
+            "recorded": recorded.is_ok(),
+        }))
+    }
+
+    /// The record is written first: a confirmation without a record must not act.
+    pub(super) async fn confirm_lost(&self, call: &AdminCall) -> AdminResult {
+        let request: ConfirmRequest = call.json()?;
+        let author = author(call, &request.reason)?;
+        let action = AuditAction::LossConfirmed {
+            scope: request.service.to_string(),
+            epoch: request.epoch,
+        };
+        let number = append_operator_record(self.parts.repo.store(), &author, action)
+            .await
+            .map_err(repo_failure)?;
+        log::warn!(
+            "loss of the hosts of scope {} up to epoch {} confirmed by {}",
+            request.service,
+            request.epoch,
+            author.actor
+        );
+        let epoch = Epoch(request.epoch);
+        let accepted = self.parts.view.confirm_lost(&request.service, epoch).await;
+        accepted.map_err(|reason| ApiError::new(ApiCode::LossRefused, reason))?;
+        json_reply(&serde_json::json!({ "record": number }))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin/mod.rs
@@ -0,0 +1,20 @@
+//! The operator API: signed HTTP requests on a listener of their own.
+
+mod admin_call;
+mod admin_server;
+mod admin_service;
+mod audit_routes;
+mod change_routes;
+mod control_routes;
+mod operator_view;
+mod owner_routes;
+mod refusal_log;
+mod repo_failure;
+mod status_routes;
+
+pub use {
+    admin_call::AdminCall,
+    admin_server::serve_admin,
+    admin_service::{AdminParts, AdminService},
+    operator_view::OperatorView,
+};
--- /dev/null
+++ b/crates/daemon/src/admin/owner_routes.rs
@@ -0,0 +1,70 @@
+//! Routes that show who owns a key.
+
+use {
+    super::{
+        AdminCall, AdminService, OperatorView,
+        admin_call::{AdminResult, json_reply},
+    },
+    crate::maps::HeldMap,
+    camphorcove_core::{
+        conf::OperatorOrders,
+        ids::{ServerId, ServiceName},
+        time::BootTime,
+    },
+    camphorcove_net::{
+        operator::{ApiCode, ApiError, OwnerReport},
+        platform::ObjectStore,
+    },
+};
+
+impl<S: ObjectStore, V: OperatorView> AdminService<S, V> {
+    pub(super) fn owner(&self, call: &AdminCall) -> AdminResult {
+        let service = call.parsed::<ServiceName>("service")?;
+        let key = call.required("key")?;
+        let held = self
+            .parts
+            .maps
+            .held(&service)
+            .ok_or_else(|| no_map(&service))?;
+        let map = &held.map;
+        let not_keyed = || {
+            let text = format!("service {service} is not keyed");
+            ApiError::new(ApiCode::NotFound, text)
+        };
+        let shard = map.shard(key.as_bytes()).ok_or_else(not_keyed)?;
+        let entry = map.entry(shard).copied().unwrap_or_default();
+        let owner = map.owner(shard);
+        let snapshot = self.parts.config.config();
+        let orders = snapshot.as_ref().map(|snapshot| &snapshot.orders);
+        json_reply(&OwnerReport {
+            pinned: orders.and_then(|orders| pinned_server(orders, &service, key)),
+            service,
+            key: key.to_owned(),
+            shard,
+            owner: owner.map(|server| server.id.clone()),
+            address: owner.map(|server| server.address),
+            token: entry.token.to_string(),
+            forwarder: owner.and_then(|server| server.forwarder.clone()),
+            moving: entry.moving,
+            map: map.version.to_string(),
+            valid_ms: valid_millis(&held, self.clock.now()),
+        })
+    }
+}
+
+fn no_map(service: &ServiceName) -> ApiError {
+    let text = format!("this host has no routing map of service {service}");
+    ApiError::new(ApiCode::NotFound, text)
+}
+
+/// Validity of a map left, in milliseconds.
+pub(super) fn valid_millis(held: &HeldMap, now: BootTime) -> u64 {
+    let left = held.valid_until.since(now);
+    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn pinned_server(orders: &OperatorOrders, service: &ServiceName, key: &str) -> Option<ServerId> {
+    let mut pins = orders.pins.iter();
+    let pin = pins.find(|pin| pin.0 == *service && pin.1 == key)?;
+    Some(pin.2.clone())
+}
--- /dev/null
+++ b/crates/daemon/src/admin/status_routes.rs
@@ -0,0 +1,234 @@
+//! Routes that show the state of hosts, services and servers.
+
+use {
+    super::{
+        AdminCall, AdminService, OperatorView,
+        admin_call::{AdminResult, json_reply},
+        owner_routes::valid_millis,
+    },
+    crate::maps::HeldMap,
+    camphorcove_core::{
+        conf::{OperatorOrders, ServiceConfig},
+        ids::{ConfigVersion, HostId, ServerId, ServiceName, ShardId},
+        map::{RoutingMap, ServerPhase},
+    },
+    camphorcove_net::{
+        operator::{HostStatus, MoveStatus, ServerLoad, ServerStatus, ServiceStatus, StatusReport},
+        peer::ConfigSnapshot,
+        platform::ObjectStore,
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+impl<S: ObjectStore, V: OperatorView> AdminService<S, V> {
+    pub(super) async fn status(&self) -> AdminResult {
+        let platform = match self.parts.repo.head().await {
+            Ok(head) => Some(head.map_or(ConfigVersion(0), |head| head.version)),
+            Err(error) => {
+                log::info!("status without the platform: {error}");
+                None
+            }
+        };
+        let snapshot = self.parts.config.config();
+        let orders = snapshot.as_ref().map(|snapshot| &snapshot.orders);
+        let refusals = self.parts.gate.refusals().into_iter();
+        json_reply(&StatusReport {
+            host: self.parts.view.host(),
+            config: snapshot
+                .as_ref()
+                .map_or(ConfigVersion(0), |snapshot| snapshot.version),
+            platform,
+            hosts: self.host_statuses(),
+            services: self.service_statuses(),
+            roles: self.parts.view.roles(),
+            drained: orders.map_or_else(Vec::new, drained_texts),
+            pins: orders.map_or_else(Vec::new, pin_texts),
+            refusals: refusals
+                .map(|(reason, count)| (reason.to_string(), count))
+                .collect(),
+        })
+    }
+
+    pub(super) fn services(&self) -> AdminResult {
+        json_reply(&self.service_statuses())
+    }
+
+    pub(super) fn servers(&self, call: &AdminCall) -> AdminResult {
+        let wanted = call.optional::<ServiceName>("service")?;
+        let loads = self.parts.view.loads();
+        let mut statuses = Vec::new();
+        if let Some(snapshot) = self.parts.config.config() {
+            for service in &snapshot.config.services {
+                if wanted.as_ref().is_none_or(|wanted| *wanted == service.name) {
+                    self.server_statuses(&snapshot, service, &loads, &mut statuses);
+                }
+            }
+        }
+        json_reply(&statuses)
+    }
+
+    /// Moves of all maps, with the details that this host knows as a controller.
+    pub(super) fn moves(&self) -> AdminResult {
+        let mut moves: BTreeMap<(ServiceName, ShardId), MoveStatus> = BTreeMap::new();
+        for held in self.parts.maps.all().values() {
+            for status in moving_shards(&held.map) {
+                moves.insert((status.service.clone(), status.shard), status);
+            }
+        }
+        for status in self.parts.view.moves() {
+            moves.insert((status.service.clone(), status.shard), status);
+        }
+        json_reply(&moves.into_values().collect::<Vec<_>>())
+    }
+
+    fn host_statuses(&self) -> Vec<HostStatus> {
+        let mut hosts: BTreeMap<HostId, HostStatus> = BTreeMap::new();
+        for peer in self.parts.config.peers().iter() {
+            let entry = host_entry(&mut hosts, &peer.host.id);
+            entry.zone = Some(peer.host.zone.clone());
+            entry.peer = Some(peer.peer);
+        }
+        for (host, version) in self.parts.view.host_versions() {
+            host_entry(&mut hosts, &host).config = Some(version);
+        }
+        let own = self.parts.config.config().map(|snapshot| snapshot.version);
+        host_entry(&mut hosts, &self.parts.view.host()).config = own;
+        hosts.into_values().collect()
+    }
+
+    fn service_statuses(&self) -> Vec<ServiceStatus> {
+        let Some(snapshot) = self.parts.config.config() else {
+            return Vec::new();
+        };
+        let services = snapshot.config.services.iter();
+        services
+            .map(|service| self.service_status(service))
+            .collect()
+    }
+
+    fn service_status(&self, service: &ServiceConfig) -> ServiceStatus {
+        let held = self.parts.maps.held(&service.name);
+        let map = held.as_ref().map(|held| &held.map);
+        let now = self.clock.now();
+        let count = |filter: &dyn Fn(&camphorcove_core::map::ShardEntry) -> bool| {
+            map.map_or(0, |map| {
+                map.shards.iter().filter(|entry| filter(entry)).count()
+            })
+        };
+        ServiceStatus {
+            service: service.name.clone(),
+            routing: service.routing.to_string(),
+            controller: map.map(|map| map.controller.clone()),
+            map: map.map(|map| map.version.to_string()),
+            config: map.map(|map| map.config),
+            valid_ms: held.as_ref().map_or(0, |held| valid_millis(held, now)),
+            servers: map.map_or_else(BTreeMap::new, count_phases),
+            shards: map.map_or(0, |map| map.shards.len()),
+            unowned: count(&|entry| entry.owner.is_none()),
+            moving: count(&|entry| entry.moving),
+        }
+    }
+
+    fn server_statuses(
+        &self,
+        snapshot: &ConfigSnapshot,
+        service: &ServiceConfig,
+        loads: &[ServerLoad],
+        statuses: &mut Vec<ServerStatus>,
+    ) {
+        let held: Option<HeldMap> = self.parts.maps.held(&service.name);
+        let map = held.map(|held| held.map);
+        for server in &service.servers {
+            let entry = map.as_ref().and_then(|map| map.server(&server.id));
+            let same =
+                |load: &&ServerLoad| load.service == service.name && load.server == server.id;
+            statuses.push(ServerStatus {
+                service: service.name.clone(),
+                server: server.id.clone(),
+                address: server.address,
+                zone: server.zone.clone(),
+                phase: entry.map(|entry| entry.phase),
+                drained: is_drained(&snapshot.orders, &service.name, &server.id),
+                shards: map.as_ref().map_or(0, |map| owned_shards(map, &server.id)),
+                forwarder: entry.and_then(|entry| entry.forwarder.clone()),
+                load: loads.iter().find(same).cloned(),
+            });
+        }
+    }
+}
+
+fn host_entry<'a>(
+    hosts: &'a mut BTreeMap<HostId, HostStatus>,
+    host: &HostId,
+) -> &'a mut HostStatus {
+    hosts.entry(host.clone()).or_insert_with(|| HostStatus {
+        host: host.clone(),
+        zone: None,
+        peer: None,
+        config: None,
+    })
+}
+
+fn drained_texts(orders: &OperatorOrders) -> Vec<String> {
+    let drained = orders.drained.iter();
+    drained
+        .map(|(service, server)| format!("{service}/{server}"))
+        .collect()
+}
+
+fn pin_texts(orders: &OperatorOrders) -> Vec<String> {
+    let pins = orders.pins.iter();
+    pins.map(|(service, key, server)| format!("{service}/{key} -> {server}"))
+        .collect()
+}
+
+fn is_drained(orders: &OperatorOrders, service: &ServiceName, server: &ServerId) -> bool {
+    let mut drained = orders.drained.iter();
+    drained.any(|entry| (&entry.0, &entry.1) == (service, server))
+}
+
+/// Name of a phase, as in JSON.
+pub(super) fn phase_name(phase: ServerPhase) -> &'static str {
+    match phase {
+        ServerPhase::Ready => "ready",
+        ServerPhase::Draining => "draining",
+        ServerPhase::Suspect => "suspect",
+        ServerPhase::Lost => "lost",
+    }
+}
+
+fn count_phases(map: &Arc<RoutingMap>) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for server in &map.servers {
+        *counts
+            .entry(phase_name(server.phase).to_owned())
+            .or_default() += 1;
+    }
+    counts
+}
+
+fn owned_shards(map: &RoutingMap, server: &ServerId) -> usize {
+    let index = map.servers.iter().position(|entry| entry.id == *server);
+    let owns = |entry: &&camphorcove_core::map::ShardEntry| {
+        entry.owner.is_some() && entry.owner.map(usize::from) == index
+    };
+    map.shards.iter().filter(owns).count()
+}
+
+fn moving_shards(map: &RoutingMap) -> Vec<MoveStatus> {
+    let mut moves = Vec::new();
+    for (entry, number) in map.shards.iter().zip(0..) {
+        if !entry.moving {
+            continue;
+        }
+        let shard = ShardId(number);
+        moves.push(MoveStatus {
+            service: map.service.clone(),
+            shard,
+            from: map.owner(shard).map(|server| server.id.clone()),
+            to: None,
+            reason: None,
+        });
+    }
+    moves
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,3 +1,4 @@
 //! The camphorcove router daemon.
 
+pub mod admin;
 pub mod maps;
--- a/crates/net/src/operator/mod.rs
+++ b/crates/net/src/operator/mod.rs
@@ -8,6 +8,7 @@
 mod api_code;
 mod key_ring;
 mod operator_gate;
+mod query_map;
 mod refusal_reason;
 mod signed_head;
 
@@ -21,6 +22,7 @@
     api_code::ApiCode,
     key_ring::{KeyRing, KeyRingError, OperatorKey, OperatorSecret},
     operator_gate::{GateLimits, OperatorGate},
+    query_map::QueryMap,
     refusal_reason::RefusalReason,
     signed_head::{
         BODY_HEADER, KEY_HEADER, NONCE_HEADER, RequestLine, SIGNATURE_HEADER, SignedHead,
