Add the fault-injecting TCP proxy

Tests need partitions, resets and truncated responses between processes. The proxy refuses, resets, holds back, delays, limits or truncates each direction on its own, in-process or as a process, and counts bytes.

--- a/crates/standin/src/backend/backend_standin.rs
+++ b/crates/standin/src/backend/backend_standin.rs
@@ -5,24 +5,17 @@
         BackendSettings, BackendStats, GrantInterval, RunEntry, backend_state::BackendState,
         control_routes::ControlHandler, order_route, request_route,
     },
-    crate::http::{ConnectionCut, HttpHandler, HttpTask, Reply},
+    crate::http::{ANY_PORT, ConnectionCut, HttpHandler, HttpTask, Reply},
     camphorcove_core::headers::SERVER_CLOCK,
     camphorcove_net::servers::{ORDER_PATH, ServerTime},
     http::Request,
     hyper::body::Incoming,
-    std::{
-        io,
-        net::{Ipv4Addr, SocketAddr},
-        sync::Arc,
-    },
+    std::{io, net::SocketAddr, sync::Arc},
 };
 
 /// Path of health probes.
 pub(super) const HEALTH_PATH: &str = "/health";
 
-/// Port 0 of the loopback address: the OS chooses the port.
-const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-
 /// How to start a backend stand-in.
 #[derive(Clone, Debug, clap::Args)]
 pub struct BackendOptions {
--- a/crates/standin/src/http/http_task.rs
+++ b/crates/standin/src/http/http_task.rs
@@ -7,13 +7,21 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     snafu::Snafu,
-    std::{future::Future, io, net::SocketAddr, sync::Arc},
+    std::{
+        future::Future,
+        io,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::Arc,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         task::{JoinHandle, JoinSet},
     },
 };
 
+/// Port 0 of the loopback address: the OS chooses the port.
+pub const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// Response with its whole body.
 pub type Reply = Response<Full<Bytes>>;
 
--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -4,6 +4,6 @@
 mod replies;
 
 pub use {
-    http_task::{ConnectionCut, HttpHandler, HttpTask, Reply},
+    http_task::{ANY_PORT, ConnectionCut, HttpHandler, HttpTask, Reply},
     replies::{json_reply, merge_json, read_body, read_json, text_reply},
 };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod backend;
 pub mod http;
 pub mod platform;
+pub mod proxy;
--- a/crates/standin/src/platform/platform_standin.rs
+++ b/crates/standin/src/platform/platform_standin.rs
@@ -7,7 +7,7 @@
         object_routes,
         platform_state::PlatformState,
     },
-    crate::http::{ConnectionCut, HttpHandler, HttpTask, Reply},
+    crate::http::{ANY_PORT, ConnectionCut, HttpHandler, HttpTask, Reply},
     bytes::Bytes,
     camphorcove_net::platform::{CallKind, HttpStore, ListedHost},
     http::Request,
@@ -38,6 +38,11 @@
 }
 
 impl PlatformStandin {
+    /// Starts on a port chosen by the OS.
+    pub async fn on_any_port() -> io::Result<Self> {
+        Self::start(ANY_PORT).await
+    }
+
     /// Starts on `address`; port 0 lets the OS choose.
     pub async fn start(address: SocketAddr) -> io::Result<Self> {
         let state = Arc::new(PlatformState::default());
--- /dev/null
+++ b/crates/standin/src/proxy/proxy_settings.rs
@@ -0,0 +1,31 @@
+//! Faults of a proxy.
+
+/// Faults of one direction of every connection.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LineFaults {
+    /// Bytes are held back until this is withdrawn, as TCP does in a partition.
+    pub blackhole: bool,
+    /// Delay of all bytes, in milliseconds.
+    pub delay_ms: u64,
+    /// Bytes per second; 0 means no limit.
+    pub bandwidth: u64,
+    /// The connection is closed in order after this many bytes.
+    pub truncate_after: Option<u64>,
+    /// The connection is reset after this many bytes.
+    pub reset_after: Option<u64>,
+}
+
+/// Faults of a proxy; the default is none.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ProxySettings {
+    /// New connections are refused; open ones stay.
+    pub refuse: bool,
+    /// Open connections and new ones are reset.
+    pub cut: bool,
+    /// Direction from the connecting side to the target.
+    pub up: LineFaults,
+    /// Direction from the target to the connecting side.
+    pub down: LineFaults,
+}
--- /dev/null
+++ b/crates/standin/src/proxy/proxy_standin.rs
@@ -0,0 +1,91 @@
+//! A running proxy.
+
+use {
+    super::{ProxySettings, ProxyStats, proxy_listener, proxy_state::ProxyState},
+    crate::http::{ANY_PORT, HttpTask},
+    std::{io, net::SocketAddr, sync::Arc},
+    tokio::task::JoinHandle,
+};
+
+/// How to start a proxy.
+#[derive(Clone, Debug, clap::Args)]
+pub struct ProxyOptions {
+    /// Address that connections are passed on to.
+    #[arg(long)]
+    pub target: SocketAddr,
+    /// Address to listen on; port 0 lets the OS choose.
+    #[arg(long, default_value_t = ANY_PORT)]
+    pub listen: SocketAddr,
+    /// Address of the control port; port 0 lets the OS choose.
+    #[arg(long, default_value_t = ANY_PORT)]
+    pub control: SocketAddr,
+}
+
+/// A proxy in front of one address; ends when dropped.
+#[derive(Debug)]
+pub struct ProxyStandin {
+    state: Arc<ProxyState>,
+    address: SocketAddr,
+    control: HttpTask,
+    task: JoinHandle<()>,
+}
+
+impl ProxyStandin {
+    /// Starts without faults on the addresses in `options`.
+    pub async fn start(options: ProxyOptions) -> io::Result<Self> {
+        let state = Arc::new(ProxyState::new(options.target));
+        let control = HttpTask::start(options.control, state.clone()).await?;
+        let socket = proxy_listener::bind(options.listen)?;
+        let address = socket.local_addr()?;
+        // Listening before returning, so that early connections are not refused.
+        let listener = socket.listen(proxy_listener::BACKLOG)?;
+        let running = proxy_listener::run(state.clone(), listener);
+        let task = tokio::spawn(async move {
+            if let Err(error) = running.await {
+                log::error!("proxy on {address} lost its port: {error}");
+            }
+        });
+        Ok(Self {
+            state,
+            address,
+            control,
+            task,
+        })
+    }
+
+    /// Starts in front of `target` on ports chosen by the OS.
+    pub async fn to(target: SocketAddr) -> io::Result<Self> {
+        Self::start(ProxyOptions {
+            target,
+            listen: ANY_PORT,
+            control: ANY_PORT,
+        })
+        .await
+    }
+
+    /// Address of its port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address of the control port.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Changes the faults.
+    pub fn change(&self, change: impl FnOnce(&mut ProxySettings)) {
+        self.state.settings.send_modify(change);
+    }
+
+    /// Counters.
+    pub fn stats(&self) -> ProxyStats {
+        self.state.stats()
+    }
+}
+
+impl Drop for ProxyStandin {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
