--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,6 @@
 //! The camphorcove router daemon.
 
 pub mod admin;
+pub mod conf;
+pub mod error;
 pub mod maps;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod clock;
 pub mod config;
+pub mod http;
+pub mod log;
 pub mod operator;
 pub mod peer;
 pub mod platform;
