--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -68,6 +68,13 @@
         Ok(reply)
     }
 
+    /// Number of open connections to `address` that no exchange uses.
+    pub fn idle_connections(&self, address: SocketAddr) -> usize {
+        let idle = self.lock();
+        let senders = idle.get(&address).into_iter().flatten();
+        senders.filter(|sender| !sender.is_closed()).count()
+    }
+
     async fn connection(&self, address: SocketAddr, end: Instant) -> Result<Sender, ExchangeError> {
         while let Some(mut sender) = self.take_idle(address) {
             let ready = timeout_at(end, sender.ready()).await;
--- /dev/null
+++ b/crates/net/tests/http_client.rs
@@ -0,0 +1,109 @@
+//! The client that both HTTP adapters stand on.
+
+use {
+    bytes::Bytes,
+    camphorcove_net::http::{ExchangeError, HttpClient},
+    camphorcove_standin::{
+        backend::{BackendOptions, BackendSettings, BackendStandin},
+        proxy::ProxyStandin,
+    },
+    http::{Request, StatusCode},
+    http_body_util::Full,
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+const PATIENT: Duration = Duration::from_secs(30);
+
+async fn backend() -> BackendStandin {
+    BackendStandin::with_settings(BackendSettings::default())
+        .await
+        .unwrap()
+}
+
+fn request(target: &str) -> Request<Full<Bytes>> {
+    Request::get(target).body(Full::default()).unwrap()
+}
+
+// Guards against an error on every first call after the other side restarted.
+#[tokio::test]
+async fn a_kept_connection_that_was_closed_is_not_used() {
+    let backend = backend().await;
+    let address = backend.address();
+    let client = HttpClient::default();
+    let first = client.exchange(address, request("/"), PATIENT).await;
+    drop(backend);
+    let restarted = restart_on(address).await;
+    wait_until_unused(&client, address).await;
+
+    let second = client.exchange(address, request("/"), PATIENT).await;
+
+    assert_eq!(first.unwrap().status(), StatusCode::OK);
+    assert_eq!(second.unwrap().status(), StatusCode::OK);
+    drop(restarted);
+}
+
+/// The port is free only once the old listener's task has ended.
+async fn restart_on(address: std::net::SocketAddr) -> BackendStandin {
+    loop {
+        let options = BackendOptions {
+            listen: address,
+            ..BackendOptions::default()
+        };
+        match BackendStandin::start(options).await {
+            Ok(backend) => return backend,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    }
+}
+
+/// Waits until the client has noticed that its connection was closed.
+async fn wait_until_unused(client: &HttpClient, address: std::net::SocketAddr) {
+    while client.idle_connections(address) > 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+// A caller that gives up must not leave its request running at the server.
+#[tokio::test]
+async fn dropping_an_exchange_closes_its_connection() {
+    let backend = backend().await;
+    let client = HttpClient::default();
+    let exchange = client.exchange(backend.address(), request("/?work_ms=600000"), PATIENT);
+    let started = async {
+        while backend.stats().in_flight == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::select! {
+        _ = exchange => panic!("answered before its work was done"),
+        () = started => {}
+    }
+
+    let cancelled = async {
+        while backend.stats().cancelled == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+
+    timeout(PATIENT, cancelled).await.unwrap();
+    assert!(backend.ledger()[0].cancelled);
+}
+
+// Guards against a response being taken for the whole of a longer one.
+#[tokio::test]
+async fn a_cut_response_body_is_no_reply() {
+    let backend = backend().await;
+    let proxy = ProxyStandin::to(backend.address()).await.unwrap();
+    proxy.change(|faults| faults.down.truncate_after = Some(50_000));
+    let client = HttpClient::default();
+
+    let result = client
+        .exchange(proxy.address(), request("/?size=100000"), PATIENT)
+        .await;
+
+    assert!(
+        matches!(result, Err(ExchangeError::NoReply { .. })),
+        "{result:?}"
+    );
+}
--- a/crates/standin/src/platform/object_routes.rs
+++ b/crates/standin/src/platform/object_routes.rs
@@ -5,7 +5,7 @@
         object_table::WriteCondition, platform_faults::PlatformFaults,
         platform_state::PlatformState,
     },
-    crate::http::{ConnectionCut, Reply, json_reply, text_reply},
+    crate::http::{ConnectionCut, Reply, json_reply, read_body, text_reply},
     bytes::Bytes,
     camphorcove_net::platform::{
         CallKind,
@@ -15,7 +15,6 @@
         },
     },
     http::{Method, Request, StatusCode},
-    http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep, timeout_at},
@@ -102,16 +101,12 @@
             "invalid key or condition",
         ));
     };
-    let value = match Limited::new(request.into_body(), VALUE_LIMIT)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return Ok(text_reply(StatusCode::PAYLOAD_TOO_LARGE, "value over 1 MB"));
-        }
-        Err(_) => return Err(ConnectionCut),
-    };
+    // Read to the end before a rejection: closing early could reset the
+    // connection and destroy the answer.
+    let value = read_body(request).await?;
+    if value.len() > VALUE_LIMIT {
+        return Ok(text_reply(StatusCode::PAYLOAD_TOO_LARGE, "value over 1 MB"));
+    }
     // A task of its own, so that a delayed write takes effect without its caller.
     let write = tokio::spawn(async move {
         delay(&faults).await;
--- a/crates/standin/src/proxy/proxy_standin.rs
+++ b/crates/standin/src/proxy/proxy_standin.rs
@@ -73,6 +73,11 @@
         self.control.address()
     }
 
+    /// Faults in force.
+    pub fn settings(&self) -> ProxySettings {
+        self.state.settings.borrow().clone()
+    }
+
     /// Changes the faults.
     pub fn change(&self, change: impl FnOnce(&mut ProxySettings)) {
         self.state.settings.send_modify(change);
