--- a/crates/daemon/src/error/daemon_error.rs
+++ b/crates/daemon/src/error/daemon_error.rs
@@ -76,10 +76,12 @@
         source: SettingsError,
     },
     /// A key file's content is wrong.
-    #[snafu(display("{file}:1: {what}"))]
+    #[snafu(display("{file}:{line}: {what}"))]
     KeyFile {
         /// File.
         file: String,
+        /// Line, from 1.
+        line: usize,
         /// What is wrong and what is allowed.
         what: String,
     },
--- a/crates/daemon/src/error/mod.rs
+++ b/crates/daemon/src/error/mod.rs
@@ -2,4 +2,4 @@
 
 mod daemon_error;
 
-pub use daemon_error::{DaemonError, SettingsError, WrongValueSnafu};
+pub use daemon_error::{DaemonError, ListenSnafu, SettingsError, StartSnafu, WrongValueSnafu};
--- a/crates/daemon/src/maps/host_table.rs
+++ b/crates/daemon/src/maps/host_table.rs
@@ -8,7 +8,7 @@
 
 use {
     camphorcove_core::{
-        ids::{HostId, ServiceName},
+        ids::{ConfigVersion, HostId, ServiceName},
         map::MapVersion,
         time::{BootTime, MAP_TTL, with_drift},
     },
@@ -48,6 +48,7 @@
     downstream: Vec<PeerAddress>,
     digest: u64,
     floors: HashMap<ServiceName, (MapVersion, BootTime)>,
+    config: ConfigVersion,
 }
 
 impl HostTable {
@@ -117,6 +118,15 @@
         downstream
     }
 
+    /// Configuration versions of the hosts that poll this one.
+    pub fn configs(&self) -> Vec<(HostId, ConfigVersion)> {
+        let rows = self.rows();
+        let pollers = rows.pollers.iter();
+        pollers
+            .map(|(host, row)| (host.clone(), row.config))
+            .collect()
+    }
+
     /// Oldest version of a scope's map that a host behind this one may still use.
     ///
     /// `None` if no host polls this one for the scope.
@@ -162,6 +172,7 @@
             downstream: Vec::new(),
             digest: digest(&[]),
             floors: HashMap::new(),
+            config: ConfigVersion(0),
         }
     }
 
@@ -169,6 +180,7 @@
         self.address = poll.from.clone();
         self.relay = poll.relay;
         self.answered = now;
+        self.config = poll.config;
         if let Some(downstream) = &poll.downstream {
             self.downstream = downstream.clone();
             self.digest = poll.downstream_digest;
--- /dev/null
+++ b/crates/daemon/src/peers/peer_service.rs
@@ -0,0 +1,100 @@
+//! Dispatches messages of other hosts.
+
+use {
+    crate::{
+        control::{ElectorActor, PromiseAnswer, ScopeRegistry, handover_answer},
+        forward::ForwardService,
+        maps::{MapContext, answer_poll},
+    },
+    camphorcove_core::{control::ScopeEvent, election::PromiseRequest, ids::HostId},
+    camphorcove_net::peer::{
+        MapPoll, PeerBody, PeerError, PeerHandler, PeerKind, StatusAnswer, StatusRequest, decode,
+        encode,
+    },
+    http::{Request, Response},
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    kameo::actor::ActorRef,
+    std::sync::Arc,
+};
+
+/// Answers messages of other hosts.
+#[derive(Debug)]
+pub struct PeerService {
+    /// Maps and hosts.
+    pub context: Arc<MapContext>,
+    /// This host's promises.
+    pub elector: ActorRef<ElectorActor>,
+    /// Scopes.
+    pub scopes: ScopeRegistry,
+    /// Forwarded requests.
+    pub forward: Arc<ForwardService>,
+}
+
+impl PeerHandler for PeerService {
+    async fn message(
+        &self,
+        kind: PeerKind,
+        from: HostId,
+        body: &[u8],
+    ) -> Result<Vec<u8>, PeerError> {
+        match kind {
+            PeerKind::Poll => self.poll(from, decode(body)?).await,
+            PeerKind::Promise => self.promise(from, decode(body)?).await,
+            PeerKind::Status => {
+                let StatusRequest = decode(body)?;
+                Ok(encode(&self.status()))
+            }
+            PeerKind::Handover => {
+                if let Some(scope) = self.scopes.get(&decode(body)?) {
+                    scope.tell(ScopeEvent::HandoverOffered).await;
+                }
+                Ok(handover_answer())
+            }
+        }
+    }
+
+    async fn forward(&self, request: Request<Incoming>) -> Response<PeerBody> {
+        let response = self.forward.handle_peer(request).await;
+        response.map(|body| body.map_err(Into::into).boxed_unsync())
+    }
+}
+
+impl PeerService {
+    async fn poll(&self, from: HostId, poll: MapPoll) -> Result<Vec<u8>, PeerError> {
+        if poll.from.host.id != from {
+            return Err(PeerError::Unauthentic {
+                what: "poll in the name of another host",
+            });
+        }
+        Ok(encode(&answer_poll(&self.context, poll).await))
+    }
+
+    async fn promise(&self, from: HostId, request: PromiseRequest) -> Result<Vec<u8>, PeerError> {
+        if request.controller != from {
+            return Err(PeerError::Unauthentic {
+                what: "promise asked for another host",
+            });
+        }
+        let answer = self.elector.ask(request).await;
+        let PromiseAnswer(reply) = answer.map_err(|_| PeerError::Refused { status: 503 })?;
+        Ok(encode(&reply))
+    }
+
+    fn status(&self) -> StatusAnswer {
+        let now = self.context.now();
+        let maps = self.context.maps.all();
+        let scopes = maps.iter().map(|(service, held)| {
+            let left = held.valid_until.since(now).as_micros();
+            let left = u64::try_from(left).unwrap_or(u64::MAX);
+            (service.clone(), held.map.version, left)
+        });
+        let config = self.context.config.config();
+        StatusAnswer {
+            from: self.context.me(),
+            config: config.map(|config| config.version).unwrap_or_default(),
+            scopes: scopes.collect(),
+            controls: self.context.controls().into_iter().collect(),
+        }
+    }
+}
