--- /dev/null
+++ b/crates/core/src/dedup/home_cover.rs
@@ -0,0 +1,138 @@
+//! Since when this host has been the home host of an id.
+
+use {
+    crate::{
+        ids::{FencingToken, HostId, ShardId},
+        keys::rendezvous_score,
+        map::{MapVersion, RoutingMap},
+        time::BootTime,
+    },
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Home host of an id in an unkeyed service: rendezvous over the map's forwarders.
+pub fn home_of<'a>(id: &str, forwarders: impl Iterator<Item = &'a HostId>) -> Option<&'a HostId> {
+    forwarders.max_by_key(|host| (rendezvous_score(id, host.as_str()), host.as_str()))
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ShardCover {
+    token: FencingToken,
+    since: Option<BootTime>,
+}
+
+/// What one host knows about being a home host in one scope.
+///
+/// Coverage of a shard restarts when its token changes, because the shard may
+/// have been elsewhere in between, and all coverage restarts after a time
+/// without a valid map, because other hosts may have taken over meanwhile.
+#[derive(Debug)]
+pub struct HomeCover {
+    host: HostId,
+    version: MapVersion,
+    valid_until: BootTime,
+    shards: Vec<ShardCover>,
+    forwarders: VecDeque<(BootTime, Vec<HostId>)>,
+    span: Duration,
+}
+
+impl HomeCover {
+    /// A host that has covered nothing yet.
+    pub fn new(host: HostId, span: Duration) -> Self {
+        Self {
+            host,
+            version: MapVersion::default(),
+            valid_until: BootTime::default(),
+            shards: Vec::new(),
+            forwarders: VecDeque::new(),
+            span,
+        }
+    }
+
+    /// Version of the latest map observed.
+    pub fn version(&self) -> MapVersion {
+        self.version
+    }
+
+    /// Takes over a valid map; called for each version and each prolonged validity.
+    pub fn observe(&mut self, map: &RoutingMap, valid_until: BootTime, now: BootTime) {
+        if now >= self.valid_until {
+            self.shards.clear();
+            self.forwarders.clear();
+        }
+        self.valid_until = self.valid_until.max(valid_until);
+        if map.version <= self.version && !self.forwarders.is_empty() {
+            return;
+        }
+        self.version = map.version;
+        self.observe_shards(map, now);
+        self.observe_forwarders(map, now);
+    }
+
+    /// Whether this host was the id's only home host during the whole window.
+    pub fn covers(&self, shard: Option<ShardId>, id: &str, now: BootTime) -> bool {
+        if now >= self.valid_until {
+            return false;
+        }
+        let start = now.back(self.span);
+        match shard {
+            Some(shard) => self.shard_since(shard).is_some_and(|since| since <= start),
+            None => self.covers_free(id, start),
+        }
+    }
+
+    fn shard_since(&self, shard: ShardId) -> Option<BootTime> {
+        self.shards.get(usize::try_from(shard.0).ok()?)?.since
+    }
+
+    fn covers_free(&self, id: &str, start: BootTime) -> bool {
+        let known = self
+            .forwarders
+            .front()
+            .is_some_and(|(since, _)| *since <= start);
+        let always_here = self
+            .forwarders
+            .iter()
+            .all(|(_, hosts)| home_of(id, hosts.iter()) == Some(&self.host));
+        known && always_here
+    }
+
+    fn observe_shards(&mut self, map: &RoutingMap, now: BootTime) {
+        self.shards.resize(map.shards.len(), ShardCover::default());
+        for (cover, entry) in self.shards.iter_mut().zip(&map.shards) {
+            let owner = entry
+                .owner
+                .and_then(|index| map.servers.get(usize::from(index)));
+            let here = owner.and_then(|server| server.forwarder.as_ref()) == Some(&self.host);
+            let kept = cover.since.filter(|_| cover.token == entry.token);
+            cover.since = here.then(|| kept.unwrap_or(now));
+            cover.token = entry.token;
+        }
+    }
+
+    fn observe_forwarders(&mut self, map: &RoutingMap, now: BootTime) {
+        let servers = map.servers.iter();
+        let mut hosts: Vec<HostId> = servers
+            .filter_map(|server| server.forwarder.clone())
+            .collect();
+        hosts.sort();
+        hosts.dedup();
+        let unchanged = self.forwarders.back().is_some_and(|(_, old)| *old == hosts);
+        if !unchanged {
+            self.forwarders.push_back((now, hosts));
+        }
+        self.forget_old(now);
+    }
+
+    /// Drops sets that were replaced before the window began.
+    fn forget_old(&mut self, now: BootTime) {
+        let start = now.back(self.span);
+        while self
+            .forwarders
+            .get(1)
+            .is_some_and(|(since, _)| *since <= start)
+        {
+            self.forwarders.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dedup/id_window.rs
@@ -0,0 +1,103 @@
+//! Ids seen within the deduplication window.
+
+use {
+    crate::{outcome::Execution, time::BootTime},
+    std::{
+        collections::{HashMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Verdict on an arriving id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdVerdict {
+    /// Not seen in the whole window; it is recorded as running.
+    New,
+    /// The same id is running.
+    Running,
+    /// The same id ended with this execution: it ran, or may have.
+    Ended(Execution),
+    /// Not seen, but this host does not know the whole window.
+    Unproved,
+    /// No room to remember it; forgetting another id early could let that one run twice.
+    Full,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum IdState {
+    Running,
+    Ended(Execution),
+}
+
+/// Ids seen within the window, at most `capacity`.
+#[derive(Debug)]
+pub struct IdWindow {
+    span: Duration,
+    capacity: usize,
+    ids: HashMap<Arc<str>, IdState>,
+    ended: VecDeque<(BootTime, Arc<str>)>,
+}
+
+impl IdWindow {
+    /// An empty window; an id is kept for `span` after its request ended.
+    pub fn new(span: Duration, capacity: usize) -> Self {
+        Self {
+            span,
+            capacity,
+            ids: HashMap::new(),
+            ended: VecDeque::new(),
+        }
+    }
+
+    /// Ids held.
+    pub fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    /// Whether no id is held.
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+
+    /// Records an arriving id as running if it is new.
+    ///
+    /// `covered`: this host has been the id's home host for the whole window.
+    pub fn begin(&mut self, id: &str, covered: bool, now: BootTime) -> IdVerdict {
+        self.forget_old(now);
+        match self.ids.get(id) {
+            Some(IdState::Running) => return IdVerdict::Running,
+            Some(IdState::Ended(execution)) => return IdVerdict::Ended(*execution),
+            None if !covered => return IdVerdict::Unproved,
+            None if self.ids.len() >= self.capacity => return IdVerdict::Full,
+            None => {}
+        }
+        self.ids.insert(id.into(), IdState::Running);
+        IdVerdict::New
+    }
+
+    /// Records how the request of a running id ended; one that did not run may come again.
+    pub fn end(&mut self, id: &str, execution: Execution, now: BootTime) {
+        if execution == Execution::NotRun {
+            self.ids.remove(id);
+            return;
+        }
+        let Some((key, _)) = self.ids.get_key_value(id) else {
+            return;
+        };
+        let key = key.clone();
+        self.ids.insert(key.clone(), IdState::Ended(execution));
+        self.ended.push_back((now, key));
+    }
+
+    fn forget_old(&mut self, now: BootTime) {
+        while let Some((ended_at, _)) = self.ended.front() {
+            if now.since(*ended_at) <= self.span {
+                return;
+            }
+            if let Some((_, id)) = self.ended.pop_front() {
+                self.ids.remove(&id);
+            }
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,13 +7,18 @@
 #[macro_use]
 mod value_type;
 
+pub mod admission;
 pub mod audit;
+pub mod balance;
 pub mod conf;
 pub mod control;
+pub mod dedup;
 pub mod election;
 pub mod headers;
 pub mod ids;
 pub mod keys;
 pub mod map;
+pub mod outcome;
+pub mod retry;
 pub mod scope;
 pub mod time;
--- /dev/null
+++ b/crates/daemon/src/forward/load_book.rs
@@ -0,0 +1,127 @@
+//! Load of servers as this host sees it.
+
+use {
+    arc_swap::ArcSwap,
+    camphorcove_core::{
+        balance::{LoadCell, LoadReport, ServerCandidate, choose_server},
+        ids::{ServerId, ServiceName},
+        map::{MapVersion, RoutingMap, ServerEntry, ServerPhase},
+        time::BootTime,
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, PoisonError},
+    },
+};
+
+/// Load of the servers of one routing map, in the map's order.
+#[derive(Debug)]
+pub struct ServiceLoads {
+    version: MapVersion,
+    servers: Vec<(ServerId, ServerPhase, Arc<LoadCell>)>,
+}
+
+impl ServiceLoads {
+    /// Load of a server.
+    pub fn cell(&self, server: &ServerId) -> Option<Arc<LoadCell>> {
+        let found = self.servers.iter().find(|(id, _, _)| id == server);
+        found.map(|(_, _, cell)| cell.clone())
+    }
+
+    /// Picks a server for a request that any server may take.
+    pub fn choose<'a>(
+        &self,
+        map: &'a RoutingMap,
+        avoid: Option<&ServerId>,
+        draw: u64,
+        now: BootTime,
+    ) -> Option<&'a ServerEntry> {
+        let all = self.candidates(map, ServerPhase::Ready);
+        let preferred: Vec<_> = all
+            .iter()
+            .filter(|candidate| Some(&map.servers[candidate.index].id) != avoid)
+            .copied()
+            .collect();
+        let index = choose_server(&preferred, draw, now)
+            .or_else(|| choose_server(&all, draw, now))
+            .or_else(|| choose_server(&self.candidates(map, ServerPhase::Suspect), draw, now))?;
+        map.servers.get(index)
+    }
+
+    fn candidates(&self, map: &RoutingMap, phase: ServerPhase) -> Vec<ServerCandidate<'_>> {
+        let pairs = map.servers.iter().zip(&self.servers).enumerate();
+        let usable =
+            pairs.filter(|(_, (entry, _))| entry.phase == phase && entry.forwarder.is_some());
+        let candidate = usable.map(|(index, (entry, (_, _, cell)))| ServerCandidate {
+            index,
+            weight: entry.weight,
+            cell,
+        });
+        candidate.collect()
+    }
+}
+
+/// Loads by service; read without locks.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    services: ArcSwap<HashMap<ServiceName, Arc<ServiceLoads>>>,
+    changing: Mutex<()>,
+}
+
+impl LoadBook {
+    /// Loads for a map's servers, rebuilt when the map's version changes.
+    pub fn loads(&self, map: &RoutingMap, now: BootTime) -> Arc<ServiceLoads> {
+        if let Some(loads) = self.current(map) {
+            return loads;
+        }
+        let _changing = self.changing.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(loads) = self.current(map) {
+            return loads;
+        }
+        let mut services = HashMap::clone(&self.services.load());
+        let loads = Arc::new(rebuild(services.get(&map.service), map, now));
+        services.insert(map.service.clone(), loads.clone());
+        self.services.store(Arc::new(services));
+        loads
+    }
+
+    /// Takes over a forwarder's report on a server.
+    pub fn report(
+        &self,
+        service: &ServiceName,
+        server: &ServerId,
+        report: LoadReport,
+        now: BootTime,
+    ) {
+        let services = self.services.load();
+        let cell = services.get(service).and_then(|loads| loads.cell(server));
+        if let Some(cell) = cell {
+            cell.report(report, now);
+        }
+    }
+
+    fn current(&self, map: &RoutingMap) -> Option<Arc<ServiceLoads>> {
+        let services = self.services.load();
+        let loads = services.get(&map.service)?;
+        (loads.version == map.version).then(|| loads.clone())
+    }
+}
+
+/// Keeps the cells of known servers; a server that became ready starts slowly.
+///
+/// With the first map, all servers count as warm: none is newer than the others.
+fn rebuild(old: Option<&Arc<ServiceLoads>>, map: &RoutingMap, now: BootTime) -> ServiceLoads {
+    let entry_loads = |entry: &ServerEntry| {
+        let known = old.and_then(|loads| loads.servers.iter().find(|(id, _, _)| *id == entry.id));
+        let cell = match (old, known) {
+            (None, _) => Arc::default(),
+            (Some(_), Some((_, phase, cell))) if *phase != ServerPhase::Lost => cell.clone(),
+            _ => Arc::new(LoadCell::new(now)),
+        };
+        (entry.id.clone(), entry.phase, cell)
+    };
+    ServiceLoads {
+        version: map.version,
+        servers: map.servers.iter().map(entry_loads).collect(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/peer_links.rs
@@ -0,0 +1,162 @@
+//! HTTP/2 connections to other hosts.
+
+use {
+    super::RequestBody,
+    crate::context::RequestContext,
+    arc_swap::{ArcSwap, ArcSwapOption},
+    camphorcove_core::{ids::HostId, outcome::ResultCode},
+    http::{Request, Response},
+    hyper::{
+        body::Incoming,
+        client::conn::http2::{self, SendRequest},
+    },
+    hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        sync::Mutex,
+        time::{Instant, timeout, timeout_at},
+    },
+};
+
+/// Connections to each host, so that one lost packet does not stop all streams.
+const LINKS: usize = 2;
+
+/// Longest time to open a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Flow-control window of one stream: what a slow caller may leave unread.
+const STREAM_WINDOW: u32 = 64 << 10;
+
+/// Window of a connection: 256 stalled streams do not stop the others.
+const CONNECTION_WINDOW: u32 = 16 << 20;
+
+/// Interval of pings on a connection with requests in flight.
+const PING_INTERVAL: Duration = Duration::from_secs(2);
+
+/// A connection whose ping is not answered in this time is lost.
+const PING_LIMIT: Duration = Duration::from_secs(2);
+
+/// Largest header block of a reply, in bytes.
+const REPLY_HEAD_LIMIT: u32 = 64 << 10;
+
+type PeerSender = SendRequest<RequestBody>;
+
+/// One connection to a host, opened on first use.
+#[derive(Debug, Default)]
+struct PeerLink {
+    sender: ArcSwapOption<PeerSender>,
+    connecting: Mutex<()>,
+}
+
+/// Connections by host; read without locks.
+#[derive(Debug, Default)]
+pub struct PeerLinks {
+    links: ArcSwap<HashMap<HostId, Arc<[PeerLink; LINKS]>>>,
+    changing: std::sync::Mutex<()>,
+}
+
+impl PeerLinks {
+    /// An open connection to a host; `draw` spreads requests over its connections.
+    pub async fn sender(
+        &self,
+        context: &RequestContext,
+        host: &HostId,
+        draw: u64,
+        deadline: Instant,
+    ) -> Result<PeerSender, ResultCode> {
+        let links = self.links_of(host);
+        let index = usize::try_from(draw).unwrap_or(0) % LINKS;
+        let link = &links[index];
+        if let Some(sender) = link.open_sender() {
+            return Ok(sender);
+        }
+        let opening = link.connect(context, host);
+        let opened = timeout_at(deadline, opening).await;
+        opened.unwrap_or(Err(ResultCode::PeerUnreachable))
+    }
+
+    fn links_of(&self, host: &HostId) -> Arc<[PeerLink; LINKS]> {
+        if let Some(links) = self.links.load().get(host) {
+            return links.clone();
+        }
+        let _changing = self.changing.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut map = HashMap::clone(&self.links.load());
+        let links = map.entry(host.clone()).or_default().clone();
+        self.links.store(Arc::new(map));
+        links
+    }
+}
+
+impl PeerLink {
+    fn open_sender(&self) -> Option<PeerSender> {
+        let sender = self.sender.load();
+        let sender = sender.as_ref()?;
+        (!sender.is_closed()).then(|| PeerSender::clone(sender))
+    }
+
+    async fn connect(
+        &self,
+        context: &RequestContext,
+        host: &HostId,
+    ) -> Result<PeerSender, ResultCode> {
+        let _connecting = self.connecting.lock().await;
+        if let Some(sender) = self.open_sender() {
+            return Ok(sender);
+        }
+        let peers = context.configs.peers();
+        let peer = peers.iter().find(|peer| peer.host.id == *host);
+        let address = peer.ok_or(ResultCode::PeerUnreachable)?.peer;
+        let sender = open_link(address).await.inspect_err(|error| {
+            log::debug!("peer {host} at {address}: {error}");
+        });
+        let sender = sender.map_err(|_| ResultCode::PeerUnreachable)?;
+        self.sender.store(Some(Arc::new(sender.clone())));
+        Ok(sender)
+    }
+}
+
+async fn open_link(address: SocketAddr) -> std::io::Result<PeerSender> {
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let handshake = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_header_list_size(REPLY_HEAD_LIMIT)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_LIMIT)
+        .handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("peer connection to {address} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+/// Sends a request on a peer connection. A request handed back was not sent.
+pub async fn send_to_peer(
+    mut sender: PeerSender,
+    request: Request<RequestBody>,
+    deadline: Instant,
+) -> Result<Response<Incoming>, ResultCode> {
+    let reply = timeout_at(deadline, sender.try_send_request(request)).await;
+    match reply {
+        Err(_) => Err(ResultCode::DeadlinePassed),
+        Ok(Ok(reply)) => Ok(reply),
+        Ok(Err(mut error)) => {
+            log::debug!("request to peer failed: {}", error.error());
+            Err(match error.take_message() {
+                Some(_) => ResultCode::PeerUnreachable,
+                None => ResultCode::PeerLost,
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/router_body.rs
@@ -0,0 +1,233 @@
+//! The body of an answer on its way to the caller.
+
+use {
+    super::{BodyFault, Permit},
+    crate::context::RequestCounters,
+    bytes::Bytes,
+    camphorcove_core::balance::LoadCell,
+    http_body::{Body, Frame, SizeHint},
+    hyper::body::Incoming,
+    std::{
+        pin::Pin,
+        sync::{Arc, atomic::Ordering::Relaxed},
+        task::{Context, Poll, ready},
+    },
+    tokio::time::{Instant, Sleep, sleep_until},
+};
+
+/// Counts a request at its server for as long as it lives.
+#[derive(Debug)]
+pub struct LoadGuard(Arc<LoadCell>);
+
+impl LoadGuard {
+    /// Counts a request.
+    pub fn new(cell: Arc<LoadCell>) -> Self {
+        cell.begin();
+        Self(cell)
+    }
+
+    /// The server's load and failures.
+    pub fn cell(&self) -> &LoadCell {
+        &self.0
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+/// Body of an answer. A reply that breaks off ends with an error, never cleanly.
+#[derive(Debug)]
+pub struct RouterBody {
+    source: BodySource,
+    load: Option<LoadGuard>,
+    ended: bool,
+}
+
+#[derive(Debug)]
+enum BodySource {
+    Own(Option<Bytes>),
+    Server {
+        incoming: Incoming,
+        permit: Option<Permit>,
+        counters: Arc<RequestCounters>,
+    },
+    Peer {
+        incoming: Incoming,
+        deadline: Instant,
+        timer: Option<Pin<Box<Sleep>>>,
+        counters: Arc<RequestCounters>,
+    },
+}
+
+impl RouterBody {
+    /// A text of the router itself.
+    pub fn own(text: impl Into<Bytes>) -> Self {
+        Self::from_source(BodySource::Own(Some(text.into())))
+    }
+
+    /// A server's reply; the permit is returned when the reply is complete.
+    ///
+    /// The server's task ends the connection at the deadline, so no timer runs here.
+    pub fn server(incoming: Incoming, permit: Permit, counters: Arc<RequestCounters>) -> Self {
+        let ended = incoming.is_end_stream();
+        let mut body = Self::from_source(BodySource::Server {
+            incoming,
+            permit: Some(permit),
+            counters,
+        });
+        if ended {
+            body.finish();
+        }
+        body
+    }
+
+    /// A reply that streams through another host.
+    pub fn peer(incoming: Incoming, deadline: Instant, counters: Arc<RequestCounters>) -> Self {
+        Self::from_source(BodySource::Peer {
+            incoming,
+            deadline,
+            timer: None,
+            counters,
+        })
+    }
+
+    /// Counts the request at its server until the reply is complete.
+    pub fn with_load(mut self, load: LoadGuard) -> Self {
+        if !self.ended {
+            self.load = Some(load);
+        }
+        self
+    }
+
+    fn from_source(source: BodySource) -> Self {
+        Self {
+            source,
+            load: None,
+            ended: false,
+        }
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        self.load = None;
+        if let BodySource::Server { permit, .. } = &mut self.source
+            && let Some(permit) = permit.take()
+        {
+            permit.complete();
+        }
+    }
+
+    /// Frees the slot and counts the loss; the connection is not used again.
+    fn break_off(&mut self) {
+        self.ended = true;
+        self.load = None;
+        match &mut self.source {
+            BodySource::Own(_) => {}
+            BodySource::Server {
+                permit, counters, ..
+            } => {
+                *permit = None;
+                counters.replies_cut.fetch_add(1, Relaxed);
+            }
+            BodySource::Peer { counters, .. } => {
+                counters.replies_cut.fetch_add(1, Relaxed);
+            }
+        }
+    }
+}
+
+impl BodySource {
+    fn poll_source(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+        match self {
+            Self::Own(text) => Poll::Ready(text.take().map(|text| Ok(Frame::data(text)))),
+            Self::Server { incoming, .. } => poll_incoming(incoming, cx),
+            Self::Peer {
+                incoming,
+                deadline,
+                timer,
+                ..
+            } => {
+                if let Poll::Ready(frame) = poll_incoming(incoming, cx) {
+                    return Poll::Ready(frame);
+                }
+                let timer = timer.get_or_insert_with(|| Box::pin(sleep_until(*deadline)));
+                ready!(timer.as_mut().poll(cx));
+                Poll::Ready(Some(Err(BodyFault::DeadlinePassed)))
+            }
+        }
+    }
+}
+
+fn poll_incoming(
+    incoming: &mut Incoming,
+    cx: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+    let frame = ready!(Pin::new(incoming).poll_frame(cx));
+    Poll::Ready(frame.map(|result| result.map_err(|source| BodyFault::Broken { source })))
+}
+
+impl Body for RouterBody {
+    type Data = Bytes;
+    type Error = BodyFault;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+        let body = self.get_mut();
+        loop {
+            if body.ended {
+                return Poll::Ready(None);
+            }
+            match ready!(body.source.poll_source(cx)) {
+                // Trailers end at this hop.
+                Some(Ok(frame)) if frame.is_trailers() => {}
+                Some(Ok(frame)) => {
+                    if body.source_ended() {
+                        body.finish();
+                    }
+                    return Poll::Ready(Some(Ok(frame)));
+                }
+                Some(Err(fault)) => {
+                    body.break_off();
+                    return Poll::Ready(Some(Err(fault)));
+                }
+                None => body.finish(),
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended || self.source_ended()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            _ if self.ended => SizeHint::with_exact(0),
+            BodySource::Own(None) => SizeHint::with_exact(0),
+            BodySource::Own(Some(text)) => {
+                SizeHint::with_exact(u64::try_from(text.len()).unwrap_or(u64::MAX))
+            }
+            BodySource::Server { incoming, .. } | BodySource::Peer { incoming, .. } => {
+                incoming.size_hint()
+            }
+        }
+    }
+}
+
+impl RouterBody {
+    fn source_ended(&self) -> bool {
+        match &self.source {
+            BodySource::Own(text) => text.is_none(),
+            BodySource::Server { incoming, .. } | BodySource::Peer { incoming, .. } => {
+                incoming.is_end_stream()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/server_table.rs
@@ -0,0 +1,108 @@
+//! The tasks of the servers that this host forwards to.
+
+use {
+    super::{ServerHandle, ServerTask, server_task::ServerLimits},
+    crate::context::RequestContext,
+    arc_swap::ArcSwap,
+    camphorcove_core::{
+        admission::GateLimits,
+        conf::RequestLimits,
+        ids::{ServerId, ServiceName},
+        map::{RoutingMap, ServerEntry},
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, PoisonError},
+    },
+};
+
+type HandleMap = HashMap<ServiceName, HashMap<ServerId, ServerHandle>>;
+
+/// Server tasks by service and server; read without locks.
+#[derive(Debug, Default)]
+pub struct ServerTable {
+    handles: ArcSwap<HandleMap>,
+    changing: Mutex<()>,
+}
+
+impl ServerTable {
+    /// Task of a server, started on first use.
+    pub fn handle(
+        &self,
+        context: &RequestContext,
+        service: &ServiceName,
+        entry: &ServerEntry,
+    ) -> ServerHandle {
+        if let Some(handle) = self.find(service, entry) {
+            return handle;
+        }
+        let _changing = self.changing.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(handle) = self.find(service, entry) {
+            return handle;
+        }
+        let limits = server_limits(context, service, entry);
+        let handle = ServerTask::start(entry.address, limits, context.clock);
+        let mut handles = HandleMap::clone(&self.handles.load());
+        let servers = handles.entry(service.clone()).or_default();
+        if let Some(moved) = servers.insert(entry.id.clone(), handle.clone()) {
+            moved.retire();
+        }
+        self.handles.store(Arc::new(handles));
+        handle
+    }
+
+    /// Follows a new map: retires servers that this host no longer forwards to.
+    pub fn follow(&self, context: &RequestContext, map: &RoutingMap) {
+        let _changing = self.changing.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut handles = HandleMap::clone(&self.handles.load());
+        let Some(servers) = handles.get_mut(&map.service) else {
+            return;
+        };
+        servers.retain(|id, handle| {
+            let entry = map.server(id);
+            let here = entry.filter(|entry| entry.forwarder.as_ref() == Some(&context.host));
+            match here {
+                Some(entry) if entry.address == handle.address() => {
+                    handle.update(server_limits(context, &map.service, entry));
+                    true
+                }
+                _ => {
+                    handle.retire();
+                    false
+                }
+            }
+        });
+        self.handles.store(Arc::new(handles));
+    }
+
+    fn find(&self, service: &ServiceName, entry: &ServerEntry) -> Option<ServerHandle> {
+        let handles = self.handles.load();
+        let handle = handles.get(service)?.get(&entry.id)?;
+        (handle.address() == entry.address).then(|| handle.clone())
+    }
+}
+
+fn server_limits(
+    context: &RequestContext,
+    service: &ServiceName,
+    entry: &ServerEntry,
+) -> ServerLimits {
+    let snapshot = context.configs.config();
+    let configured = snapshot.as_ref().and_then(|snapshot| {
+        let services = snapshot.config.services.iter();
+        services
+            .into_iter()
+            .find(|candidate| candidate.name == *service)
+    });
+    let queue = configured.map_or_else(
+        || RequestLimits::default().queue,
+        |config| config.limits.queue,
+    );
+    ServerLimits {
+        gate: GateLimits {
+            slots: entry.slots,
+            queue,
+        },
+        connections: entry.connections,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/forward/server_task.rs
@@ -0,0 +1,413 @@
+//! The task that owns one server's slots, queue and idle connections.
+
+use {
+    super::{
+        Permit,
+        permit::DeadlineSwitch,
+        server_connection::{ConnectionToken, ServerConnection},
+    },
+    camphorcove_core::{
+        admission::{GateLimits, GateOffer, GateTurn, GateWaiter, QueueOrder, ServerGate},
+        balance::LoadReport,
+        conf::RequestClass,
+        outcome::ResultCode,
+        time::BootTime,
+    },
+    camphorcove_net::clock::BootClock,
+    std::{
+        collections::{HashMap, VecDeque},
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, AtomicU64, Ordering::Relaxed},
+        },
+    },
+    tokio::{
+        sync::{
+            mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+            oneshot,
+        },
+        time::{Instant, sleep_until},
+    },
+};
+
+/// Limits of one server, as its routing map and file state them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLimits {
+    /// Slots and queue.
+    pub gate: GateLimits,
+    /// Connections.
+    pub connections: u32,
+}
+
+type PermitReply = oneshot::Sender<Result<Permit, ResultCode>>;
+
+/// What a server's task is told.
+#[derive(Debug)]
+pub enum ServerMessage {
+    /// A request asks for a slot.
+    Acquire {
+        /// The request.
+        waiter: GateWaiter,
+        /// Where the permit goes.
+        reply: PermitReply,
+    },
+    /// A request that waits, or has just got a slot, was given up.
+    Leave(u64),
+    /// A slot is free again.
+    Release {
+        /// Whose slot.
+        ticket: u64,
+        /// Connection to use again.
+        connection: Option<ServerConnection>,
+        /// The exchange was complete, so its duration is a sample.
+        completed: bool,
+    },
+    /// A connection ended.
+    Closed,
+    /// The limits changed.
+    Update(ServerLimits),
+    /// Another host is the forwarder now: refuse waiters, finish the rest.
+    Retire,
+}
+
+/// Load of a server, readable without asking its task.
+#[derive(Debug, Default)]
+struct ServerGauge {
+    in_flight: AtomicU32,
+    queued: AtomicU32,
+}
+
+/// Access to a server's task.
+#[derive(Clone, Debug)]
+pub struct ServerHandle {
+    address: SocketAddr,
+    mailbox: UnboundedSender<ServerMessage>,
+    gauge: Arc<ServerGauge>,
+    tickets: Arc<AtomicU64>,
+}
+
+impl ServerHandle {
+    /// Address that the task's connections go to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Current load.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            in_flight: self.gauge.in_flight.load(Relaxed),
+            queued: self.gauge.queued.load(Relaxed),
+        }
+    }
+
+    /// Tells the task about new limits.
+    pub fn update(&self, limits: ServerLimits) {
+        let _ = self.mailbox.send(ServerMessage::Update(limits));
+    }
+
+    /// Ends the task once its requests in flight are done.
+    pub fn retire(&self) {
+        let _ = self.mailbox.send(ServerMessage::Retire);
+    }
+
+    /// Waits for a slot. Dropping the future gives the place up.
+    pub async fn acquire(
+        &self,
+        class: RequestClass,
+        deadline: BootTime,
+    ) -> Result<Permit, ResultCode> {
+        let ticket = self.tickets.fetch_add(1, Relaxed);
+        let waiter = GateWaiter {
+            ticket,
+            class,
+            deadline,
+        };
+        let (reply, permit) = oneshot::channel();
+        let message = ServerMessage::Acquire { waiter, reply };
+        if self.mailbox.send(message).is_err() {
+            return Err(ResultCode::StaleRoute);
+        }
+        let mut place = QueuePlace {
+            ticket,
+            mailbox: Some(&self.mailbox),
+        };
+        let result = permit.await.unwrap_or(Err(ResultCode::StaleRoute));
+        place.mailbox = None;
+        result
+    }
+}
+
+/// Gives a place in the queue up when dropped.
+struct QueuePlace<'a> {
+    ticket: u64,
+    mailbox: Option<&'a UnboundedSender<ServerMessage>>,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        if let Some(mailbox) = self.mailbox {
+            let _ = mailbox.send(ServerMessage::Leave(self.ticket));
+        }
+    }
+}
+
+#[derive(Debug)]
+struct ActiveRequest {
+    started: BootTime,
+    deadline: BootTime,
+    switch: Arc<DeadlineSwitch>,
+}
+
+#[derive(Debug)]
+struct WaitingRequest {
+    deadline: BootTime,
+    reply: PermitReply,
+}
+
+/// State of a server's task.
+#[derive(Debug)]
+pub struct ServerTask {
+    clock: BootClock,
+    mailbox: UnboundedSender<ServerMessage>,
+    gauge: Arc<ServerGauge>,
+    gate: ServerGate,
+    connections: u32,
+    open: u32,
+    idle: Vec<ServerConnection>,
+    active: HashMap<u64, ActiveRequest>,
+    waiting: HashMap<u64, WaitingRequest>,
+    /// Requests with a slot that wait until an aborted connection has closed.
+    starved: VecDeque<(u64, WaitingRequest)>,
+    retired: bool,
+}
+
+impl ServerTask {
+    /// Starts the task of a server.
+    pub fn start(address: SocketAddr, limits: ServerLimits, clock: BootClock) -> ServerHandle {
+        let (mailbox, messages) = unbounded_channel();
+        let gauge = Arc::<ServerGauge>::default();
+        let task = Self {
+            clock,
+            mailbox: mailbox.clone(),
+            gauge: gauge.clone(),
+            gate: ServerGate::new(limits.gate, QueueOrder::default()),
+            connections: limits.connections,
+            open: 0,
+            idle: Vec::new(),
+            active: HashMap::new(),
+            waiting: HashMap::new(),
+            starved: VecDeque::new(),
+            retired: false,
+        };
+        tokio::spawn(task.run(messages));
+        ServerHandle {
+            address,
+            mailbox,
+            gauge,
+            tickets: Arc::default(),
+        }
+    }
+
+    async fn run(mut self, mut messages: UnboundedReceiver<ServerMessage>) {
+        let timer = sleep_until(Instant::now());
+        tokio::pin!(timer);
+        let mut armed: Option<BootTime> = None;
+        while !self.done() {
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                () = &mut timer, if armed.is_some() => armed = None,
+            }
+            let now = self.clock.now();
+            self.expire(now);
+            self.admit(now);
+            self.publish();
+            let next = self.next_deadline();
+            if next.is_some_and(|next| armed.is_none_or(|armed| next < armed)) {
+                armed = next;
+                let wait = armed.unwrap_or(now).since(now);
+                timer.as_mut().reset(Instant::now() + wait);
+            }
+        }
+    }
+
+    fn done(&self) -> bool {
+        self.retired && self.active.is_empty()
+    }
+
+    fn handle(&mut self, message: ServerMessage) {
+        match message {
+            ServerMessage::Acquire { waiter, reply } => self.acquire(waiter, reply),
+            ServerMessage::Leave(ticket) => self.leave(ticket),
+            ServerMessage::Release {
+                ticket,
+                connection,
+                completed,
+            } => self.release(ticket, connection, completed),
+            ServerMessage::Closed => {
+                self.open = self.open.saturating_sub(1);
+                self.idle.retain(|connection| !connection.is_closed());
+                if let Some((ticket, request)) = self.starved.pop_front() {
+                    self.start_request(ticket, request);
+                }
+            }
+            ServerMessage::Update(limits) => {
+                self.gate.set_limits(limits.gate);
+                self.connections = limits.connections;
+            }
+            ServerMessage::Retire => self.retire(),
+        }
+    }
+
+    fn acquire(&mut self, waiter: GateWaiter, reply: PermitReply) {
+        if self.retired {
+            let _ = reply.send(Err(ResultCode::StaleRoute));
+            return;
+        }
+        let request = WaitingRequest {
+            deadline: waiter.deadline,
+            reply,
+        };
+        match self.gate.offer(waiter, self.clock.now()) {
+            GateOffer::Run => self.start_request(waiter.ticket, request),
+            GateOffer::Refuse(code) => refuse(request, code),
+            GateOffer::Wait { evicted } => {
+                self.waiting.insert(waiter.ticket, request);
+                if let Some(ticket) = evicted {
+                    self.refuse_waiting(ticket, ResultCode::QueueFull);
+                }
+            }
+        }
+    }
+
+    fn leave(&mut self, ticket: u64) {
+        self.gate.leave(ticket);
+        self.waiting.remove(&ticket);
+        self.drop_starved(|starved, _| starved == ticket);
+    }
+
+    /// Refuses requests that have a slot but no connection, and frees their slots.
+    fn drop_starved(&mut self, gone: impl Fn(u64, BootTime) -> bool) {
+        for (ticket, request) in std::mem::take(&mut self.starved) {
+            if gone(ticket, request.deadline) {
+                self.gate.finish(None);
+                refuse(request, ResultCode::DeadlineTooShort);
+            } else {
+                self.starved.push_back((ticket, request));
+            }
+        }
+    }
+
+    fn release(&mut self, ticket: u64, connection: Option<ServerConnection>, completed: bool) {
+        let Some(request) = self.active.remove(&ticket) else {
+            return;
+        };
+        let held = self.clock.now().since(request.started);
+        self.gate.finish(completed.then_some(held));
+        let usable = connection.filter(|connection| !connection.is_closed() && !self.retired);
+        self.idle.extend(usable);
+    }
+
+    fn retire(&mut self) {
+        self.retired = true;
+        self.idle.clear();
+        self.drop_starved(|_, _| true);
+        for ticket in self.gate.drain() {
+            self.refuse_waiting(ticket, ResultCode::StaleRoute);
+        }
+    }
+
+    /// Gives free slots to waiters.
+    fn admit(&mut self, now: BootTime) {
+        while let Some(turn) = self.gate.next_turn(now) {
+            match turn {
+                GateTurn::Expire(ticket) => {
+                    self.refuse_waiting(ticket, ResultCode::DeadlineTooShort);
+                }
+                GateTurn::Run(ticket) => match self.waiting.remove(&ticket) {
+                    Some(request) => self.start_request(ticket, request),
+                    None => self.gate.finish(None),
+                },
+            }
+        }
+    }
+
+    fn start_request(&mut self, ticket: u64, request: WaitingRequest) {
+        let connection = self.take_idle();
+        let token = connection.is_none().then(|| self.open_token()).flatten();
+        if connection.is_none() && token.is_none() {
+            self.starved.push_back((ticket, request));
+            return;
+        }
+        let switch = Arc::<DeadlineSwitch>::default();
+        let active = ActiveRequest {
+            started: self.clock.now(),
+            deadline: request.deadline,
+            switch: switch.clone(),
+        };
+        self.active.insert(ticket, active);
+        let permit = Permit::new(ticket, self.mailbox.clone(), connection, token, switch);
+        // If the caller has left, the permit comes back and releases the slot.
+        let _ = request.reply.send(Ok(permit));
+    }
+
+    fn take_idle(&mut self) -> Option<ServerConnection> {
+        while let Some(connection) = self.idle.pop() {
+            if !connection.is_closed() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// The right to open a connection, within the server's limit.
+    fn open_token(&mut self) -> Option<ConnectionToken> {
+        if self.open >= self.connections {
+            return None;
+        }
+        self.open += 1;
+        Some(ConnectionToken::new(self.mailbox.clone()))
+    }
+
+    /// Ends connections of requests whose deadline passed, even if nobody reads their reply.
+    fn expire(&mut self, now: BootTime) {
+        for request in self.active.values_mut() {
+            if now >= request.deadline {
+                request.switch.expire();
+                request.deadline = BootTime(u64::MAX);
+            }
+        }
+        if !self.starved.is_empty() {
+            self.drop_starved(|_, deadline| now >= deadline);
+        }
+    }
+
+    fn next_deadline(&self) -> Option<BootTime> {
+        let active = self.active.values().map(|request| request.deadline);
+        let unexpired = active.filter(|deadline| deadline.0 != u64::MAX);
+        let starved = self.starved.iter().map(|(_, request)| request.deadline);
+        unexpired
+            .chain(starved)
+            .chain(self.gate.next_deadline())
+            .min()
+    }
+
+    fn refuse_waiting(&mut self, ticket: u64, code: ResultCode) {
+        if let Some(request) = self.waiting.remove(&ticket) {
+            refuse(request, code);
+        }
+    }
+
+    fn publish(&self) {
+        self.gauge.in_flight.store(self.gate.running(), Relaxed);
+        let queued = u32::try_from(self.gate.waiting()).unwrap_or(u32::MAX);
+        self.gauge.queued.store(queued, Relaxed);
+    }
+}
+
+fn refuse(request: WaitingRequest, code: ResultCode) {
+    let _ = request.reply.send(Err(code));
+}
--- /dev/null
+++ b/crates/daemon/src/serve/entry_flow.rs
@@ -0,0 +1,296 @@
+//! Routing, attempts and answers at the entry host.
+
+use {
+    super::{
+        ServiceIndex,
+        entry_request::{EntryRequest, check_request},
+        refusal::refusal,
+    },
+    crate::{
+        context::RequestContext,
+        forward::{
+            ForwardPlan, ForwardService, LoadGuard, RouterBody, mark_result, wait_for_change,
+        },
+        maps::HeldMap,
+    },
+    camphorcove_core::{
+        balance::LoadCell,
+        dedup::home_of,
+        headers::REQUEST_ID,
+        ids::{HostId, ServerId},
+        map::{ServerEntry, ServerPhase},
+        outcome::{Execution, ResultCode},
+        retry::{MAX_ATTEMPTS, backoff, retry_is_safe, worth_retrying},
+    },
+    camphorcove_net::peer::ForwardEnvelope,
+    http::{HeaderValue, Request, Response},
+    hyper::body::Incoming,
+    std::sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+};
+
+/// Times one request is routed again because a map changed under it.
+const MAX_REROUTES: u32 = 8;
+
+/// Handles callers' requests on one entry host.
+#[derive(Debug)]
+pub struct EntryFlow {
+    context: RequestContext,
+    forward: Arc<ForwardService>,
+    index: ServiceIndex,
+    serial: AtomicU64,
+}
+
+/// Where an attempt goes.
+struct EntryRoute {
+    plan: ForwardPlan,
+    target: HostId,
+    /// Load of the server; `None` for a home host, which picks the server itself.
+    load: Option<Arc<LoadCell>>,
+}
+
+impl EntryFlow {
+    /// A flow that delivers through `forward`.
+    pub fn new(context: RequestContext, forward: Arc<ForwardService>) -> Self {
+        Self {
+            context,
+            forward,
+            index: ServiceIndex::default(),
+            serial: AtomicU64::new(0),
+        }
+    }
+
+    /// Answers one request of a caller.
+    pub async fn answer(&self, request: Request<Incoming>) -> Response<RouterBody> {
+        let counters = &self.context.counters;
+        counters.requests.fetch_add(1, Relaxed);
+        let checked = check_request(&self.context, &self.index, &self.serial, request);
+        let (result, id) = match checked {
+            Err(code) => (Err(code), None),
+            Ok(entry) => (self.attempts(&entry).await, Some(entry.request)),
+        };
+        let code = result
+            .as_ref()
+            .err()
+            .copied()
+            .unwrap_or(ResultCode::Answered);
+        counters.count_result(code);
+        let mut answer = result.unwrap_or_else(refusal);
+        mark_result(answer.headers_mut(), code);
+        if let Some(value) = id.and_then(|id| HeaderValue::from_str(id.as_str()).ok()) {
+            answer.headers_mut().insert(REQUEST_ID, value);
+        }
+        answer
+    }
+
+    /// Sends the request until it is answered or another attempt is unsafe, useless or too costly.
+    async fn attempts(&self, entry: &EntryRequest) -> Result<Response<RouterBody>, ResultCode> {
+        entry.rule.budget.earn();
+        let mut attempt = 1;
+        let mut reroutes = 0;
+        let mut last_server = None;
+        loop {
+            let (route, held) = self.route(entry, last_server.as_ref()).await?;
+            let code = match self.attempt(entry, &route).await {
+                Ok(answer) => return Ok(answer),
+                Err(code) => self.final_code(entry, code),
+            };
+            if code == ResultCode::StaleRoute && reroutes < MAX_REROUTES {
+                reroutes += 1;
+                self.context.counters.reroutes.fetch_add(1, Relaxed);
+                self.wait_for_newer(entry, &held).await?;
+                continue;
+            }
+            if !self.may_retry(entry, code, attempt) {
+                return Err(code);
+            }
+            self.pause(entry, attempt).await;
+            attempt += 1;
+            self.context.counters.retries.fetch_add(1, Relaxed);
+            last_server = Some(route.plan.envelope.server);
+        }
+    }
+
+    async fn attempt(
+        &self,
+        entry: &EntryRequest,
+        route: &EntryRoute,
+    ) -> Result<Response<RouterBody>, ResultCode> {
+        let body = entry.lease_body().ok_or(ResultCode::BodyBroken)?;
+        let load = route.load.clone().map(LoadGuard::new);
+        let delivery = self
+            .forward
+            .deliver(&route.target, &route.plan, &entry.head, body);
+        let result = delivery.await;
+        if let Some(load) = &load {
+            let status = result.as_ref().map(|answer| answer.status());
+            self.note_outcome(load.cell(), status.map_err(|code| *code));
+        }
+        let answer = result?;
+        Ok(match load {
+            Some(load) => answer.map(|body| body.with_load(load)),
+            None => answer,
+        })
+    }
+
+    /// Failures make a server look busy; enough of them in a row eject it.
+    fn note_outcome(&self, cell: &LoadCell, result: Result<http::StatusCode, ResultCode>) {
+        let now = self.context.clock.now();
+        match result {
+            Ok(status) if status.is_server_error() => cell.fail(now),
+            Ok(_) => cell.succeed(),
+            Err(ResultCode::ServerShed | ResultCode::QueueFull) => cell.shed(now),
+            Err(code) if code.blames_server() => cell.fail(now),
+            Err(_) => {}
+        }
+    }
+
+    /// Blames the caller's body if that is what broke.
+    fn final_code(&self, entry: &EntryRequest, code: ResultCode) -> ResultCode {
+        match entry.body_fault() {
+            Some(fault) if code.execution() == Execution::MayHaveRun => fault,
+            _ => code,
+        }
+    }
+
+    fn may_retry(&self, entry: &EntryRequest, code: ResultCode, attempt: u32) -> bool {
+        let idempotent = entry.rule.declares_idempotent(&entry.head.method);
+        let safe = retry_is_safe(code.execution(), idempotent);
+        let useful = worth_retrying(code, entry.key.is_none());
+        let in_time = self.context.clock.now() < entry.deadline;
+        let repeatable = entry.lease_body().is_some();
+        if !safe || !useful || !in_time || !repeatable || attempt >= MAX_ATTEMPTS {
+            return false;
+        }
+        let granted = entry.rule.budget.take();
+        if !granted {
+            self.context.counters.retries_refused.fetch_add(1, Relaxed);
+        }
+        granted
+    }
+
+    async fn pause(&self, entry: &EntryRequest, attempt: u32) {
+        let left = entry.deadline.since(self.context.clock.now());
+        tokio::time::sleep(backoff(attempt, self.forward.draw()).min(left)).await;
+    }
+
+    /// Waits until another map than `used` is held.
+    async fn wait_for_newer(&self, entry: &EntryRequest, used: &HeldMap) -> Result<(), ResultCode> {
+        let service = &entry.rule.config.name;
+        loop {
+            let held = self.context.maps.held(service);
+            if held.is_some_and(|held| held.map.version > used.map.version) {
+                return Ok(());
+            }
+            wait_for_change(&self.context, entry.deadline, ResultCode::StaleRoute).await?;
+        }
+    }
+
+    /// Waits for a usable route within the deadline.
+    async fn route(
+        &self,
+        entry: &EntryRequest,
+        avoid: Option<&ServerId>,
+    ) -> Result<(EntryRoute, HeldMap), ResultCode> {
+        loop {
+            let now = self.context.clock.now();
+            let held = self.context.maps.valid(&entry.rule.config.name, now);
+            let code = match held {
+                None => ResultCode::NoMap,
+                Some(held) => match self.route_by(entry, &held, avoid) {
+                    Ok(route) => return Ok((route, held)),
+                    Err(code) => code,
+                },
+            };
+            wait_for_change(&self.context, entry.deadline, code).await?;
+        }
+    }
+
+    fn route_by(
+        &self,
+        entry: &EntryRequest,
+        held: &HeldMap,
+        avoid: Option<&ServerId>,
+    ) -> Result<EntryRoute, ResultCode> {
+        match &entry.key {
+            Some(key) => self.keyed_route(entry, held, key),
+            None => self.free_route(entry, held, avoid),
+        }
+    }
+
+    fn keyed_route(
+        &self,
+        entry: &EntryRequest,
+        held: &HeldMap,
+        key: &[u8],
+    ) -> Result<EntryRoute, ResultCode> {
+        let map = &held.map;
+        let shard = map.shard(key).ok_or(ResultCode::NoMap)?;
+        let shard_entry = map.entry(shard).ok_or(ResultCode::NoMap)?;
+        if shard_entry.moving {
+            return Err(ResultCode::ShardMoving);
+        }
+        let server = map.owner(shard).ok_or(ResultCode::NoOwner)?;
+        if server.phase == ServerPhase::Lost {
+            return Err(ResultCode::NoOwner);
+        }
+        let target = server.forwarder.clone().ok_or(ResultCode::NoForwarder)?;
+        let mut plan = self.plan(entry, held, server);
+        plan.envelope.shard = Some(shard);
+        plan.envelope.token = Some(shard_entry.token);
+        Ok(EntryRoute {
+            plan,
+            target,
+            load: None,
+        })
+    }
+
+    fn free_route(
+        &self,
+        entry: &EntryRequest,
+        held: &HeldMap,
+        avoid: Option<&ServerId>,
+    ) -> Result<EntryRoute, ResultCode> {
+        let now = self.context.clock.now();
+        let loads = self.forward.loads().loads(&held.map, now);
+        let server = loads
+            .choose(&held.map, avoid, self.forward.draw(), now)
+            .ok_or(ResultCode::NoOwner)?;
+        let plan = self.plan(entry, held, server);
+        if let Some(id) = &entry.idempotency {
+            let forwarders = held.map.servers.iter();
+            let home = home_of(
+                id,
+                forwarders.filter_map(|server| server.forwarder.as_ref()),
+            );
+            return Ok(EntryRoute {
+                plan,
+                target: home.cloned().ok_or(ResultCode::NoForwarder)?,
+                load: None,
+            });
+        }
+        Ok(EntryRoute {
+            target: server.forwarder.clone().ok_or(ResultCode::NoForwarder)?,
+            load: loads.cell(&server.id),
+            plan,
+        })
+    }
+
+    fn plan(&self, entry: &EntryRequest, held: &HeldMap, server: &ServerEntry) -> ForwardPlan {
+        let envelope = ForwardEnvelope {
+            from: self.context.host.clone(),
+            service: entry.rule.config.name.clone(),
+            shard: None,
+            token: None,
+            server: server.id.clone(),
+            map: held.map.version,
+            remaining_micros: 0,
+            class: entry.rule.config.class,
+            request: entry.request.clone(),
+            idempotency: entry.idempotency.clone(),
+        };
+        ForwardPlan::new(envelope, entry.deadline)
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/fake_server.rs
@@ -0,0 +1,286 @@
+//! A backend server whose behaviour is a script.
+
+use {
+    super::caller::find,
+    socket2::SockRef,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        task::AbortHandle,
+    },
+};
+
+/// What the server does with one request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Runs it and writes these bytes.
+    Reply(String),
+    /// Runs it, writes these bytes and closes the connection.
+    ReplyThenClose(String),
+    /// Runs it, writes these bytes and resets the connection.
+    ReplyThenReset(String),
+    /// Runs it and says nothing until the router closes the connection.
+    Stall,
+    /// Does not run it and says so.
+    Shed,
+    /// Does not run it: resets after the head, without reading the body.
+    ResetAfterHead,
+}
+
+/// A request as the server saw it.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    pub head: String,
+    pub body: Vec<u8>,
+    pub ran: bool,
+}
+
+impl SeenRequest {
+    pub fn header(&self, name: &str) -> Option<String> {
+        let lines = self.head.split("\r\n").skip(1);
+        let pairs = lines.filter_map(|line| line.split_once(':'));
+        let mut found = pairs.filter(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.next().map(|(_, value)| value.trim().to_owned())
+    }
+}
+
+type Script = Arc<dyn Fn(usize, &SeenRequest) -> Act + Send + Sync>;
+
+struct Shared {
+    script: Script,
+    seen: Mutex<Vec<SeenRequest>>,
+    seen_count: watch::Sender<usize>,
+    dropped: watch::Sender<usize>,
+    open: watch::Sender<i64>,
+    most_open: Mutex<i64>,
+}
+
+/// A scripted server on a port of its own.
+pub struct FakeServer {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    accepting: AbortHandle,
+}
+
+/// A complete reply with this body, and the server's clock.
+pub fn ok_reply(body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\nx-server-clock: 5000000\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+impl FakeServer {
+    /// Starts a server; the script gets the number of the request and the request.
+    pub async fn start(
+        script: impl Fn(usize, &SeenRequest) -> Act + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let shared = Arc::new(Shared {
+            script: Arc::new(script),
+            seen: Mutex::default(),
+            seen_count: watch::Sender::new(0),
+            dropped: watch::Sender::new(0),
+            open: watch::Sender::new(0),
+            most_open: Mutex::new(0),
+        });
+        let accepted = shared.clone();
+        let accepting = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(accepted.clone(), stream));
+            }
+        });
+        Self {
+            address,
+            shared,
+            accepting: accepting.abort_handle(),
+        }
+    }
+
+    /// Requests seen so far, `OPTIONS` probes left out.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.shared.seen.lock().expect("seen").clone()
+    }
+
+    pub fn ran(&self) -> usize {
+        self.seen().iter().filter(|request| request.ran).count()
+    }
+
+    pub async fn wait_seen(&self, count: usize) {
+        let mut seen = self.shared.seen_count.subscribe();
+        seen.wait_for(|seen| *seen >= count).await.expect("server");
+    }
+
+    /// Waits until the router has closed connections with unanswered requests.
+    pub async fn wait_dropped(&self, count: usize) {
+        let mut dropped = self.shared.dropped.subscribe();
+        dropped
+            .wait_for(|dropped| *dropped >= count)
+            .await
+            .expect("server");
+    }
+
+    pub async fn wait_open(&self, count: i64) {
+        let mut open = self.shared.open.subscribe();
+        open.wait_for(|open| *open == count).await.expect("server");
+    }
+
+    /// Most connections open at one time.
+    pub fn most_open(&self) -> i64 {
+        *self.shared.most_open.lock().expect("open")
+    }
+}
+
+impl Drop for FakeServer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn serve(shared: Arc<Shared>, mut stream: TcpStream) {
+    shared.open.send_modify(|open| {
+        *open += 1;
+        let mut most = shared.most_open.lock().expect("open");
+        *most = (*most).max(*open);
+    });
+    let mut buffer = Vec::new();
+    while serve_one(&shared, &mut stream, &mut buffer).await {}
+    drop(stream);
+    shared.open.send_modify(|open| *open -= 1);
+}
+
+/// Serves one request; `false` ends the connection.
+async fn serve_one(shared: &Shared, stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+    let Some(head) = read_until(stream, buffer, b"\r\n\r\n").await else {
+        return false;
+    };
+    if head.starts_with("OPTIONS *") {
+        return stream.write_all(ok_reply("").as_bytes()).await.is_ok();
+    }
+    let mut request = SeenRequest {
+        head,
+        body: Vec::new(),
+        ran: false,
+    };
+    let number = *shared.seen_count.borrow();
+    let act = (shared.script)(number, &request);
+    if matches!(act, Act::ResetAfterHead) {
+        note(shared, request);
+        reset(stream);
+        return false;
+    }
+    let whole = read_body(stream, buffer, &mut request).await;
+    if !whole {
+        shared.dropped.send_modify(|count| *count += 1);
+        return false;
+    }
+    request.ran = !matches!(act, Act::Shed);
+    note(shared, request);
+    perform(shared, stream, act).await
+}
+
+async fn perform(shared: &Shared, stream: &mut TcpStream, act: Act) -> bool {
+    match act {
+        Act::Reply(text) => stream.write_all(text.as_bytes()).await.is_ok(),
+        Act::ReplyThenClose(text) => {
+            let _ = stream.write_all(text.as_bytes()).await;
+            false
+        }
+        Act::ReplyThenReset(text) => {
+            let _ = stream.write_all(text.as_bytes()).await;
+            reset(stream);
+            false
+        }
+        Act::Stall => {
+            let _ = stream.read(&mut [0; 64]).await;
+            shared.dropped.send_modify(|count| *count += 1);
+            false
+        }
+        Act::Shed => {
+            let reply =
+                "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-server-verdict: not-run\r\n\r\n";
+            stream.write_all(reply.as_bytes()).await.is_ok()
+        }
+        Act::ResetAfterHead => false,
+    }
+}
+
+fn note(shared: &Shared, request: SeenRequest) {
+    shared.seen.lock().expect("seen").push(request);
+    shared.seen_count.send_modify(|count| *count += 1);
+}
+
+fn reset(stream: &TcpStream) {
+    SockRef::from(stream)
+        .set_linger(Some(Duration::ZERO))
+        .expect("linger");
+}
+
+async fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    request: &mut SeenRequest,
+) -> bool {
+    if request.header("transfer-encoding").is_some() {
+        loop {
+            let Some(line) = read_until(stream, buffer, b"\r\n").await else {
+                return false;
+            };
+            let size = usize::from_str_radix(line.trim(), 16).expect("chunk size of the router");
+            let Some(data) = read_exact(stream, buffer, size + 2).await else {
+                return false;
+            };
+            request.body.extend_from_slice(&data[..size]);
+            if size == 0 {
+                return true;
+            }
+        }
+    }
+    let length = request
+        .header("content-length")
+        .map_or(0, |text| text.parse().expect("length"));
+    match read_exact(stream, buffer, length).await {
+        Some(data) => {
+            request.body = data;
+            true
+        }
+        None => false,
+    }
+}
+
+async fn read_until(stream: &mut TcpStream, buffer: &mut Vec<u8>, end: &[u8]) -> Option<String> {
+    loop {
+        if let Some(at) = find(buffer, end) {
+            let rest = buffer.split_off(at + end.len());
+            let text = std::mem::replace(buffer, rest);
+            return Some(String::from_utf8_lossy(&text).into_owned());
+        }
+        fill(stream, buffer).await?;
+    }
+}
+
+async fn read_exact(stream: &mut TcpStream, buffer: &mut Vec<u8>, size: usize) -> Option<Vec<u8>> {
+    while buffer.len() < size {
+        fill(stream, buffer).await?;
+    }
+    let rest = buffer.split_off(size);
+    Some(std::mem::replace(buffer, rest))
+}
+
+async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
+    let mut chunk = [0; 4096];
+    match stream.read(&mut chunk).await {
+        Ok(0) | Err(_) => None,
+        Ok(count) => {
+            buffer.extend_from_slice(&chunk[..count]);
+            Some(())
+        }
+    }
+}
--- a/crates/net/src/peer/mod.rs
+++ b/crates/net/src/peer/mod.rs
@@ -1,5 +1,9 @@
 //! Messages between the router's own processes.
 
+mod envelope;
 mod messages;
 
-pub use messages::{ConfigSnapshot, ForwardEnvelope, MapAnswer, MapPoll, PeerAddress, ScopeAnswer};
+pub use {
+    envelope::{EnvelopeError, open, seal},
+    messages::{ConfigSnapshot, ForwardEnvelope, MapAnswer, MapPoll, PeerAddress, ScopeAnswer},
+};
