Assemble the daemon and expose its metrics

The parts existed separately; main now reads the settings, opens the listeners, starts the parts and runs until a planned stop.

--- /dev/null
+++ b/crates/daemon/src/node/node_view.rs
@@ -0,0 +1,127 @@
+//! The daemon's state as the operator API shows it.
+
+use {
+    crate::{
+        admin::OperatorView,
+        context::RequestCounters,
+        control::ScopeRegistry,
+        forward::ForwardService,
+        maps::MapContext,
+        metrics::{MetricSources, render},
+    },
+    camphorcove_core::{
+        control::{ScopeEvent, ScopeRole},
+        ids::{ConfigVersion, Epoch, HostId, ServiceName},
+    },
+    camphorcove_net::{
+        operator::{MoveStatus, RoleStatus, ServerLoad},
+        peer::PeerTraffic,
+        platform::HttpStore,
+    },
+    std::sync::Arc,
+};
+
+/// Reads the state of the daemon's parts.
+#[derive(Debug)]
+pub struct NodeView {
+    /// Maps and hosts.
+    pub context: Arc<MapContext>,
+    /// Scopes.
+    pub scopes: ScopeRegistry,
+    /// Counters of requests.
+    pub counters: Arc<RequestCounters>,
+    /// Forwarder.
+    pub forward: Arc<ForwardService>,
+    /// Platform, for its call counts.
+    pub store: HttpStore,
+    /// Bytes exchanged with peers.
+    pub traffic: Arc<PeerTraffic>,
+}
+
+impl OperatorView for NodeView {
+    fn host(&self) -> HostId {
+        self.context.host.id.clone()
+    }
+
+    fn host_versions(&self) -> Vec<(HostId, ConfigVersion)> {
+        self.context.hosts.configs()
+    }
+
+    fn roles(&self) -> Vec<RoleStatus> {
+        let me = &self.context.host.id;
+        let mut roles = Vec::new();
+        for (service, report) in self.scopes.reports() {
+            let epoch = report.epoch.0;
+            let mut add = |role: &str, remaining_ms: u64| {
+                roles.push(RoleStatus {
+                    service: service.clone(),
+                    role: role.to_owned(),
+                    epoch,
+                    remaining_ms,
+                });
+            };
+            let authority = u64::try_from(report.authority.as_millis()).unwrap_or(u64::MAX);
+            match report.role {
+                ScopeRole::Controller => add("controller", authority),
+                ScopeRole::Candidate => add("candidate", 0),
+                ScopeRole::Idle => {}
+            }
+            if report.electors.contains(me) {
+                add("elector", 0);
+            }
+        }
+        roles
+    }
+
+    fn moves(&self) -> Vec<MoveStatus> {
+        let reports = self.scopes.reports();
+        let mut moves = Vec::new();
+        for (service, report) in reports {
+            for (shard, from, to, reason) in &report.moves {
+                moves.push(MoveStatus {
+                    service: service.clone(),
+                    shard: *shard,
+                    from: Some(from.clone()),
+                    to: Some(to.clone()),
+                    reason: Some(reason.clone()),
+                });
+            }
+        }
+        moves
+    }
+
+    fn loads(&self) -> Vec<ServerLoad> {
+        Vec::new()
+    }
+
+    fn metrics(&self) -> String {
+        render(&MetricSources {
+            context: &self.context,
+            scopes: &self.scopes,
+            counters: &self.counters,
+            store: &self.store,
+            traffic: &self.traffic,
+        })
+    }
+
+    async fn confirm_lost(&self, service: &ServiceName, epoch: Epoch) -> Result<(), String> {
+        let scope = self.scopes.get(service);
+        let scope = scope.ok_or_else(|| format!("no scope {service}"))?;
+        let report = scope.report();
+        if report.role == ScopeRole::Idle {
+            let controller = report.controller.as_ref();
+            let controller = controller.map_or("unknown", |host| host.as_str());
+            return Err(format!(
+                "this host does not claim scope {service}; its controller is {controller}"
+            ));
+        }
+        if report.epoch <= epoch {
+            return Err(format!(
+                "the claim has epoch {}, which the confirmation covers itself",
+                report.epoch
+            ));
+        }
+        scope.tell(ScopeEvent::ConfirmLost).await;
+        Ok(())
+    }
+}
--- a/crates/daemon/src/shutdown/mod.rs
+++ b/crates/daemon/src/shutdown/mod.rs
@@ -1,7 +1,7 @@
 //! The planned stop.
 
-mod stop_signal;
 mod stop_sequence;
+mod stop_signal;
 
 pub use {
     stop_sequence::{StopOutcome, StopSequence},
--- a/crates/daemon/src/shutdown/stop_sequence.rs
+++ b/crates/daemon/src/shutdown/stop_sequence.rs
@@ -47,6 +47,8 @@
     pub stop_peers: watch::Sender<bool>,
     /// Ends once all callers' requests are answered.
     pub callers: JoinHandle<()>,
+    /// Listeners for peers and operators.
+    pub listeners: Vec<JoinHandle<()>>,
     /// Longest duration of the whole stop.
     pub limit: Duration,
 }
@@ -77,6 +79,9 @@
         let _ = (&mut self.callers).await;
         sleep(MAP_SPREAD).await;
         self.stop_peers.send_replace(true);
+        for listener in self.listeners {
+            let _ = listener.await;
+        }
     }
 
     /// Waits until no scope is controlled here and no map names this host as forwarder.
