Test the whole path with real daemon processes

The parts had never run together. The harness starts daemons, the platform and servers on free ports, applies a configuration and asks any host for any key.

--- a/crates/daemon/src/conf/daemon_settings.rs
+++ b/crates/daemon/src/conf/daemon_settings.rs
@@ -20,8 +20,10 @@
     pub zone: ZoneName,
     /// Listener for callers.
     pub callers: SocketAddr,
-    /// Listener for peers, also told to them.
+    /// Listener for peers.
     pub peers: SocketAddr,
+    /// Address told to peers; `None` for the listener's own.
+    pub peers_announced: Option<SocketAddr>,
     /// Listener for operators and metrics.
     pub operators: SocketAddr,
     /// The platform's object API.
--- a/crates/daemon/src/conf/setting_specs.rs
+++ b/crates/daemon/src/conf/setting_specs.rs
@@ -55,7 +55,14 @@
         unit: "address",
         default: "",
         allowed: ADDRESS_KNOWN,
-        meaning: "Where other hosts connect; also the address that is told to them.",
+        meaning: "Where the listener for other hosts listens.",
+    },
+    SettingSpec {
+        key: "peers_announced",
+        unit: "address",
+        default: "\"\"",
+        allowed: "IP:PORT with a specific IP, or empty",
+        meaning: "Where other hosts connect, if it is not the address of the listener.",
     },
     SettingSpec {
         key: "operators",
--- a/crates/daemon/src/conf/settings_reader.rs
+++ b/crates/daemon/src/conf/settings_reader.rs
@@ -66,6 +66,7 @@
             zone: self.parsed("zone")?,
             callers: self.parsed("callers")?,
             peers: self.checked("peers", |peers: &SocketAddr| !peers.ip().is_unspecified())?,
+            peers_announced: self.announced()?,
             operators: self.parsed("operators")?,
             platform: self.parsed("platform")?,
             peer_key_file: self.checked("peer_key_file", |path: &PathBuf| path.is_file())?,
@@ -79,6 +80,16 @@
         })
     }
 
+    fn announced(&self) -> Result<Option<SocketAddr>, SettingsError> {
+        let key = "peers_announced";
+        let text: String = self.parsed(key)?;
+        if text.is_empty() {
+            return Ok(None);
+        }
+        let address = self.checked(key, |address: &SocketAddr| !address.ip().is_unspecified());
+        address.map(Some)
+    }
+
     fn check_keys(&self) -> Result<(), SettingsError> {
         for key in self.table.keys() {
             let name: &str = key.get_ref();
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -57,7 +57,7 @@
     let operators = read_operator_keys(settings.operator_keys_file.as_deref())?;
     let mut signal = StopSignal::new()?;
     let listeners = open_listeners(&settings).await?;
-    let peer = local_address(&listeners.peers, settings.peers);
+    let peer = announced_address(&listeners.peers, &settings);
     let identity = PeerIdentity {
         host: settings.host.clone(),
         key,
@@ -252,8 +252,9 @@
         .context(ListenSnafu { listener, address })
 }
 
-fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
-    listener.local_addr().unwrap_or(asked)
+fn announced_address(listener: &TcpListener, settings: &DaemonSettings) -> SocketAddr {
+    let local = listener.local_addr().unwrap_or(settings.peers);
+    settings.peers_announced.unwrap_or(local)
 }
 
 fn log_listeners(listeners: &NodeListeners) {
--- /dev/null
+++ b/crates/daemon/tests/support/processes/mod.rs
@@ -0,0 +1,17 @@
+//! A region of real daemon processes around in-process stand-ins.
+
+#![allow(dead_code, unused_imports, missing_docs)]
+
+mod caller;
+mod daemon;
+mod metrics;
+mod region;
+mod wait;
+
+pub use {
+    caller::{CallResult, CallerClient},
+    daemon::{DaemonProcess, DaemonSetup},
+    metrics::MetricValues,
+    region::{Region, RegionPlan, SERVICE, keys},
+    wait::{DEADLINE, wait_for, wait_until},
+};
--- /dev/null
+++ b/crates/daemon/tests/support/processes/region.rs
@@ -0,0 +1,279 @@
+//! A platform, backend servers and daemons.
+
+use {
+    super::{CallResult, CallerClient, DaemonProcess, DaemonSetup, wait_for, wait_until},
+    camphorcove_core::ids::{FencingToken, ShardId},
+    camphorcove_net::{
+        config::{Author, ConfigRepo},
+        platform::ListedHost,
+    },
+    camphorcove_standin::{
+        backend::{BackendSettings, BackendStandin, GrantInterval, RunEntry},
+        platform::PlatformStandin,
+        proxy::ProxyStandin,
+    },
+    std::{
+        fs,
+        net::{SocketAddr, TcpListener},
+        path::{Path, PathBuf},
+    },
+};
+
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// What a region consists of.
+#[derive(Clone, Debug)]
+pub struct RegionPlan {
+    pub name: &'static str,
+    pub daemons: usize,
+    pub servers: usize,
+    pub shards: u32,
+    /// Further lines of the service's table.
+    pub service_lines: &'static str,
+    pub backend: BackendSettings,
+    /// A fault proxy in front of each daemon's peer port.
+    pub proxies: bool,
+    pub shutdown_limit: &'static str,
+}
+
+impl RegionPlan {
+    pub fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            daemons: 3,
+            servers: 3,
+            shards: 64,
+            service_lines: "",
+            backend: BackendSettings {
+                slots: 64,
+                ..BackendSettings::default()
+            },
+            proxies: false,
+            shutdown_limit: "30s",
+        }
+    }
+}
+
+/// A running region with one keyed service, `rutas`.
+#[derive(Debug)]
+pub struct Region {
+    pub plan: RegionPlan,
+    pub platform: PlatformStandin,
+    pub servers: Vec<BackendStandin>,
+    pub daemons: Vec<DaemonProcess>,
+    pub proxies: Vec<ProxyStandin>,
+    pub caller: CallerClient,
+    directory: PathBuf,
+}
+
+/// Service of the region.
+pub const SERVICE: &str = "rutas";
+
+impl Region {
+    /// Starts everything and applies the configuration, without waiting for its effect.
+    pub async fn start(plan: RegionPlan) -> Self {
+        let directory = Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let directory = directory.join(format!("{}-{}", plan.name, std::process::id()));
+        fs::create_dir_all(&directory).expect("directory");
+        let platform = PlatformStandin::on_any_port().await.expect("platform");
+        let mut servers = Vec::new();
+        for _ in 0..plan.servers {
+            let server = BackendStandin::with_settings(plan.backend.clone()).await;
+            servers.push(server.expect("backend"));
+        }
+        let mut region = Self {
+            plan,
+            platform,
+            servers,
+            daemons: Vec::new(),
+            proxies: Vec::new(),
+            caller: CallerClient::default(),
+            directory,
+        };
+        region.apply(&region.config()).await;
+        for number in 0..region.plan.daemons {
+            region.start_daemon(number).await;
+        }
+        region
+    }
+
+    /// Starts a region and waits until every daemon answers for every key.
+    pub async fn serving(plan: RegionPlan) -> Self {
+        let region = Self::start(plan).await;
+        region.wait_serving().await;
+        region
+    }
+
+    async fn start_daemon(&mut self, number: usize) {
+        let mut setup = DaemonSetup {
+            host: format!("host{number}"),
+            zone: zone(number).to_owned(),
+            directory: self.directory.clone(),
+            platform: self.platform.address(),
+            peers: ANY_PORT.parse().expect("address"),
+            announced: None,
+            shutdown_limit: self.plan.shutdown_limit.to_owned(),
+        };
+        if self.plan.proxies {
+            // The proxy must know its target before the daemon runs.
+            setup.peers = free_address();
+            let proxy = ProxyStandin::to(setup.peers).await.expect("proxy");
+            setup.announced = Some(proxy.address());
+            self.proxies.push(proxy);
+        }
+        self.daemons.push(DaemonProcess::start(setup).await);
+        self.list_hosts();
+    }
+
+    /// Starts a daemon again under its host id, on other ports.
+    pub async fn restart_daemon(&mut self, number: usize) {
+        self.daemons[number].kill();
+        let setup = self.daemons[number].setup.clone();
+        self.daemons[number] = DaemonProcess::start(setup).await;
+        self.list_hosts();
+    }
+
+    fn list_hosts(&self) {
+        let hosts = self.daemons.iter().map(|daemon| ListedHost {
+            id: daemon.host().parse().expect("host id"),
+            peer: daemon.announced(),
+            zone: daemon.setup.zone.parse().expect("zone"),
+            leaving: false,
+        });
+        self.platform.set_hosts(hosts.collect());
+    }
+
+    /// The configuration of all servers.
+    pub fn config(&self) -> String {
+        let numbers: Vec<usize> = (0..self.servers.len()).collect();
+        self.config_of(&numbers)
+    }
+
+    /// The configuration of some servers.
+    pub fn config_of(&self, numbers: &[usize]) -> String {
+        let mut text = format!(
+            "region = \"test\"\nzones = [\"a\", \"b\", \"c\"]\n[[services]]\nname = \"{SERVICE}\"\n\
+             shards = {}\nkey = {{ from = \"path\", segment = 0 }}\n{}\n",
+            self.plan.shards, self.plan.service_lines
+        );
+        for number in numbers {
+            text.push_str(&format!(
+                "[[services.servers]]\nid = \"s{number}\"\naddress = \"{}\"\nzone = \"{}\"\n\
+                 slots = 64\nconnections = 120\n",
+                self.servers[*number].address(),
+                zone(*number),
+            ));
+        }
+        text
+    }
+
+    /// Applies a configuration.
+    pub async fn apply(&self, text: &str) {
+        let repo = ConfigRepo::new(self.platform.client());
+        let author = Author::now("test", "test");
+        repo.apply(text, None, &author).await.expect("apply");
+    }
+
+    /// Waits until every daemon answers for every one of a set of keys.
+    pub async fn wait_serving(&self) {
+        for daemon in &self.daemons {
+            self.wait_serving_at(daemon).await;
+        }
+    }
+
+    pub async fn wait_serving_at(&self, daemon: &DaemonProcess) {
+        for key in keys() {
+            wait_until(&format!("{} serves {key}", daemon.host()), || async {
+                let result = self.caller.get(daemon.callers, &key).await;
+                result.is_ok_and(|result| result.answered())
+            })
+            .await;
+        }
+    }
+
+    /// Sends a request and returns what the server that ran it recorded.
+    pub async fn owner_of(&self, daemon: &DaemonProcess, key: &str) -> Option<(usize, RunEntry)> {
+        let id = format!("probe-{:x}", rand_number());
+        let sent = self
+            .caller
+            .send(daemon.callers, "GET", key, Some(&id))
+            .await;
+        if !sent.is_ok_and(|result| result.answered()) {
+            return None;
+        }
+        for (number, server) in self.servers.iter().enumerate() {
+            let ledger = server.ledger();
+            let mut ledger = ledger.into_iter();
+            let run = ledger.find(|entry| entry.request_id.as_deref() == Some(&id));
+            if let Some(run) = run {
+                return Some((number, run));
+            }
+        }
+        None
+    }
+
+    /// Number of the daemon that controls the service.
+    pub async fn controller(&self) -> usize {
+        wait_for("a controller", || async {
+            for (number, daemon) in self.daemons.iter().enumerate() {
+                if daemon.controls(SERVICE).await {
+                    return Some(number);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// Fails if two servers held a grant for one shard at the same time, or if a
+    /// later owner had no higher token.
+    pub fn assert_exclusive(&self) {
+        let mut holds: Vec<(usize, GrantInterval)> = Vec::new();
+        for (number, server) in self.servers.iter().enumerate() {
+            let intervals = server.intervals(SERVICE);
+            holds.extend(intervals.into_iter().map(|interval| (number, interval)));
+        }
+        holds.sort_by_key(|(_, hold)| (hold.shard, hold.from));
+        for pair in holds.windows(2) {
+            let ((first_server, first), (second_server, second)) = (&pair[0], &pair[1]);
+            if first.shard != second.shard || first_server == second_server {
+                continue;
+            }
+            assert!(
+                first.until <= second.from,
+                "two owners of shard {}: s{first_server} {first:?}, s{second_server} {second:?}",
+                first.shard
+            );
+            assert!(
+                first.token < second.token,
+                "token did not rise for shard {}: {first:?}, {second:?}",
+                first.shard
+            );
+        }
+    }
+}
+
+impl Drop for Region {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Keys that fall into different shards.
+pub fn keys() -> Vec<String> {
+    (0..40).map(|number| format!("/key{number}")).collect()
+}
+
+fn zone(number: usize) -> &'static str {
+    ["a", "b", "c"][number % 3]
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(ANY_PORT).expect("free port");
+    listener.local_addr().expect("address")
+}
+
+fn rand_number() -> u64 {
+    camphorcove_net::peer::random_nonce()
+}
