--- a/crates/daemon/tests/support/processes/mod.rs
+++ b/crates/daemon/tests/support/processes/mod.rs
@@ -13,5 +13,5 @@
     daemon::{DaemonProcess, DaemonSetup},
     metrics::MetricValues,
     region::{Region, RegionPlan, SERVICE, keys},
-    wait::{DEADLINE, wait_for, wait_until},
+    wait::{DEADLINE, LOOK_INTERVAL, wait_for, wait_until},
 };
--- a/crates/daemon/tests/support/processes/region.rs
+++ b/crates/daemon/tests/support/processes/region.rs
@@ -1,7 +1,9 @@
 //! A platform, backend servers and daemons.
 
 use {
-    super::{CallResult, CallerClient, DaemonProcess, DaemonSetup, wait_for, wait_until},
+    super::{
+        CallResult, CallerClient, DEADLINE, DaemonProcess, DaemonSetup, LOOK_INTERVAL, wait_for,
+    },
     camphorcove_core::ids::{FencingToken, ShardId},
     camphorcove_net::{
         config::{Author, ConfigRepo},
@@ -183,11 +185,19 @@
 
     pub async fn wait_serving_at(&self, daemon: &DaemonProcess) {
         for key in keys() {
-            wait_until(&format!("{} serves {key}", daemon.host()), || async {
+            let end = tokio::time::Instant::now() + DEADLINE;
+            loop {
                 let result = self.caller.get(daemon.callers, &key).await;
-                result.is_ok_and(|result| result.answered())
-            })
-            .await;
+                if result.as_ref().is_ok_and(CallResult::answered) {
+                    break;
+                }
+                assert!(
+                    tokio::time::Instant::now() < end,
+                    "{} does not serve {key}: {result:?}",
+                    daemon.host()
+                );
+                tokio::time::sleep(LOOK_INTERVAL).await;
+            }
         }
     }
 
--- a/crates/daemon/tests/support/processes/wait.rs
+++ b/crates/daemon/tests/support/processes/wait.rs
@@ -5,7 +5,8 @@
 /// Overall limit of any wait; generous, because only its absence matters.
 pub const DEADLINE: Duration = Duration::from_secs(60);
 
-const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause between two looks.
+pub const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Waits until `look` returns a value.
 pub async fn wait_for<T, F: Future<Output = Option<T>>>(
