--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod http;
 pub mod log;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod servers;
