--- a/crates/daemon/src/maps/poll_client.rs
+++ b/crates/daemon/src/maps/poll_client.rs
@@ -77,10 +77,10 @@
         for service in scopes {
             let version = held_version(context, service);
             held.push((service.clone(), version));
-            if let Some(floor) = context.hosts.floor(service, now) {
-                if floor < version {
-                    floors.push((service.clone(), floor));
-                }
+            if let Some(floor) = context.hosts.floor(service, now)
+                && floor < version
+            {
+                floors.push((service.clone(), floor));
             }
         }
         let downstream = match mode.relay {
