--- a/crates/daemon/src/maps/poll_client.rs
+++ b/crates/daemon/src/maps/poll_client.rs
@@ -77,9 +77,8 @@
         for service in scopes {
             let version = held_version(context, service);
             held.push((service.clone(), version));
-            if let Some(floor) = context.hosts.floor(service, now)
-                && floor < version
-            {
+            let floor = context.hosts.floor(service, now);
+            if let Some(floor) = floor.filter(|floor| *floor < version) {
                 floors.push((service.clone(), floor));
             }
         }
