Bound waiters, count requests in flight and test server faults

Waiting for a map had no bound, home hosts did not note a server's outcome, and an idle connection closed by its server cost an attempt. All three are fixed; server_faults (59 cases) states code, verdict and executions of each fault, on this host and over a hop.

--- a/crates/daemon/src/context/request_counters.rs
+++ b/crates/daemon/src/context/request_counters.rs
@@ -12,6 +12,8 @@
     pub requests: AtomicU64,
     /// Requests of callers in progress.
     pub in_flight: AtomicU64,
+    /// Requests that wait for a newer routing map.
+    pub waiting: AtomicU64,
     /// Attempts after the first.
     pub retries: AtomicU64,
     /// Retries not made because the budget was spent.
--- a/crates/daemon/src/forward/forward_service.rs
+++ b/crates/daemon/src/forward/forward_service.rs
@@ -2,10 +2,12 @@
 
 use {
     super::{
-        ForwardPlan, LoadBook, PeerLinks, RequestBody, RequestHead, RouterBody, ServerHandle,
+        ForwardPlan, LoadBook, LoadGuard, PeerLinks, RequestBody, RequestHead, RouterBody,
+        ServerHandle,
         home_desk::HomeDesk,
         peer_hop::{hop_reply, hop_request, read_hop_reply, read_hop_request},
         peer_links::send_to_peer,
+        route_check::{RouteCheck, check_route, wait_for_map, wait_for_route},
         server_exchange::{
             ensure_connection, exchange, probe_clock, runtime_instant, stamp_headers,
         },
@@ -14,13 +16,12 @@
     crate::{context::RequestContext, maps::HeldMap},
     camphorcove_core::{
         balance::LoadReport,
-        conf::FencingMode,
+        conf::{DedupMode, FencingMode, ServiceConfig},
         dedup::home_of,
         ids::{HostId, ServiceName},
-        map::{ServerEntry, ServerPhase},
+        map::ServerEntry,
         outcome::{Execution, ResultCode},
         retry::SeededDraw,
-        time::BootTime,
     },
     http::{HeaderValue, Request, Response, header::HOST},
     hyper::body::Incoming,
@@ -28,12 +29,9 @@
         sync::{Arc, Weak, atomic::Ordering::Relaxed},
         time::Duration,
     },
-    tokio::time::{Instant, MissedTickBehavior, interval, timeout_at},
+    tokio::time::{MissedTickBehavior, interval},
 };
 
-/// A prolonged validity sends no signal, so waiters look again this often.
-const MAP_RECHECK: Duration = Duration::from_millis(50);
-
 /// Interval at which coverage of idempotency keys follows the maps' validity.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -48,16 +46,6 @@
     draws: SeededDraw,
 }
 
-/// Whether a request may be sent now.
-enum RouteCheck {
-    /// It may, until the given end.
-    Go(Box<ServerEntry>, BootTime),
-    /// A newer map will tell; the code is for a deadline that passes first.
-    Wait(ResultCode),
-    /// It may not.
-    Refuse(ResultCode),
-}
-
 impl ForwardService {
     /// Starts the service and its task that follows the routing maps.
     pub fn start(context: RequestContext) -> Arc<Self> {
@@ -120,7 +108,7 @@
         if plan.envelope.idempotency.is_none() {
             return self.run_here(plan, head, body).await;
         }
-        let held = self.wait_for_map(plan).await?;
+        let held = wait_for_map(&self.context, plan).await?;
         if !self.is_home(plan, &held) {
             return Err(ResultCode::StaleRoute);
         }
@@ -167,14 +155,17 @@
             .choose(&held.map, None, self.draw(), now)
             .ok_or(ResultCode::NoOwner)?;
         let target = server.forwarder.as_ref().ok_or(ResultCode::NoForwarder)?;
+        let load = loads.cell(&server.id).map(LoadGuard::new);
         let mut plan = plan.clone();
         plan.envelope.server = server.id.clone();
         plan.envelope.map = held.map.version;
         plan.envelope.idempotency = None;
-        if *target == self.context.host {
-            return self.run_here(&plan, head, body).await;
-        }
-        self.hop(target, &plan, &head, body).await
+        let result = if *target == self.context.host {
+            self.run_here(&plan, head, body).await
+        } else {
+            self.hop(target, &plan, &head, body).await
+        };
+        LoadGuard::attach(load, result, self.context.clock.now())
     }
 
     /// Sends a request to another host.
@@ -225,17 +216,20 @@
     ) -> Result<Response<RouterBody>, ResultCode> {
         let deadline = runtime_instant(&self.context, plan.deadline);
         loop {
-            let server = self.wait_for_route(plan).await?;
+            let server = wait_for_route(&self.context, plan).await?;
             let handle = self.handle(&plan.envelope.service, &server);
             let mut permit = handle.acquire(plan.envelope.class, plan.deadline).await?;
-            ensure_connection(&self.context, &mut permit, server.address, deadline).await?;
+            let opening = ensure_connection(&self.context, &mut permit, server.address, deadline);
+            if !opening.await? {
+                continue;
+            }
             head.ensure_host(server.address);
             if self.must_know_clock(plan) {
                 let host = head.headers.get(HOST).cloned();
                 let host = host.unwrap_or(HeaderValue::from_static(""));
                 probe_clock(&self.context, &mut permit, &server.id, &host, deadline).await?;
             }
-            let end = match self.check_route(plan) {
+            let end = match check_route(&self.context, plan) {
                 RouteCheck::Go(now_server, end) if now_server.address == server.address => end,
                 RouteCheck::Refuse(code) => return Err(code),
                 RouteCheck::Go(..) | RouteCheck::Wait(_) => continue,
@@ -263,72 +257,18 @@
         if self.context.clocks.latest(&plan.envelope.server).is_some() {
             return false;
         }
-        let snapshot = self.context.configs.config();
-        let service = snapshot.as_ref().and_then(|snapshot| {
-            let mut services = snapshot.config.services.iter();
-            services.find(|service| service.name == plan.envelope.service)
-        });
-        service.is_none_or(|service| service.fencing == FencingMode::Unchecked)
-    }
-
-    /// Waits until the request may be sent, within its deadline.
-    async fn wait_for_route(&self, plan: &ForwardPlan) -> Result<ServerEntry, ResultCode> {
-        loop {
-            let code = match self.check_route(plan) {
-                RouteCheck::Go(server, _) => return Ok(*server),
-                RouteCheck::Refuse(code) => return Err(code),
-                RouteCheck::Wait(code) => code,
-            };
-            wait_for_change(&self.context, plan.deadline, code).await?;
-        }
-    }
-
-    /// Waits for a valid map that is at least as new as the plan's.
-    async fn wait_for_map(&self, plan: &ForwardPlan) -> Result<HeldMap, ResultCode> {
-        loop {
-            let now = self.context.clock.now();
-            let held = self.context.maps.valid(&plan.envelope.service, now);
-            if let Some(held) = held.filter(|held| held.map.version >= plan.envelope.map) {
-                return Ok(held);
-            }
-            wait_for_change(&self.context, plan.deadline, ResultCode::NoMap).await?;
-        }
+        let fencing = self.service_setting(&plan.envelope.service, |service| service.fencing);
+        fencing.is_none_or(|fencing| fencing == FencingMode::Unchecked)
     }
 
-    /// Checks token, map validity and deadline at this moment.
-    fn check_route(&self, plan: &ForwardPlan) -> RouteCheck {
-        let now = self.context.clock.now();
-        if now >= plan.deadline {
-            return RouteCheck::Refuse(ResultCode::DeadlineTooShort);
-        }
-        let envelope = &plan.envelope;
-        let Some(held) = self.context.maps.valid(&envelope.service, now) else {
-            return RouteCheck::Wait(ResultCode::NoMap);
-        };
-        if held.map.version < envelope.map {
-            return RouteCheck::Wait(ResultCode::NoMap);
-        }
-        let Some(server) = held.map.server(&envelope.server) else {
-            return RouteCheck::Refuse(ResultCode::StaleRoute);
-        };
-        let here = server.forwarder.as_ref() == Some(&self.context.host);
-        if !here || !takes_work(server.phase, envelope.shard.is_some()) {
-            return RouteCheck::Refuse(ResultCode::StaleRoute);
-        }
-        if let Some(shard) = envelope.shard {
-            let Some(entry) = held.map.entry(shard) else {
-                return RouteCheck::Refuse(ResultCode::StaleRoute);
-            };
-            if entry.moving {
-                return RouteCheck::Wait(ResultCode::ShardMoving);
-            }
-            let owner = held.map.owner(shard).map(|owner| &owner.id);
-            if owner != Some(&envelope.server) || Some(entry.token) != envelope.token {
-                return RouteCheck::Refuse(ResultCode::StaleRoute);
-            }
-        }
-        let end = plan.deadline.min(held.valid_until);
-        RouteCheck::Go(Box::new(server.clone()), end)
+    fn service_setting<T>(
+        &self,
+        service: &ServiceName,
+        setting: impl Fn(&ServiceConfig) -> T,
+    ) -> Option<T> {
+        let snapshot = self.context.configs.config()?;
+        let mut services = snapshot.config.services.iter();
+        services.find(|known| known.name == *service).map(setting)
     }
 
     fn reported_load(&self, plan: &ForwardPlan) -> Option<LoadReport> {
@@ -339,32 +279,6 @@
     }
 }
 
-/// Whether a server in this phase takes a request.
-fn takes_work(phase: ServerPhase, keyed: bool) -> bool {
-    match phase {
-        ServerPhase::Ready | ServerPhase::Suspect => true,
-        ServerPhase::Draining => keyed,
-        ServerPhase::Lost => false,
-    }
-}
-
-/// Waits for a change of the maps; fails with `code` once the deadline has passed.
-pub async fn wait_for_change(
-    context: &RequestContext,
-    deadline: BootTime,
-    code: ResultCode,
-) -> Result<(), ResultCode> {
-    let now = context.clock.now();
-    if now >= deadline {
-        return Err(code);
-    }
-    let mut changes = context.maps.changes();
-    let wait = deadline.since(now).min(MAP_RECHECK);
-    // Both a change and the end of the wait lead to another look at the map.
-    let _ = timeout_at(Instant::now() + wait, changes.changed()).await;
-    Ok(())
-}
-
 /// Retires servers that left this host, and keeps the coverage of idempotency keys current.
 async fn follow_maps(service: Weak<ForwardService>) {
     let Some(mut changes) = service
@@ -394,7 +308,8 @@
             if changed {
                 self.servers.follow(&self.context, &held.map);
             }
-            if now < held.valid_until {
+            let dedup = self.service_setting(&held.map.service, |service| service.dedup);
+            if now < held.valid_until && dedup == Some(DedupMode::Router) {
                 self.homes.follow(&self.context, held);
             }
         }
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -17,9 +17,11 @@
 mod permit;
 mod request_body;
 mod request_head;
+mod route_check;
 mod router_body;
 mod server_connection;
 mod server_exchange;
+mod server_handle;
 mod server_table;
 mod server_task;
 
@@ -27,7 +29,7 @@
     body_fault::BodyFault,
     caller_body::{CallerBody, LeasedBody},
     forward_plan::ForwardPlan,
-    forward_service::{ForwardService, wait_for_change},
+    forward_service::ForwardService,
     hop_headers::{
         ENVELOPE, FORWARD_PATH, HOP_HOST, HOP_LENGTH, HOP_LOAD, HOP_METHOD, HOP_PATH, single,
         strip_framing, strip_headers,
@@ -38,6 +40,8 @@
     permit::Permit,
     request_body::RequestBody,
     request_head::RequestHead,
-    router_body::{LoadGuard, RouterBody},
-    server_task::{ServerHandle, ServerTask},
+    route_check::wait_for_change,
+    router_body::{FlightGuard, LoadGuard, RouterBody},
+    server_handle::ServerHandle,
+    server_task::ServerTask,
 };
--- a/crates/daemon/src/forward/permit.rs
+++ b/crates/daemon/src/forward/permit.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         server_connection::{ConnectionToken, ServerConnection},
-        server_task::ServerMessage,
+        server_handle::ServerMessage,
     },
     std::sync::OnceLock,
     std::sync::{
--- a/crates/daemon/src/forward/router_body.rs
+++ b/crates/daemon/src/forward/router_body.rs
@@ -4,7 +4,8 @@
     super::{BodyFault, Permit},
     crate::context::RequestCounters,
     bytes::Bytes,
-    camphorcove_core::balance::LoadCell,
+    camphorcove_core::{balance::LoadCell, outcome::ResultCode, time::BootTime},
+    http::{Response, StatusCode},
     http_body::{Body, Frame, SizeHint},
     hyper::body::Incoming,
     std::{
@@ -26,9 +27,29 @@
         Self(cell)
     }
 
-    /// The server's load and failures.
-    pub fn cell(&self) -> &LoadCell {
-        &self.0
+    /// Notes the outcome at the server and keeps the guard until the reply is complete.
+    pub fn attach(
+        guard: Option<Self>,
+        result: Result<Response<RouterBody>, ResultCode>,
+        now: BootTime,
+    ) -> Result<Response<RouterBody>, ResultCode> {
+        let Some(guard) = guard else {
+            return result;
+        };
+        let status = result.as_ref().map(Response::status);
+        guard.note(status.map_err(|code| *code), now);
+        result.map(|answer| answer.map(|body| body.with_load(guard)))
+    }
+
+    /// Failures make a server look busy; enough of them in a row eject it.
+    fn note(&self, result: Result<StatusCode, ResultCode>, now: BootTime) {
+        match result {
+            Ok(status) if status.is_server_error() => self.0.fail(now),
+            Ok(_) => self.0.succeed(),
+            Err(ResultCode::ServerShed | ResultCode::QueueFull) => self.0.shed(now),
+            Err(code) if code.blames_server() => self.0.fail(now),
+            Err(_) => {}
+        }
     }
 }
 
@@ -38,11 +59,40 @@
     }
 }
 
+/// Counts a caller's request until its answer is complete.
+#[derive(Debug)]
+pub struct FlightGuard {
+    counters: Arc<RequestCounters>,
+    answered: bool,
+}
+
+impl FlightGuard {
+    /// Counts a request.
+    pub fn new(counters: Arc<RequestCounters>) -> Self {
+        counters.requests.fetch_add(1, Relaxed);
+        counters.in_flight.fetch_add(1, Relaxed);
+        Self {
+            counters,
+            answered: false,
+        }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.counters.in_flight.fetch_sub(1, Relaxed);
+        if !self.answered {
+            self.counters.callers_left.fetch_add(1, Relaxed);
+        }
+    }
+}
+
 /// Body of an answer. A reply that breaks off ends with an error, never cleanly.
 #[derive(Debug)]
 pub struct RouterBody {
     source: BodySource,
     load: Option<LoadGuard>,
+    flight: Option<FlightGuard>,
     ended: bool,
 }
 
@@ -102,17 +152,34 @@
         self
     }
 
+    /// Counts the caller's request until the answer is complete.
+    pub fn with_flight(mut self, mut flight: FlightGuard) -> Self {
+        flight.answered = http_body::Body::is_end_stream(&self);
+        if !flight.answered {
+            self.flight = Some(flight);
+        }
+        self
+    }
+
+    fn end(&mut self) {
+        self.ended = true;
+        self.load = None;
+        if let Some(mut flight) = self.flight.take() {
+            flight.answered = true;
+        }
+    }
+
     fn from_source(source: BodySource) -> Self {
         Self {
             source,
             load: None,
+            flight: None,
             ended: false,
         }
     }
 
     fn finish(&mut self) {
-        self.ended = true;
-        self.load = None;
+        self.end();
         if let BodySource::Server { permit, .. } = &mut self.source
             && let Some(permit) = permit.take()
         {
@@ -122,8 +189,7 @@
 
     /// Frees the slot and counts the loss; the connection is not used again.
     fn break_off(&mut self) {
-        self.ended = true;
-        self.load = None;
+        self.end();
         match &mut self.source {
             BodySource::Own(_) => {}
             BodySource::Server {
--- a/crates/daemon/src/forward/server_connection.rs
+++ b/crates/daemon/src/forward/server_connection.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 connections to a server.
 
 use {
-    super::{RequestBody, server_task::ServerMessage},
+    super::{RequestBody, server_handle::ServerMessage},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     snafu::{ResultExt, Snafu},
--- a/crates/daemon/src/forward/server_exchange.rs
+++ b/crates/daemon/src/forward/server_exchange.rs
@@ -37,18 +37,20 @@
 }
 
 /// Binds a usable connection to the permit: the idle one, or a new one.
+///
+/// `false` if the server has closed the idle connection: nothing was sent, and
+/// another permit brings another connection.
 pub async fn ensure_connection(
     context: &RequestContext,
     permit: &mut Permit,
     address: SocketAddr,
     deadline: Instant,
-) -> Result<(), ResultCode> {
+) -> Result<bool, ResultCode> {
     if let Some(mut connection) = permit.take_connection() {
-        // A connection that the server closed while idle fails here, before anything is sent.
-        if connection.sender().ready().await.is_ok() {
-            permit.bind(connection);
-            return Ok(());
-        }
+        let ready = timeout_at(deadline, connection.sender().ready()).await;
+        let usable = matches!(ready, Ok(Ok(())));
+        permit.bind(connection);
+        return Ok(usable);
     }
     let token = permit.take_token().ok_or(ResultCode::ServerUnreachable)?;
     let opening = ServerConnection::open(address, token);
@@ -61,7 +63,7 @@
         })?;
     context.counters.server_connections.fetch_add(1, Relaxed);
     permit.bind(connection);
-    Ok(())
+    Ok(true)
 }
 
 /// Asks a server for its clock with `OPTIONS *`, which runs nothing.
--- a/crates/daemon/src/forward/server_table.rs
+++ b/crates/daemon/src/forward/server_table.rs
@@ -1,7 +1,7 @@
 //! The tasks of the servers that this host forwards to.
 
 use {
-    super::{ServerHandle, ServerTask, server_task::ServerLimits},
+    super::{ServerHandle, ServerTask, server_handle::ServerLimits},
     crate::context::RequestContext,
     arc_swap::ArcSwap,
     camphorcove_core::{
--- a/crates/daemon/src/forward/server_task.rs
+++ b/crates/daemon/src/forward/server_task.rs
@@ -2,14 +2,13 @@
 
 use {
     super::{
-        Permit,
+        Permit, ServerHandle,
         permit::DeadlineSwitch,
         server_connection::{ConnectionToken, ServerConnection},
+        server_handle::{PermitReply, ServerGauge, ServerLimits, ServerMessage},
     },
     camphorcove_core::{
-        admission::{GateLimits, GateOffer, GateTurn, GateWaiter, QueueOrder, ServerGate},
-        balance::LoadReport,
-        conf::RequestClass,
+        admission::{GateOffer, GateTurn, GateWaiter, QueueOrder, ServerGate},
         outcome::ResultCode,
         time::BootTime,
     },
@@ -17,141 +16,14 @@
     std::{
         collections::{HashMap, VecDeque},
         net::SocketAddr,
-        sync::{
-            Arc,
-            atomic::{AtomicU32, AtomicU64, Ordering::Relaxed},
-        },
+        sync::{Arc, atomic::Ordering::Relaxed},
     },
     tokio::{
-        sync::{
-            mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-            oneshot,
-        },
+        sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
         time::{Instant, sleep_until},
     },
 };
 
-/// Limits of one server, as its routing map and file state them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServerLimits {
-    /// Slots and queue.
-    pub gate: GateLimits,
-    /// Connections.
-    pub connections: u32,
-}
-
-type PermitReply = oneshot::Sender<Result<Permit, ResultCode>>;
-
-/// What a server's task is told.
-#[derive(Debug)]
-pub enum ServerMessage {
-    /// A request asks for a slot.
-    Acquire {
-        /// The request.
-        waiter: GateWaiter,
-        /// Where the permit goes.
-        reply: PermitReply,
-    },
-    /// A request that waits, or has just got a slot, was given up.
-    Leave(u64),
-    /// A slot is free again.
-    Release {
-        /// Whose slot.
-        ticket: u64,
-        /// Connection to use again.
-        connection: Option<ServerConnection>,
-        /// The exchange was complete, so its duration is a sample.
-        completed: bool,
-    },
-    /// A connection ended.
-    Closed,
-    /// The limits changed.
-    Update(ServerLimits),
-    /// Another host is the forwarder now: refuse waiters, finish the rest.
-    Retire,
-}
-
-/// Load of a server, readable without asking its task.
-#[derive(Debug, Default)]
-struct ServerGauge {
-    in_flight: AtomicU32,
-    queued: AtomicU32,
-}
-
-/// Access to a server's task.
-#[derive(Clone, Debug)]
-pub struct ServerHandle {
-    address: SocketAddr,
-    mailbox: UnboundedSender<ServerMessage>,
-    gauge: Arc<ServerGauge>,
-    tickets: Arc<AtomicU64>,
-}
-
-impl ServerHandle {
-    /// Address that the task's connections go to.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Current load.
-    pub fn load(&self) -> LoadReport {
-        LoadReport {
-            in_flight: self.gauge.in_flight.load(Relaxed),
-            queued: self.gauge.queued.load(Relaxed),
-        }
-    }
-
-    /// Tells the task about new limits.
-    pub fn update(&self, limits: ServerLimits) {
-        let _ = self.mailbox.send(ServerMessage::Update(limits));
-    }
-
-    /// Ends the task once its requests in flight are done.
-    pub fn retire(&self) {
-        let _ = self.mailbox.send(ServerMessage::Retire);
-    }
-
-    /// Waits for a slot. Dropping the future gives the place up.
-    pub async fn acquire(
-        &self,
-        class: RequestClass,
-        deadline: BootTime,
-    ) -> Result<Permit, ResultCode> {
-        let ticket = self.tickets.fetch_add(1, Relaxed);
-        let waiter = GateWaiter {
-            ticket,
-            class,
-            deadline,
-        };
-        let (reply, permit) = oneshot::channel();
-        let message = ServerMessage::Acquire { waiter, reply };
-        if self.mailbox.send(message).is_err() {
-            return Err(ResultCode::StaleRoute);
-        }
-        let mut place = QueuePlace {
-            ticket,
-            mailbox: Some(&self.mailbox),
-        };
-        let result = permit.await.unwrap_or(Err(ResultCode::StaleRoute));
-        place.mailbox = None;
-        result
-    }
-}
-
-/// Gives a place in the queue up when dropped.
-struct QueuePlace<'a> {
-    ticket: u64,
-    mailbox: Option<&'a UnboundedSender<ServerMessage>>,
-}
-
-impl Drop for QueuePlace<'_> {
-    fn drop(&mut self) {
-        if let Some(mailbox) = self.mailbox {
-            let _ = mailbox.send(ServerMessage::Leave(self.ticket));
-        }
-    }
-}
-
 #[derive(Debug)]
 struct ActiveRequest {
     started: BootTime,
@@ -201,12 +73,7 @@
             retired: false,
         };
         tokio::spawn(task.run(messages));
-        ServerHandle {
-            address,
-            mailbox,
-            gauge,
-            tickets: Arc::default(),
-        }
+        ServerHandle::new(address, mailbox, gauge)
     }
 
     async fn run(mut self, mut messages: UnboundedReceiver<ServerMessage>) {
--- a/crates/daemon/src/serve/entry_request.rs
+++ b/crates/daemon/src/serve/entry_request.rs
@@ -18,7 +18,7 @@
     },
     http::{
         HeaderMap, HeaderValue, Method, Request, Version,
-        header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+        header::{CONTENT_LENGTH, COOKIE, HOST, TRANSFER_ENCODING},
         request::Parts,
         uri::PathAndQuery,
     },
@@ -103,6 +103,7 @@
     let body = (!incoming.is_end_stream()).then(|| CallerBody::new(incoming, limits.max_body));
     strip_headers(&mut parts.headers);
     strip_framing(&mut parts.headers);
+    join_cookies(&mut parts.headers);
     if let Some(host) = host.and_then(|host| HeaderValue::from_str(&host).ok()) {
         parts.headers.insert(HOST, host);
     }
@@ -151,6 +152,21 @@
     }
 }
 
+/// HTTP/2 splits cookies over several lines; HTTP/1.1 allows one (RFC 9113, 8.2.3).
+fn join_cookies(headers: &mut HeaderMap) {
+    let lines: Vec<&[u8]> = headers
+        .get_all(COOKIE)
+        .iter()
+        .map(HeaderValue::as_bytes)
+        .collect();
+    if lines.len() < 2 {
+        return;
+    }
+    if let Ok(joined) = HeaderValue::from_bytes(&lines.join(&b"; "[..])) {
+        headers.insert(COOKIE, joined);
+    }
+}
+
 /// Size of the head as it was before compression: 4 bytes stand for ": " and the line end.
 fn head_bytes(headers: &HeaderMap, path: &PathAndQuery) -> u64 {
     let lines = headers
--- a/crates/daemon/src/serve/key_extract.rs
+++ b/crates/daemon/src/serve/key_extract.rs
@@ -30,7 +30,7 @@
 pub fn has_dot_segment(path: &str) -> bool {
     path.split('/').any(|segment| {
         let decoded = decode(segment, false).unwrap_or_default();
-        decoded == b"." || decoded == b".." || decoded.contains(&b'/') || decoded.contains(&0)
+        decoded == b"." || decoded == b".."
     })
 }
 
--- /dev/null
+++ b/crates/daemon/tests/server_faults.rs
@@ -0,0 +1,247 @@
+//! Faults of servers: the caller is told the right code, and a request that may
+//! have run is not sent again.
+
+mod support;
+
+use {
+    camphorcove_core::conf::{FencingMode, RoutingMode, ServiceConfig},
+    rstest::rstest,
+    std::net::{SocketAddr, TcpListener},
+    support::{Act, Cluster, FakeServer, MapSpec, call, get, ok_reply, service},
+};
+
+/// Longest deadline of requests that are meant to miss it, in milliseconds.
+const SHORT: u64 = 150;
+
+fn post(path: &str, headers: &str, body: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: t\r\nconnection: close\r\ncontent-length: {}\r\n{headers}\r\n{body}",
+        body.len()
+    )
+}
+
+fn reply_cut() -> String {
+    "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly a part".into()
+}
+
+fn reply_cut_in_chunk() -> String {
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n20\r\nonly a part".into()
+}
+
+fn idempotent(mut service: ServiceConfig) -> ServiceConfig {
+    service.idempotent_methods = vec!["GET".into()];
+    service
+}
+
+fn refused_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    listener.local_addr().expect("address")
+}
+
+/// Each fault with the code, the verdict, and how often the request ran.
+#[rstest]
+#[case::reply_lost_by_close(Act::ReplyThenClose(String::new()), 502, 301, "may-have-run", 1)]
+#[case::reply_lost_by_reset(Act::ReplyThenReset(String::new()), 502, 301, "may-have-run", 1)]
+#[case::reset_after_head(Act::ResetAfterHead, 502, 301, "may-have-run", 0)]
+#[case::reply_head_cut(Act::ReplyThenClose("HTTP/1.1 200 O".into()), 502, 301, "may-have-run", 1)]
+#[case::reply_malformed(Act::ReplyThenClose("nonsense\r\n\r\n".into()), 502, 303, "may-have-run", 1)]
+#[case::reply_without_end(Act::ReplyThenClose("HTTP/1.1 200 OK\r\n\r\nx".into()), 502, 303, "may-have-run", 1)]
+#[case::reply_with_two_lengths(
+    Act::ReplyThenClose("HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nxy".into()),
+    502, 303, "may-have-run", 1
+)]
+#[case::stall_past_the_deadline(Act::Stall, 504, 302, "may-have-run", 1)]
+#[case::always_sheds(Act::Shed, 503, 112, "not-run", 0)]
+#[tokio::test]
+async fn a_fault_has_one_code_and_one_verdict(
+    #[case] act: Act,
+    #[case] status: u16,
+    #[case] code: u16,
+    #[case] execution: &str,
+    #[case] ran: usize,
+    #[values(RoutingMode::Keyed, RoutingMode::Free)] routing: RoutingMode,
+    #[values(0, 1)] forwarder: usize,
+) {
+    let server = FakeServer::start(move |_, _| act.clone()).await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let cluster = Cluster::start(2, service(routing), &spec).await;
+    let request = post(
+        "/s/k",
+        &format!("x-request-timeout-ms: {SHORT}\r\n"),
+        "booking",
+    );
+
+    let answer = call(cluster.caller(), request).await;
+
+    assert_eq!(answer.status, status, "{answer:?}");
+    assert_eq!(answer.code(), Some(code));
+    assert_eq!(answer.execution(), Some(execution));
+    assert!(answer.complete);
+    assert_eq!(server.ran(), ran);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_refused_connection_proves_that_nothing_ran(#[values(0, 1)] forwarder: usize) {
+    let spec = MapSpec::new(&[(refused_address(), forwarder)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+
+    let answer = call(cluster.caller(), post("/s/k", "", "booking")).await;
+
+    assert_eq!(
+        (answer.status, answer.code()),
+        (502, Some(111)),
+        "{answer:?}"
+    );
+    assert_eq!(answer.execution(), Some("not-run"));
+    assert_eq!(answer.header("retry-after"), Some("1"));
+}
+
+/// A cut that looks like a complete response would be a wrong answer for the caller.
+#[rstest]
+#[case::length_then_close(Act::ReplyThenClose(reply_cut()))]
+#[case::length_then_reset(Act::ReplyThenReset(reply_cut()))]
+#[case::chunk_then_close(Act::ReplyThenClose(reply_cut_in_chunk()))]
+#[case::no_last_chunk(Act::ReplyThenClose(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n".into()
+))]
+#[tokio::test]
+async fn a_cut_reply_reaches_the_caller_as_aborted(
+    #[case] act: Act,
+    #[values(0, 1)] forwarder: usize,
+) {
+    let server = FakeServer::start(move |_, _| act.clone()).await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let cluster = Cluster::start(2, idempotent(service(RoutingMode::Keyed)), &spec).await;
+
+    let answer = get(cluster.caller(), "/s/k", "").await;
+
+    assert!(!answer.complete, "{answer:?}");
+    assert_eq!(server.ran(), 1);
+}
+
+/// The request is sent again only if the service's file declares its method idempotent.
+#[rstest]
+#[case::undeclared(false, Some(301), 1)]
+#[case::declared(true, Some(200), 2)]
+#[tokio::test]
+async fn a_lost_reply_is_retried_only_for_declared_methods(
+    #[case] declared: bool,
+    #[case] code: Option<u16>,
+    #[case] ran: usize,
+    #[values(0, 1)] forwarder: usize,
+) {
+    let server = FakeServer::start(|number, _| match number {
+        0 => Act::ReplyThenClose(String::new()),
+        _ => Act::Reply(ok_reply("log")),
+    })
+    .await;
+    let plain = service(RoutingMode::Keyed);
+    let service = if declared { idempotent(plain) } else { plain };
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let cluster = Cluster::start(2, service, &spec).await;
+
+    let answer = get(cluster.caller(), "/s/k", "").await;
+
+    assert_eq!(answer.code(), code, "{answer:?}");
+    assert_eq!(server.ran(), ran);
+}
+
+/// "Not run" from the server makes a retry safe, with a body too, if it was small.
+#[rstest]
+#[tokio::test]
+async fn a_shed_request_is_sent_again_with_its_body(#[values(0, 1)] forwarder: usize) {
+    let server = FakeServer::start(|number, _| match number {
+        0 => Act::Shed,
+        _ => Act::Reply(ok_reply("booked")),
+    })
+    .await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+
+    let answer = call(cluster.caller(), post("/s/k", "", "raft 17")).await;
+
+    assert_eq!(answer.code(), Some(200), "{answer:?}");
+    assert_eq!(server.ran(), 1);
+    let bodies: Vec<Vec<u8>> = server.seen().into_iter().map(|seen| seen.body).collect();
+    assert_eq!(bodies, [b"raft 17", b"raft 17"]);
+}
+
+/// A server that closes idle connections must not cost its callers an error.
+#[rstest]
+#[tokio::test]
+async fn a_closed_idle_connection_is_replaced(#[values(0, 1)] forwarder: usize) {
+    let server = FakeServer::start(|number, _| match number {
+        0 => Act::ReplyThenClose(ok_reply("first")),
+        _ => Act::Reply(ok_reply("second")),
+    })
+    .await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    let first = call(cluster.caller(), post("/s/k", "", "1")).await;
+    server.wait_open(0).await;
+
+    let second = call(cluster.caller(), post("/s/k", "", "2")).await;
+
+    assert_eq!(
+        (first.code(), second.code()),
+        (Some(200), Some(200)),
+        "{second:?}"
+    );
+    assert_eq!(server.ran(), 2);
+}
+
+/// With no more retries than the budget allows, a dead server does not double the load.
+#[tokio::test]
+async fn retries_stay_within_the_budget() {
+    let server = FakeServer::start(|_, _| Act::Shed).await;
+    let spec = MapSpec::new(&[(server.address, 0)]);
+    let cluster = Cluster::start(1, service(RoutingMode::Keyed), &spec).await;
+
+    for _ in 0..100 {
+        let answer = call(cluster.caller(), post("/s/k", "", "")).await;
+        assert_eq!(answer.code(), Some(112), "{answer:?}");
+    }
+
+    // 10 saved at the start, and 10% of 100 requests.
+    assert!(server.seen().len() <= 120, "{} sent", server.seen().len());
+}
+
+/// A server that does not check tokens gets its deadline on its own clock, and never
+/// a request without one.
+#[rstest]
+#[tokio::test]
+async fn an_unchecked_server_is_always_given_a_deadline(#[values(0, 1)] forwarder: usize) {
+    let server = FakeServer::start(|_, _| Act::Reply(ok_reply("ok"))).await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let mut service = service(RoutingMode::Keyed);
+    service.fencing = FencingMode::Unchecked;
+    let cluster = Cluster::start(2, service, &spec).await;
+
+    let answer = get(cluster.caller(), "/s/k", "x-request-timeout-ms: 1000\r\n").await;
+
+    assert_eq!(answer.code(), Some(200), "{answer:?}");
+    let deadline: u64 = server.seen()[0]
+        .header("x-camphorcove-deadline")
+        .expect("deadline")
+        .parse()
+        .expect("number");
+    // The fake's clock always reads 5 s; the request may take 1 s more.
+    assert!((5_000_000..=6_000_000).contains(&deadline), "{deadline}");
+}
+
+/// A free service goes around a server that refuses connections.
+#[rstest]
+#[tokio::test]
+async fn a_free_request_goes_to_another_server(#[values(0, 1)] forwarder: usize) {
+    let server = FakeServer::start(|_, _| Act::Reply(ok_reply("ok"))).await;
+    let spec = MapSpec::new(&[(refused_address(), forwarder), (server.address, forwarder)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Free), &spec).await;
+
+    for _ in 0..20 {
+        let answer = call(cluster.caller(), post("/s", "", "x")).await;
+        assert_eq!(answer.code(), Some(200), "{answer:?}");
+    }
+
+    assert_eq!(server.ran(), 20);
+}
