--- a/crates/daemon/src/forward/forward_service.rs
+++ b/crates/daemon/src/forward/forward_service.rs
@@ -18,7 +18,7 @@
         balance::LoadReport,
         conf::{DedupMode, FencingMode, ServiceConfig},
         dedup::home_of,
-        ids::{HostId, ServiceName},
+        ids::{HostId, ServerId, ServiceName},
         map::ServerEntry,
         outcome::{Execution, ResultCode},
         retry::SeededDraw,
@@ -71,6 +71,11 @@
         self.draws.draw()
     }
 
+    /// Load of each server that this host forwards to, for the metrics.
+    pub fn server_loads(&self) -> Vec<(ServiceName, ServerId, LoadReport)> {
+        self.servers.loads()
+    }
+
     /// Handles `POST /peer/forward` of another host.
     pub async fn handle_peer(&self, request: Request<Incoming>) -> Response<RouterBody> {
         self.context.counters.hops_in.fetch_add(1, Relaxed);
--- a/crates/daemon/src/forward/server_table.rs
+++ b/crates/daemon/src/forward/server_table.rs
@@ -6,6 +6,7 @@
     arc_swap::ArcSwap,
     camphorcove_core::{
         admission::GateLimits,
+        balance::LoadReport,
         conf::RequestLimits,
         ids::{ServerId, ServiceName},
         map::{RoutingMap, ServerEntry},
@@ -75,6 +76,18 @@
         self.handles.store(Arc::new(handles));
     }
 
+    /// Load of each server with a task.
+    pub fn loads(&self) -> Vec<(ServiceName, ServerId, LoadReport)> {
+        let handles = self.handles.load();
+        let mut loads = Vec::new();
+        for (service, servers) in handles.iter() {
+            for (server, handle) in servers {
+                loads.push((service.clone(), server.clone(), handle.load()));
+            }
+        }
+        loads
+    }
+
     fn find(&self, service: &ServiceName, entry: &ServerEntry) -> Option<ServerHandle> {
         let handles = self.handles.load();
         let handle = handles.get(service)?.get(&entry.id)?;
--- a/crates/daemon/src/forward/server_task.rs
+++ b/crates/daemon/src/forward/server_task.rs
@@ -239,13 +239,13 @@
         Some(ConnectionToken::new(self.mailbox.clone()))
     }
 
-    /// Ends connections of requests whose deadline passed, even if nobody reads their reply.
+    /// Ends connections of requests whose deadline passed and frees their slots, even
+    /// if the caller does not read its reply and so nothing else notices.
     fn expire(&mut self, now: BootTime) {
-        for request in self.active.values_mut() {
-            if now >= request.deadline {
-                request.switch.expire();
-                request.deadline = BootTime(u64::MAX);
-            }
+        let late = |_: &u64, request: &mut ActiveRequest| now >= request.deadline;
+        for (_, request) in self.active.extract_if(late) {
+            request.switch.expire();
+            self.gate.finish(None);
         }
         if !self.starved.is_empty() {
             self.drop_starved(|_, deadline| now >= deadline);
@@ -254,12 +254,8 @@
 
     fn next_deadline(&self) -> Option<BootTime> {
         let active = self.active.values().map(|request| request.deadline);
-        let unexpired = active.filter(|deadline| deadline.0 != u64::MAX);
         let starved = self.starved.iter().map(|(_, request)| request.deadline);
-        unexpired
-            .chain(starved)
-            .chain(self.gate.next_deadline())
-            .min()
+        active.chain(starved).chain(self.gate.next_deadline()).min()
     }
 
     fn refuse_waiting(&mut self, ticket: u64, code: ResultCode) {
--- /dev/null
+++ b/crates/daemon/tests/routing_maps.rs
@@ -0,0 +1,283 @@
+//! Requests while routing maps change, expire or disagree.
+
+mod support;
+
+use {
+    camphorcove_core::{
+        conf::{RoutingMode, TimeSpan},
+        map::ServerPhase,
+    },
+    rstest::rstest,
+    std::{sync::atomic::Ordering::Relaxed, time::Duration},
+    support::{Act, Cluster, FakeServer, MapSpec, Node, RawCaller, call, get, ok_reply, service},
+};
+
+async fn answering(text: &'static str) -> FakeServer {
+    FakeServer::start(move |_, _| Act::Reply(ok_reply(text))).await
+}
+
+/// Waits until a request waits for a map on one of the hosts.
+async fn until_waiting(nodes: &[Node]) {
+    while nodes
+        .iter()
+        .all(|node| node.context.counters.waiting.load(Relaxed) == 0)
+    {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A planned move must not cost a request: it waits, and the new owner gets it.
+#[rstest]
+#[tokio::test]
+async fn a_request_waits_while_its_shard_moves(
+    #[values(0, 1)] old_forwarder: usize,
+    #[values(0, 1)] new_forwarder: usize,
+) {
+    let old = answering("old").await;
+    let new = answering("new").await;
+    let servers = [(old.address, old_forwarder), (new.address, new_forwarder)];
+    let mut spec = MapSpec::new(&servers);
+    spec.moving = true;
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    let caller = cluster.caller();
+    let request = tokio::spawn(async move { get(caller, "/s/k", "").await });
+    until_waiting(&cluster.nodes).await;
+    spec.revision = 2;
+    spec.moving = false;
+    spec.owner = 1;
+    spec.sequence = 2;
+    cluster.publish(&spec);
+    let answer = request.await.expect("request");
+
+    assert_eq!(answer.body, b"new", "{answer:?}");
+    assert_eq!((old.ran(), new.ran()), (0, 1));
+    assert_eq!(
+        new.seen()[0].header("x-camphorcove-token").as_deref(),
+        Some("1.2")
+    );
+}
+
+/// What a host cannot prove to be current it must not act on.
+#[rstest]
+#[case::moving(|spec: &mut MapSpec| spec.moving = true, 107)]
+#[case::expired(|spec: &mut MapSpec| spec.valid_for = Duration::ZERO, 105)]
+#[case::owner_lost(|spec: &mut MapSpec| spec.servers[0].2 = ServerPhase::Lost, 106)]
+#[case::no_owner(|spec: &mut MapSpec| spec.owner = 9, 106)]
+#[tokio::test]
+async fn without_a_usable_route_the_request_is_refused_at_its_deadline(
+    #[case] spoil: fn(&mut MapSpec),
+    #[case] code: u16,
+) {
+    let server = answering("ok").await;
+    let mut spec = MapSpec::new(&[(server.address, 0)]);
+    spoil(&mut spec);
+    let cluster = Cluster::start(1, service(RoutingMode::Keyed), &spec).await;
+
+    let answer = get(cluster.caller(), "/s/k", "x-request-timeout-ms: 120\r\n").await;
+
+    assert_eq!(
+        (answer.status, answer.code()),
+        (503, Some(code)),
+        "{answer:?}"
+    );
+    assert_eq!(answer.execution(), Some("not-run"));
+    assert!(server.seen().is_empty());
+}
+
+/// An entry host with an old map must not reach an old owner through a forwarder that knows better.
+#[tokio::test]
+async fn an_entry_host_with_an_old_map_reaches_only_the_new_owner() {
+    let old = answering("old").await;
+    let new = answering("new").await;
+    let mut spec = MapSpec::new(&[(old.address, 1), (new.address, 1)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    spec.revision = 2;
+    spec.owner = 1;
+    spec.sequence = 2;
+    cluster.nodes[1].accept(&spec, true);
+    let caller = cluster.caller();
+
+    let request = tokio::spawn(async move { get(caller, "/s/k", "").await });
+    until_waiting(&cluster.nodes[..1]).await;
+    cluster.nodes[0].accept(&spec, true);
+    let answer = request.await.expect("request");
+
+    assert_eq!(answer.body, b"new", "{answer:?}");
+    assert_eq!((old.ran(), new.ran()), (0, 1));
+    assert_eq!(cluster.nodes[0].context.counters.reroutes.load(Relaxed), 1);
+}
+
+/// A forwarder that is behind must wait, not refuse or guess.
+#[tokio::test]
+async fn a_forwarder_with_an_old_map_waits_for_the_new_one() {
+    let old = answering("old").await;
+    let new = answering("new").await;
+    let mut spec = MapSpec::new(&[(old.address, 1), (new.address, 1)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    spec.revision = 2;
+    spec.owner = 1;
+    spec.sequence = 2;
+    cluster.nodes[0].accept(&spec, true);
+    let caller = cluster.caller();
+
+    let request = tokio::spawn(async move { get(caller, "/s/k", "").await });
+    until_waiting(&cluster.nodes[1..]).await;
+    cluster.nodes[1].accept(&spec, true);
+    let answer = request.await.expect("request");
+
+    assert_eq!(answer.body, b"new", "{answer:?}");
+    assert_eq!((old.ran(), new.ran()), (0, 1));
+}
+
+/// A request that queued at the old owner while the shard moved must not run there.
+#[rstest]
+#[tokio::test]
+async fn a_queued_request_follows_its_shard(#[values(0, 1)] forwarder: usize) {
+    let old = FakeServer::start(|_, _| Act::Stall).await;
+    let new = answering("new").await;
+    let mut spec = MapSpec::new(&[(old.address, forwarder), (new.address, forwarder)]);
+    spec.slots = 1;
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    let mut first = RawCaller::connect(cluster.caller()).await;
+    first.send("GET /s/k HTTP/1.1\r\nhost: t\r\n\r\n").await;
+    old.wait_seen(1).await;
+    let caller = cluster.caller();
+    let queued = tokio::spawn(async move { get(caller, "/s/k", "").await });
+    let forward = &cluster.nodes[forwarder].forward;
+    while forward
+        .server_loads()
+        .iter()
+        .all(|(_, _, load)| load.queued == 0)
+    {
+        tokio::task::yield_now().await;
+    }
+
+    spec.revision = 2;
+    spec.owner = 1;
+    spec.sequence = 2;
+    cluster.publish(&spec);
+    drop(first);
+    let answer = queued.await.expect("request");
+
+    assert_eq!(answer.body, b"new", "{answer:?}");
+    assert_eq!((old.seen().len(), new.ran()), (1, 1));
+}
+
+/// A server that drains takes no new request of a free service.
+#[tokio::test]
+async fn a_draining_server_gets_no_free_requests() {
+    let draining = answering("draining").await;
+    let ready = answering("ready").await;
+    let mut spec = MapSpec::new(&[(draining.address, 0), (ready.address, 0)]);
+    spec.servers[0].2 = ServerPhase::Draining;
+    let cluster = Cluster::start(1, service(RoutingMode::Free), &spec).await;
+
+    for _ in 0..20 {
+        assert_eq!(get(cluster.caller(), "/s", "").await.body, b"ready");
+    }
+
+    assert_eq!(draining.seen().len(), 0);
+}
+
+/// Slots and connections are limits across all hosts, whoever the callers come to.
+#[tokio::test]
+async fn slots_and_connections_hold_across_entry_hosts() {
+    let server = answering("ok").await;
+    let mut spec = MapSpec::new(&[(server.address, 1)]);
+    spec.slots = 2;
+    spec.connections = 2;
+    let mut service = service(RoutingMode::Keyed);
+    service.limits.queue = 1_000;
+    service.limits.timeout = TimeSpan(20_000);
+    let cluster = Cluster::start(3, service, &spec).await;
+    let callers: Vec<_> = cluster.nodes.iter().map(|node| node.caller).collect();
+
+    let requests = (0..150).map(|index| {
+        let caller = callers[index % callers.len()];
+        tokio::spawn(async move { get(caller, "/s/k", "").await })
+    });
+    let requests: Vec<_> = requests.collect();
+    for request in requests {
+        let answer = request.await.expect("request");
+        assert_eq!(answer.code(), Some(200), "{answer:?}");
+    }
+
+    assert!(
+        server.most_open() <= 2,
+        "{} connections",
+        server.most_open()
+    );
+    assert_eq!(server.ran(), 150);
+}
+
+/// Two spellings of one key must not lead to two owners.
+#[rstest]
+#[case("/s/raft-17", "/s/r%61ft%2d17")]
+#[case("/s/k%2Fx", "/s/k%2fx")]
+#[tokio::test]
+async fn spellings_of_a_key_share_a_shard(#[case] first: &str, #[case] second: &str) {
+    let server = answering("ok").await;
+    let spec = MapSpec::new(&[(server.address, 0)]);
+    let cluster = Cluster::start(1, service(RoutingMode::Keyed), &spec).await;
+
+    get(cluster.caller(), first, "").await;
+    get(cluster.caller(), second, "").await;
+
+    let shards: Vec<_> = server
+        .seen()
+        .iter()
+        .map(|seen| seen.header("x-camphorcove-shard"))
+        .collect();
+    assert!(shards[0].is_some());
+    assert_eq!(shards[0], shards[1]);
+}
+
+/// A lost forwarder: before the hop nothing ran; after it nobody knows.
+#[tokio::test]
+async fn a_lost_forwarder_is_reported_by_what_had_been_sent() {
+    let server = FakeServer::start(|_, _| Act::Stall).await;
+    let spec = MapSpec::new(&[(server.address, 1)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    let caller = cluster.caller();
+    let request =
+        "POST /s/k HTTP/1.1\r\nhost: t\r\nconnection: close\r\ncontent-length: 1\r\n\r\nx";
+
+    let during = tokio::spawn(async move { call(caller, request).await });
+    server.wait_seen(1).await;
+    cluster.nodes[1].lose_peer();
+    let during = during.await.expect("request");
+    let after = call(caller, request).await;
+
+    assert_eq!(
+        (during.status, during.code()),
+        (502, Some(304)),
+        "{during:?}"
+    );
+    assert_eq!(during.execution(), Some("may-have-run"));
+    assert_eq!((after.status, after.code()), (502, Some(114)), "{after:?}");
+    assert_eq!(after.execution(), Some("not-run"));
+    assert_eq!(server.ran(), 1);
+}
+
+/// A stop finishes the request in flight and refuses further connections.
+#[rstest]
+#[tokio::test]
+async fn a_stop_finishes_requests_in_flight(#[values(0, 1)] forwarder: usize) {
+    let large = ok_reply(&"x".repeat(4 << 20));
+    let server = FakeServer::start(move |_, _| Act::Reply(large.clone())).await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let mut cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    let address = cluster.caller();
+    let mut caller = RawCaller::connect(address).await;
+    caller.send("GET /s/k HTTP/1.1\r\nhost: t\r\n\r\n").await;
+    server.wait_seen(1).await;
+
+    let stopping = cluster.nodes[0].begin_stop();
+    let reading = tokio::spawn(caller.finish());
+    let answer = reading.await.expect("caller");
+    stopping.await.expect("entry server");
+
+    assert!(answer.complete, "{} bytes", answer.body.len());
+    assert_eq!(answer.body.len(), 4 << 20);
+    assert!(tokio::net::TcpStream::connect(address).await.is_err());
+}
--- a/crates/daemon/tests/support/node.rs
+++ b/crates/daemon/tests/support/node.rs
@@ -263,6 +263,8 @@
 async fn serve_peers(listener: TcpListener, forward: Arc<ForwardService>) {
     let mut connections = tokio::task::JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
+        // Without it, the last segment of each window waits for a delayed ACK.
+        stream.set_nodelay(true).expect("nodelay");
         let forward = forward.clone();
         let service = service_fn(move |request| {
             let forward = forward.clone();
