--- a/crates/core/src/dedup/home_cover.rs
+++ b/crates/core/src/dedup/home_cover.rs
@@ -34,11 +34,16 @@
     shards: Vec<ShardCover>,
     forwarders: VecDeque<(BootTime, Vec<HostId>)>,
     span: Duration,
+    since: Option<BootTime>,
+    first_start: bool,
 }
 
 impl HomeCover {
     /// A host that has covered nothing yet.
-    pub fn new(host: HostId, span: Duration) -> Self {
+    ///
+    /// `first_start`: no other host was a home host before, so the first map counts
+    /// as having been held for ever.
+    pub fn new(host: HostId, span: Duration, first_start: bool) -> Self {
         Self {
             host,
             version: MapVersion::default(),
@@ -46,6 +51,8 @@
             shards: Vec::new(),
             forwarders: VecDeque::new(),
             span,
+            since: None,
+            first_start,
         }
     }
 
@@ -54,19 +61,31 @@
         self.version
     }
 
+    /// Since when maps have been followed without a gap; `None` before the first.
+    pub fn since(&self) -> Option<BootTime> {
+        self.since
+    }
+
     /// Takes over a valid map; called for each version and each prolonged validity.
     pub fn observe(&mut self, map: &RoutingMap, valid_until: BootTime, now: BootTime) {
         if now >= self.valid_until {
             self.shards.clear();
             self.forwarders.clear();
+            let first = self.since.is_none() && self.first_start;
+            self.since = Some(if first { BootTime::default() } else { now });
         }
         self.valid_until = self.valid_until.max(valid_until);
+        self.forget_old(now);
         if map.version <= self.version && !self.forwarders.is_empty() {
             return;
         }
         self.version = map.version;
-        self.observe_shards(map, now);
-        self.observe_forwarders(map, now);
+        let start = match self.since {
+            Some(since) if self.forwarders.is_empty() => since,
+            _ => now,
+        };
+        self.observe_shards(map, start);
+        self.observe_forwarders(map, start);
     }
 
     /// Whether this host was the id's only home host during the whole window.
@@ -121,7 +140,6 @@
         if !unchanged {
             self.forwarders.push_back((now, hosts));
         }
-        self.forget_old(now);
     }
 
     /// Drops sets that were replaced before the window began.
--- a/crates/daemon/src/context/request_context.rs
+++ b/crates/daemon/src/context/request_context.rs
@@ -15,6 +15,9 @@
     pub dedup_window: Duration,
     /// Idempotency keys remembered per service.
     pub dedup_ids: usize,
+    /// No host of the region served within the window before this process started, so
+    /// keys are known to be new at once. Wrong use can run a request twice.
+    pub dedup_first_start: bool,
     /// Seed of server choice and retry jitter.
     pub seed: u64,
 }
@@ -24,6 +27,7 @@
         Self {
             dedup_window: Duration::from_secs(120),
             dedup_ids: 1 << 18,
+            dedup_first_start: false,
             seed: 0,
         }
     }
--- a/crates/daemon/src/forward/forward_service.rs
+++ b/crates/daemon/src/forward/forward_service.rs
@@ -22,6 +22,7 @@
         map::ServerEntry,
         outcome::{Execution, ResultCode},
         retry::SeededDraw,
+        time::BootTime,
     },
     http::{HeaderValue, Request, Response, header::HOST},
     hyper::body::Incoming,
@@ -76,6 +77,11 @@
         self.servers.loads()
     }
 
+    /// Since when this host has followed a service's maps as a possible home host.
+    pub fn home_since(&self, service: &ServiceName) -> Option<BootTime> {
+        self.homes.since(service)
+    }
+
     /// Handles `POST /peer/forward` of another host.
     pub async fn handle_peer(&self, request: Request<Incoming>) -> Response<RouterBody> {
         self.context.counters.hops_in.fetch_add(1, Relaxed);
--- a/crates/daemon/src/forward/home_desk.rs
+++ b/crates/daemon/src/forward/home_desk.rs
@@ -9,6 +9,7 @@
         ids::ServiceName,
         keys::KeyHash,
         outcome::{Execution, ResultCode},
+        time::BootTime,
     },
     camphorcove_net::clock::BootClock,
     std::{
@@ -45,6 +46,12 @@
         lock(&desk.cover).observe(&held.map, held.valid_until, now);
     }
 
+    /// Since when this host has followed a service's maps without a gap.
+    pub fn since(&self, service: &ServiceName) -> Option<BootTime> {
+        let desks = self.desks.load();
+        lock(&desks.get(service)?.cover).since()
+    }
+
     /// Records the plan's idempotency key if it is new; otherwise says why it may not run.
     pub fn begin(
         &self,
@@ -104,7 +111,11 @@
             ))
         };
         Self {
-            cover: Mutex::new(HomeCover::new(context.host.clone(), tuning.dedup_window)),
+            cover: Mutex::new(HomeCover::new(
+                context.host.clone(),
+                tuning.dedup_window,
+                tuning.dedup_first_start,
+            )),
             parts: std::iter::repeat_with(part).take(PARTS).collect(),
         }
     }
--- /dev/null
+++ b/crates/daemon/tests/idempotency.rs
@@ -0,0 +1,170 @@
+//! Idempotency keys: a repeat never runs a second time.
+
+mod support;
+
+use {
+    camphorcove_core::conf::{DedupMode, RoutingMode, ServiceConfig},
+    camphorcoved::context::RequestTuning,
+    rstest::rstest,
+    std::time::Duration,
+    support::{Act, Answer, Cluster, FakeServer, MapSpec, RawCaller, call, ok_reply, service},
+};
+
+fn booking(id: &str) -> String {
+    format!(
+        "POST /s/k HTTP/1.1\r\nhost: t\r\nconnection: close\r\nidempotency-key: {id}\r\n\
+         x-request-timeout-ms: 300\r\ncontent-length: 4\r\n\r\nbook"
+    )
+}
+
+fn deduplicated(routing: RoutingMode, dedup: DedupMode) -> ServiceConfig {
+    let mut service = service(routing);
+    service.dedup = dedup;
+    service
+}
+
+/// Hosts of a region that starts for the first time, with a window no test outlives.
+async fn start(service: ServiceConfig, spec: &MapSpec) -> Cluster {
+    start_with_window(service, spec, Duration::from_secs(3_600)).await
+}
+
+async fn start_with_window(service: ServiceConfig, spec: &MapSpec, window: Duration) -> Cluster {
+    let follows = service.dedup == DedupMode::Router;
+    let tuning = RequestTuning {
+        dedup_window: window,
+        dedup_first_start: true,
+        ..RequestTuning::default()
+    };
+    let cluster = Cluster::start_tuned(3, service, spec, tuning).await;
+    let name = "s".parse().expect("name");
+    // Every host has seen the first map once its follower has run.
+    for node in &cluster.nodes {
+        while follows && node.forward.home_since(&name).is_none() {
+            tokio::task::yield_now().await;
+        }
+    }
+    cluster
+}
+
+async fn book(cluster: &Cluster, entry: usize, id: &str) -> Answer {
+    call(cluster.nodes[entry].caller, booking(id)).await
+}
+
+/// The repeat comes to another entry host, as it does behind a load balancer.
+#[rstest]
+#[case::ran(Act::Reply(ok_reply("booked")), 200, 409, 202)]
+#[case::may_have_run(Act::ReplyThenClose(String::new()), 301, 409, 307)]
+#[tokio::test]
+async fn a_repeat_gets_the_stored_outcome(
+    #[case] act: Act,
+    #[case] first_code: u16,
+    #[case] status: u16,
+    #[case] code: u16,
+    #[values(RoutingMode::Keyed, RoutingMode::Free)] routing: RoutingMode,
+) {
+    let server = FakeServer::start(move |_, _| act.clone()).await;
+    let spec = MapSpec::new(&[
+        (server.address, 0),
+        (server.address, 1),
+        (server.address, 2),
+    ]);
+    let cluster = start(deduplicated(routing, DedupMode::Router), &spec).await;
+
+    let first = book(&cluster, 0, "id-1").await;
+    let repeat = book(&cluster, 1, "id-1").await;
+    let other = book(&cluster, 2, "id-2").await;
+
+    assert_eq!(first.code(), Some(first_code), "{first:?}");
+    assert_eq!(
+        (repeat.status, repeat.code()),
+        (status, Some(code)),
+        "{repeat:?}"
+    );
+    assert_eq!(other.code(), Some(first_code), "{other:?}");
+    assert_eq!(server.ran(), 2);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_repeat_during_the_first_does_not_run(
+    #[values(RoutingMode::Keyed, RoutingMode::Free)] routing: RoutingMode,
+) {
+    let server = FakeServer::start(|_, _| Act::Stall).await;
+    let spec = MapSpec::new(&[(server.address, 0), (server.address, 1)]);
+    let cluster = start(deduplicated(routing, DedupMode::Router), &spec).await;
+    let mut first = RawCaller::connect(cluster.nodes[0].caller).await;
+    first.send(booking("id-1")).await;
+    server.wait_seen(1).await;
+
+    let repeat = book(&cluster, 1, "id-1").await;
+    drop(first);
+    server.wait_dropped(1).await;
+
+    assert_eq!(
+        (repeat.status, repeat.code()),
+        (409, Some(306)),
+        "{repeat:?}"
+    );
+    assert_eq!(server.ran(), 1);
+}
+
+/// A request that is proved not to have run may come again under the same key.
+#[rstest]
+#[tokio::test]
+async fn a_shed_request_may_come_again(
+    #[values(RoutingMode::Keyed, RoutingMode::Free)] routing: RoutingMode,
+) {
+    let server = FakeServer::start(|number, _| match number {
+        0..3 => Act::Shed,
+        _ => Act::Reply(ok_reply("booked")),
+    })
+    .await;
+    let spec = MapSpec::new(&[(server.address, 0)]);
+    let cluster = start(deduplicated(routing, DedupMode::Router), &spec).await;
+
+    let first = book(&cluster, 0, "id-1").await;
+    let again = book(&cluster, 1, "id-1").await;
+
+    assert_eq!(first.code(), Some(112), "{first:?}");
+    assert_eq!(again.code(), Some(200), "{again:?}");
+    assert_eq!(server.ran(), 1);
+}
+
+/// A home host that does not know the whole window must not run what it cannot prove new,
+/// unless the server recognises the key itself.
+#[rstest]
+#[case::router(DedupMode::Router, Some(305), 0)]
+#[case::server(DedupMode::Server, Some(200), 1)]
+#[tokio::test]
+async fn after_a_change_of_home_host_an_unknown_key_is_refused(
+    #[case] dedup: DedupMode,
+    #[case] code: Option<u16>,
+    #[case] ran: usize,
+    #[values(RoutingMode::Keyed, RoutingMode::Free)] routing: RoutingMode,
+) {
+    let server = FakeServer::start(|_, _| Act::Reply(ok_reply("booked"))).await;
+    let mut spec = MapSpec::new(&[(server.address, 0)]);
+    let cluster = start(deduplicated(routing, dedup), &spec).await;
+    spec.revision = 2;
+    spec.servers[0].1 = 1;
+    cluster.publish(&spec);
+
+    let answer = book(&cluster, 0, "id-1").await;
+
+    assert_eq!(answer.code(), code, "{answer:?}");
+    assert_eq!(server.ran(), ran);
+}
+
+/// Without a window nothing is remembered, which shows that the tests above test the window.
+#[tokio::test]
+async fn without_a_window_a_repeat_runs() {
+    let server = FakeServer::start(|_, _| Act::Reply(ok_reply("booked"))).await;
+    let spec = MapSpec::new(&[(server.address, 0)]);
+    let service = deduplicated(RoutingMode::Keyed, DedupMode::Router);
+    let cluster = start_with_window(service, &spec, Duration::ZERO).await;
+
+    book(&cluster, 0, "id-1").await;
+    book(&cluster, 0, "id-1").await;
+
+    assert_eq!(server.ran(), 2);
+}
--- a/crates/daemon/tests/support/fake_server.rs
+++ b/crates/daemon/tests/support/fake_server.rs
@@ -57,6 +57,7 @@
     seen: Mutex<Vec<SeenRequest>>,
     seen_count: watch::Sender<usize>,
     dropped: watch::Sender<usize>,
+    body_bytes: watch::Sender<usize>,
     open: watch::Sender<i64>,
     most_open: Mutex<i64>,
 }
@@ -88,6 +89,7 @@
             seen: Mutex::default(),
             seen_count: watch::Sender::new(0),
             dropped: watch::Sender::new(0),
+            body_bytes: watch::Sender::new(0),
             open: watch::Sender::new(0),
             most_open: Mutex::new(0),
         });
@@ -127,6 +129,15 @@
             .expect("server");
     }
 
+    /// Waits until this many bytes of request bodies have arrived.
+    pub async fn wait_body(&self, count: usize) {
+        let mut bytes = self.shared.body_bytes.subscribe();
+        bytes
+            .wait_for(|bytes| *bytes >= count)
+            .await
+            .expect("server");
+    }
+
     pub async fn wait_open(&self, count: i64) {
         let mut open = self.shared.open.subscribe();
         open.wait_for(|open| *open == count).await.expect("server");
@@ -176,7 +187,7 @@
         reset(stream);
         return false;
     }
-    let whole = read_body(stream, buffer, &mut request).await;
+    let whole = read_body(shared, stream, buffer, &mut request).await;
     if !whole {
         shared.dropped.send_modify(|count| *count += 1);
         return false;
@@ -224,6 +235,7 @@
 }
 
 async fn read_body(
+    shared: &Shared,
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
     request: &mut SeenRequest,
@@ -238,6 +250,7 @@
                 return false;
             };
             request.body.extend_from_slice(&data[..size]);
+            shared.body_bytes.send_modify(|bytes| *bytes += size);
             if size == 0 {
                 return true;
             }
