--- a/crates/daemon/src/serve/entry_flow.rs
+++ b/crates/daemon/src/serve/entry_flow.rs
@@ -19,7 +19,7 @@
         dedup::home_of,
         headers::REQUEST_ID,
         ids::{HostId, ServerId},
-        map::{ServerEntry, ServerPhase},
+        map::{MapVersion, ServerEntry, ServerPhase},
         outcome::{Execution, ResultCode},
         retry::{MAX_ATTEMPTS, backoff, retry_is_safe, worth_retrying},
     },
@@ -52,6 +52,18 @@
     load: Option<Arc<LoadCell>>,
 }
 
+/// What the attempts of one request have led to so far.
+#[derive(Default)]
+struct AttemptProgress {
+    attempts: u32,
+    reroutes: u32,
+    /// Map that the last attempt was routed by.
+    version: MapVersion,
+    last_server: Option<ServerId>,
+    /// First result after which the request may have run.
+    in_doubt: Option<ResultCode>,
+}
+
 impl EntryFlow {
     /// A flow that delivers through `forward`.
     pub fn new(context: RequestContext, forward: Arc<ForwardService>) -> Self {
@@ -87,34 +99,62 @@
     }
 
     /// Sends the request until it is answered or another attempt is unsafe, useless or too costly.
+    ///
+    /// After an attempt that may have run, a later refusal proves nothing about the
+    /// request as a whole, so the code of the first such attempt is told.
     async fn attempts(&self, entry: &EntryRequest) -> Result<Response<RouterBody>, ResultCode> {
         entry.rule.budget.earn();
-        let mut attempt = 1;
-        let mut reroutes = 0;
-        let mut last_server = None;
+        let mut progress = AttemptProgress::default();
         loop {
-            let (route, held) = self.route(entry, last_server.as_ref()).await?;
-            let code = match self.attempt(entry, &route).await {
+            let code = match self.next_attempt(entry, &mut progress).await {
                 Ok(answer) => return Ok(answer),
-                Err(code) => self.final_code(entry, code),
+                Err(code) => code,
             };
-            let reroute = code == ResultCode::StaleRoute && reroutes < MAX_REROUTES;
-            if reroute && entry.lease_body().is_some() {
-                reroutes += 1;
-                self.context.counters.reroutes.fetch_add(1, Relaxed);
-                self.wait_for_newer(entry, &held).await?;
-                continue;
+            if code.execution() == Execution::MayHaveRun {
+                progress.in_doubt.get_or_insert(code);
             }
-            if !self.may_retry(entry, code, attempt) {
-                return Err(code);
+            if !self.prepare_repeat(entry, code, &mut progress).await {
+                let not_run = code.execution() == Execution::NotRun;
+                return Err(progress.in_doubt.filter(|_| not_run).unwrap_or(code));
             }
-            self.pause(entry, attempt).await;
-            attempt += 1;
-            self.context.counters.retries.fetch_add(1, Relaxed);
-            last_server = Some(route.plan.envelope.server);
         }
     }
 
+    async fn next_attempt(
+        &self,
+        entry: &EntryRequest,
+        progress: &mut AttemptProgress,
+    ) -> Result<Response<RouterBody>, ResultCode> {
+        let (route, held) = self.route(entry, progress.last_server.as_ref()).await?;
+        progress.version = held.map.version;
+        progress.last_server = Some(route.plan.envelope.server.clone());
+        let result = self.attempt(entry, &route).await;
+        result.map_err(|code| self.final_code(entry, code))
+    }
+
+    /// Waits until the request may be sent again; `false` if it may not.
+    async fn prepare_repeat(
+        &self,
+        entry: &EntryRequest,
+        code: ResultCode,
+        progress: &mut AttemptProgress,
+    ) -> bool {
+        if code == ResultCode::StaleRoute && progress.reroutes < MAX_REROUTES {
+            progress.reroutes += 1;
+            progress.last_server = None;
+            self.context.counters.reroutes.fetch_add(1, Relaxed);
+            let repeatable = entry.lease_body().is_some();
+            return repeatable && self.wait_for_newer(entry, progress.version).await.is_ok();
+        }
+        progress.attempts += 1;
+        if !self.may_retry(entry, code, progress.attempts) {
+            return false;
+        }
+        self.pause(entry, progress.attempts).await;
+        self.context.counters.retries.fetch_add(1, Relaxed);
+        true
+    }
+
     async fn attempt(
         &self,
         entry: &EntryRequest,
@@ -158,12 +198,16 @@
         tokio::time::sleep(backoff(attempt, self.forward.draw()).min(left)).await;
     }
 
-    /// Waits until another map than `used` is held.
-    async fn wait_for_newer(&self, entry: &EntryRequest, used: &HeldMap) -> Result<(), ResultCode> {
+    /// Waits until a newer map than `used` is held.
+    async fn wait_for_newer(
+        &self,
+        entry: &EntryRequest,
+        used: MapVersion,
+    ) -> Result<(), ResultCode> {
         let service = &entry.rule.config.name;
         loop {
             let held = self.context.maps.held(service);
-            if held.is_some_and(|held| held.map.version > used.map.version) {
+            if held.is_some_and(|held| held.map.version > used) {
                 return Ok(());
             }
             wait_for_change(&self.context, entry.deadline, ResultCode::StaleRoute).await?;
