--- a/crates/core/src/admission/server_gate.rs
+++ b/crates/core/src/admission/server_gate.rs
@@ -212,9 +212,10 @@
     }
 
     fn take_expired(&mut self, now: BootTime) -> Option<u64> {
+        let end = now + self.service_time();
         for queue in [&mut self.interactive, &mut self.batch] {
-            let passed = |waiter: &GateWaiter| now >= waiter.deadline;
-            if let Some(index) = queue.iter().position(passed) {
+            let late = |waiter: &GateWaiter| now >= waiter.deadline || end > waiter.deadline;
+            if let Some(index) = queue.iter().position(late) {
                 return queue.remove(index).map(|waiter| waiter.ticket);
             }
         }
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,332 @@
+//! Admission: slots, bounded queue, deadlines, classes and overload.
+
+use {
+    camphorcove_core::{
+        admission::{GateLimits, GateOffer, GateTurn, GateWaiter, QueueOrder, ServerGate},
+        conf::RequestClass::{self, Batch, Interactive},
+        outcome::ResultCode,
+        time::BootTime,
+    },
+    proptest::{prelude::*, test_runner::RngSeed},
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    rstest::rstest,
+    std::{
+        cmp::Reverse,
+        collections::{BinaryHeap, HashSet},
+        time::Duration,
+    },
+};
+
+const SLOTS: u32 = 3;
+const QUEUE: u32 = 64;
+
+fn gate(slots: u32, queue: u32) -> ServerGate {
+    ServerGate::new(GateLimits { slots, queue }, QueueOrder::OldestFirst)
+}
+
+fn waiter(ticket: u64, class: RequestClass, deadline_ms: u64) -> GateWaiter {
+    GateWaiter {
+        ticket,
+        class,
+        deadline: BootTime::from_millis(deadline_ms),
+    }
+}
+
+fn at(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+/// Tickets in the order in which they get slots, each held for no time.
+fn drain(gate: &mut ServerGate, now: BootTime) -> Vec<GateTurn> {
+    let mut turns = Vec::new();
+    loop {
+        gate.finish(None);
+        match gate.next_turn(now) {
+            Some(turn) => turns.push(turn),
+            None => return turns,
+        }
+    }
+}
+
+#[test]
+fn requests_beyond_slots_and_queue_are_refused() {
+    let mut gate = gate(1, 1);
+
+    let offers: Vec<GateOffer> = (0..3)
+        .map(|ticket| gate.offer(waiter(ticket, Interactive, 100), at(0)))
+        .collect();
+
+    let expected = [
+        GateOffer::Run,
+        GateOffer::Wait { evicted: None },
+        GateOffer::Refuse(ResultCode::QueueFull),
+    ];
+    assert_eq!(offers, expected);
+}
+
+/// A request that would only wait to fail must not take a place.
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_at_once() {
+    let mut gate = gate(1, 10);
+    gate.offer(waiter(0, Interactive, 1_000), at(0));
+    gate.finish(Some(Duration::from_millis(50)));
+    gate.offer(waiter(1, Interactive, 1_000), at(0));
+
+    let too_short = gate.offer(waiter(2, Interactive, 99), at(0));
+    let long_enough = gate.offer(waiter(3, Interactive, 101), at(0));
+    let behind_another = gate.offer(waiter(4, Interactive, 101), at(0));
+
+    assert_eq!(too_short, GateOffer::Refuse(ResultCode::DeadlineTooShort));
+    assert_eq!(long_enough, GateOffer::Wait { evicted: None });
+    assert_eq!(
+        behind_another,
+        GateOffer::Refuse(ResultCode::DeadlineTooShort)
+    );
+}
+
+/// A wrong estimate must not refuse requests for ever: with a free slot they run.
+#[test]
+fn a_free_slot_is_used_whatever_the_estimate_says() {
+    let mut gate = gate(1, 10);
+    gate.offer(waiter(0, Interactive, 1_000_000), at(0));
+    gate.finish(Some(Duration::from_secs(600)));
+
+    let offer = gate.offer(waiter(1, Interactive, 10), at(0));
+
+    assert_eq!(offer, GateOffer::Run);
+}
+
+#[test]
+fn a_waiter_past_its_deadline_is_refused_and_not_run() {
+    let mut gate = gate(1, 10);
+    gate.offer(waiter(0, Interactive, 1_000), at(0));
+    gate.offer(waiter(1, Interactive, 20), at(0));
+    gate.offer(waiter(2, Interactive, 1_000), at(0));
+
+    let turns = drain(&mut gate, at(20));
+
+    assert_eq!(turns, [GateTurn::Expire(1), GateTurn::Run(2)]);
+}
+
+/// Overnight schedules must be complete by dawn even if interactive requests never stop.
+#[test]
+fn batch_gets_its_share_while_interactive_requests_wait() {
+    let mut gate = gate(1, 100);
+    gate.offer(waiter(0, Interactive, 1_000), at(0));
+    for ticket in 1..=40 {
+        gate.offer(waiter(ticket, Interactive, 1_000), at(0));
+        gate.offer(waiter(100 + ticket, Batch, 1_000), at(0));
+    }
+
+    let turns = drain(&mut gate, at(1));
+
+    let batch = turns[..25]
+        .iter()
+        .filter(|turn| matches!(turn, GateTurn::Run(100..)));
+    assert_eq!(batch.count(), 5);
+}
+
+/// Neither class can fill the queue so that the other one is shut out.
+#[rstest]
+#[case::batch_arrives(Interactive, Batch, 2)]
+#[case::interactive_arrives(Batch, Interactive, 8)]
+fn a_full_queue_makes_room_for_the_other_class(
+    #[case] filling: RequestClass,
+    #[case] arriving: RequestClass,
+    #[case] share: u64,
+) {
+    let mut gate = gate(1, 10);
+    for ticket in 0..=10 {
+        gate.offer(waiter(ticket, filling, 1_000), at(0));
+    }
+
+    let offers: Vec<GateOffer> = (100..110)
+        .map(|ticket| gate.offer(waiter(ticket, arriving, 1_000), at(0)))
+        .collect();
+
+    let admitted = offers
+        .iter()
+        .filter(|offer| matches!(offer, GateOffer::Wait { evicted: Some(_) }));
+    assert_eq!(u64::try_from(admitted.count()).unwrap(), share);
+    assert_eq!(offers[9], GateOffer::Refuse(ResultCode::QueueFull));
+    assert_eq!(gate.waiting(), 10);
+}
+
+/// The seed is fixed, so a failure repeats; proptest prints the reduced input.
+fn fixed_seed() -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    /// Whatever happens, slots and queue hold, and each ticket gets exactly one verdict.
+    #[test]
+    fn limits_hold_and_each_request_gets_one_verdict(
+        steps in proptest::collection::vec((0_u8..5, 1_u64..200), 1..300),
+        newest in any::<bool>(),
+    ) {
+        let order = if newest { QueueOrder::NewestFirst } else { QueueOrder::OldestFirst };
+        let mut gate = ServerGate::new(GateLimits { slots: 2, queue: 5 }, order);
+        let mut now = 0;
+        let mut running = HashSet::new();
+        let mut waiting = HashSet::new();
+        for (ticket, (step, span)) in (0_u64..).zip(steps) {
+            now += span / 10;
+            match step {
+                0 | 1 => {
+                    let class = if step == 0 { Interactive } else { Batch };
+                    match gate.offer(waiter(ticket, class, now + span), at(now)) {
+                        GateOffer::Run => prop_assert!(running.insert(ticket)),
+                        GateOffer::Wait { evicted } => {
+                            prop_assert!(waiting.insert(ticket));
+                            if let Some(evicted) = evicted {
+                                prop_assert!(waiting.remove(&evicted));
+                            }
+                        }
+                        GateOffer::Refuse(_) => {}
+                    }
+                }
+                2 | 3 => {
+                    if let Some(done) = running.iter().next().copied() {
+                        running.remove(&done);
+                        gate.finish((step == 2).then(|| Duration::from_millis(span)));
+                    }
+                }
+                _ => {
+                    if let Some(left) = waiting.iter().next().copied() {
+                        waiting.remove(&left);
+                        prop_assert!(gate.leave(left));
+                    }
+                }
+            }
+            while let Some(turn) = gate.next_turn(at(now)) {
+                match turn {
+                    GateTurn::Run(ticket) => {
+                        prop_assert!(waiting.remove(&ticket));
+                        running.insert(ticket);
+                    }
+                    GateTurn::Expire(ticket) => prop_assert!(waiting.remove(&ticket)),
+                }
+            }
+            prop_assert!(running.len() <= 2 && waiting.len() <= 5);
+            prop_assert_eq!(usize::try_from(gate.running()).unwrap(), running.len());
+            prop_assert_eq!(gate.waiting(), waiting.len());
+        }
+    }
+}
+
+/// Result of one simulated overload.
+#[derive(Debug, Default)]
+struct Overload {
+    /// Ran, but completed after the deadline: work for nothing.
+    late: usize,
+    /// Refused after waiting.
+    refused_late: usize,
+    /// Times from arrival to completion of those completed in time.
+    waits: Vec<u64>,
+}
+
+/// Requests of 20 s at `load` times the capacity of one server, as (arrival, deadline,
+/// service time) in microseconds.
+///
+/// Service times are exponential with a mean of 10 ms, and of 40 ms from second 8 to
+/// second 10. Deadlines are 50 to 500 ms.
+fn arrivals(load: f64, seed: u64) -> Vec<(u64, u64, u64)> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut now = 0;
+    let mut arrivals = Vec::new();
+    while now < 20_000_000 {
+        let mut exponential = |mean: f64| (-mean * (1.0 - random.random::<f64>()).ln()) as u64 + 1;
+        now += exponential(10_000.0 / f64::from(SLOTS) / load);
+        let slow = (8_000_000..10_000_000).contains(&now);
+        let service = exponential(if slow { 40_000.0 } else { 10_000.0 });
+        arrivals.push((now, now + random.random_range(50_000..500_000), service));
+    }
+    arrivals
+}
+
+/// Runs the same requests through a gate of the given order.
+fn simulate(order: QueueOrder, requests: &[(u64, u64, u64)]) -> Overload {
+    let mut gate = ServerGate::new(
+        GateLimits {
+            slots: SLOTS,
+            queue: QUEUE,
+        },
+        order,
+    );
+    let mut result = Overload::default();
+    let mut ends = BinaryHeap::<Reverse<(u64, u64, usize)>>::new();
+    let mut next = 0;
+    while next < requests.len() || !ends.is_empty() {
+        let end = ends.peek().map(|Reverse((end, ..))| *end);
+        let arrival = requests.get(next).map(|request| request.0);
+        let now = arrival.into_iter().chain(end).min().unwrap();
+        let mut starts = Vec::new();
+        if arrival == Some(now) {
+            let waiter = GateWaiter {
+                ticket: next as u64,
+                class: Interactive,
+                deadline: BootTime(requests[next].1),
+            };
+            if gate.offer(waiter, BootTime(now)) == GateOffer::Run {
+                starts.push(next);
+            }
+            next += 1;
+        } else if let Some(Reverse((_, started, index))) = ends.pop() {
+            gate.finish(Some(Duration::from_micros(now - started)));
+            let (arrived, deadline, _) = requests[index];
+            if now <= deadline {
+                result.waits.push(now - arrived);
+            } else {
+                result.late += 1;
+            }
+        }
+        while let Some(turn) = gate.next_turn(BootTime(now)) {
+            match turn {
+                GateTurn::Run(ticket) => starts.push(ticket as usize),
+                GateTurn::Expire(_) => result.refused_late += 1,
+            }
+        }
+        for index in starts {
+            ends.push(Reverse((now + requests[index].2, now, index)));
+        }
+    }
+    result.waits.sort_unstable();
+    result
+}
+
+/// Oldest-first is the default because it refuses at once what newest-first lets wait in
+/// vain, and serves as many in time. Prints the table of docs/overload.md.
+#[rstest]
+#[case(0.8)]
+#[case(1.2)]
+#[case(2.0)]
+#[case(4.0)]
+fn oldest_first_serves_as_many_and_refuses_sooner(#[case] load: f64) {
+    let requests = arrivals(load, 7);
+
+    let oldest = simulate(QueueOrder::OldestFirst, &requests);
+    let newest = simulate(QueueOrder::NewestFirst, &requests);
+
+    for (name, result) in [("oldest", &oldest), ("newest", &newest)] {
+        let at = |share: usize| result.waits[result.waits.len() * share / 100] / 1_000;
+        println!(
+            "| {load} | {name} | {} | {:.1}% | {} | {} | {} ms | {} ms |",
+            requests.len(),
+            100.0 * result.waits.len() as f64 / requests.len() as f64,
+            result.late,
+            result.refused_late,
+            at(50),
+            at(99),
+        );
+    }
+    assert!(oldest.waits.len() * 100 >= newest.waits.len() * 98);
+    assert!(oldest.refused_late <= newest.refused_late);
+    assert_eq!(QueueOrder::default(), QueueOrder::OldestFirst);
+}
--- /dev/null
+++ b/crates/core/tests/balance.rs
@@ -0,0 +1,209 @@
+//! Choice of servers: load, stale reports, failures, ejection and slow start.
+
+use {
+    camphorcove_core::{
+        balance::{LoadCell, LoadReport, ServerCandidate, choose_server},
+        retry::SeededDraw,
+        time::BootTime,
+    },
+    rstest::rstest,
+    std::time::Duration,
+};
+
+const SEED: u64 = 11;
+const START: BootTime = BootTime::from_millis(100_000);
+
+fn cells(count: usize) -> Vec<LoadCell> {
+    (0..count).map(|_| LoadCell::default()).collect()
+}
+
+/// How often each server is chosen in 10,000 choices.
+fn shares(cells: &[LoadCell], weights: &[u32], now: BootTime) -> Vec<u32> {
+    let candidates: Vec<ServerCandidate<'_>> = cells
+        .iter()
+        .zip(weights)
+        .enumerate()
+        .map(|(index, (cell, weight))| ServerCandidate {
+            index,
+            weight: *weight,
+            cell,
+        })
+        .collect();
+    let draws = SeededDraw::new(SEED);
+    let mut shares = vec![0; cells.len()];
+    for _ in 0..10_000 {
+        let index = choose_server(&candidates, draws.draw(), now).expect("a server");
+        shares[index] += 1;
+    }
+    shares
+}
+
+fn busy(in_flight: u32, queued: u32) -> LoadReport {
+    LoadReport { in_flight, queued }
+}
+
+fn fail_times(cell: &LoadCell, count: u32, now: BootTime) {
+    for _ in 0..count {
+        cell.fail(now);
+    }
+}
+
+#[test]
+fn no_server_no_choice() {
+    assert_eq!(choose_server(&[], 5, START), None);
+}
+
+#[test]
+fn the_busier_of_two_is_never_chosen() {
+    let cells = cells(2);
+    cells[0].report(busy(3, 4), START);
+
+    assert_eq!(shares(&cells, &[100, 100], START), [0, 10_000]);
+}
+
+/// Queued requests count like running ones, per weight.
+#[rstest]
+#[case::queue_counts(busy(0, 6), busy(5, 0), &[100, 100], 1)]
+#[case::fast_server_takes_more(busy(5, 0), busy(3, 0), &[200, 100], 0)]
+fn load_is_in_flight_and_queue_per_weight(
+    #[case] first: LoadReport,
+    #[case] second: LoadReport,
+    #[case] weights: &[u32],
+    #[case] chosen: usize,
+) {
+    let cells = cells(2);
+    cells[0].report(first, START);
+    cells[1].report(second, START);
+
+    assert_eq!(shares(&cells, weights, START)[chosen], 10_000);
+}
+
+/// An old report must not keep a server out of use.
+#[test]
+fn a_report_fades_with_its_age() {
+    let cells = cells(2);
+    cells[0].report(busy(3, 20), START);
+    cells[1].report(busy(2, 0), START + Duration::from_secs(5));
+
+    let shares = shares(&cells, &[100, 100], START + Duration::from_secs(5));
+
+    assert_eq!(shares[0], 10_000);
+}
+
+/// A host sees its own requests before any report says so.
+#[test]
+fn own_requests_count_at_once() {
+    let cells = cells(2);
+    cells[0].begin();
+    assert_eq!(shares(&cells, &[100, 100], START), [0, 10_000]);
+
+    cells[0].end();
+    cells[1].begin();
+    assert_eq!(shares(&cells, &[100, 100], START), [10_000, 0]);
+}
+
+/// A server that fails fast is always idle; that must not attract load.
+#[rstest]
+#[case::one_failure(1)]
+#[case::before_ejection(4)]
+fn a_fast_failure_counts_as_a_slow_request(#[case] failures: u32) {
+    let cells = cells(2);
+    fail_times(&cells[0], failures, START);
+    cells[1].report(busy(2, 0), START);
+
+    assert_eq!(shares(&cells, &[100, 100], START), [0, 10_000]);
+}
+
+#[test]
+fn a_shedding_server_looks_busy_but_is_not_ejected() {
+    let cells = cells(2);
+    for _ in 0..20 {
+        cells[0].shed(START);
+    }
+
+    assert!(!cells[0].ejected(START));
+    assert_eq!(shares(&cells, &[100, 100], START), [0, 10_000]);
+}
+
+#[test]
+fn ejection_ends_and_grows_when_repeated() {
+    let cell = LoadCell::default();
+    fail_times(&cell, 5, START);
+    let second = START + Duration::from_secs(1);
+
+    assert!(cell.ejected(second.back(Duration::from_millis(1))));
+    assert!(!cell.ejected(second));
+    cell.fail(second);
+    assert!(cell.ejected(second + Duration::from_millis(1_999)));
+    assert!(!cell.ejected(second + Duration::from_secs(2)));
+}
+
+#[test]
+fn a_success_ends_a_row_of_failures() {
+    let cell = LoadCell::default();
+    fail_times(&cell, 4, START);
+    cell.succeed();
+    fail_times(&cell, 4, START);
+
+    assert!(!cell.ejected(START));
+}
+
+/// If all servers fail, the cause is elsewhere, and half of them must stay in use.
+#[rstest]
+#[case(1, 1)]
+#[case(2, 1)]
+#[case(5, 3)]
+#[case(6, 3)]
+fn at_most_half_are_ejected(#[case] count: usize, #[case] in_use: usize) {
+    let cells = cells(count);
+    for cell in &cells {
+        fail_times(cell, 5, START);
+    }
+
+    let shares = shares(&cells, &vec![100; count], START);
+
+    assert_eq!(shares.iter().filter(|share| **share > 0).count(), in_use);
+}
+
+/// A cold server must not get its whole share at once.
+#[test]
+fn a_new_server_ramps_up() {
+    let old = LoadCell::default();
+    let new = LoadCell::new(START);
+    let weight = |millis: u64| new.weight(100, START + Duration::from_millis(millis));
+
+    assert_eq!(old.weight(100, START), 100_000);
+    assert_eq!(weight(0), 10_000);
+    assert_eq!(weight(5_000), 55_000);
+    assert_eq!(weight(10_000), 100_000);
+}
+
+/// With feedback, 12 servers of two speeds end up evenly loaded per weight.
+#[test]
+fn load_per_weight_evens_out() {
+    let cells = cells(12);
+    let weights: Vec<u32> = (0..12)
+        .map(|index| if index < 4 { 200 } else { 100 })
+        .collect();
+    let draws = SeededDraw::new(SEED);
+    let candidates: Vec<ServerCandidate<'_>> = (0..12)
+        .map(|index| ServerCandidate {
+            index,
+            weight: weights[index],
+            cell: &cells[index],
+        })
+        .collect();
+    let mut counts = [0_u64; 12];
+
+    for _ in 0..1_600 {
+        let index = choose_server(&candidates, draws.draw(), START).expect("a server");
+        cells[index].begin();
+        counts[index] += 1;
+    }
+
+    // 1,600 requests over a total weight of 16 are 100 per 100 of weight.
+    for (count, weight) in counts.iter().zip(&weights) {
+        let per_weight = count * 100 / u64::from(*weight);
+        assert!((90..=110).contains(&per_weight), "seed {SEED}: {counts:?}");
+    }
+}
--- a/crates/daemon/tests/server_faults.rs
+++ b/crates/daemon/tests/server_faults.rs
@@ -40,25 +40,22 @@
 
 /// Each fault with the code, the verdict, and how often the request ran.
 #[rstest]
-#[case::reply_lost_by_close(Act::ReplyThenClose(String::new()), 502, 301, "may-have-run", 1)]
-#[case::reply_lost_by_reset(Act::ReplyThenReset(String::new()), 502, 301, "may-have-run", 1)]
-#[case::reset_after_head(Act::ResetAfterHead, 502, 301, "may-have-run", 0)]
-#[case::reply_head_cut(Act::ReplyThenClose("HTTP/1.1 200 O".into()), 502, 301, "may-have-run", 1)]
-#[case::reply_malformed(Act::ReplyThenClose("nonsense\r\n\r\n".into()), 502, 303, "may-have-run", 1)]
-#[case::reply_without_end(Act::ReplyThenClose("HTTP/1.1 200 OK\r\n\r\nx".into()), 502, 303, "may-have-run", 1)]
+#[case::reply_lost_by_close(Act::ReplyThenClose(String::new()), (502, 301, "may-have-run", 1))]
+#[case::reply_lost_by_reset(Act::ReplyThenReset(String::new()), (502, 301, "may-have-run", 1))]
+#[case::reset_after_head(Act::ResetAfterHead, (502, 301, "may-have-run", 0))]
+#[case::reply_head_cut(Act::ReplyThenClose("HTTP/1.1 200 O".into()), (502, 301, "may-have-run", 1))]
+#[case::reply_malformed(Act::ReplyThenClose("nonsense\r\n\r\n".into()), (502, 303, "may-have-run", 1))]
+#[case::reply_without_end(Act::ReplyThenClose("HTTP/1.1 200 OK\r\n\r\nx".into()), (502, 303, "may-have-run", 1))]
 #[case::reply_with_two_lengths(
     Act::ReplyThenClose("HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nxy".into()),
     502, 303, "may-have-run", 1
 )]
-#[case::stall_past_the_deadline(Act::Stall, 504, 302, "may-have-run", 1)]
-#[case::always_sheds(Act::Shed, 503, 112, "not-run", 0)]
+#[case::stall_past_the_deadline(Act::Stall, (504, 302, "may-have-run", 1))]
+#[case::always_sheds(Act::Shed, (503, 112, "not-run", 0))]
 #[tokio::test]
 async fn a_fault_has_one_code_and_one_verdict(
     #[case] act: Act,
-    #[case] status: u16,
-    #[case] code: u16,
-    #[case] execution: &str,
-    #[case] ran: usize,
+    #[case] expected: (u16, u16, &str, usize),
     #[values(RoutingMode::Keyed, RoutingMode::Free)] routing: RoutingMode,
     #[values(0, 1)] forwarder: usize,
 ) {
@@ -73,6 +70,7 @@
 
     let answer = call(cluster.caller(), request).await;
 
+    let (status, code, execution, ran) = expected;
     assert_eq!(answer.status, status, "{answer:?}");
     assert_eq!(answer.code(), Some(code));
     assert_eq!(answer.execution(), Some(execution));
