--- a/crates/daemon/tests/server_faults.rs
+++ b/crates/daemon/tests/server_faults.rs
@@ -48,7 +48,7 @@
 #[case::reply_without_end(Act::ReplyThenClose("HTTP/1.1 200 OK\r\n\r\nx".into()), (502, 303, "may-have-run", 1))]
 #[case::reply_with_two_lengths(
     Act::ReplyThenClose("HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nxy".into()),
-    502, 303, "may-have-run", 1
+    (502, 303, "may-have-run", 1)
 )]
 #[case::stall_past_the_deadline(Act::Stall, (504, 302, "may-have-run", 1))]
 #[case::always_sheds(Act::Shed, (503, 112, "not-run", 0))]
