--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod keys;
 pub mod map;
 pub mod outcome;
+pub mod placement;
 pub mod retry;
 pub mod scope;
 pub mod time;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,10 @@
 //! The camphorcove router daemon.
 
+pub mod admin;
+pub mod conf;
 pub mod context;
+pub mod control;
+pub mod error;
 pub mod forward;
 pub mod maps;
 pub mod serve;
