Test ownership in a simulated domain and fix what it found

A simulator with machines, electors, servers and a platform injects faults; a checker fails on two owners of a shard and on lost assignments. It found that a candidate ignored a map that arrived during its read, that hosts which pass an old map on prolonged it by their drift, that probes repeated without pause, and that maps named an owner whose shard a pending write gives away. All four are fixed.

--- a/crates/core/src/control/candidacy.rs
+++ b/crates/core/src/control/candidacy.rs
@@ -24,6 +24,12 @@
 /// Largest random addition to the delay, so that hosts with equal ranks differ.
 const JITTER_LIMIT_MS: u64 = 100;
 
+/// A map counts as prolonged if its validity grew by at least this much.
+///
+/// Hosts that pass an old map on to each other prolong it by their drift, which
+/// is at most 15 ms in `MAP_TTL`.
+const PROLONG_MINIMUM: Duration = Duration::from_millis(50);
+
 /// When this host should try to become the controller.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CandidacyTimer {
@@ -58,19 +64,20 @@
     pub(super) fn restart(&mut self, now: BootTime) {
         self.prolonged_at = now;
         self.handover = false;
+        self.due = None;
     }
 
     /// Maps of a superseded controller do not count as signs of life.
     pub(super) fn map_observed(&mut self, epoch: Epoch, valid_until: BootTime, now: BootTime) {
         let newer = epoch > self.seen;
-        if epoch < self.seen || (!newer && valid_until <= self.valid_until) {
+        let prolonged = valid_until >= self.valid_until + PROLONG_MINIMUM;
+        if epoch < self.seen || (!newer && !prolonged) {
             return;
         }
         self.seen = epoch;
         self.valid_until = valid_until;
-        self.prolonged_at = now;
         self.factor = 1;
-        self.handover = false;
+        self.restart(now);
     }
 
     /// Another host holds a newer term; give it time to gain authority and publish.
--- a/crates/core/src/control/map_builder.rs
+++ b/crates/core/src/control/map_builder.rs
@@ -1,9 +1,9 @@
 //! Building the routing map from the scope object and the servers' phases.
 
 use {
-    super::{scope_machine::ScopeMachine, server_track::ServerContact},
+    super::{scope_machine::ScopeMachine, server_orders::keeps, server_track::ServerContact},
     crate::{
-        ids::{ServerId, ZoneName},
+        ids::{FencingToken, ServerId, ZoneName},
         map::{MapVersion, RoutingMap, ServerEntry, ShardEntry},
         scope::{ScopeState, ShardState},
         time::BootTime,
@@ -103,13 +103,14 @@
             u16::try_from(index).ok()
         };
         let mut entries = Vec::with_capacity(state.shards.len());
-        for shard in &state.shards {
+        for (index, shard) in state.shards.iter().enumerate() {
             let entry = match shard {
                 ShardState::Unowned => ShardEntry::default(),
                 ShardState::Owned { server, token } => ShardEntry {
                     owner: index_of(server),
                     token: *token,
-                    moving: !checked && !self.is_up(server),
+                    moving: self.is_given_away(index, server, *token)
+                        || (!checked && !self.is_up(server)),
                 },
                 ShardState::Releasing { from, token, .. } => ShardEntry {
                     owner: index_of(from),
@@ -122,6 +123,13 @@
         entries
     }
 
+    /// Whether a write that may have taken effect gives the shard to another server.
+    fn is_given_away(&self, index: usize, server: &ServerId, token: FencingToken) -> bool {
+        self.writer
+            .pending_state()
+            .is_some_and(|state| !keeps(state, index, server, token))
+    }
+
     fn is_up(&self, id: &ServerId) -> bool {
         self.track(id)
             .is_some_and(|track| track.contact == ServerContact::Up)
--- a/crates/core/src/control/server_orders.rs
+++ b/crates/core/src/control/server_orders.rs
@@ -123,16 +123,17 @@
             return;
         }
         let changed = track.granted != needed || !track.acknowledged;
-        let retry = track.contact != ServerContact::Up;
-        if now < track.next_at && (!changed || retry) {
-            return;
-        }
-        let may_grant = track.is_reached() && authority_end > now;
-        let terms = track.terms(authority_end, now);
+        let due = now >= track.next_at;
+        let at_once = changed && track.contact == ServerContact::Up;
+        let terms = match track.is_reached() && authority_end > now {
+            true => track.terms(authority_end, now),
+            false => None,
+        };
         match terms {
-            Some(terms) if may_grant && changed => self.send_grant(id, needed, terms, now),
-            Some(terms) if may_grant => self.send_renewal(id, terms, now),
-            _ => self.send_probe(id, now),
+            Some(terms) if changed && (due || at_once) => self.send_grant(id, needed, terms, now),
+            Some(terms) if due => self.send_renewal(id, terms, now),
+            None if due => self.send_probe(id, now),
+            _ => {}
         }
     }
 
@@ -332,7 +333,7 @@
                 if reply.result == ServerResult::Fenced || reply.epoch > epoch {
                     self.questioned = true;
                 }
-                if track.take_reply(order, &sent, &reply, now) {
+                if track.take_reply(order, &sent, &reply) {
                     self.dirty = true;
                 }
             }
@@ -436,13 +437,7 @@
     }
 
     /// Takes a reply in; returns whether something changed that planning depends on.
-    fn take_reply(
-        &mut self,
-        order: OrderId,
-        sent: &SentOrder,
-        reply: &ServerReply,
-        now: BootTime,
-    ) -> bool {
+    fn take_reply(&mut self, order: OrderId, sent: &SentOrder, reply: &ServerReply) -> bool {
         let before = (self.contact, self.acknowledged, self.report.draining);
         self.note_process(order, reply.report.process);
         self.report = reply.report.clone();
@@ -452,7 +447,7 @@
             self.cap = None;
         }
         match &sent.kind {
-            OrderKind::Probe => self.next_at = if held { now } else { now + RETRY_INTERVAL },
+            OrderKind::Probe => {}
             OrderKind::Renew if reply.result == ServerResult::UnknownSet => self.forget_set(),
             OrderKind::Renew => {}
             OrderKind::Grant => {
@@ -528,7 +523,13 @@
     }
 }
 
-fn keeps(state: &ScopeState, index: usize, server: &ServerId, token: FencingToken) -> bool {
+/// Whether a server stays the holder of a shard under the same token.
+pub(super) fn keeps(
+    state: &ScopeState,
+    index: usize,
+    server: &ServerId,
+    token: FencingToken,
+) -> bool {
     state
         .shards
         .get(index)
--- a/crates/core/src/election/elector_table.rs
+++ b/crates/core/src/election/elector_table.rs
@@ -72,6 +72,9 @@
     }
 
     /// Whether the scope object was read since the process started.
+    ///
+    /// The daemon reads the object when an elector is asked about a scope that
+    /// it has not read; without that it would abstain for good.
     pub fn has_read(&self, service: &ServiceName) -> bool {
         self.scopes.get(service).is_some_and(|record| record.read)
     }
--- /dev/null
+++ b/crates/core/tests/support/faults.rs
@@ -0,0 +1,50 @@
+//! Faults that a run injects, and guards that a run may remove.
+
+/// A fault of a run.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    KillHost(usize),
+    RestartHost(usize),
+    PauseHost(usize, u64),
+    /// The host stops after its machine decided and before anything is sent.
+    FreezeBeforeSend(usize, u64),
+    CutHost {
+        host: usize,
+        inbound: bool,
+        outbound: bool,
+    },
+    /// Cuts a host off from the platform only.
+    CutFromPlatform(usize),
+    /// Cuts a host off from the other hosts only.
+    CutFromHosts(usize),
+    /// Cuts a host off from one server.
+    CutFromServer(usize, usize),
+    KillServer(usize),
+    RestartServer(usize),
+    PauseServer(usize, u64),
+    DrainServer(usize, bool),
+    PlatformDown,
+    PlatformSlow(u64),
+    Loss(u32),
+    Slow(u32, u64),
+    Resign(usize),
+    ConfirmLost,
+    Heal,
+    KillController,
+    KillControllerAndServer(usize),
+}
+
+/// Guards of the protocol that a test removes to see whether the checker notices.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RemovedGuards {
+    /// Electors support a successor while an older promise is still relied on.
+    pub elector_wait: bool,
+    /// A restarted elector promises at once.
+    pub abstention: bool,
+    /// A new controller does not wait out the grants of the old one.
+    pub grant_grace: bool,
+    /// Servers take orders past their deadline.
+    pub deadline: bool,
+    /// Servers and electors count time without a bound on drift.
+    pub drift_ppm: i64,
+}
