Hold back takeovers by hosts that are cut off, and plan less often

A host without its peers deposed a working controller, and its own maps reset its back-off. It now waits longer and ignores its own maps. A handover offer counts only if the object is marked. Planning cloned the object at each event; it now runs on changes, and each second otherwise.

--- a/crates/core/src/control/candidacy.rs
+++ b/crates/core/src/control/candidacy.rs
@@ -18,6 +18,9 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// Added to the delay of a host on whose list most electors are missing.
+const ISOLATED_DELAY: Duration = Duration::from_millis(3_000);
+
 /// Largest factor of the delay after takeovers that produced no map.
 const BACKOFF_LIMIT: u32 = 64;
 
@@ -68,7 +71,13 @@
     }
 
     /// Maps of a superseded controller do not count as signs of life.
-    pub(super) fn map_observed(&mut self, epoch: Epoch, valid_until: BootTime, now: BootTime) {
+    pub(super) fn map_observed(
+        &mut self,
+        epoch: Epoch,
+        valid_until: BootTime,
+        own: bool,
+        now: BootTime,
+    ) {
         let newer = epoch > self.seen;
         let prolonged = valid_until >= self.valid_until + PROLONG_MINIMUM;
         if epoch < self.seen || (!newer && !prolonged) {
@@ -76,7 +85,10 @@
         }
         self.seen = epoch;
         self.valid_until = valid_until;
-        self.factor = 1;
+        // The own map, for example of an adopting controller, says nothing about others.
+        if !own {
+            self.factor = 1;
+        }
         self.restart(now);
     }
 
@@ -100,7 +112,12 @@
     }
 
     pub(super) fn is_due_at(&self, now: BootTime) -> bool {
-        self.handover || self.due.is_some_and(|due| now >= due)
+        self.handover || self.has_waited(now)
+    }
+
+    /// Whether the delay has passed, regardless of offers.
+    fn has_waited(&self, now: BootTime) -> bool {
+        self.due.is_some_and(|due| now >= due)
     }
 
     fn is_due(&mut self, rank: u32, now: BootTime) -> bool {
@@ -161,7 +178,31 @@
             self.role = ScopeRole::Idle;
             return;
         }
-        if self.role == ScopeRole::Candidate {
+        if self.role != ScopeRole::Candidate {
+            return;
+        }
+        if resigned || self.timer.has_waited(now) {
+            self.take_over_if_connected(resigned, now);
+            return;
+        }
+        // The offer came without a mark in the object, so the controller is still there.
+        self.role = ScopeRole::Idle;
+        self.timer.restart(now);
+    }
+
+    /// Takes over at once if a majority of the electors is live, else after a longer delay.
+    ///
+    /// A host that is cut off from the others would only depose a controller
+    /// that works. The list of live hosts is a hint, so this is no guard of safety.
+    fn take_over_if_connected(&mut self, resigned: bool, now: BootTime) {
+        let electors = self.state().map(|state| state.electors.as_slice());
+        let electors = electors.unwrap_or_default();
+        let live = electors
+            .iter()
+            .filter(|id| self.hosts.get(id).is_some())
+            .count();
+        let connected = live > electors.len() / 2;
+        if connected || resigned || self.timer.has_waited(now.back(ISOLATED_DELAY)) {
             self.take_over(now);
         }
     }
--- a/crates/core/src/control/controller_term.rs
+++ b/crates/core/src/control/controller_term.rs
@@ -9,7 +9,7 @@
         ids::{Epoch, ServerId},
         placement::LoadTable,
         scope::ScopeState,
-        time::{BootTime, GRANT_GRACE, OUTAGE_LIMIT, PROMISE_TTL, with_drift},
+        time::{BootTime, GRANT_GRACE, ORDER_WINDOW, OUTAGE_LIMIT, PROMISE_TTL, with_drift},
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -43,7 +43,10 @@
     pub(super) maps: MapPublisher,
     pub(super) load: LoadTable,
     pub(super) joining: BTreeSet<ServerId>,
+    pub(super) next_check: BootTime,
     pub(super) next_plan: BootTime,
+    /// The last plan waits for servers, releases or maps, so it is made again soon.
+    pub(super) plan_waits: bool,
     pub(super) next_balance: BootTime,
     pub(super) electors_changed_at: BootTime,
 }
@@ -70,7 +73,9 @@
             maps: MapPublisher::new(state.shards.len(), BootTime(u64::MAX)),
             load: LoadTable::new(state.shards.len()),
             joining: BTreeSet::new(),
+            next_check: BootTime(0),
             next_plan: BootTime(0),
+            plan_waits: true,
             next_balance: BootTime(0),
             electors_changed_at: BootTime(0),
         }
@@ -99,6 +104,17 @@
         lapsed.max(self.acknowledged_at + with_drift(PROMISE_TTL + GRANT_GRACE))
     }
 
+    /// When the servers drop every order of a predecessor that resigned.
+    ///
+    /// The authority of any other predecessor, and with it its orders, ended
+    /// before this term gained its own.
+    pub(super) fn last_old_order(&self) -> BootTime {
+        if self.predecessor.resigned.is_none() {
+            return BootTime(0);
+        }
+        self.acknowledged_at + with_drift(ORDER_WINDOW)
+    }
+
     /// When a predecessor without platform contact has stopped for certain.
     pub(super) fn outage_limit_end(&self) -> BootTime {
         self.acknowledged_at + with_drift(OUTAGE_LIMIT)
--- a/crates/core/src/control/host_table.rs
+++ b/crates/core/src/control/host_table.rs
@@ -97,7 +97,8 @@
         self.fill(&mut chosen, &kept, size);
         let ranked = rank_hosts(&format!("electors/{service}"), &staying);
         self.fill(&mut chosen, &ranked, size);
-        chosen
+        let same = chosen.len() == current.len() && chosen.iter().all(|id| current.contains(id));
+        if same { current.to_vec() } else { chosen }
     }
 
     fn fill(&self, chosen: &mut Vec<HostId>, from: &[HostId], size: usize) {
--- a/crates/core/src/control/ownership_plan.rs
+++ b/crates/core/src/control/ownership_plan.rs
@@ -10,7 +10,7 @@
             PlacementInput, PlacementServer, ShardPlace, assign_unowned, plan_moves, underfilled,
         },
         scope::{MoveReason, RECORD_LIMIT, ScopeState, ShardState},
-        time::{BootTime, RENEW_INTERVAL},
+        time::BootTime,
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -18,6 +18,9 @@
 /// Time that a new controller waits for all servers before it assigns shards.
 const FIRST_CONTACT_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// Pause between plans while nothing is under way.
+const IDLE_PLAN_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Pause between rounds of rebalancing by load, by goal.
 const AVAILABILITY_PAUSE: Duration = Duration::from_secs(10);
 const CHURN_PAUSE: Duration = Duration::from_secs(60);
@@ -57,6 +60,7 @@
             return None;
         }
         let view = self.plan_view(state, now);
+        self.note_waiting(&view);
         let mut next = state.clone();
         next.sequence += 1;
         next.config = self.spec.as_ref()?.version;
@@ -75,13 +79,24 @@
         let Some(term) = &mut self.term else {
             return false;
         };
-        if now < term.next_plan {
+        if !term.plan_waits && now < term.next_plan {
             return false;
         }
-        term.next_plan = now + RENEW_INTERVAL / 6;
+        term.next_plan = now + IDLE_PLAN_PAUSE;
         true
     }
 
+    fn note_waiting(&mut self, view: &PlanView) {
+        let Some(term) = &mut self.term else {
+            return;
+        };
+        let all_up = term
+            .servers
+            .values()
+            .all(|track| track.contact == ServerContact::Up);
+        term.plan_waits = view.in_flight > 0 || !all_up;
+    }
+
     /// A new controller first hears from its servers, so that none is left out.
     fn may_assign(&self, now: BootTime) -> bool {
         let Some(term) = &self.term else {
--- a/crates/core/src/control/scope_machine.rs
+++ b/crates/core/src/control/scope_machine.rs
@@ -209,7 +209,10 @@
         map: Option<Arc<RoutingMap>>,
         now: BootTime,
     ) {
-        self.timer.map_observed(epoch, valid_until, now);
+        let own = map
+            .as_ref()
+            .is_some_and(|map| map.controller == self.host.id);
+        self.timer.map_observed(epoch, valid_until, own, now);
         if self.term.as_ref().is_some_and(|term| term.epoch < epoch) {
             self.step_down(now);
         }
--- a/crates/core/src/control/server_orders.rs
+++ b/crates/core/src/control/server_orders.rs
@@ -408,7 +408,8 @@
         self.servers.retain(|id, _| ids.contains(id));
         for id in ids {
             if !self.servers.contains_key(id) {
-                let track = ServerTrack::new(self.old_end);
+                let mut track = ServerTrack::new(self.old_end);
+                track.grants_settle_at = self.last_old_order();
                 self.servers.insert(id.clone(), track);
             }
         }
--- a/crates/core/src/control/tenure.rs
+++ b/crates/core/src/control/tenure.rs
@@ -17,7 +17,13 @@
 };
 
 /// Without a majority for this long, a successor adopts the servers it can fence.
-const ADOPTION_DELAY: Duration = Duration::from_millis(3_000);
+///
+/// Promises of a lost controller lapse about 0.6 s after the takeover, so a
+/// successor that reaches its electors does not get here.
+const ADOPTION_DELAY: Duration = Duration::from_millis(800);
+
+/// Pause between checks whether the object needs a change.
+const CHECK_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause between changes of the electors.
 const ELECTOR_PAUSE: Duration = Duration::from_millis(1_000);
@@ -112,7 +118,7 @@
 
     /// Writes the most urgent change of the object, if there is one.
     fn write_object(&mut self, now: BootTime) {
-        if !self.writer.is_free(now) {
+        if !self.writer.is_free(now) || !self.is_check_due(now) {
             return;
         }
         let Some(object) = self.object.clone() else {
@@ -126,6 +132,18 @@
         self.dirty = true;
     }
 
+    /// Some changes depend on time alone, so the object is checked now and then.
+    fn is_check_due(&mut self, now: BootTime) -> bool {
+        let Some(term) = &mut self.term else {
+            return false;
+        };
+        if !self.dirty && now < term.next_check {
+            return false;
+        }
+        term.next_check = now + CHECK_PAUSE;
+        true
+    }
+
     fn next_state(&mut self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
         if self.resigning {
             return Some(self.resigned_state(state, now));
--- a/crates/core/src/placement/placement_plan.rs
+++ b/crates/core/src/placement/placement_plan.rs
@@ -3,6 +3,7 @@
 use {
     super::{PlacementInput, ShardPlace, rebalance::plan_rebalance},
     crate::{ids::ShardId, scope::MoveReason},
+    std::collections::BTreeSet,
 };
 
 /// A join fills a server that holds less than this share of its quota, in percent.
@@ -95,12 +96,13 @@
 
 fn plan_drains(input: &PlacementInput<'_>, moves: &mut Vec<PlannedMove>) {
     let mut room = RoomTable::new(input);
+    let planned = planned_shards(moves);
     for (index, place) in input.shards.iter().enumerate() {
         let ShardPlace::Owned(from) = *place else {
             continue;
         };
         let shard = shard_id(index);
-        if !input.servers[from].draining || moves.iter().any(|planned| planned.shard == shard) {
+        if !input.servers[from].draining || planned.contains(&shard) {
             continue;
         }
         let Some(to) = room.emptiest() else {
@@ -118,12 +120,13 @@
 fn plan_joins(input: &PlacementInput<'_>, joining: &[usize], moves: &mut Vec<PlannedMove>) {
     let quotas = input.quotas();
     let mut counts = input.counts();
+    let planned = planned_shards(moves);
     let mut owned: Vec<Vec<usize>> = vec![Vec::new(); input.servers.len()];
     for (index, place) in input.shards.iter().enumerate() {
         let ShardPlace::Owned(server) = *place else {
             continue;
         };
-        let taken = moves.iter().any(|planned| planned.shard == shard_id(index));
+        let taken = planned.contains(&shard_id(index));
         if !taken && !input.pins.contains_key(&shard_id(index)) {
             owned[server].push(index);
         }
@@ -150,6 +153,10 @@
     }
 }
 
+fn planned_shards(moves: &[PlannedMove]) -> BTreeSet<ShardId> {
+    moves.iter().map(|planned| planned.shard).collect()
+}
+
 fn fullest_above_quota(
     input: &PlacementInput<'_>,
     counts: &[usize],
--- a/crates/core/tests/ownership_guards.rs
+++ b/crates/core/tests/ownership_guards.rs
@@ -123,5 +123,5 @@
         !noticed.is_empty(),
         "no violation in {SEEDS} seeds without {guards:?}"
     );
-    println!("{} seeds, first: {:?}", noticed.len(), noticed[0]);
+    println!("{} violations, first: {:?}", noticed.len(), noticed[0]);
 }
