--- a/crates/core/src/control/tenure.rs
+++ b/crates/core/src/control/tenure.rs
@@ -124,10 +124,13 @@
         let Some(object) = self.object.clone() else {
             return;
         };
-        let Some(state) = self.next_state(&object.state, now) else {
+        let mut current = object.state;
+        // Before the new record is added, so that the record it is chained to stays.
+        current.drop_records(self.archived);
+        let Some(next) = self.next_state(&current, now) else {
             return;
         };
-        let write = self.writer.start(Some(object.version), state, now);
+        let write = self.writer.start(Some(object.version), next, now);
         self.actions.push(write);
         self.dirty = true;
     }
@@ -148,22 +151,16 @@
         if self.resigning {
             return Some(self.resigned_state(state, now));
         }
-        let next = self
-            .replace_lost_electors(state, now)
+        self.replace_lost_electors(state, now)
             .or_else(|| self.start_adoption(state, now))
             .or_else(|| self.change_electors(state, now))
             .or_else(|| self.plan_ownership(state, now))
-            .or_else(|| self.clear_flag(state, now));
-        next.map(|mut next| {
-            next.drop_records(self.archived);
-            next
-        })
+            .or_else(|| self.clear_flag(state, now))
     }
 
     fn resigned_state(&self, state: &ScopeState, now: BootTime) -> ScopeState {
         let mut next = state.clone();
         next.resigned = true;
-        next.drop_records(self.archived);
         let action = AuditAction::Takeover {
             before: next.epoch.0,
             after: next.epoch.0,
--- a/crates/core/tests/ownership_safety.rs
+++ b/crates/core/tests/ownership_safety.rs
@@ -36,12 +36,14 @@
             }
         }),
         host.clone().prop_map(Fault::CutFromPlatform),
+        host.clone().prop_map(Fault::LosePlatformAnswers),
         host.clone().prop_map(Fault::CutFromHosts),
         (host.clone(), 0..SERVERS).prop_map(|(host, server)| Fault::CutFromServer(host, server)),
         host.prop_map(Fault::Resign),
     ]
 }
 
+/// Any fault but the operator's confirmation, which is safe only if the old hosts have stopped.
 fn any_fault() -> impl Strategy<Value = Fault> {
     let server = 0..SERVERS;
     let span = 500_000..8_000_000u64;
@@ -53,6 +55,7 @@
         1 => server.clone().prop_map(Fault::RestartServer),
         2 => (server.clone(), span).prop_map(|(server, span)| Fault::PauseServer(server, span)),
         1 => (server, any::<bool>()).prop_map(|(server, on)| Fault::DrainServer(server, on)),
+        1 => (1..4u32).prop_map(Fault::LoseWriteAnswers),
         1 => Just(Fault::PlatformDown),
         1 => (100_000..4_000_000u64).prop_map(Fault::PlatformSlow),
         1 => (1..40u32).prop_map(Fault::Loss),
--- a/crates/core/tests/support/faults.rs
+++ b/crates/core/tests/support/faults.rs
@@ -15,6 +15,10 @@
     },
     /// Cuts a host off from the platform only.
     CutFromPlatform(usize),
+    /// Requests of a host reach the platform, answers do not reach the host.
+    LosePlatformAnswers(usize),
+    /// The next writes take effect, but their answers are lost.
+    LoseWriteAnswers(u32),
     /// Cuts a host off from the other hosts only.
     CutFromHosts(usize),
     /// Cuts a host off from one server.
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -126,7 +126,7 @@
     pub machine: ScopeMachine,
     electors: ElectorTable,
     calls: BTreeSet<u64>,
-    held: Option<(Arc<RoutingMap>, BootTime)>,
+    pub held: Option<(Arc<RoutingMap>, BootTime)>,
     heard: BTreeMap<usize, u64>,
     listed: Vec<HostInfo>,
     clocks: BTreeMap<usize, (u64, BootTime)>,
@@ -145,6 +145,7 @@
     pub spec: Arc<ScopeSpec>,
     pub object: Option<(ObjectVersion, ScopeState)>,
     pub requests: bool,
+    lost_answers: u32,
     /// Faults, writes and changes of role, for the report of a failed run.
     pub log: Vec<String>,
     queue: BinaryHeap<Reverse<Queued>>,
@@ -172,6 +173,7 @@
             spec: Arc::new(spec),
             object: None,
             requests: true,
+            lost_answers: 0,
             log: Vec::new(),
             queue: BinaryHeap::new(),
             queued: 0,
@@ -287,6 +289,10 @@
                 let text = format!("write by host {host}, epoch {}: {record:?}", state.epoch);
                 let result = self.apply_write(expected, *state);
                 self.note(format!("{text}, {result:?}"));
+                if self.lost_answers > 0 {
+                    self.lost_answers -= 1;
+                    return;
+                }
                 let event = ScopeEvent::ScopeWritten { write, result };
                 self.reply(Node::Platform, (host, process), call, event);
             }
@@ -838,6 +844,11 @@
                 let others = [Node::Platform];
                 self.network.cut(Node::Host(host), &others, true, true);
             }
+            Fault::LosePlatformAnswers(host) => {
+                let link = (Node::Platform, Node::Host(host));
+                self.network.blocked.insert(link);
+            }
+            Fault::LoseWriteAnswers(count) => self.lost_answers = count,
             Fault::CutFromHosts(host) => {
                 let others: Vec<Node> = (0..self.hosts.len()).map(Node::Host).collect();
                 self.network.cut(Node::Host(host), &others, true, true);
