Keep the authority while new electors are asked

A proposed list of electors counted before its members had promised, so the authority ended at once and the proposal was never withdrawn. The list now counts from the moment its write is sent, and only if a majority of it covers all authority used so far. Clocks beyond the drift bound are a further removed guard that the checker notices.

--- a/crates/core/src/audit/audit_record.rs
+++ b/crates/core/src/audit/audit_record.rs
@@ -95,6 +95,11 @@
         /// Term after.
         after: u64,
     },
+    /// A controller gave up its term.
+    Resigned {
+        /// The term.
+        epoch: u64,
+    },
     /// The electors of a scope changed.
     Electors {
         /// New electors.
--- a/crates/core/src/control/authority_table.rs
+++ b/crates/core/src/control/authority_table.rs
@@ -26,7 +26,10 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct AuthorityTable {
     current: Vec<HostId>,
+    /// Electors that are to replace the current ones; asked, but not yet counted.
     next: Option<Vec<HostId>>,
+    /// The object may already name the next electors, so both lists must agree.
+    in_doubt: bool,
     tracks: BTreeMap<HostId, ElectorTrack>,
     used: BootTime,
 }
@@ -39,12 +42,12 @@
         }
     }
 
-    /// End of the authority; while the electors change, both lists must agree.
+    /// End of the authority; while a change of the electors is in doubt, both lists must agree.
     pub(super) fn end(&self) -> BootTime {
         let current = self.majority_end(&self.current);
         match &self.next {
-            Some(next) => current.min(self.majority_end(next)),
-            None => current,
+            Some(next) if self.in_doubt => current.min(self.majority_end(next)),
+            _ => current,
         }
     }
 
@@ -53,7 +56,7 @@
         self.used = self.used.max(end);
     }
 
-    /// Prepares a change of the electors; from now on both lists must agree.
+    /// Prepares a change of the electors: the new ones are asked for promises as well.
     pub(super) fn propose(&mut self, electors: Vec<HostId>) {
         self.next = Some(electors);
     }
@@ -75,8 +78,19 @@
         end > now && end >= self.used
     }
 
+    /// The proposal is being written; both lists must agree until the outcome is known.
+    pub(super) fn proposal_sent(&mut self) {
+        self.in_doubt = true;
+    }
+
+    /// Nothing was written, so the current electors alone count again.
+    pub(super) fn proposal_dropped(&mut self) {
+        self.in_doubt = false;
+    }
+
     pub(super) fn withdraw_proposal(&mut self) {
         self.next = None;
+        self.in_doubt = false;
     }
 
     /// Takes in the electors that the scope object names.
@@ -86,6 +100,7 @@
         }
         self.current = electors.to_vec();
         self.next = None;
+        self.in_doubt = false;
         self.tracks.retain(|host, _| electors.contains(host));
     }
 
--- a/crates/core/src/control/candidacy.rs
+++ b/crates/core/src/control/candidacy.rs
@@ -280,11 +280,6 @@
         self.actions.push(write);
     }
 
-    /// Nothing was written; a candidate reads the object again before it retries.
-    pub(super) fn write_dropped(&mut self, _now: BootTime) {
-        self.dirty = true;
-    }
-
     /// Starts the term that the scope object now names.
     pub(super) fn start_term(&mut self, object: HeldObject, now: BootTime) {
         let mut assigned = BTreeMap::new();
--- a/crates/core/src/control/scope_machine.rs
+++ b/crates/core/src/control/scope_machine.rs
@@ -286,11 +286,19 @@
                 let state = *state;
                 self.commit(HeldObject { version, state }, sent_at, now);
             }
-            WriteOutcome::Dropped => self.write_dropped(now),
+            WriteOutcome::Dropped => self.write_dropped(),
             WriteOutcome::Open => {}
         }
     }
 
+    /// Nothing was written; the change is planned again after a pause.
+    fn write_dropped(&mut self) {
+        self.dirty = true;
+        if let Some(term) = &mut self.term {
+            term.authority.proposal_dropped();
+        }
+    }
+
     /// The object has this content, and this process holds its term.
     fn commit(&mut self, object: HeldObject, sent_at: BootTime, now: BootTime) {
         self.contact_at = self.contact_at.max(sent_at);
--- a/crates/core/src/control/server_orders.rs
+++ b/crates/core/src/control/server_orders.rs
@@ -53,14 +53,30 @@
         ids
     }
 
+    /// Shards that are being released, with the token of the old owner.
+    fn releasing(&self) -> BTreeSet<(ShardId, FencingToken)> {
+        let shards = self.state().map(|state| state.shards.as_slice());
+        let mut releasing = BTreeSet::new();
+        for (index, shard) in shards.unwrap_or_default().iter().enumerate() {
+            if let ShardState::Releasing { token, .. } = shard {
+                releasing.insert((shard_id(index), *token));
+            }
+        }
+        releasing
+    }
+
     /// Keeps a track for each server and notices servers that are lost.
     pub(super) fn drive_servers(&mut self, now: BootTime) {
         if self.dirty {
             let ids = self.server_ids();
+            let releasing = self.releasing();
             let Some(term) = &mut self.term else {
                 return;
             };
             term.keep_tracks(&ids);
+            for track in term.servers.values_mut() {
+                track.releases.retain(|key, _| releasing.contains(key));
+            }
         }
         let Some(term) = &mut self.term else {
             return;
--- a/crates/core/src/control/tenure.rs
+++ b/crates/core/src/control/tenure.rs
@@ -161,11 +161,10 @@
     fn resigned_state(&self, state: &ScopeState, now: BootTime) -> ScopeState {
         let mut next = state.clone();
         next.resigned = true;
-        let action = AuditAction::Takeover {
-            before: next.epoch.0,
-            after: next.epoch.0,
+        let action = AuditAction::Resigned {
+            epoch: next.epoch.0,
         };
-        next.append_record(self.wall_millis(now), action, "controller resigns");
+        next.append_record(self.wall_millis(now), action, "host shuts down");
         next
     }
 
@@ -268,6 +267,7 @@
             return None;
         }
         term.electors_changed_at = now;
+        term.authority.proposal_sent();
         Some(self.elector_state(state.clone(), electors, "electors replaced", now))
     }
 
--- a/crates/core/tests/ownership_guards.rs
+++ b/crates/core/tests/ownership_guards.rs
@@ -9,7 +9,9 @@
 use {
     rstest::rstest,
     support::{
+        clock::DRIFT_PPM,
         faults::{Fault, RemovedGuards},
+        network::Node,
         spec::scope_spec,
         world::{SECOND, World},
     },
@@ -49,6 +51,29 @@
     world
 }
 
+/// The clocks of the old controller and its server are slow, those of all others fast, or vice versa.
+fn run_drift(seed: u64, checked: bool, guards: RemovedGuards) -> World {
+    let mut world = settled(seed, checked);
+    let old = split(&mut world, 1);
+    let drift = DRIFT_PPM * guards.drift_factor.max(1);
+    let drift = if seed.is_multiple_of(2) {
+        drift
+    } else {
+        -drift
+    };
+    for host in 0..HOSTS {
+        let ppm = if host == old { -drift } else { drift };
+        world.set_drift(Node::Host(host), ppm);
+    }
+    for server in 0..SERVERS {
+        let ppm = if server == 1 { -drift } else { drift };
+        world.set_drift(Node::Server(server), ppm);
+    }
+    let end = world.micros + 15 * SECOND;
+    world.run_until(end);
+    world
+}
+
 /// Restarts all electors but the old controller and the next candidate just before the takeover.
 fn run_restarts(seed: u64, checked: bool, guards: RemovedGuards) -> World {
     let mut world = settled(seed, checked);
@@ -96,6 +121,7 @@
 #[case::elector_wait(run_split, without(|guards| guards.elector_wait = true))]
 #[case::grant_grace(run_split, without(|guards| guards.grant_grace = true))]
 #[case::abstention(run_restarts, without(|guards| guards.abstention = true))]
+#[case::drift(run_drift, without(|guards| guards.drift_factor = 30))]
 #[case::deadline(run_delays, without(|guards| guards.deadline = true))]
 fn checker_notices_a_removed_guard(
     #[case] run: fn(u64, bool, RemovedGuards) -> World,
--- a/crates/core/tests/ownership_rules.rs
+++ b/crates/core/tests/ownership_rules.rs
@@ -139,6 +139,38 @@
     assert_eq!(world.controller(), Some(controller));
 }
 
+/// Guards against a change of electors that costs the controller its authority.
+#[rstest]
+#[case::new_electors_answer(false)]
+#[case::new_electors_cannot_be_asked(true)]
+fn change_of_electors_keeps_the_authority(#[case] unreachable: bool) {
+    let mut world = World::new(33, 3, scope_spec(2, 12, true), RemovedGuards::default());
+    for host in 1..3 {
+        world.apply_fault(&Fault::KillHost(host));
+    }
+    await_that(&mut world, 20, "start", World::all_served);
+    assert_eq!(state(&world).electors.len(), 1);
+
+    for host in 1..3 {
+        world.apply_fault(&Fault::RestartHost(host));
+        if unreachable {
+            world.apply_fault(&Fault::CutHost {
+                host,
+                inbound: true,
+                outbound: false,
+            });
+        }
+    }
+    run_for(&mut world, 10 * SECOND);
+
+    assert_clean(&world);
+    let machine = &world.hosts[0].machine;
+    assert_eq!(machine.counters().authority_lapses, 0);
+    assert_eq!(machine.role(), ScopeRole::Controller);
+    let electors = if unreachable { 1 } else { 3 };
+    assert_eq!(state(&world).electors.len(), electors);
+}
+
 /// Guards against electors of one availability zone.
 #[test]
 fn electors_are_spread_over_zones() {
--- a/crates/core/tests/support/faults.rs
+++ b/crates/core/tests/support/faults.rs
@@ -49,6 +49,6 @@
     pub grant_grace: bool,
     /// Servers take orders past their deadline.
     pub deadline: bool,
-    /// Servers and electors count time without a bound on drift.
-    pub drift_ppm: i64,
+    /// Clocks drift this many times further than the bound allows; 0 if they keep to it.
+    pub drift_factor: i64,
 }
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -159,7 +159,7 @@
         let checked = spec.service.fencing == camphorcove_core::conf::FencingMode::Checked;
         let servers = (0..spec.service.servers.len())
             .map(|index| {
-                let clock = any_clock(&mut random, guards.drift_ppm);
+                let clock = any_clock(&mut random);
                 FakeServer::new(clock, checked, 1_000 * (index as u64 + 1))
             })
             .collect();
@@ -181,7 +181,7 @@
             random,
         };
         for index in 0..hosts {
-            let clock = any_clock(&mut world.random, guards.drift_ppm);
+            let clock = any_clock(&mut world.random);
             let host = new_host(index, clock, 1, world.micros, guards);
             world.hosts.push(host);
             world.start_host(index);
@@ -189,14 +189,17 @@
         world
     }
 
-    /// Clocks with a given drift in parts per million, hosts first.
-    pub fn set_drifts(&mut self, hosts: &[i64], servers: &[i64]) {
-        for (host, ppm) in self.hosts.iter_mut().zip(hosts) {
-            host.clock.ppm = *ppm;
-        }
-        for (server, ppm) in self.servers.iter_mut().zip(servers) {
-            server.clock.ppm = *ppm;
-        }
+    /// Gives a clock another drift from now on.
+    pub fn set_drift(&mut self, node: Node, ppm: i64) {
+        let clock = match node {
+            Node::Host(host) => &mut self.hosts[host].clock,
+            Node::Server(server) => &mut self.servers[server].clock,
+            Node::Platform => return,
+        };
+        let reading = clock.read(self.micros).0;
+        clock.ppm = ppm;
+        let shifted = clock.read(self.micros).0;
+        clock.offset = clock.offset + reading - shifted;
     }
 
     fn start_host(&mut self, index: usize) {
@@ -898,11 +901,10 @@
     }
 }
 
-fn any_clock(random: &mut ChaCha8Rng, extra: i64) -> DriftClock {
-    let drift = if extra != 0 { extra } else { DRIFT_PPM };
+fn any_clock(random: &mut ChaCha8Rng) -> DriftClock {
     DriftClock {
         offset: random.random_range(10..1_000) * SECOND,
-        ppm: [-drift, 0, drift][random.random_range(0..3)],
+        ppm: [-DRIFT_PPM, 0, DRIFT_PPM][random.random_range(0..3)],
     }
 }
 
