--- a/crates/core/src/control/scope_machine.rs
+++ b/crates/core/src/control/scope_machine.rs
@@ -209,7 +209,10 @@
         map: Option<Arc<RoutingMap>>,
         now: BootTime,
     ) {
-        self.timer.map_observed(epoch, valid_until, now);
+        let own = map
+            .as_ref()
+            .is_some_and(|map| map.controller == self.host.id);
+        self.timer.map_observed(epoch, valid_until, own, now);
         if self.term.as_ref().is_some_and(|term| term.epoch < epoch) {
             self.step_down(now);
         }
@@ -283,11 +286,19 @@
                 let state = *state;
                 self.commit(HeldObject { version, state }, sent_at, now);
             }
-            WriteOutcome::Dropped => self.write_dropped(now),
+            WriteOutcome::Dropped => self.write_dropped(),
             WriteOutcome::Open => {}
         }
     }
 
+    /// Nothing was written; the change is planned again after a pause.
+    fn write_dropped(&mut self) {
+        self.dirty = true;
+        if let Some(term) = &mut self.term {
+            term.authority.proposal_dropped();
+        }
+    }
+
     /// The object has this content, and this process holds its term.
     fn commit(&mut self, object: HeldObject, sent_at: BootTime, now: BootTime) {
         self.contact_at = self.contact_at.max(sent_at);
