--- a/crates/core/src/conf/mod.rs
+++ b/crates/core/src/conf/mod.rs
@@ -7,6 +7,7 @@
 mod fault_sink;
 mod region_config;
 mod region_reader;
+mod route;
 mod service_config;
 mod service_reader;
 mod setting_info;
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -6,6 +6,7 @@
 mod audit_routes;
 mod change_routes;
 mod control_routes;
+mod explain_route;
 mod operator_view;
 mod owner_routes;
 mod refusal_log;
--- a/crates/net/src/operator/mod.rs
+++ b/crates/net/src/operator/mod.rs
@@ -7,6 +7,7 @@
 mod api;
 mod api_code;
 mod key_ring;
+mod operator_client;
 mod operator_gate;
 mod query_map;
 mod refusal_reason;
@@ -21,6 +22,7 @@
     },
     api_code::ApiCode,
     key_ring::{KeyRing, KeyRingError, OperatorKey, OperatorSecret},
+    operator_client::{ClientError, OperatorClient, OperatorRequest},
     operator_gate::{GateLimits, OperatorGate},
     query_map::QueryMap,
     refusal_reason::RefusalReason,
