Add the command-line client, example regions and their documentation

Operators need tools for a running region. camphorcove checks, diffs, applies and rolls back files, gives orders, shows state and verifies the audit trail, with documented exit codes; both example files pass its check.

--- /dev/null
+++ b/crates/cli/src/args/mod.rs
@@ -0,0 +1,12 @@
+//! Options and commands.
+
+mod cli_args;
+mod cli_command;
+
+pub use {
+    cli_args::CliArgs,
+    cli_command::{
+        ApplyArgs, AuditCommand, ChangeArgs, CliCommand, ExplainArgs, KeyArgs, PinArgs,
+        RollbackArgs, ServerArgs, VerifyArgs, WaitArgs,
+    },
+};
--- /dev/null
+++ b/crates/cli/src/conf/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of the client.
+
+mod client_settings;
+
+pub use client_settings::ClientSettings;
--- /dev/null
+++ b/crates/cli/src/output/mod.rs
@@ -0,0 +1,5 @@
+//! Tables for people and JSON for scripts.
+
+mod printer;
+
+pub use printer::{Printer, optional, plain, table};
--- a/crates/core/src/conf/setting_info.rs
+++ b/crates/core/src/conf/setting_info.rs
@@ -274,7 +274,15 @@
         }
     }
 
-    /// Allowed values, for messages and the documentation.
+    /// Allowed values with their unit, for messages.
+    pub fn allowed(&self) -> String {
+        match self.kind {
+            SettingKind::Count { unit, .. } => format!("{} {unit}", self.range()),
+            _ => self.range(),
+        }
+    }
+
+    /// Allowed values, for the documentation.
     pub fn range(&self) -> String {
         match self.kind {
             SettingKind::Name => NAME_RULE.into(),
--- a/crates/core/src/conf/table_reader.rs
+++ b/crates/core/src/conf/table_reader.rs
@@ -92,7 +92,7 @@
 
     /// Reports a fault at a key's value.
     pub(super) fn fault(&self, sink: &mut FaultSink<'_>, name: &str, kind: FaultKind) {
-        let allowed = self.info(name).range();
+        let allowed = self.info(name).allowed();
         self.fault_allowed(sink, name, kind, allowed, None);
     }
 
@@ -289,7 +289,7 @@
         let detail = FaultDetail {
             kind,
             found: Some(sink.source(&span)),
-            allowed: self.info(name).range(),
+            allowed: self.info(name).allowed(),
             nearest: None,
         };
         let path = format!("{}[{index}]", self.path(name));
