--- a/crates/cli/src/args/cli_args.rs
+++ b/crates/cli/src/args/cli_args.rs
@@ -33,18 +33,37 @@
         long = "address",
         global = true,
         value_name = "IP:PORT",
-        env = "CAMPHORCOVE_ADDRESSES", hide_env_values = true,
+        env = "CAMPHORCOVE_ADDRESSES",
+        hide_env_values = true,
         value_delimiter = ','
     )]
     pub addresses: Vec<SocketAddr>,
     /// Id of the signing key.
-    #[arg(long, global = true, value_name = "ID", env = "CAMPHORCOVE_KEY_ID", hide_env_values = true)]
+    #[arg(
+        long,
+        global = true,
+        value_name = "ID",
+        env = "CAMPHORCOVE_KEY_ID",
+        hide_env_values = true
+    )]
     pub key_id: Option<String>,
     /// File with the secret, as hexadecimal digits.
-    #[arg(long, global = true, value_name = "FILE", env = "CAMPHORCOVE_KEY_FILE", hide_env_values = true)]
+    #[arg(
+        long,
+        global = true,
+        value_name = "FILE",
+        env = "CAMPHORCOVE_KEY_FILE",
+        hide_env_values = true
+    )]
     pub key_file: Option<PathBuf>,
     /// Settings file; ~/.config/camphorcove/client.toml if it exists.
-    #[arg(long, global = true, value_name = "FILE", env = "CAMPHORCOVE_SETTINGS", hide_env_values = true)]
+    #[arg(
+        long,
+        global = true,
+        value_name = "FILE",
+        env = "CAMPHORCOVE_SETTINGS",
+        hide_env_values = true
+    )]
     pub settings: Option<PathBuf>,
     /// Print JSON for scripts, also for errors.
     #[arg(long, global = true)]
--- a/crates/core/src/conf/change_rule.rs
+++ b/crates/core/src/conf/change_rule.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{RegionConfig, ServerConfig, ServiceConfig},
+    crate::scope::ScopeState,
     std::fmt,
 };
 
@@ -32,6 +33,8 @@
 
 const REGION_RULE: &str = "regions own their keys independently";
 const SHARDS_RULE: &str = "another number of shards would move keys between owners without a grant";
+const LEFTOVER_RULE: &str =
+    "an earlier service of this name left its ownership behind: use another name or its number";
 const ROUTING_RULE: &str = "ownership starts with a service: create another service instead";
 const KEY_RULE: &str =
     "hosts on different versions would derive different keys: create another service instead";
@@ -57,6 +60,20 @@
     }
 }
 
+/// Checks an added service against the scope object that an earlier service of
+/// the same name left behind.
+pub fn check_leftover(service: &ServiceConfig, scope: &ScopeState) -> Option<ChangeFault> {
+    let old = scope.shards.len();
+    let same = usize::try_from(service.shards).is_ok_and(|new| new == old);
+    let kept = old == 0 || !service.is_keyed() || same;
+    (!kept).then(|| ChangeFault {
+        what: format!("service {}: shards", service.name),
+        old: old.to_string(),
+        new: service.shards.to_string(),
+        rule: LEFTOVER_RULE.to_owned(),
+    })
+}
+
 fn check_service(faults: &mut Vec<ChangeFault>, old: &ServiceConfig, new: &ServiceConfig) {
     let what = |setting: &str| format!("service {}: {setting}", new.name);
     compare(
--- a/crates/core/src/conf/region_reader.rs
+++ b/crates/core/src/conf/region_reader.rs
@@ -7,7 +7,7 @@
         fault_sink::FaultSink,
         service_reader::{ReadService, read_service},
         setting_info::MAX_ZONES,
-        table_reader::{Located, TableReader, syntax_fault},
+        table_reader::{Located, TableReader, is_duplicate, syntax_fault},
     },
     crate::ids::{RegionName, ZoneName},
     toml::de::DeTable,
@@ -15,15 +15,16 @@
 
 /// Reads a region's file; `file` names it in faults.
 ///
-/// A file with syntax errors is reported for these alone, because the values
-/// around them cannot be relied on. Otherwise all faults are reported together.
+/// All faults are reported together. A syntax error hides what follows it, so
+/// only the first one is reported, without the faults of values.
 pub fn parse(file: &str, text: &str) -> Result<RegionConfig, Vec<Fault>> {
     let mut sink = FaultSink::new(file, text);
     let (root, errors) = DeTable::parse_recoverable(text);
-    for error in &errors {
+    for error in errors.iter().filter(|error| is_duplicate(error)) {
         syntax_fault(&mut sink, error);
     }
-    if !errors.is_empty() {
+    if let Some(error) = errors.iter().find(|error| !is_duplicate(error)) {
+        syntax_fault(&mut sink, error);
         return Err(sink.into_faults());
     }
     let reader = TableReader::new(root.get_ref(), SettingTable::Region, String::new(), 0..0);
--- a/crates/core/src/conf/service_reader.rs
+++ b/crates/core/src/conf/service_reader.rs
@@ -70,7 +70,7 @@
     }
     check_server_ids(&servers, sink);
     let too_many = usize::try_from(shards).is_ok_and(|shards| servers.len() > shards);
-    if routing == RoutingMode::Keyed && too_many {
+    if routing == Some(RoutingMode::Keyed) && too_many {
         let allowed = format!("at least one shard for each of {} servers", servers.len());
         reader.fault_allowed(sink, "shards", FaultKind::Contradiction, allowed, None);
     }
@@ -79,13 +79,13 @@
         name,
         host: host.clone(),
         path_prefix: path_prefix.clone(),
-        routing,
+        routing: routing.unwrap_or_default(),
         key,
         shards,
-        placement: reader.choice(sink, "placement"),
-        fencing: reader.choice(sink, "fencing"),
-        class: reader.choice(sink, "class"),
-        dedup: reader.choice(sink, "dedup"),
+        placement: reader.choice(sink, "placement").unwrap_or_default(),
+        fencing: reader.choice(sink, "fencing").unwrap_or_default(),
+        class: reader.choice(sink, "class").unwrap_or_default(),
+        dedup: reader.choice(sink, "dedup").unwrap_or_default(),
         idempotent_methods: read_methods(&reader, sink),
         max_moves: reader.count(sink, "max_moves", 256),
         limits: read_limits(&reader, sink),
@@ -172,16 +172,16 @@
 
 fn read_key(
     reader: &TableReader<'_, '_>,
-    routing: RoutingMode,
+    routing: Option<RoutingMode>,
     sink: &mut FaultSink<'_>,
 ) -> Option<KeySource> {
     match (routing, reader.has("key")) {
-        (RoutingMode::Keyed, false) => {
+        (Some(RoutingMode::Keyed), false) => {
             let allowed = "a key source for routing = \"keyed\", or routing = \"free\"".into();
             reader.fault_allowed(sink, "key", FaultKind::MissingKey, allowed, None);
             return None;
         }
-        (RoutingMode::Free, true) => {
+        (Some(RoutingMode::Free), true) => {
             let allowed = "no key source for routing = \"free\"".into();
             reader.fault_allowed(sink, "key", FaultKind::Contradiction, allowed, None);
         }
--- a/crates/core/src/conf/table_reader.rs
+++ b/crates/core/src/conf/table_reader.rs
@@ -160,22 +160,20 @@
         })
     }
 
-    /// One of a closed set; the default if absent or faulty.
+    /// One of a closed set, the default if absent, `None` if faulty.
     pub(super) fn choice<T: Default + Deserialize<'static>>(
         &self,
         sink: &mut FaultSink<'_>,
         name: &str,
-    ) -> T {
-        let Some(text) = self.text(sink, name) else {
-            return T::default();
-        };
-        self.choice_text(sink, name, text.value)
-            .and_then(|text| {
-                let deserializer: StrDeserializer<'static, serde::de::value::Error> =
-                    text.into_deserializer();
-                T::deserialize(deserializer).ok()
-            })
-            .unwrap_or_default()
+    ) -> Option<T> {
+        if !self.has(name) {
+            return Some(T::default());
+        }
+        let text = self.text(sink, name)?;
+        let text = self.choice_text(sink, name, text.value)?;
+        let deserializer: StrDeserializer<'static, serde::de::value::Error> =
+            text.into_deserializer();
+        T::deserialize(deserializer).ok()
     }
 
     /// The allowed text equal to `text`; reports a fault if there is none.
@@ -340,14 +338,23 @@
     }
 }
 
-/// Converts the TOML reader's own errors.
+/// Whether an error of the TOML reader is about a key that appears twice.
+pub(super) fn is_duplicate(error: &toml::de::Error) -> bool {
+    error.message().starts_with("duplicate key")
+}
+
+/// Converts an error of the TOML reader.
 pub(super) fn syntax_fault(sink: &mut FaultSink<'_>, error: &toml::de::Error) {
     let span = error.span().unwrap_or(0..0);
     let source = sink.source(&span);
+    let (kind, allowed) = match is_duplicate(error) {
+        true => (FaultKind::Duplicate, "each key once".to_owned()),
+        false => (FaultKind::Syntax, format!("TOML ({})", error.message())),
+    };
     let detail = FaultDetail {
-        kind: FaultKind::Syntax,
+        kind,
         found: (!source.is_empty()).then(|| format!("{source:?}")),
-        allowed: format!("TOML ({})", error.message()),
+        allowed,
         nearest: None,
     };
     sink.push(&span, "", detail);
--- a/crates/net/src/config/audit_reader.rs
+++ b/crates/net/src/config/audit_reader.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ConfigHead, RepoError,
-        archive::{archive_key, decode_record},
+        archive::{archive_key, decode_record, scope_stream},
         audit_stream::{OPERATOR_STREAM, stream_key},
         config_head::StoredHead,
         head_update::CONFIG_STREAM,
@@ -12,6 +12,7 @@
     crate::platform::{ObjectKey, ObjectStore},
     camphorcove_core::{
         audit::{AuditRecord, ChainAnchor, ChainReport, verify_chain},
+        ids::ServiceName,
         scope::ScopeState,
     },
     futures_util::{StreamExt, TryStreamExt, stream},
@@ -149,6 +150,22 @@
     Some((stream, number.parse().ok()?))
 }
 
+/// Reads the scope object of a service.
+pub(super) async fn read_scope<S: ObjectStore>(
+    store: &S,
+    service: &ServiceName,
+) -> Result<Option<ScopeState>, RepoError> {
+    let key = ObjectKey::new(scope_stream(service));
+    let Some(object) = store.get(&key).await? else {
+        return Ok(None);
+    };
+    let scope = decode_scope(&object.value).context(DamagedSnafu {
+        key: key.to_string(),
+        reason: "the scope object is unreadable",
+    })?;
+    Ok(Some(scope))
+}
+
 /// Decodes a scope object, bincode or JSON.
 fn decode_scope(value: &[u8]) -> Option<ScopeState> {
     if let Ok(scope) = serde_json::from_slice(value) {
--- a/crates/net/src/config/change_plan.rs
+++ b/crates/net/src/config/change_plan.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Author, ConfigHead, ConfigRepo, OperatorOrder, RepoError,
+        audit_reader::read_scope,
         config_head::{StoredHead, record_hash, version_of},
         content::find_parts,
         order::withdraw_dangling,
@@ -11,10 +12,10 @@
     crate::platform::ObjectStore,
     camphorcove_core::{
         audit::{AuditAction, AuditRecord},
-        conf::{OperatorOrders, RegionConfig, check_change},
+        conf::{OperatorOrders, RegionConfig, check_change, check_leftover},
         ids::ConfigVersion,
     },
-    snafu::OptionExt,
+    snafu::{OptionExt, ensure},
 };
 
 /// A change that an operator asked for.
@@ -68,11 +69,12 @@
         if base.is_some_and(|base| base.head.content == hash) {
             return Ok(None);
         }
-        let mut orders = OperatorOrders::default();
-        if let Some(base) = base {
-            self.check_base(&base.head, config).await?;
-            orders = base.head.orders.clone();
-        }
+        let old = match base {
+            Some(base) => Some(self.read_config(&base.head).await?),
+            None => None,
+        };
+        self.check_rules(old.as_ref(), config).await?;
+        let mut orders = base.map_or_else(OperatorOrders::default, |base| base.head.orders.clone());
         let withdrawn = withdraw_dangling(&mut orders, config);
         let before = version_of(base).0;
         Ok(Some(NextVersion {
@@ -128,7 +130,8 @@
         }
         let parts = find_parts(self.store(), &content).await?;
         let config = self.read_content(&content, &parts).await?;
-        self.check_base(head, &config).await?;
+        let old = self.read_config(head).await?;
+        self.check_rules(Some(&old), &config).await?;
         let mut orders = head.orders.clone();
         let withdrawn = withdraw_dangling(&mut orders, &config);
         let action = AuditAction::Rollback {
@@ -147,9 +150,29 @@
         }))
     }
 
-    async fn check_base(&self, head: &ConfigHead, next: &RegionConfig) -> Result<(), RepoError> {
-        let config = self.read_config(head).await?;
-        check_change(&config, next).map_err(|faults| RepoError::Forbidden { faults })
+    /// Checks the rules between versions, and between an added service and the
+    /// scope object that an earlier service of this name left behind.
+    async fn check_rules(
+        &self,
+        old: Option<&RegionConfig>,
+        new: &RegionConfig,
+    ) -> Result<(), RepoError> {
+        let mut faults = old
+            .map_or(Ok(()), |old| check_change(old, new))
+            .err()
+            .unwrap_or_default();
+        for service in &new.services {
+            let mut known = old.iter().flat_map(|old| &old.services);
+            if known.any(|other| other.name == service.name) {
+                continue;
+            }
+            let Some(scope) = read_scope(self.store(), &service.name).await? else {
+                continue;
+            };
+            faults.extend(check_leftover(service, &scope));
+        }
+        ensure!(faults.is_empty(), ForbiddenSnafu { faults });
+        Ok(())
     }
 }
 
