--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod admin;
 pub mod conf;
+pub mod control;
 pub mod error;
 pub mod maps;
