Read scope streams as the daemon writes them

The daemon archives a scope's records under the service's name and stores the scope object with a format byte. The audit reader follows that, and the two other stream names are reserved in configuration files.

--- a/crates/core/src/conf/service_reader.rs
+++ b/crates/core/src/conf/service_reader.rs
@@ -57,9 +57,7 @@
     sink: &mut FaultSink<'_>,
 ) -> ReadService<'t, 'i> {
     reader.check_keys(sink);
-    let name = reader
-        .parsed::<ServiceName>(sink, "name")
-        .map(|name| name.value);
+    let name = read_name(&reader, sink);
     let host = read_host(&reader, sink);
     let path_prefix = read_prefix(&reader, sink);
     let routing = reader.choice::<RoutingMode>(sink, "routing");
@@ -101,6 +99,18 @@
     }
 }
 
+/// Names of audit streams that are not those of a scope.
+const RESERVED_NAMES: &[&str] = &["config", "operator"];
+
+fn read_name(reader: &TableReader<'_, '_>, sink: &mut FaultSink<'_>) -> Option<ServiceName> {
+    let name = reader.parsed::<ServiceName>(sink, "name")?.value;
+    if RESERVED_NAMES.contains(&name.as_str()) {
+        let allowed = format!("a name other than {}", RESERVED_NAMES.join(", "));
+        reader.fault_allowed(sink, "name", FaultKind::NotAllowed, allowed, None);
+    }
+    Some(name)
+}
+
 fn read_host(reader: &TableReader<'_, '_>, sink: &mut FaultSink<'_>) -> Option<String> {
     let host = reader.text(sink, "host")?.value;
     let allowed =
--- a/crates/core/tests/conf_reader.rs
+++ b/crates/core/tests/conf_reader.rs
@@ -205,6 +205,13 @@
     "28:8: services[1].name",
     None
 )]
+#[case::reserved_name(
+    "name = \"boka\"",
+    "name = \"config\"",
+    FaultKind::NotAllowed,
+    "28:8: services[1].name",
+    None
+)]
 #[case::duplicate_server(
     "id = \"l2\"",
     "id = \"l1\"",
--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -56,9 +56,9 @@
         match (call.method.as_str(), call.path.as_str()) {
             ("GET", "/v1/status") => self.status().await,
             ("GET", "/v1/services") => self.services(),
-            ("GET", "/v1/servers") => self.servers(call),
+            ("GET", "/v1/servers") => self.servers(call).await,
             ("GET", "/v1/owner") => self.owner(call),
-            ("GET", "/v1/moves") => self.moves(),
+            ("GET", "/v1/moves") => self.moves().await,
             ("POST", "/v1/explain") => self.explain(call),
             ("GET", "/v1/config") => self.config_text(call).await,
             ("POST", "/v1/config/check") => self.check(call),
--- a/crates/daemon/src/admin/operator_view.rs
+++ b/crates/daemon/src/admin/operator_view.rs
@@ -11,23 +11,25 @@
     /// This host.
     fn host(&self) -> HostId;
 
-    /// Configuration versions in force on other hosts, as known from their polls.
-    fn host_versions(&self) -> Vec<(HostId, ConfigVersion)>;
+    /// Configuration versions in force on other hosts, as far as known. Hosts
+    /// without an answer are left out.
+    fn host_versions(&self) -> impl Future<Output = Vec<(HostId, ConfigVersion)>> + Send;
 
     /// Roles of this host.
-    fn roles(&self) -> Vec<RoleStatus>;
+    fn roles(&self) -> impl Future<Output = Vec<RoleStatus>> + Send;
 
     /// Moves that this host drives as a controller.
-    fn moves(&self) -> Vec<MoveStatus>;
+    fn moves(&self) -> impl Future<Output = Vec<MoveStatus>> + Send;
 
     /// Loads of the servers that this host forwards to.
-    fn loads(&self) -> Vec<ServerLoad>;
+    fn loads(&self) -> impl Future<Output = Vec<ServerLoad>> + Send;
 
     /// Metrics in the Prometheus text format, served without a signature.
     fn metrics(&self) -> String;
 
     /// Takes an operator's confirmation that the hosts of an earlier controller
-    /// of the scope have stopped. The error is a text for the operator.
+    /// of the scope have stopped. Refuses it unless this host holds a later epoch
+    /// of the scope. The error is a text for the operator.
     fn confirm_lost(
         &self,
         service: &ServiceName,
--- a/crates/daemon/src/admin/status_routes.rs
+++ b/crates/daemon/src/admin/status_routes.rs
@@ -38,9 +38,9 @@
                 .as_ref()
                 .map_or(ConfigVersion(0), |snapshot| snapshot.version),
             platform,
-            hosts: self.host_statuses(),
+            hosts: self.host_statuses().await,
             services: self.service_statuses(),
-            roles: self.parts.view.roles(),
+            roles: self.parts.view.roles().await,
             drained: orders.map_or_else(Vec::new, drained_texts),
             pins: orders.map_or_else(Vec::new, pin_texts),
             refusals: refusals
@@ -53,9 +53,9 @@
         json_reply(&self.service_statuses())
     }
 
-    pub(super) fn servers(&self, call: &AdminCall) -> AdminResult {
+    pub(super) async fn servers(&self, call: &AdminCall) -> AdminResult {
         let wanted = call.optional::<ServiceName>("service")?;
-        let loads = self.parts.view.loads();
+        let loads = self.parts.view.loads().await;
         let mut statuses = Vec::new();
         if let Some(snapshot) = self.parts.config.config() {
             for service in &snapshot.config.services {
@@ -68,27 +68,27 @@
     }
 
     /// Moves of all maps, with the details that this host knows as a controller.
-    pub(super) fn moves(&self) -> AdminResult {
+    pub(super) async fn moves(&self) -> AdminResult {
         let mut moves: BTreeMap<(ServiceName, ShardId), MoveStatus> = BTreeMap::new();
         for held in self.parts.maps.all().values() {
             for status in moving_shards(&held.map) {
                 moves.insert((status.service.clone(), status.shard), status);
             }
         }
-        for status in self.parts.view.moves() {
+        for status in self.parts.view.moves().await {
             moves.insert((status.service.clone(), status.shard), status);
         }
         json_reply(&moves.into_values().collect::<Vec<_>>())
     }
 
-    fn host_statuses(&self) -> Vec<HostStatus> {
+    async fn host_statuses(&self) -> Vec<HostStatus> {
         let mut hosts: BTreeMap<HostId, HostStatus> = BTreeMap::new();
         for peer in self.parts.config.peers().iter() {
             let entry = host_entry(&mut hosts, &peer.host.id);
             entry.zone = Some(peer.host.zone.clone());
             entry.peer = Some(peer.peer);
         }
-        for (host, version) in self.parts.view.host_versions() {
+        for (host, version) in self.parts.view.host_versions().await {
             host_entry(&mut hosts, &host).config = Some(version);
         }
         let own = self.parts.config.config().map(|snapshot| snapshot.version);
--- a/crates/net/src/config/archive.rs
+++ b/crates/net/src/config/archive.rs
@@ -4,15 +4,9 @@
     super::RepoError,
     crate::platform::{ObjectKey, ObjectStore, PutCondition, StoreError},
     bytes::Bytes,
-    camphorcove_core::{audit::AuditRecord, ids::ServiceName},
+    camphorcove_core::audit::AuditRecord,
 };
 
-/// Audit stream of a scope. The prefix keeps a service named `config` apart from
-/// the stream of configuration changes.
-pub fn scope_stream(service: &ServiceName) -> String {
-    format!("scope/{service}")
-}
-
 /// Key of an archived record.
 pub fn archive_key(stream: &str, number: u64) -> ObjectKey {
     ObjectKey::new(format!("audit/{stream}/{number}"))
--- a/crates/net/src/config/audit_reader.rs
+++ b/crates/net/src/config/audit_reader.rs
@@ -1,9 +1,12 @@
 //! Reads audit streams: archived records and those in the mutable object.
+//!
+//! A scope's stream has the name of its service. The names of the other streams
+//! are reserved in configuration files.
 
 use {
     super::{
         ConfigHead, RepoError,
-        archive::{archive_key, decode_record, scope_stream},
+        archive::{archive_key, decode_record},
         audit_stream::{OPERATOR_STREAM, stream_key},
         config_head::StoredHead,
         head_update::CONFIG_STREAM,
@@ -44,8 +47,8 @@
         if self.store.get(&stream_key()).await?.is_some() {
             names.insert(OPERATOR_STREAM.to_owned());
         }
-        for (key, _) in self.store.list("scope/").await? {
-            names.insert(key.as_str().to_owned());
+        for (key, _) in self.store.list(SCOPE_PREFIX).await? {
+            names.extend(key.as_str().strip_prefix(SCOPE_PREFIX).map(str::to_owned));
         }
         for (key, _) in self.store.list("audit/").await? {
             if let Some((stream, _)) = split_key(key.as_str()) {
@@ -124,11 +127,8 @@
         let key = match name {
             CONFIG_STREAM => ConfigHead::key(),
             OPERATOR_STREAM => stream_key(),
-            scope => ObjectKey::new(scope),
+            service => scope_key(service),
         };
-        if key.as_str() == name && !name.starts_with("scope/") {
-            return Ok(Vec::new());
-        }
         let Some(object) = self.store.get(&key).await? else {
             return Ok(Vec::new());
         };
@@ -155,7 +155,7 @@
     store: &S,
     service: &ServiceName,
 ) -> Result<Option<ScopeState>, RepoError> {
-    let key = ObjectKey::new(scope_stream(service));
+    let key = scope_key(service.as_str());
     let Some(object) = store.get(&key).await? else {
         return Ok(None);
     };
@@ -166,12 +166,23 @@
     Ok(Some(scope))
 }
 
-/// Decodes a scope object, bincode or JSON.
+/// Prefix of scope objects.
+const SCOPE_PREFIX: &str = "scope/";
+
+fn scope_key(service: &str) -> ObjectKey {
+    ObjectKey::new(format!("{SCOPE_PREFIX}{service}"))
+}
+
+/// First byte of the encoding of a scope object.
+const SCOPE_FORMAT: u8 = 1;
+
+/// Largest memory a decoded scope object may claim, in bytes.
+const SCOPE_LIMIT: usize = 64 << 20;
+
+/// Decodes a scope object as the daemon's `control` module encodes it.
 fn decode_scope(value: &[u8]) -> Option<ScopeState> {
-    if let Ok(scope) = serde_json::from_slice(value) {
-        return Some(scope);
-    }
-    let decoded = bincode::decode_from_slice(value, bincode::config::standard());
-    let (scope, length) = decoded.ok()?;
-    (length == value.len()).then_some(scope)
+    let body = value.strip_prefix(&[SCOPE_FORMAT])?;
+    let config = bincode::config::standard().with_limit::<SCOPE_LIMIT>();
+    let (scope, length) = bincode::decode_from_slice(body, config).ok()?;
+    (length == body.len()).then_some(scope)
 }
--- a/crates/net/src/config/mod.rs
+++ b/crates/net/src/config/mod.rs
@@ -17,7 +17,7 @@
 mod repo_error;
 
 pub use {
-    archive::{archive_key, archive_record, decode_record, encode_record, scope_stream},
+    archive::{archive_key, archive_record, decode_record, encode_record},
     audit_reader::AuditReader,
     audit_stream::{OPERATOR_STREAM, append_operator_record},
     author::Author,
