--- /dev/null
+++ b/crates/net/tests/audit_reader.rs
@@ -0,0 +1,238 @@
+//! Reading and verifying whole audit streams, and the contents behind them.
+
+mod support;
+
+use {
+    camphorcove_core::{
+        audit::{AuditAction, ChainFault},
+        ids::ConfigVersion,
+    },
+    camphorcove_net::config::{
+        AuditReader, Author, ConfigRepo, OPERATOR_STREAM, OperatorOrder, RepoError,
+        append_operator_record, archive_key,
+    },
+    rstest::rstest,
+    support::{MemoryStore, WriteFate, region_text},
+};
+
+fn author() -> Author {
+    Author {
+        actor: "anna".into(),
+        reason: "test".into(),
+        wall_millis: 1,
+    }
+}
+
+async fn repo_with_versions(count: u32) -> ConfigRepo<MemoryStore> {
+    let repo = ConfigRepo::new(MemoryStore::default());
+    for weight in 1..=count {
+        repo.apply(&region_text(weight), None, &author())
+            .await
+            .unwrap();
+    }
+    repo
+}
+
+#[tokio::test]
+async fn an_intact_stream_is_read_in_pages_and_verified() {
+    let repo = repo_with_versions(12).await;
+    let reader = AuditReader::new(repo.store().clone());
+
+    let report = reader.verify("config", &[]).await.unwrap();
+    let page = reader.read("config", 9, 3).await.unwrap();
+
+    assert_eq!((report.records, report.faults), (12, Vec::new()));
+    let numbers: Vec<u64> = page.iter().map(|record| record.number).collect();
+    assert_eq!(numbers, [9, 10, 11]);
+    assert_eq!(reader.streams().await.unwrap(), ["config"]);
+    let unknown = reader.verify("nothing", &[]).await;
+    assert!(matches!(unknown, Err(RepoError::NotFound { .. })));
+}
+
+/// Guards against damage in the platform that verification does not see.
+#[tokio::test]
+async fn damage_in_the_platform_is_found() {
+    let repo = repo_with_versions(6).await;
+    let reader = AuditReader::new(repo.store().clone());
+    let intact = reader.verify("config", &[]).await.unwrap();
+    repo.store().remove(archive_key("config", 2).as_str());
+    let mut record = reader.read("config", 4, 1).await.unwrap().remove(0);
+    record.actor = "eve".into();
+    let edited = serde_json::to_vec(&record).unwrap();
+    repo.store()
+        .overwrite(archive_key("config", 4).as_str(), edited);
+
+    let report = reader.verify("config", &[]).await.unwrap();
+
+    assert_eq!(
+        report.faults,
+        [
+            ChainFault::Gap { first: 2, last: 2 },
+            ChainFault::Edited { number: 4 }
+        ]
+    );
+    repo.store().remove("config/head");
+    let cut = reader
+        .verify("config", &[intact.last.unwrap()])
+        .await
+        .unwrap();
+    assert!(
+        cut.faults.contains(&ChainFault::CutEnd {
+            last: 5,
+            expected: 6
+        }),
+        "{cut:?}"
+    );
+}
+
+/// Guards against records that are lost or doubled when hosts append at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_operator_stream_keeps_every_record_once() {
+    let store = MemoryStore::default();
+    store.script("stream/operator", WriteFate::AnswerLost);
+    store.script("stream/operator", WriteFate::RequestLost);
+    let mut tasks = Vec::new();
+    for index in 0..4 {
+        let store = store.clone();
+        tasks.push(tokio::spawn(async move {
+            let action = AuditAction::Refused {
+                reason: format!("host {index}"),
+            };
+            append_operator_record(&store, &author(), action)
+                .await
+                .unwrap()
+        }));
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+
+    let reader = AuditReader::new(store);
+    let report = reader.verify(OPERATOR_STREAM, &[]).await.unwrap();
+
+    assert_eq!((report.records, report.faults), (4, Vec::new()));
+}
+
+/// Guards against content above the platform's value limit that cannot be applied.
+#[tokio::test]
+async fn large_content_is_split_and_read_back() {
+    let repo = repo_with_versions(1).await;
+    let large = format!("{}# {}\n", region_text(2), "x".repeat(2_500_000));
+
+    repo.apply(&large, None, &author()).await.unwrap();
+
+    assert_eq!(repo.content(None).await.unwrap(), large);
+    let sizes = repo.store().sizes();
+    assert!(sizes.iter().all(|(_, size)| *size < 1_000_000));
+    repo.apply(&region_text(3), None, &author()).await.unwrap();
+    let back = repo
+        .rollback(ConfigVersion(2), None, &author())
+        .await
+        .unwrap();
+    assert_eq!(back.version, ConfigVersion(4));
+    assert_eq!(repo.content(None).await.unwrap(), large);
+    let huge = format!("{}# {}\n", region_text(2), "x".repeat(3_000_000));
+    let refused = repo.apply(&huge, None, &author()).await;
+    assert!(
+        matches!(refused, Err(RepoError::TooLarge { .. })),
+        "{refused:?}"
+    );
+}
+
+#[tokio::test]
+async fn rollback_is_a_new_version_with_the_old_content() {
+    let repo = repo_with_versions(3).await;
+
+    let outcome = repo
+        .rollback(ConfigVersion(1), Some(ConfigVersion(3)), &author())
+        .await
+        .unwrap();
+
+    assert_eq!((outcome.version, outcome.changed), (ConfigVersion(4), true));
+    assert_eq!(repo.content(None).await.unwrap(), region_text(1));
+    let unknown = repo.rollback(ConfigVersion(9), None, &author()).await;
+    assert!(
+        matches!(unknown, Err(RepoError::NotFound { .. })),
+        "{unknown:?}"
+    );
+}
+
+fn drain(server: &str) -> OperatorOrder {
+    OperatorOrder::Drain {
+        service: "ledig".parse().unwrap(),
+        server: server.parse().unwrap(),
+    }
+}
+
+/// Guards against orders that outlive their server, or that are lost by an apply.
+#[tokio::test]
+async fn orders_are_versions_and_end_with_their_server() {
+    let repo = repo_with_versions(1).await;
+    repo.order(&drain("l1"), None, &author()).await.unwrap();
+    repo.order(&drain("l2"), Some(ConfigVersion(2)), &author())
+        .await
+        .unwrap();
+    let again = repo
+        .order(&drain("l2"), Some(ConfigVersion(2)), &author())
+        .await
+        .unwrap();
+    let without_l1 = region_text(1)
+        .replace("\"l1\"", "\"l3\"")
+        .replace("7101", "7103");
+
+    let outcome = repo.apply(&without_l1, None, &author()).await.unwrap();
+
+    assert_eq!((again.version, again.changed), (ConfigVersion(3), false));
+    assert_eq!(outcome.withdrawn, ["drain ledig l1"]);
+    let orders = repo.load().await.unwrap().unwrap().orders;
+    assert_eq!(
+        orders.drained,
+        [("ledig".parse().unwrap(), "l2".parse().unwrap())]
+    );
+}
+
+/// Guards against orders for things that do not exist.
+#[rstest]
+#[case::server(drain("l9"))]
+#[case::service(OperatorOrder::Unpin { service: "boka".parse().unwrap(), key: "k".into() })]
+#[case::long_key(OperatorOrder::Unpin { service: "ledig".parse().unwrap(), key: "k".repeat(2_000) })]
+#[tokio::test]
+async fn a_wrong_order_is_refused(#[case] order: OperatorOrder) {
+    let repo = repo_with_versions(1).await;
+
+    let refused = repo.order(&order, None, &author()).await;
+
+    assert!(
+        matches!(
+            refused,
+            Err(RepoError::NotFound { .. } | RepoError::TooLarge { .. })
+        ),
+        "{refused:?}"
+    );
+    assert_eq!(
+        repo.load().await.unwrap().unwrap().version,
+        ConfigVersion(1)
+    );
+}
+
+/// Guards against a head that a host takes for valid although its content is damaged.
+#[rstest]
+#[case::head("config/head", "{}")]
+#[case::part("config/part/", "region = \"x\"")]
+#[tokio::test]
+async fn a_damaged_object_is_reported(#[case] prefix: &str, #[case] content: &'static str) {
+    let repo = repo_with_versions(1).await;
+    let sizes = repo.store().sizes();
+    let (key, _) = sizes
+        .iter()
+        .find(|(key, _)| key.starts_with(prefix))
+        .unwrap();
+    repo.store().overwrite(key, content);
+
+    assert!(repo.load().await.is_err());
+    let refused = repo.apply(&region_text(2), None, &author()).await;
+    assert!(
+        matches!(refused, Err(RepoError::Damaged { .. })),
+        "{refused:?}"
+    );
+}
--- a/crates/net/tests/support/mod.rs
+++ b/crates/net/tests/support/mod.rs
@@ -14,6 +14,7 @@
 };
 
 /// What happens to a write.
+#[allow(dead_code)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteFate {
     /// Takes effect and is answered.
