--- /dev/null
+++ b/crates/daemon/tests/admin_state.rs
@@ -0,0 +1,222 @@
+//! State shown to operators: owners, services, servers, and reasons.
+
+mod support;
+
+use {
+    camphorcove_core::{
+        audit::{AuditAction, ChainFault},
+        ids::{ConfigVersion, Epoch},
+        map::ServerPhase,
+        scope::ScopeState,
+    },
+    camphorcove_net::{
+        clock::BootClock,
+        config::{AuditReader, archive_record},
+        operator::{
+            ApiCode, ApplyReport, ExplainReport, MoveStatus, OwnerReport, ServerStatus,
+            ServiceStatus,
+        },
+        platform::{ObjectStore, PutCondition},
+    },
+    camphorcove_standin::platform::PlatformStandin,
+    camphorcoved::{
+        control::{encode_scope, scope_key},
+        maps::HeldMap,
+    },
+    rstest::rstest,
+    serde_json::json,
+    std::sync::Arc,
+    support::{AdminHost, Api, STOCKHOLM, held_map, key},
+};
+
+async fn start() -> (PlatformStandin, AdminHost, Api) {
+    let platform = PlatformStandin::on_any_port().await.unwrap();
+    let host = AdminHost::start(&platform, "host-1").await;
+    let api = host.api(&key("anna", 'a'));
+    let _: ApplyReport = api
+        .post("/v1/config/apply?expect=0", STOCKHOLM)
+        .await
+        .unwrap();
+    host.adopt().await;
+    (platform, host, api)
+}
+
+fn hold(host: &AdminHost, service: &str, change: impl FnOnce(&mut HeldMap)) {
+    let snapshot = host.config.config().unwrap();
+    let mut held = held_map(&snapshot.config, service, snapshot.version);
+    change(&mut held);
+    host.maps.accept(held);
+}
+
+fn edit(held: &mut HeldMap) -> &mut camphorcove_core::map::RoutingMap {
+    Arc::get_mut(&mut held.map).unwrap()
+}
+
+#[tokio::test]
+async fn the_owner_of_a_key_and_its_pin_are_shown() {
+    let (_platform, host, api) = start().await;
+    let pin = json!({
+        "order": { "order": "pin", "service": "ledig", "key": "raft 17", "server": "ledig-2" },
+        "expect": 1,
+        "reason": "",
+    });
+    let _: ApplyReport = api.post("/v1/orders", pin.to_string()).await.unwrap();
+    host.adopt().await;
+    hold(&host, "ledig", |_| {});
+
+    let report: OwnerReport = api
+        .get("/v1/owner?service=ledig&key=raft%2017")
+        .await
+        .unwrap();
+
+    assert_eq!(report.owner.unwrap().as_str(), "ledig-1");
+    assert_eq!(report.pinned.unwrap().as_str(), "ledig-2");
+    assert_eq!((report.token.as_str(), report.map.as_str()), ("7.1", "7.3"));
+    assert!(report.valid_ms > 0);
+}
+
+#[tokio::test]
+async fn services_servers_and_moves_are_shown() {
+    let (_platform, host, api) = start().await;
+    hold(&host, "ledig", |held| {
+        let map = edit(held);
+        map.shards[5].moving = true;
+        map.shards[6].owner = None;
+        map.servers[1].phase = ServerPhase::Lost;
+    });
+
+    let services: Vec<ServiceStatus> = api.get("/v1/services").await.unwrap();
+    let servers: Vec<ServerStatus> = api.get("/v1/servers?service=ledig").await.unwrap();
+    let moves: Vec<MoveStatus> = api.get("/v1/moves").await.unwrap();
+
+    let ledig = &services[0];
+    assert_eq!((ledig.shards, ledig.unowned, ledig.moving), (4_096, 1, 1));
+    assert_eq!((ledig.servers["ready"], ledig.servers["lost"]), (11, 1));
+    assert_eq!((services.len(), services[1].valid_ms), (3, 0));
+    assert_eq!(
+        (servers.len(), servers[0].shards, servers[1].shards),
+        (12, 4_095, 0)
+    );
+    assert_eq!((moves.len(), moves[0].shard.0), (1, 5));
+}
+
+/// Guards against an explanation that differs from what the map says.
+#[rstest]
+#[case::routed("/ledig/raft-17", "ledig", |_: &mut HeldMap| {}, true, "sent to server ledig-1")]
+#[case::no_service("/nothing", "ledig", |_: &mut HeldMap| {}, false, "no service answers")]
+#[case::no_key("/ledig", "ledig", |_: &mut HeldMap| {}, false, "no key in path segment 1")]
+#[case::no_map("/boka/1", "ledig", |_: &mut HeldMap| {}, false, "no routing map")]
+#[case::expired("/ledig/raft-17", "ledig", |held: &mut HeldMap| held.valid_until = BootClock.now(), false, "expired")]
+#[case::unowned("/ledig/raft-17", "ledig", |held: &mut HeldMap| edit(held).shards.iter_mut().for_each(|entry| entry.owner = None), false, "nobody owns")]
+#[case::lost("/ledig/raft-17", "ledig", |held: &mut HeldMap| edit(held).servers[0].phase = ServerPhase::Lost, false, "ledig-1 is lost")]
+#[case::no_forwarder("/ledig/raft-17", "ledig", |held: &mut HeldMap| edit(held).servers[0].forwarder = None, false, "no host forwards")]
+#[case::free("/boka/1", "boka", |held: &mut HeldMap| edit(held).servers[0].phase = ServerPhase::Draining, true, "5 ready ones of 6")]
+#[case::none_ready("/boka/1", "boka", |held: &mut HeldMap| edit(held).servers.iter_mut().for_each(|server| server.phase = ServerPhase::Suspect), false, "none of 6 servers")]
+#[tokio::test]
+async fn requests_are_explained(
+    #[case] target: &str,
+    #[case] service: &str,
+    #[case] change: fn(&mut HeldMap),
+    #[case] routed: bool,
+    #[case] outcome: &str,
+) {
+    let (_platform, host, api) = start().await;
+    hold(&host, service, change);
+    let request = json!({ "method": "GET", "host": "x.example", "target": target });
+
+    let report: ExplainReport = api.post("/v1/explain", request.to_string()).await.unwrap();
+
+    let last = report.steps.last().unwrap();
+    assert_eq!(report.routed, routed, "{report:?}");
+    assert!(last.contains(outcome), "{last}");
+}
+
+fn scope(shards: usize, records: usize) -> ScopeState {
+    let mut state = ScopeState {
+        service: "ledig".parse().unwrap(),
+        epoch: Epoch(1),
+        controller: "host-1".parse().unwrap(),
+        nonce: 1,
+        electors: Vec::new(),
+        sequence: 0,
+        config: ConfigVersion(1),
+        shards: vec![Default::default(); shards],
+        resigned: false,
+        uncovered_grants: false,
+        records: Vec::new(),
+    };
+    for _ in 0..records {
+        state.append_record(
+            1,
+            AuditAction::Takeover {
+                before: 0,
+                after: 1,
+            },
+            "test",
+        );
+    }
+    state
+}
+
+/// Guards against scope records that the operator API cannot read as the
+/// controller writes them, archived or in the scope object.
+#[tokio::test]
+async fn the_stream_of_a_scope_is_verified_as_a_whole() {
+    let (platform, _host, _api) = start().await;
+    let store = platform.client();
+    let mut state = scope(64, 5);
+    for record in &state.records[..4] {
+        archive_record(&store, "ledig", record).await.unwrap();
+    }
+    state.drop_records(3);
+    let key = scope_key(&state.service);
+    store
+        .put(&key, PutCondition::Absent, encode_scope(&state))
+        .await
+        .unwrap();
+    let reader = AuditReader::new(store);
+
+    let report = reader.verify("ledig", &[]).await.unwrap();
+    let anchor = report.last.unwrap();
+    let later = camphorcove_core::audit::ChainAnchor {
+        number: 6,
+        ..anchor
+    };
+
+    assert_eq!((report.records, report.faults), (5, Vec::new()));
+    let cut = reader.verify("ledig", &[later]).await.unwrap();
+    assert_eq!(
+        cut.faults,
+        [ChainFault::CutEnd {
+            last: 5,
+            expected: 6
+        }]
+    );
+    assert_eq!(reader.streams().await.unwrap(), ["config", "ledig"]);
+}
+
+/// Guards against a service that is removed and added again with other shards.
+#[tokio::test]
+async fn a_leftover_scope_object_keeps_the_number_of_shards() {
+    let platform = PlatformStandin::on_any_port().await.unwrap();
+    let host = AdminHost::start(&platform, "host-1").await;
+    let state = scope(64, 0);
+    let key_of_scope = scope_key(&state.service);
+    let store = platform.client();
+    store
+        .put(&key_of_scope, PutCondition::Absent, encode_scope(&state))
+        .await
+        .unwrap();
+    let api = host.api(&key("anna", 'a'));
+
+    let refused = api
+        .post::<ApplyReport>("/v1/config/apply?expect=0", STOCKHOLM)
+        .await;
+    let same = STOCKHOLM.replace("name = \"ledig\"", "name = \"ledig\"\nshards = 64");
+    let accepted = api
+        .post::<ApplyReport>("/v1/config/apply?expect=0", same)
+        .await;
+
+    assert_eq!(refused.unwrap_err().code, ApiCode::ForbiddenChange.number());
+    assert!(accepted.unwrap().changed);
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,276 @@
+//! A host's operator API on the platform stand-in.
+
+use {
+    bytes::Bytes,
+    camphorcove_core::{
+        conf::RegionConfig,
+        ids::{ConfigVersion, Epoch, FencingToken, HostId, ServiceName},
+        map::{MapVersion, RoutingMap, ServerEntry, ServerPhase, ShardEntry},
+    },
+    camphorcove_net::{
+        clock::{BootClock, wall_millis},
+        config::ConfigRepo,
+        http::HttpClient,
+        operator::{
+            ApiError, ClientError, GateLimits, KeyRing, MoveStatus, OperatorClient, OperatorGate,
+            OperatorKey, OperatorRequest, OperatorSecret, RequestLine, RoleStatus, ServerLoad,
+            SignedHead,
+        },
+        platform::HttpStore,
+    },
+    camphorcove_standin::platform::PlatformStandin,
+    camphorcoved::{
+        admin::{AdminParts, AdminService, OperatorView, serve_admin},
+        maps::{ConfigStore, HeldMap, MapStore},
+    },
+    http::Request,
+    http_body_util::Full,
+    serde::de::DeserializeOwned,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::watch, task::JoinHandle},
+};
+
+/// State of the daemon that the tests choose.
+pub struct TestView {
+    host: HostId,
+}
+
+impl OperatorView for TestView {
+    fn host(&self) -> HostId {
+        self.host.clone()
+    }
+
+    async fn host_versions(&self) -> Vec<(HostId, ConfigVersion)> {
+        Vec::new()
+    }
+
+    async fn roles(&self) -> Vec<RoleStatus> {
+        Vec::new()
+    }
+
+    async fn moves(&self) -> Vec<MoveStatus> {
+        Vec::new()
+    }
+
+    async fn loads(&self) -> Vec<ServerLoad> {
+        Vec::new()
+    }
+
+    fn metrics(&self) -> String {
+        "up 1\n".into()
+    }
+
+    async fn confirm_lost(&self, _: &ServiceName, epoch: Epoch) -> Result<(), String> {
+        match epoch.0 {
+            7 => Ok(()),
+            _ => Err("this host does not hold a later epoch".into()),
+        }
+    }
+}
+
+/// A running operator API.
+#[allow(dead_code)]
+pub struct AdminHost {
+    pub address: SocketAddr,
+    pub maps: MapStore,
+    pub config: ConfigStore,
+    pub repo: ConfigRepo<HttpStore>,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+#[allow(dead_code)]
+impl AdminHost {
+    pub async fn start(platform: &PlatformStandin, name: &str) -> Self {
+        let repo = ConfigRepo::new(platform.client());
+        let (maps, config) = (MapStore::default(), ConfigStore::default());
+        let list = format!("anna {}\nbertil {}\n", secret('a'), secret('b'));
+        let ring = KeyRing::parse(&list).unwrap();
+        let parts = AdminParts {
+            repo: repo.clone(),
+            maps: maps.clone(),
+            config: config.clone(),
+            view: TestView {
+                host: name.parse().unwrap(),
+            },
+            gate: OperatorGate::new(ring, GateLimits::default(), 0),
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stop, stopped) = watch::channel(false);
+        let service = Arc::new(AdminService::new(parts));
+        let task = tokio::spawn(serve_admin(service, listener, stopped));
+        Self {
+            address,
+            maps,
+            config,
+            repo,
+            stop,
+            task,
+        }
+    }
+
+    /// Stops the listener and waits until it has ended.
+    pub async fn stop(self) {
+        self.stop.send_replace(true);
+        self.task.await.unwrap();
+    }
+
+    /// Adopts the configuration in the platform, as the daemon does.
+    pub async fn adopt(&self) {
+        let snapshot = self.repo.load().await.unwrap().unwrap();
+        self.config.accept(snapshot);
+    }
+
+    pub fn api(&self, key: &OperatorKey) -> Api {
+        Api {
+            client: OperatorClient::new(vec![self.address], key.clone()),
+        }
+    }
+}
+
+/// Typed requests of one operator.
+pub struct Api {
+    client: OperatorClient,
+}
+
+#[allow(dead_code)]
+impl Api {
+    pub async fn send(
+        &self,
+        method: &'static str,
+        target: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<Bytes, ApiError> {
+        let request = OperatorRequest {
+            method,
+            target: target.into(),
+            body: body.into(),
+        };
+        match self.client.call(&request).await {
+            Ok(body) => Ok(body),
+            Err(ClientError::Refused { error, .. }) => Err(*error),
+            Err(error) => panic!("{error}"),
+        }
+    }
+
+    pub async fn get<T: DeserializeOwned>(&self, target: &str) -> Result<T, ApiError> {
+        let body = self.send("GET", target, "").await?;
+        Ok(serde_json::from_slice(&body).unwrap())
+    }
+
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        target: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<T, ApiError> {
+        let body = self.send("POST", target, body).await?;
+        Ok(serde_json::from_slice(&body).unwrap())
+    }
+}
+
+pub fn secret(digit: char) -> String {
+    digit.to_string().repeat(64)
+}
+
+pub fn key(id: &str, digit: char) -> OperatorKey {
+    let secret = OperatorSecret::from_hex(&secret(digit)).unwrap();
+    OperatorKey {
+        id: id.into(),
+        secret,
+    }
+}
+
+/// Signs a request, lets `change` damage it, and sends it once.
+#[allow(dead_code)]
+pub async fn send_signed(
+    address: SocketAddr,
+    head: &SignedHead,
+    line: RequestLine<'_>,
+    body: impl Into<Bytes>,
+) -> (u16, ApiError) {
+    let mut request = Request::builder().method(line.method).uri(line.target);
+    for (name, value) in head.headers() {
+        request = request.header(name, value);
+    }
+    let request = request.body(Full::new(body.into())).unwrap();
+    let timeout = Duration::from_secs(60);
+    let reply = HttpClient::default()
+        .exchange(address, request, timeout)
+        .await
+        .unwrap();
+    let error = serde_json::from_slice(reply.body());
+    (
+        reply.status().as_u16(),
+        error.unwrap_or_else(|_| ApiError { code: 0, ..empty() }),
+    )
+}
+
+fn empty() -> ApiError {
+    ApiError {
+        code: 0,
+        error: String::new(),
+        faults: vec![],
+        rules: vec![],
+        current: None,
+    }
+}
+
+/// A signed head for now.
+#[allow(dead_code)]
+pub fn sign(key: &OperatorKey, line: RequestLine<'_>, body: &[u8], nonce: u8) -> SignedHead {
+    SignedHead::sign(key, line, body, wall_millis(), [nonce; 16])
+}
+
+pub const STOCKHOLM: &str = include_str!("../../../../examples/stockholm.toml");
+
+/// A map in which the first server owns every shard, valid for a minute.
+#[allow(dead_code)]
+pub fn held_map(config: &RegionConfig, service: &str, version: ConfigVersion) -> HeldMap {
+    let service = config
+        .services
+        .iter()
+        .find(|other| other.name.as_str() == service)
+        .unwrap();
+    let forwarder: HostId = "host-2".parse().unwrap();
+    let servers = service.servers.iter().map(|server| ServerEntry {
+        id: server.id.clone(),
+        address: server.address,
+        zone: server.zone.clone(),
+        weight: server.weight,
+        slots: server.slots,
+        connections: server.connections,
+        phase: ServerPhase::Ready,
+        forwarder: Some(forwarder.clone()),
+    });
+    let token = FencingToken {
+        epoch: Epoch(7),
+        sequence: 1,
+    };
+    let shard = ShardEntry {
+        owner: Some(0),
+        token,
+        moving: false,
+    };
+    let count = if service.is_keyed() {
+        service.shards
+    } else {
+        0
+    };
+    let map = RoutingMap {
+        service: service.name.clone(),
+        version: MapVersion {
+            epoch: Epoch(7),
+            revision: 3,
+        },
+        config: version,
+        controller: "host-3".parse().unwrap(),
+        servers: servers.collect(),
+        shards: vec![shard; count as usize],
+    };
+    let valid_until = BootClock.now() + Duration::from_secs(60);
+    HeldMap {
+        map: Arc::new(map),
+        valid_until,
+    }
+}
