--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -25,7 +25,7 @@
     if let Some(result) = local::run(&args.command, printer) {
         return result;
     }
-    let client = ClientSettings::resolve(&args)?.client()?;
+    let client = ClientSettings::resolve(&args)?.client(!args.json)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
--- a/crates/cli/src/conf/client_settings.rs
+++ b/crates/cli/src/conf/client_settings.rs
@@ -42,8 +42,9 @@
         Ok(settings)
     }
 
-    /// Client with the named key.
-    pub fn client(&self) -> Result<OperatorClient, CliError> {
+    /// Client with the named key. `warn` allows a warning on stderr, which scripts
+    /// that read JSON from there could not parse.
+    pub fn client(&self, warn: bool) -> Result<OperatorClient, CliError> {
         let what =
             "no host: give --address, CAMPHORCOVE_ADDRESSES or addresses in the settings file";
         ensure!(!self.addresses.is_empty(), SettingsSnafu { what });
@@ -52,7 +53,7 @@
         let what =
             "no key file: give --key-file, CAMPHORCOVE_KEY_FILE or key_file in the settings file";
         let path = self.key_file.as_ref().context(SettingsSnafu { what })?;
-        let secret = read_secret(path)?;
+        let secret = read_secret(path, warn)?;
         let key = OperatorKey { id, secret };
         Ok(OperatorClient::new(self.addresses.clone(), key))
     }
@@ -87,10 +88,10 @@
 }
 
 /// Reads a secret; errors never quote the file's content.
-fn read_secret(path: &Path) -> Result<OperatorSecret, CliError> {
+fn read_secret(path: &Path, warn: bool) -> Result<OperatorSecret, CliError> {
     let text = fs::read_to_string(path).context(ReadFileSnafu { path })?;
     let metadata = fs::metadata(path).context(ReadFileSnafu { path })?;
-    if metadata.permissions().mode() & 0o077 != 0 {
+    if warn && metadata.permissions().mode() & 0o077 != 0 {
         eprintln!(
             "camphorcove: warning: {} can be read by other users",
             path.display()
--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,251 @@
+//! The operator's commands against a host.
+
+mod support;
+
+use {
+    camphorcove_standin::platform::PlatformFaults,
+    support::{AdminHost, STOCKHOLM, Site, closed_address},
+    tokio::{io::AsyncReadExt, net::TcpListener},
+};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_file_is_checked_applied_changed_and_rolled_back() {
+    let site = Site::start("lifecycle").await;
+    let changed = STOCKHOLM.replace("queue = 48", "queue = 49");
+    let changed = site.folder.file("changed.toml", &changed);
+
+    let checked = site.run(&["check", &site.file]).await;
+    let applied = site.run(&["apply", &site.file, "--reason", "first"]).await;
+    let again = site.run(&["apply", &site.file, "--json"]).await;
+    let diff = site.run(&["diff", &changed]).await;
+    let second = site.run(&["apply", &changed, "--expect", "1"]).await;
+    let drained = site.run(&["drain", "ledig", "ledig-3", "--json"]).await;
+    let back = site.run(&["rollback", "1", "--json"]).await;
+    let shown = site.run(&["show"]).await;
+
+    assert!(
+        checked.out.ends_with("valid, 3 services, 29 servers\n"),
+        "{checked:?}"
+    );
+    assert_eq!(
+        (applied.code, applied.out.as_str()),
+        (0, "version 1 accepted\n"),
+        "{applied:?}"
+    );
+    assert_eq!(
+        (again.json()["version"].as_u64(), &again.json()["changed"]),
+        (Some(1), &false.into())
+    );
+    assert_eq!(diff.out, "~ service ledig: limits.queue: 48 -> 49\n");
+    assert_eq!(second.out, "version 2 accepted\n");
+    assert_eq!(drained.json()["version"], 3);
+    assert_eq!(back.json()["version"], 4);
+    assert_eq!(shown.out, STOCKHOLM);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn state_and_owners_are_shown_as_tables_and_json() {
+    let site = Site::start("state").await;
+    site.run(&["apply", &site.file]).await;
+    site.run(&["pin", "ledig", "raft-17", "ledig-2"]).await;
+    site.host.adopt().await;
+    let snapshot = site.host.config.config().unwrap();
+    let held = support::held_map(&snapshot.config, "ledig", snapshot.version);
+    site.host.maps.accept(held);
+
+    let status = site.run(&["status"]).await;
+    let owner = site.run(&["owner", "ledig", "raft-17"]).await;
+    let owner_json = site.run(&["owner", "ledig", "raft-17", "--json"]).await;
+    let servers = site.run(&["servers", "ledig"]).await;
+    let explained = site.run(&["explain", "/ledig/raft-17"]).await;
+
+    assert!(
+        status.out.contains("host-1") && status.out.contains("pinned: ledig/raft-17 -> ledig-2"),
+        "{}",
+        status.out
+    );
+    assert!(
+        owner.out.contains("ledig-1") && owner.out.contains("valid for"),
+        "{}",
+        owner.out
+    );
+    assert_eq!(
+        (&owner_json.json()["owner"], &owner_json.json()["pinned"]),
+        (&"ledig-1".into(), &"ledig-2".into())
+    );
+    assert_eq!(servers.out.lines().count(), 13, "{}", servers.out);
+    assert!(
+        explained.out.contains("sent to server ledig-1"),
+        "{}",
+        explained.out
+    );
+    for arguments in [
+        &["services"][..],
+        &["moves"],
+        &["unpin", "ledig", "raft-17"],
+    ] {
+        let run = site.run(arguments).await;
+        assert_eq!(run.code, 0, "{run:?}");
+    }
+}
+
+/// Guards against an audit trail that cannot be checked without the operator's host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_audit_trail_is_listed_verified_and_exported() {
+    let site = Site::start("audit").await;
+    site.run(&["apply", &site.file, "--reason", "opening day"])
+        .await;
+    site.run(&["drain", "ledig", "ledig-3"]).await;
+
+    let listed = site.run(&["audit", "list"]).await;
+    let verified = site.run(&["audit", "verify"]).await;
+    let export = site.run(&["audit", "export"]).await;
+    let file = site.folder.file("export.jsonl", &export.out);
+    let local = support::run(support::command(&["audit", "verify", "--file", &file])).await;
+    let edited = site
+        .folder
+        .file("edited.jsonl", &export.out.replace("opening", "closing"));
+    let edited = support::run(support::command(&["audit", "verify", "--file", &edited])).await;
+    let anchor = format!("3:{}", "0".repeat(64));
+    let cut = site
+        .run(&["audit", "verify", "config", "--anchor", &anchor])
+        .await;
+
+    assert!(listed.out.contains("opening day"), "{listed:?}");
+    assert!(
+        verified
+            .out
+            .starts_with("config: 2 records, 0 faults, last 2:"),
+        "{verified:?}"
+    );
+    assert_eq!(
+        (export.out.lines().count(), local.code),
+        (2, 0),
+        "{local:?}"
+    );
+    assert_eq!(edited.code, 8);
+    assert!(edited.out.contains("edited: record 1"), "{edited:?}");
+    assert_eq!(cut.code, 8);
+    assert!(cut.out.contains("cut end: record 2"), "{cut:?}");
+}
+
+/// Guards against exit codes that a script misinterprets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_kind_of_failure_has_its_exit_code() {
+    let site = Site::start("exit-codes").await;
+    site.run(&["apply", &site.file]).await;
+    let changed = STOCKHOLM.replace("queue = 48", "queue = 49");
+    let changed = site.folder.file("changed.toml", &changed);
+    let forbidden = STOCKHOLM.replace("segment = 1", "segment = 2");
+    let forbidden = site.folder.file("forbidden.toml", &forbidden);
+    let wrong_key = site.folder.file("wrong.key", &"b".repeat(64));
+
+    let cases: [(&[&str], i32); 10] = [
+        (&["apply", &changed, "--expect", "7"], 3),
+        (&["apply", &forbidden], 2),
+        (&["apply", "no-such-file.toml"], 2),
+        (&["apply", &changed, "--expect", "x"], 2),
+        (&["status", "--key-file", &wrong_key], 4),
+        (&["status", "--key-id", "eve"], 4),
+        (&["drain", "ledig", "nobody"], 7),
+        (&["owner", "ledig", "key"], 7),
+        (
+            &[
+                "confirm-lost",
+                "ledig",
+                "8",
+                "--hosts-have-stopped",
+                "--reason",
+                "x",
+            ],
+            3,
+        ),
+        (&["confirm-lost", "ledig", "7", "--reason", "x"], 2),
+    ];
+    for (arguments, code) in cases {
+        let run = site.run(arguments).await;
+        assert_eq!(run.code, code, "{arguments:?}: {run:?}");
+        assert!(
+            !run.err.is_empty() && run.out.is_empty(),
+            "{arguments:?}: {run:?}"
+        );
+    }
+    site.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    let outage = site
+        .run(&["apply", &changed, "--expect", "1", "--json"])
+        .await;
+    assert_eq!(outage.code, 5, "{outage:?}");
+    let error: serde_json::Value = serde_json::from_str(&outage.err).unwrap();
+    assert_eq!(
+        (error["exit"].as_u64(), error["code"].as_u64()),
+        (Some(5), Some(1301))
+    );
+}
+
+/// Guards against a change made twice, or given up, because one host is down.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_next_host_takes_over() {
+    let site = Site::start("failover").await;
+    let other = AdminHost::start(&site.platform, "host-2").await;
+    let closed = closed_address().await;
+
+    let applied = site
+        .run_at(&[closed, other.address], &["apply", &site.file])
+        .await;
+    let nobody = site
+        .run_at(&[closed], &["apply", &site.file, "--expect", "0"])
+        .await;
+
+    assert_eq!(applied.out, "version 1 accepted\n", "{applied:?}");
+    assert_eq!(nobody.code, 5, "{nobody:?}");
+    assert!(nobody.err.contains("nothing was sent"), "{nobody:?}");
+}
+
+/// Guards against "nothing changed" for a change that a host took without answering.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unanswered_change_is_repeated_safely_or_reported_as_unknown() {
+    let site = Site::start("unanswered").await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let silent_address = silent.local_addr().unwrap();
+    let task = tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = silent.accept().await.unwrap();
+            let _ = stream.read_u8().await;
+        }
+    });
+
+    let alone = site
+        .run_at(&[silent_address], &["apply", &site.file, "--expect", "0"])
+        .await;
+    let addresses = [silent_address, site.host.address];
+    let repeated = site
+        .run_at(&addresses, &["apply", &site.file, "--expect", "0"])
+        .await;
+    let mismatch = site
+        .run_at(&addresses, &["drain", "ledig", "ledig-1", "--expect", "0"])
+        .await;
+    task.abort();
+
+    assert_eq!(alone.code, 6, "{alone:?}");
+    assert_eq!(repeated.out, "version 1 accepted\n", "{repeated:?}");
+    assert_eq!(mismatch.code, 6, "{mismatch:?}");
+}
+
+/// Guards against `--wait` that ends before the version is in force everywhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn waiting_ends_when_every_host_has_the_version() {
+    let site = Site::start("wait").await;
+
+    let early = site
+        .run(&["apply", &site.file, "--wait", "--wait-limit", "1ms"])
+        .await;
+    site.host.adopt().await;
+    let done = site.run(&["apply", &site.file, "--wait"]).await;
+
+    assert_eq!(early.code, 9, "{early:?}");
+    assert!(early.err.contains("host-1"), "{early:?}");
+    assert_eq!((done.code, done.err.as_str()), (0, ""), "{done:?}");
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -173,6 +173,7 @@
     digit.to_string().repeat(64)
 }
 
+#[allow(dead_code)]
 pub fn key(id: &str, digit: char) -> OperatorKey {
     let secret = OperatorSecret::from_hex(&secret(digit)).unwrap();
     OperatorKey {
