Read audit streams in windows of numbers and settle stale reads

Listing every archived record for each page costs the square of the stream's length; records are now read by number, and the client verifies page by page. A conflict after which reads still show the old state is reported as an unknown outcome instead of a change by somebody else.

--- a/crates/cli/src/args/cli_command.rs
+++ b/crates/cli/src/args/cli_command.rs
@@ -140,7 +140,7 @@
         from: u64,
         /// Most records.
         #[arg(long, default_value_t = 100)]
-        limit: usize,
+        limit: u64,
     },
     /// Verify streams, or an exported file.
     #[command(after_help = "\
--- a/crates/cli/src/commands/audit.rs
+++ b/crates/cli/src/commands/audit.rs
@@ -4,17 +4,20 @@
     super::api::Api,
     crate::{
         args::{AuditCommand, VerifyArgs},
-        error::{AuditFaultsSnafu, CliError, ReadFileSnafu, SettingsSnafu},
+        error::{AnswerSnafu, AuditFaultsSnafu, CliError, ReadFileSnafu, SettingsSnafu},
         output::{Printer, plain, table},
     },
     camphorcove_core::audit::{AuditRecord, ChainFault, verify_chain},
-    camphorcove_net::operator::{QueryMap, VerifyReport},
+    camphorcove_net::{
+        config::AuditPage,
+        operator::{QueryMap, VerifyReport},
+    },
     snafu::ResultExt,
     std::{fs, path::Path},
 };
 
-/// Records asked for at once by an export.
-const EXPORT_PAGE: usize = 500;
+/// Records asked for at once.
+const PAGE: u64 = 500;
 
 /// Runs a command of the audit trail.
 pub async fn run(api: &Api, printer: Printer, command: AuditCommand) -> Result<(), CliError> {
@@ -38,33 +41,29 @@
     printer: Printer,
     stream: &str,
     from: u64,
-    limit: usize,
+    limit: u64,
 ) -> Result<(), CliError> {
+    let end = from.saturating_add(limit);
     let mut records: Vec<AuditRecord> = Vec::new();
-    while records.len() < limit {
-        let next = records.last().map_or(from, |record| record.number + 1);
-        let wanted = EXPORT_PAGE.min(limit - records.len());
-        let page: Vec<AuditRecord> = api.get("/v1/audit", page(stream, next, wanted)).await?;
-        let complete = page.len() < wanted;
-        records.extend(page);
-        if complete {
-            break;
-        }
+    let mut next = Some(from);
+    while let Some(number) = next.filter(|number| *number < end) {
+        let page = page(api, stream, number, end - number).await?;
+        records.extend(page.records);
+        next = page.next;
     }
     printer.print(&records, |records| {
         let rows = records.iter().map(record_row);
-        table(
-            &["number", "time (ms)", "actor", "action", "reason"],
-            rows.collect(),
-        )
+        let header = ["number", "time (ms)", "actor", "action", "reason"];
+        table(&header, rows.collect())
     })
 }
 
-fn page(stream: &str, from: u64, limit: usize) -> QueryMap {
-    QueryMap::default()
+async fn page(api: &Api, stream: &str, from: u64, limit: u64) -> Result<AuditPage, CliError> {
+    let query = QueryMap::default()
         .with("stream", stream)
         .with("from", from)
-        .with("limit", limit)
+        .with("limit", limit.min(PAGE));
+    api.get("/v1/audit", query).await
 }
 
 fn record_row(record: &AuditRecord) -> Vec<String> {
@@ -78,18 +77,18 @@
 }
 
 async fn export(api: &Api, printer: Printer, stream: &str) -> Result<(), CliError> {
-    let mut next = 1;
-    loop {
-        let text = api
-            .get_text("/v1/audit/export", page(stream, next, EXPORT_PAGE))
-            .await?;
-        printer.print_raw(&text)?;
-        let records = parse_lines("the answer", &text)?;
-        match records.last() {
-            Some(last) if records.len() == EXPORT_PAGE => next = last.number + 1,
-            _ => return Ok(()),
+    let mut next = Some(1);
+    while let Some(number) = next {
+        let page = page(api, stream, number, PAGE).await?;
+        let mut text = Vec::new();
+        for record in &page.records {
+            serde_json::to_writer(&mut text, record).context(AnswerSnafu)?;
+            text.push(b'\n');
         }
+        printer.print_raw(&text)?;
+        next = page.next;
     }
+    Ok(())
 }
 
 async fn verify(api: &Api, printer: Printer, args: &VerifyArgs) -> Result<(), CliError> {
@@ -107,20 +106,30 @@
     finish(printer, &reports)
 }
 
+/// Reads a stream page by page and verifies it here, because one answer for a
+/// stream of years would take longer than a request may.
 async fn verify_stream(
     api: &Api,
     stream: &str,
     args: &VerifyArgs,
 ) -> Result<VerifyReport, CliError> {
-    let anchors = args.anchors.iter();
-    let anchors: Vec<String> = anchors
-        .map(|anchor| format!("{}:{}", anchor.number, anchor.hash))
-        .collect();
-    let mut query = QueryMap::default().with("stream", stream);
-    if !anchors.is_empty() {
-        query = query.with("anchor", anchors.join(","));
+    let mut records = Vec::new();
+    let mut next = Some(1);
+    while let Some(number) = next {
+        let page = page(api, stream, number, PAGE).await?;
+        records.extend(page.records);
+        next = page.next;
+    }
+    Ok(report_of(stream.to_owned(), &records, args))
+}
+
+fn report_of(stream: String, records: &[AuditRecord], args: &VerifyArgs) -> VerifyReport {
+    let report = verify_chain(records, &args.anchors);
+    VerifyReport {
+        stream,
+        texts: report.faults.iter().map(ChainFault::to_string).collect(),
+        report,
     }
-    api.get("/v1/audit/verify", query).await
 }
 
 /// Verifies an exported file without a host.
@@ -128,12 +137,7 @@
     let text = fs::read(file).context(ReadFileSnafu { path: file })?;
     let name = file.display().to_string();
     let records = parse_lines(&name, &text)?;
-    let report = verify_chain(&records, &args.anchors);
-    Ok(VerifyReport {
-        stream: name,
-        texts: report.faults.iter().map(ChainFault::to_string).collect(),
-        report,
-    })
+    Ok(report_of(name, &records, args))
 }
 
 fn parse_lines(name: &str, text: &[u8]) -> Result<Vec<AuditRecord>, CliError> {
--- a/crates/daemon/src/admin/audit_routes.rs
+++ b/crates/daemon/src/admin/audit_routes.rs
@@ -6,15 +6,16 @@
         admin_call::{AdminReply, AdminResult, json_reply, malformed},
         repo_failure::repo_failure,
     },
-    camphorcove_core::audit::{AuditRecord, ChainAnchor, ChainFault},
+    camphorcove_core::audit::{ChainAnchor, ChainFault},
     camphorcove_net::{
+        config::AuditPage,
         operator::{ApiError, VerifyReport},
         platform::ObjectStore,
     },
 };
 
-/// Most records in one answer; clients ask again from the next number.
-const PAGE_LIMIT: usize = 500;
+/// Most records in one answer; clients continue from the number it names.
+const PAGE_LIMIT: u64 = 500;
 
 impl<S: ObjectStore, V: OperatorView> AdminService<S, V> {
     pub(super) async fn audit_streams(&self) -> AdminResult {
@@ -26,10 +27,11 @@
         json_reply(&self.page(call).await?)
     }
 
-    /// One record a line.
+    /// One record a line; the records are those of a window of numbers, so a client
+    /// continues at `from` plus `limit`.
     pub(super) async fn audit_export(&self, call: &AdminCall) -> AdminResult {
         let mut text = String::new();
-        for record in self.page(call).await? {
+        for record in self.page(call).await?.records {
             let line = serde_json::to_string(&record)
                 .unwrap_or_else(|error| unreachable!("encoding to memory cannot fail: {error}"));
             text.push_str(&line);
@@ -56,10 +58,10 @@
         })
     }
 
-    async fn page(&self, call: &AdminCall) -> Result<Vec<AuditRecord>, ApiError> {
+    async fn page(&self, call: &AdminCall) -> Result<AuditPage, ApiError> {
         let stream = call.required("stream")?;
         let from = call.optional::<u64>("from")?.unwrap_or(1);
-        let limit = call.optional::<usize>("limit")?.unwrap_or(PAGE_LIMIT);
+        let limit = call.optional::<u64>("limit")?.unwrap_or(PAGE_LIMIT);
         let limit = limit.min(PAGE_LIMIT);
         self.audit
             .read(stream, from, limit)
--- a/crates/daemon/tests/admin_access.rs
+++ b/crates/daemon/tests/admin_access.rs
@@ -73,7 +73,7 @@
 
     host.stop().await;
     let reader = AuditReader::new(platform.client());
-    let records = reader.read(OPERATOR_STREAM, 1, 100).await.unwrap();
+    let records = reader.read(OPERATOR_STREAM, 1, 100).await.unwrap().records;
     assert!(
         records.len() <= 2,
         "13 refusals must not make {} records",
@@ -215,7 +215,7 @@
     assert_eq!(accepted["record"], 1);
     assert_eq!(refused.code, ApiCode::LossRefused.number());
     let reader = AuditReader::new(platform.client());
-    let records = reader.read(OPERATOR_STREAM, 1, 10).await.unwrap();
+    let records = reader.read(OPERATOR_STREAM, 1, 10).await.unwrap().records;
     let scope = "ledig".to_owned();
     assert_eq!(
         records[0].action,
--- a/crates/daemon/tests/admin_changes.rs
+++ b/crates/daemon/tests/admin_changes.rs
@@ -3,9 +3,10 @@
 mod support;
 
 use {
-    camphorcove_core::{audit::AuditRecord, conf::FaultKind, ids::ConfigVersion},
-    camphorcove_net::operator::{
-        ApiCode, ApplyReport, CheckReport, DiffReport, StatusReport, VerifyReport,
+    camphorcove_core::{conf::FaultKind, ids::ConfigVersion},
+    camphorcove_net::{
+        config::AuditPage,
+        operator::{ApiCode, ApplyReport, CheckReport, DiffReport, StatusReport, VerifyReport},
     },
     camphorcove_standin::platform::{PlatformFaults, PlatformStandin},
     rstest::rstest,
@@ -69,8 +70,9 @@
         (status.config, status.platform),
         (ConfigVersion(4), Some(ConfigVersion(4)))
     );
-    let records: Vec<AuditRecord> = api.get("/v1/audit?stream=config").await.unwrap();
-    assert_eq!(records.len(), 4);
+    let page: AuditPage = api.get("/v1/audit?stream=config").await.unwrap();
+    let records = page.records;
+    assert_eq!((records.len(), page.next), (4, None));
     assert!(records.iter().all(|record| record.actor == "anna"));
     assert_eq!(records[0].reason, "first file");
     let verified: VerifyReport = api.get("/v1/audit/verify?stream=config").await.unwrap();
@@ -234,3 +236,33 @@
     );
     assert_eq!(late.unwrap_err().code, ApiCode::VersionMismatch.number());
 }
+
+/// Guards against "nothing changed" for a change that took effect while reads
+/// show an older state.
+#[tokio::test]
+async fn stale_reads_leave_the_outcome_open() {
+    let (platform, host) = start().await;
+    let api = host.api(&key("anna", 'a'));
+    let _: ApplyReport = api
+        .post("/v1/config/apply?expect=0", STOCKHOLM)
+        .await
+        .unwrap();
+    let lose_answers_prefix = Some("config/head".to_owned());
+    platform.set_faults(PlatformFaults {
+        stale_reads: true,
+        lose_answers_prefix,
+        ..PlatformFaults::default()
+    });
+
+    let unknown = api
+        .post::<ApplyReport>("/v1/config/apply?expect=1", changed(49))
+        .await;
+    platform.set_faults(PlatformFaults::default());
+    let again: ApplyReport = api
+        .post("/v1/config/apply?expect=1", changed(49))
+        .await
+        .unwrap();
+
+    assert_eq!(unknown.unwrap_err().code, ApiCode::OutcomeUnknown.number());
+    assert_eq!((again.version, again.changed), (ConfigVersion(2), false));
+}
--- a/crates/net/src/config/archive.rs
+++ b/crates/net/src/config/archive.rs
@@ -69,9 +69,17 @@
     let stored = store.get(key).await?;
     match stored {
         Some(stored) if stored.value == *value => Ok(()),
-        _ => Err(RepoError::Damaged {
+        None => Err(stale_read().into()),
+        Some(_) => Err(RepoError::Damaged {
             key: key.to_string(),
             reason: "the stored content differs from the one to be archived".into(),
         }),
     }
 }
+
+/// Error for a read that shows a state from before a conflict.
+pub(super) fn stale_read() -> StoreError {
+    StoreError::Unknown {
+        reason: "reads show a state from before the last write".into(),
+    }
+}
--- a/crates/net/src/config/audit_reader.rs
+++ b/crates/net/src/config/audit_reader.rs
@@ -19,13 +19,26 @@
         scope::ScopeState,
     },
     futures_util::{StreamExt, TryStreamExt, stream},
-    snafu::OptionExt,
-    std::collections::{BTreeMap, BTreeSet},
+    snafu::{OptionExt, ensure},
+    std::collections::BTreeSet,
 };
 
 /// Archived records read at once; keeps the platform's read rate moderate.
 const READ_PARALLEL: usize = 8;
 
+/// Highest record number that is believed, so that a forged number cannot make a
+/// read endless: several centuries of changes at 1,500 a day.
+const NUMBER_LIMIT: u64 = 1_000_000_000;
+
+/// Part of an audit stream.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct AuditPage {
+    /// Records in order.
+    pub records: Vec<AuditRecord>,
+    /// Number to continue from; `None` at the end of the stream.
+    pub next: Option<u64>,
+}
+
 /// Reads audit streams from a platform.
 #[derive(Clone, Debug)]
 pub struct AuditReader<S> {
@@ -58,37 +71,42 @@
         Ok(names.into_iter().collect())
     }
 
-    /// Records of a stream with numbers in `from..`, at most `limit`, in order.
+    /// Records of a stream whose numbers are in a window of `count` from `from`.
     ///
-    /// Missing archived records are left out here and found by [`Self::verify`].
-    pub async fn read(
-        &self,
-        name: &str,
-        from: u64,
-        limit: usize,
-    ) -> Result<Vec<AuditRecord>, RepoError> {
+    /// Missing records are left out here and found by [`Self::verify`].
+    pub async fn read(&self, name: &str, from: u64, count: u64) -> Result<AuditPage, RepoError> {
         // The mutable object is read first: a record that leaves it afterwards
         // has been archived before.
         let current = self.current(name).await?;
-        let archived = self.archived_numbers(name).await?;
-        let mut records: BTreeMap<u64, Option<AuditRecord>> =
-            archived.into_iter().map(|number| (number, None)).collect();
-        for record in current {
-            records.insert(record.number, Some(record));
-        }
-        let (what, found) = ("audit stream", !records.is_empty());
-        found.then_some(()).context(NotFoundSnafu { what, name })?;
-        let wanted = records.into_iter().filter(|(number, _)| *number >= from);
-        let reads = wanted.take(limit).map(|(number, record)| async move {
-            match record {
-                Some(record) => Ok(record),
-                None => self.archived(name, number).await,
+        let last = match current.last() {
+            Some(record) => record.number,
+            None => self.last_archived(name).await?,
+        };
+        let (what, found) = ("audit stream", last > 0);
+        ensure!(found, NotFoundSnafu { what, name });
+        let (key, reason) = (name, "the number of the last record cannot be right");
+        ensure!(last <= NUMBER_LIMIT, DamagedSnafu { key, reason });
+        let end = from.saturating_add(count).min(last.saturating_add(1));
+        let reads = (from.max(1)..end).map(|number| {
+            let held = current
+                .iter()
+                .find(|record| record.number == number)
+                .cloned();
+            async move {
+                match held {
+                    Some(record) => Ok(Some(record)),
+                    None => self.archived(name, number).await,
+                }
             }
         });
-        stream::iter(reads)
+        let read: Vec<Option<AuditRecord>> = stream::iter(reads)
             .buffered(READ_PARALLEL)
             .try_collect()
-            .await
+            .await?;
+        Ok(AuditPage {
+            records: read.into_iter().flatten().collect(),
+            next: (end <= last).then_some(end),
+        })
     }
 
     /// Verifies a whole stream. `anchors` are numbers and hashes noted earlier.
@@ -97,29 +115,31 @@
         name: &str,
         anchors: &[ChainAnchor],
     ) -> Result<ChainReport, RepoError> {
-        let records = self.read(name, 1, usize::MAX).await?;
-        Ok(verify_chain(&records, anchors))
+        let page = self.read(name, 1, u64::MAX).await?;
+        Ok(verify_chain(&page.records, anchors))
     }
 
-    /// Numbers of the archived records of a stream.
-    async fn archived_numbers(&self, name: &str) -> Result<Vec<u64>, RepoError> {
+    /// Number of the last archived record, for a stream without its mutable object.
+    async fn last_archived(&self, name: &str) -> Result<u64, RepoError> {
         let keys = self.store.list(&format!("audit/{name}/")).await?;
         let numbers = keys.iter().filter_map(|(key, _)| {
             let (stream, number) = split_key(key.as_str())?;
             (stream == name).then_some(number)
         });
-        Ok(numbers.collect())
+        Ok(numbers.max().unwrap_or(0))
     }
 
-    async fn archived(&self, name: &str, number: u64) -> Result<AuditRecord, RepoError> {
+    async fn archived(&self, name: &str, number: u64) -> Result<Option<AuditRecord>, RepoError> {
         let key = archive_key(name, number);
-        let stored = self.store.get(&key).await?;
-        let record = stored.and_then(|stored| decode_record(&stored.value));
-        let record = record.filter(|record| record.number == number);
-        record.context(DamagedSnafu {
+        let Some(stored) = self.store.get(&key).await? else {
+            return Ok(None);
+        };
+        let record = decode_record(&stored.value).filter(|record| record.number == number);
+        let record = record.context(DamagedSnafu {
             key: key.to_string(),
-            reason: "the archived audit record is missing, unreadable or has another number",
-        })
+            reason: "the archived audit record is unreadable or has another number",
+        })?;
+        Ok(Some(record))
     }
 
     /// Records in the mutable object of a stream.
--- a/crates/net/src/config/config_repo.rs
+++ b/crates/net/src/config/config_repo.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Author, ConfigHead, OperatorOrder, RepoError,
+        AuditPage, AuditReader, Author, ConfigHead, OperatorOrder, RepoError,
         archive::{archive_key, decode_record},
         change_plan::ChangeRequest,
         config_head::{StoredHead, version_of},
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Audit records of the versions in a window of `count` from `from`.
+    pub async fn history(&self, from: ConfigVersion, count: u64) -> Result<AuditPage, RepoError> {
+        let reader = AuditReader::new(self.store.clone());
+        reader.read(CONFIG_STREAM, from.0, count).await
+    }
+
     /// Applies a file. Content that is in force already changes nothing, whatever
     /// version is expected, so an apply may be repeated after a lost answer.
     pub async fn apply(
--- a/crates/net/src/config/head_update.rs
+++ b/crates/net/src/config/head_update.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ConfigHead, RepoError,
-        archive::{archive_key, archive_record, decode_record},
+        archive::{archive_key, archive_record, decode_record, stale_read},
         config_head::StoredHead,
         repo_error::*,
     },
@@ -58,13 +58,12 @@
             .await
         {
             Ok(_) => return Ok(UpdateResult::Committed),
-            Err(StoreError::Conflict { .. }) => {
-                let settled = settle(store, next).await;
-                match settled {
-                    Err(RepoError::Store { source }) => lost = Some(source),
-                    settled => return settled,
-                }
-            }
+            Err(StoreError::Conflict { .. }) => match settle(store, base, next).await {
+                Ok(Some(result)) => return Ok(result),
+                Ok(None) => lost = Some(stale_read()),
+                Err(RepoError::Store { source }) => lost = Some(source),
+                Err(error) => return Err(error),
+            },
             Err(error @ StoreError::Unknown { .. }) => lost = Some(error),
             Err(error) if lost.is_none() => return Err(error.into()),
             Err(error) => lost = Some(error),
@@ -76,28 +75,35 @@
 }
 
 /// Finds out whether `next` took effect although its write met a conflict.
-async fn settle<S: ObjectStore>(store: &S, next: &ConfigHead) -> Result<UpdateResult, RepoError> {
-    let found = record_at(store, next.record.number).await?;
-    Ok(match found {
+///
+/// `None` means that the platform still shows the state before the conflict.
+async fn settle<S: ObjectStore>(
+    store: &S,
+    base: Option<&StoredHead>,
+    next: &ConfigHead,
+) -> Result<Option<UpdateResult>, RepoError> {
+    let object = store.get(&ConfigHead::key()).await?;
+    let seen = object.as_ref().map(|object| object.version);
+    let Some(object) = object.filter(|_| seen != base.map(|base| base.object)) else {
+        return Ok(None);
+    };
+    let head = StoredHead::decode(&object)?.head;
+    let hash = record_hash_at(store, &head, next.record.number).await?;
+    Ok(Some(match hash {
         Some(hash) if hash == next.record.hash() => UpdateResult::Committed,
         _ => UpdateResult::Superseded,
-    })
+    }))
 }
 
 /// Hash of the record of a version: in the head if current, else archived.
-async fn record_at<S: ObjectStore>(
+async fn record_hash_at<S: ObjectStore>(
     store: &S,
+    head: &ConfigHead,
     number: u64,
 ) -> Result<Option<RecordHash>, RepoError> {
-    let Some(object) = store.get(&ConfigHead::key()).await? else {
-        return Ok(None);
-    };
-    let head = StoredHead::decode(&object)?.head;
-    if head.record.number == number {
-        return Ok(Some(head.record.hash()));
-    }
-    if head.record.number < number {
-        return Ok(None);
+    if head.record.number <= number {
+        let current = head.record.number == number;
+        return Ok(current.then(|| head.record.hash()));
     }
     let archived = store.get(&archive_key(CONFIG_STREAM, number)).await?;
     let record = archived.and_then(|object| decode_record(&object.value));
--- a/crates/net/src/config/mod.rs
+++ b/crates/net/src/config/mod.rs
@@ -18,7 +18,7 @@
 
 pub use {
     archive::{archive_key, archive_record, decode_record, encode_record},
-    audit_reader::AuditReader,
+    audit_reader::{AuditPage, AuditReader},
     audit_stream::{OPERATOR_STREAM, append_operator_record},
     author::Author,
     config_head::{ConfigHead, HEAD_KEY},
--- a/crates/net/tests/audit_reader.rs
+++ b/crates/net/tests/audit_reader.rs
@@ -42,8 +42,10 @@
     let page = reader.read("config", 9, 3).await.unwrap();
 
     assert_eq!((report.records, report.faults), (12, Vec::new()));
-    let numbers: Vec<u64> = page.iter().map(|record| record.number).collect();
-    assert_eq!(numbers, [9, 10, 11]);
+    let numbers: Vec<u64> = page.records.iter().map(|record| record.number).collect();
+    assert_eq!((numbers, page.next), (vec![9, 10, 11], Some(12)));
+    let history = repo.history(ConfigVersion(12), 10).await.unwrap();
+    assert_eq!((history.records.len(), history.next), (1, None));
     assert_eq!(reader.streams().await.unwrap(), ["config"]);
     let unknown = reader.verify("nothing", &[]).await;
     assert!(matches!(unknown, Err(RepoError::NotFound { .. })));
@@ -56,7 +58,7 @@
     let reader = AuditReader::new(repo.store().clone());
     let intact = reader.verify("config", &[]).await.unwrap();
     repo.store().remove(archive_key("config", 2).as_str());
-    let mut record = reader.read("config", 4, 1).await.unwrap().remove(0);
+    let mut record = reader.read("config", 4, 1).await.unwrap().records.remove(0);
     record.actor = "eve".into();
     let edited = serde_json::to_vec(&record).unwrap();
     repo.store()
