--- a/crates/core/src/conf/service_reader.rs
+++ b/crates/core/src/conf/service_reader.rs
@@ -57,9 +57,7 @@
     sink: &mut FaultSink<'_>,
 ) -> ReadService<'t, 'i> {
     reader.check_keys(sink);
-    let name = reader
-        .parsed::<ServiceName>(sink, "name")
-        .map(|name| name.value);
+    let name = read_name(&reader, sink);
     let host = read_host(&reader, sink);
     let path_prefix = read_prefix(&reader, sink);
     let routing = reader.choice::<RoutingMode>(sink, "routing");
@@ -70,7 +68,7 @@
     }
     check_server_ids(&servers, sink);
     let too_many = usize::try_from(shards).is_ok_and(|shards| servers.len() > shards);
-    if routing == RoutingMode::Keyed && too_many {
+    if routing == Some(RoutingMode::Keyed) && too_many {
         let allowed = format!("at least one shard for each of {} servers", servers.len());
         reader.fault_allowed(sink, "shards", FaultKind::Contradiction, allowed, None);
     }
@@ -79,13 +77,13 @@
         name,
         host: host.clone(),
         path_prefix: path_prefix.clone(),
-        routing,
+        routing: routing.unwrap_or_default(),
         key,
         shards,
-        placement: reader.choice(sink, "placement"),
-        fencing: reader.choice(sink, "fencing"),
-        class: reader.choice(sink, "class"),
-        dedup: reader.choice(sink, "dedup"),
+        placement: reader.choice(sink, "placement").unwrap_or_default(),
+        fencing: reader.choice(sink, "fencing").unwrap_or_default(),
+        class: reader.choice(sink, "class").unwrap_or_default(),
+        dedup: reader.choice(sink, "dedup").unwrap_or_default(),
         idempotent_methods: read_methods(&reader, sink),
         max_moves: reader.count(sink, "max_moves", 256),
         limits: read_limits(&reader, sink),
@@ -101,6 +99,18 @@
     }
 }
 
+/// Names of audit streams that are not those of a scope.
+const RESERVED_NAMES: &[&str] = &["config", "operator"];
+
+fn read_name(reader: &TableReader<'_, '_>, sink: &mut FaultSink<'_>) -> Option<ServiceName> {
+    let name = reader.parsed::<ServiceName>(sink, "name")?.value;
+    if RESERVED_NAMES.contains(&name.as_str()) {
+        let allowed = format!("a name other than {}", RESERVED_NAMES.join(", "));
+        reader.fault_allowed(sink, "name", FaultKind::NotAllowed, allowed, None);
+    }
+    Some(name)
+}
+
 fn read_host(reader: &TableReader<'_, '_>, sink: &mut FaultSink<'_>) -> Option<String> {
     let host = reader.text(sink, "host")?.value;
     let allowed =
@@ -172,16 +182,16 @@
 
 fn read_key(
     reader: &TableReader<'_, '_>,
-    routing: RoutingMode,
+    routing: Option<RoutingMode>,
     sink: &mut FaultSink<'_>,
 ) -> Option<KeySource> {
     match (routing, reader.has("key")) {
-        (RoutingMode::Keyed, false) => {
+        (Some(RoutingMode::Keyed), false) => {
             let allowed = "a key source for routing = \"keyed\", or routing = \"free\"".into();
             reader.fault_allowed(sink, "key", FaultKind::MissingKey, allowed, None);
             return None;
         }
-        (RoutingMode::Free, true) => {
+        (Some(RoutingMode::Free), true) => {
             let allowed = "no key source for routing = \"free\"".into();
             reader.fault_allowed(sink, "key", FaultKind::Contradiction, allowed, None);
         }
--- a/crates/daemon/src/node/node_view.rs
+++ b/crates/daemon/src/node/node_view.rs
@@ -15,10 +15,10 @@
     },
     camphorcove_net::{
         operator::{MoveStatus, RoleStatus, ServerLoad},
-        peer::PeerTraffic,
+        peer::{PeerAddress, PeerKind, PeerTraffic, StatusAnswer, StatusRequest},
         platform::HttpStore,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Reads the state of the daemon's parts.
@@ -38,16 +38,37 @@
     pub traffic: Arc<PeerTraffic>,
 }
 
+/// Longest wait for the state of another host.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl NodeView {
+    async fn host_version(&self, peer: PeerAddress) -> Option<(HostId, ConfigVersion)> {
+        let host = peer.host.id;
+        let client = &self.context.client;
+        let kind = PeerKind::Status;
+        let answer: StatusAnswer = client
+            .call(&host, peer.peer, kind, &StatusRequest, STATUS_TIMEOUT)
+            .await
+            .ok()?;
+        Some((host, answer.config))
+    }
+}
+
 impl OperatorView for NodeView {
     fn host(&self) -> HostId {
         self.context.host.id.clone()
     }
 
-    fn host_versions(&self) -> Vec<(HostId, ConfigVersion)> {
-        self.context.hosts.configs()
+    async fn host_versions(&self) -> Vec<(HostId, ConfigVersion)> {
+        let me = &self.context.host.id;
+        let peers = self.context.live().into_iter();
+        let others = peers.filter(|peer| peer.host.id != *me);
+        let questions = others.map(|peer| self.host_version(peer));
+        let answers = futures_util::future::join_all(questions).await;
+        answers.into_iter().flatten().collect()
     }
 
-    fn roles(&self) -> Vec<RoleStatus> {
+    async fn roles(&self) -> Vec<RoleStatus> {
         let me = &self.context.host.id;
         let mut roles = Vec::new();
         for (service, report) in self.scopes.reports() {
@@ -73,7 +94,7 @@
         roles
     }
 
-    fn moves(&self) -> Vec<MoveStatus> {
+    async fn moves(&self) -> Vec<MoveStatus> {
         let reports = self.scopes.reports();
         let mut moves = Vec::new();
         for (service, report) in reports {
@@ -90,7 +111,7 @@
         moves
     }
 
-    fn loads(&self) -> Vec<ServerLoad> {
+    async fn loads(&self) -> Vec<ServerLoad> {
         Vec::new()
     }
 
