--- a/crates/net/tests/http_store.rs
+++ b/crates/net/tests/http_store.rs
@@ -13,7 +13,8 @@
         proxy::{ProxySettings, ProxyStandin},
     },
     rstest::rstest,
-    std::time::Duration,
+    std::{io::ErrorKind, time::Duration},
+    tokio::net::TcpStream,
 };
 
 const KEY: &str = "scope/ledig";
@@ -235,12 +236,11 @@
 
 /// The proxy closes its listener some time after it is told to refuse.
 async fn wait_for_refusal(proxy: &ProxyStandin) {
-    if proxy.settings().refuse {
-        while tokio::net::TcpStream::connect(proxy.address())
-            .await
-            .is_ok()
-        {
-            tokio::task::yield_now().await;
+    while proxy.settings().refuse {
+        let connected = TcpStream::connect(proxy.address()).await;
+        let kind = connected.err().map(|error| error.kind());
+        if kind == Some(ErrorKind::ConnectionRefused) {
+            return;
         }
     }
 }
--- a/crates/standin/src/backend/backend_settings.rs
+++ b/crates/standin/src/backend/backend_settings.rs
@@ -91,7 +91,7 @@
 
 impl BackendSettings {
     /// Time a request takes that is `work` long on an ordinary server.
-    pub(super) fn scaled(&self, work: Duration, cold: bool) -> Duration {
+    pub fn scaled(&self, work: Duration, cold: bool) -> Duration {
         let warm = work * ORDINARY_SPEED / self.speed.max(1);
         if cold { warm * self.cold_factor } else { warm }
     }
