--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,7 +3,10 @@
 //! logging.
 
 pub mod clock;
+pub mod config;
 pub mod http;
+pub mod log;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod servers;
