Answer clock probes at the backend stand-in without running them

The forwarder asks a server for its clock with OPTIONS *. The stand-in counted that as a request: it took a slot and stood in the ledger. It now answers with its clock only, guarded by a test. HttpClient takes the number of kept connections, which the load generator needs.

--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -19,7 +19,8 @@
     },
 };
 
-/// Idle connections kept per address; further ones are closed after use.
+/// Idle connections kept per address unless set otherwise; further ones are
+/// closed after use.
 const IDLE_LIMIT: usize = 8;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
@@ -43,12 +44,27 @@
 }
 
 /// Sends requests over kept connections, without retries.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct HttpClient {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+    idle_limit: usize,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::with_idle_limit(IDLE_LIMIT)
+    }
 }
 
 impl HttpClient {
+    /// Client that keeps up to `idle_limit` idle connections per address.
+    pub fn with_idle_limit(idle_limit: usize) -> Self {
+        Self {
+            idle: Arc::default(),
+            idle_limit,
+        }
+    }
+
     /// Sends a request and reads the whole response within `timeout`.
     ///
     /// The connection is closed if the returned future is dropped early.
@@ -108,7 +124,7 @@
         let mut idle = self.lock();
         let senders = idle.entry(address).or_default();
         senders.retain(|sender| !sender.is_closed());
-        if senders.len() < IDLE_LIMIT {
+        if senders.len() < self.idle_limit {
             senders.push(sender);
         }
     }
--- a/crates/standin/src/backend/backend_standin.rs
+++ b/crates/standin/src/backend/backend_standin.rs
@@ -8,7 +8,7 @@
     crate::http::{ANY_PORT, ConnectionCut, HttpHandler, HttpTask, Reply},
     camphorcove_core::headers::SERVER_CLOCK,
     camphorcove_net::servers::{ORDER_PATH, ServerTime},
-    http::Request,
+    http::{Method, Request},
     hyper::body::Incoming,
     std::{io, net::SocketAddr, sync::Arc},
 };
@@ -140,6 +140,8 @@
 
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Reply, ConnectionCut> {
         let mut reply = match request.uri().path() {
+            // Asks for the clock and runs nothing.
+            _ if request.method() == Method::OPTIONS => request_route::probe(&self).await,
             ORDER_PATH => order_route::route(&self, request).await?,
             HEALTH_PATH => request_route::health(&self).await,
             _ => request_route::route(&self, request).await?,
--- a/crates/standin/src/backend/request_route.rs
+++ b/crates/standin/src/backend/request_route.rs
@@ -32,6 +32,12 @@
     reply
 }
 
+/// Answer to `OPTIONS *`; the caller wants the clock.
+pub(super) async fn probe(state: &BackendState) -> Reply {
+    state.thawed().await;
+    text_reply(StatusCode::OK, "")
+}
+
 pub(super) async fn route(
     state: &Arc<BackendState>,
     request: Request<Incoming>,
--- a/crates/standin/tests/backend_requests.rs
+++ b/crates/standin/tests/backend_requests.rs
@@ -295,6 +295,19 @@
     assert_eq!(backend.ledger().len(), 1);
 }
 
+// The router asks for the clock with it; a run in the ledger would be counted
+// as a request that no caller sent.
+#[tokio::test]
+async fn a_clock_probe_runs_nothing() {
+    let backend = backend(|settings| settings.slots = 0).await;
+
+    let reply = send(&backend, Request::options("*")).await;
+
+    assert_eq!(reply.status(), StatusCode::OK);
+    assert!(reply.headers().contains_key(headers::SERVER_CLOCK));
+    assert_eq!(backend.ledger(), []);
+}
+
 #[rstest]
 #[case::dedup(true, 1)]
 #[case::no_dedup(false, 2)]
