--- /dev/null
+++ b/crates/bench/src/error/mod.rs
@@ -0,0 +1,5 @@
+//! Errors of measurements.
+
+mod bench_error;
+
+pub use bench_error::*;
