Add regions of real processes and four experiments to camphorcove-bench

Figures for the design's targets need the real daemon between real processes. BenchRegion starts the platform, backend servers and daemons; cost, failover, balance and capacity measure them and print tables and CSV.

--- /dev/null
+++ b/crates/bench/src/experiments/failover.rs
@@ -0,0 +1,148 @@
+//! Unavailable time after losses.
+
+use {
+    super::GapProbe,
+    crate::{
+        error::BenchError,
+        region::{BenchRegion, ProgramOptions, RegionPlan, ServerPlan, ServicePlan},
+        report::{ResultTable, millis},
+    },
+    camphorcove_core::conf::{RoutingMode, TimeSpan},
+    camphorcove_standin::backend::BackendSettings,
+    tokio::time::sleep,
+};
+
+/// Service of the region.
+const SERVICE: &str = "ledig";
+
+/// A key counts as affected if its gap is this many times the probes' spacing;
+/// shorter gaps also occur without a loss.
+const AFFECTED_FACTOR: u32 = 10;
+
+/// Measures unavailable time as callers see it after a kill of a server, of the
+/// controller and of both.
+#[derive(Clone, Debug, clap::Args)]
+pub struct FailoverOptions {
+    /// Number of hosts.
+    #[arg(long, default_value_t = 5)]
+    pub hosts: usize,
+    /// Number of backend servers.
+    #[arg(long, default_value_t = 6)]
+    pub servers: usize,
+    /// Number of probed keys.
+    #[arg(long, default_value_t = 100)]
+    pub keys: usize,
+    /// Time between two probes of a key.
+    #[arg(long, default_value = "20ms")]
+    pub spacing: TimeSpan,
+    /// Time a probe waits for its answer.
+    #[arg(long, default_value = "1s")]
+    pub timeout: TimeSpan,
+    /// Time before the loss.
+    #[arg(long, default_value = "3s")]
+    pub before: TimeSpan,
+    /// Time after the loss.
+    #[arg(long, default_value = "12s")]
+    pub after: TimeSpan,
+    /// Rounds of each case, each in a new region.
+    #[arg(long, default_value_t = 3)]
+    pub rounds: usize,
+    /// Programs.
+    #[command(flatten)]
+    pub programs: ProgramOptions,
+}
+
+/// What is killed.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    Server,
+    Controller,
+    Both,
+}
+
+impl FailoverOptions {
+    /// Runs the experiment.
+    pub async fn run(&self) -> Result<ResultTable, BenchError> {
+        let mut table = ResultTable::new(&[
+            "loss",
+            "round",
+            "keys",
+            "affected",
+            "median_affected_ms",
+            "longest_ms",
+            "longest_before_ms",
+        ]);
+        for loss in [Loss::Server, Loss::Controller, Loss::Both] {
+            for round in 1..=self.rounds {
+                let row = self.measure(loss, round).await?;
+                println!("{}", row.join(" "));
+                table.push(row);
+            }
+        }
+        Ok(table)
+    }
+
+    async fn measure(&self, loss: Loss, round: usize) -> Result<Vec<String>, BenchError> {
+        let mut region = BenchRegion::start(self.plan(), &self.programs).await?;
+        let service = &region.plan.services[0];
+        let targets = (0..self.keys).map(|key| service.path(&format!("key{key}")));
+        let targets = targets.collect();
+        let (spacing, timeout) = (self.spacing.duration(), self.timeout.duration());
+        let probe = GapProbe::start(region.entries(), targets, spacing, timeout);
+        sleep(self.before.duration()).await;
+        let before = probe.take_gaps();
+        lose(&mut region, loss, &probe).await?;
+        sleep(self.after.duration()).await;
+        let mut affected = probe.take_gaps();
+        let longest = affected.iter().max().copied().unwrap_or_default();
+        affected.retain(|gap| *gap >= spacing * AFFECTED_FACTOR);
+        affected.sort_unstable();
+        let median = affected.get(affected.len() / 2).copied();
+        Ok(vec![
+            format!("{loss:?}").to_lowercase(),
+            round.to_string(),
+            self.keys.to_string(),
+            affected.len().to_string(),
+            median.map_or("-".into(), millis),
+            millis(longest),
+            millis(before.into_iter().max().unwrap_or_default()),
+        ])
+    }
+
+    fn plan(&self) -> RegionPlan {
+        let settings = BackendSettings {
+            slots: 64,
+            connections: 120,
+            no_ledger: true,
+            ..BackendSettings::default()
+        };
+        let weight = 100;
+        let server = ServerPlan { weight, settings };
+        let service = ServicePlan {
+            name: SERVICE.into(),
+            routing: RoutingMode::Keyed,
+            shards: 4_096,
+            lines: String::new(),
+            servers: vec![server; self.servers],
+        };
+        RegionPlan {
+            hosts: self.hosts,
+            zones: 3,
+            services: vec![service],
+        }
+    }
+}
+
+/// Kills what is to be lost and takes a killed host off the load balancer.
+async fn lose(region: &mut BenchRegion, loss: Loss, probe: &GapProbe) -> Result<(), BenchError> {
+    let controller = region.controller(SERVICE).await?;
+    if matches!(loss, Loss::Server | Loss::Both) {
+        region.servers[0][0].process.kill();
+    }
+    if matches!(loss, Loss::Controller | Loss::Both) {
+        let mut lost = region.daemons.remove(controller);
+        probe.set_entries(region.entries());
+        lost.process.kill();
+    }
+    Ok(())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,5 +2,7 @@
 //! the experiments built on both.
 
 pub mod error;
+pub mod experiments;
 pub mod load;
+pub mod region;
 pub mod report;
--- a/crates/bench/src/load/load_run.rs
+++ b/crates/bench/src/load/load_run.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{Arrivals, Caller, KeySampler, LoadPlan, ServiceLoad},
-    crate::report::{CallOutcome, CallTally, ResultTable},
+    crate::report::{CallOutcome, CallTally, ResultTable, millis},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
@@ -192,7 +192,3 @@
         )
     }
 }
-
-fn millis(span: Duration) -> String {
-    format!("{:.2}", span.as_secs_f64() * 1_000.0)
-}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use {
     camphorcove_bench::{
         error::BenchError,
+        experiments::{BalanceOptions, CapacityOptions, CostOptions, FailoverOptions},
         load::{self, LoadOptions},
         report::OutputOptions,
     },
@@ -24,6 +25,14 @@
 enum Experiment {
     /// Generates load against entry hosts that are already running.
     Load(LoadOptions),
+    /// Measures what one daemon adds to a direct connection.
+    Cost(CostOptions),
+    /// Measures unavailable time after the loss of a server, the controller and both.
+    Failover(FailoverOptions),
+    /// Compares balance over servers 1:4 apart in speed.
+    Balance(BalanceOptions),
+    /// Measures what hosts spend without requests.
+    Capacity(CapacityOptions),
 }
 
 #[tokio::main]
@@ -47,5 +56,9 @@
             println!("{}", result.note());
             Ok(())
         }
+        Experiment::Cost(options) => options.run().await?.publish(&output),
+        Experiment::Failover(options) => options.run().await?.publish(&output),
+        Experiment::Balance(options) => options.run().await?.publish(&output),
+        Experiment::Capacity(options) => options.run().await?.publish(&output),
     }
 }
--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -5,5 +5,5 @@
 
 pub use {
     call_tally::{CallOutcome, CallTally},
-    table::{OutputOptions, ResultTable},
+    table::{OutputOptions, ResultTable, millis},
 };
--- a/crates/bench/src/report/table.rs
+++ b/crates/bench/src/report/table.rs
@@ -4,7 +4,7 @@
     crate::error::{BenchError, NotWrittenSnafu},
     comfy_table::{Table, presets::ASCII_MARKDOWN},
     snafu::ResultExt,
-    std::path::PathBuf,
+    std::{path::PathBuf, time::Duration},
 };
 
 /// Where results go besides standard output.
@@ -75,3 +75,8 @@
     }
     cell.to_owned()
 }
+
+/// A time in milliseconds, as in columns that end in `_ms`.
+pub fn millis(span: Duration) -> String {
+    format!("{:.2}", span.as_secs_f64() * 1_000.0)
+}
