--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,64 @@
-//! Program.
+//! Program for measurements.
 
-fn main() {}
+use {
+    camphorcove_bench::{
+        error::BenchError,
+        experiments::{BalanceOptions, CapacityOptions, CostOptions, FailoverOptions},
+        load::{self, LoadOptions},
+        report::OutputOptions,
+    },
+    clap::{Parser, Subcommand},
+    std::process::ExitCode,
+};
+
+/// Measurements of the camphorcove router.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct BenchCommand {
+    #[command(subcommand)]
+    experiment: Experiment,
+    #[command(flatten)]
+    output: OutputOptions,
+}
+
+#[derive(Debug, Subcommand)]
+enum Experiment {
+    /// Generates load against entry hosts that are already running.
+    Load(LoadOptions),
+    /// Measures what one daemon adds to a direct connection.
+    Cost(CostOptions),
+    /// Measures unavailable time after the loss of a server, the controller and both.
+    Failover(FailoverOptions),
+    /// Compares balance over servers 1:4 apart in speed.
+    Balance(BalanceOptions),
+    /// Measures what hosts spend without requests.
+    Capacity(CapacityOptions),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let command = BenchCommand::parse();
+    match run(command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("camphorcove-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: BenchCommand) -> Result<(), BenchError> {
+    let output = command.output;
+    match command.experiment {
+        Experiment::Load(options) => {
+            let result = load::run(&options.entries, &options.services, &options.plan).await;
+            result.table().publish(&output)?;
+            println!("{}", result.note());
+            Ok(())
+        }
+        Experiment::Cost(options) => options.run().await?.publish(&output),
+        Experiment::Failover(options) => options.run().await?.publish(&output),
+        Experiment::Balance(options) => options.run().await?.publish(&output),
+        Experiment::Capacity(options) => options.run().await?.publish(&output),
+    }
+}
