--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Runs the program.
 
-#[path = "../../../daemon/tests/support/mod.rs"]
+#[path = "../../../daemon/tests/support/admin_host.rs"]
 mod admin_host;
 
 #[allow(unused_imports)]
