Probe hosts that poll this one before they count as live

In a one-way partition a host still polled while nobody reached its peer port, so it stayed forwarder and its servers' keys answered 304 until the partition ended.

--- a/crates/daemon/src/maps/host_table.rs
+++ b/crates/daemon/src/maps/host_table.rs
@@ -1,14 +1,15 @@
 //! Live hosts of the region, by evidence.
 //!
-//! A host is live while it polls this host, or polls a relay that polls this
-//! host. Hosts that control no scope also believe the list in their upstream's
+//! A host is live while it polls this host and answers its probes, or while a
+//! relay that polls this host says so of it. Hosts that control no scope also believe the list in their upstream's
 //! answers. Controllers do not: two controllers that believed each other's list
 //! would keep a lost host in it for ever. The platform's list only supplies
 //! addresses to ask.
 
 use {
+    super::reach_probe::FAILED_PROBES,
     camphorcove_core::{
-        ids::{ConfigVersion, HostId, ServiceName},
+        ids::{HostId, ServiceName},
         map::MapVersion,
         time::{BootTime, MAP_TTL, with_drift},
     },
@@ -48,7 +49,7 @@
     downstream: Vec<PeerAddress>,
     digest: u64,
     floors: HashMap<ServiceName, (MapVersion, BootTime)>,
-    config: ConfigVersion,
+    failed_probes: u32,
 }
 
 impl HostTable {
@@ -62,7 +63,9 @@
             .or_insert_with(|| PollerRow::new(poll));
         let lacking = row.note(poll, now);
         let mut seen: Vec<PeerAddress> = row.downstream.clone();
-        seen.push(poll.from.clone());
+        if row.is_reached() {
+            seen.push(poll.from.clone());
+        }
         for address in seen {
             rows.see(address, now);
         }
@@ -112,19 +115,34 @@
     pub fn downstream(&self, now: BootTime) -> Vec<PeerAddress> {
         let mut rows = self.rows();
         rows.expire(now);
-        let pollers = rows.pollers.values().filter(|row| !row.relay);
+        let pollers = rows.pollers.values();
+        let pollers = pollers.filter(|row| !row.relay && row.is_reached());
         let mut downstream: Vec<PeerAddress> = pollers.map(|row| row.address.clone()).collect();
         downstream.sort_by(|left, right| left.host.id.cmp(&right.host.id));
         downstream
     }
 
-    /// Configuration versions of the hosts that poll this one.
-    pub fn configs(&self) -> Vec<(HostId, ConfigVersion)> {
-        let rows = self.rows();
-        let pollers = rows.pollers.iter();
+    /// Hosts that poll this one, by id.
+    pub fn pollers(&self, now: BootTime) -> Vec<PeerAddress> {
+        let mut rows = self.rows();
+        rows.expire(now);
+        let mut pollers: Vec<PeerAddress> = rows
+            .pollers
+            .values()
+            .map(|row| row.address.clone())
+            .collect();
+        pollers.sort_by(|left, right| left.host.id.cmp(&right.host.id));
         pollers
-            .map(|(host, row)| (host.clone(), row.config))
-            .collect()
+    }
+
+    /// Records whether a host that polls this one answered a probe.
+    pub fn note_probe(&self, host: &HostId, answered: bool) {
+        if let Some(row) = self.rows().pollers.get_mut(host) {
+            row.failed_probes = match answered {
+                true => 0,
+                false => row.failed_probes.saturating_add(1),
+            };
+        }
     }
 
     /// Oldest version of a scope's map that a host behind this one may still use.
@@ -172,15 +190,18 @@
             downstream: Vec::new(),
             digest: digest(&[]),
             floors: HashMap::new(),
-            config: ConfigVersion(0),
+            failed_probes: 0,
         }
     }
 
+    fn is_reached(&self) -> bool {
+        self.failed_probes < FAILED_PROBES
+    }
+
     fn note(&mut self, poll: &MapPoll, now: BootTime) -> bool {
         self.address = poll.from.clone();
         self.relay = poll.relay;
         self.answered = now;
-        self.config = poll.config;
         if let Some(downstream) = &poll.downstream {
             self.downstream = downstream.clone();
             self.digest = poll.downstream_digest;
--- a/crates/daemon/src/maps/mod.rs
+++ b/crates/daemon/src/maps/mod.rs
@@ -11,6 +11,7 @@
 mod poll_client;
 mod poll_director;
 mod poll_handler;
+mod reach_probe;
 mod relay_choice;
 
 pub use {
@@ -22,5 +23,6 @@
     poll_client::{PollClient, PollMode},
     poll_director::PollDirector,
     poll_handler::answer_poll,
+    reach_probe::probe_pollers,
     relay_choice::{is_relay, upstream_relays, zone_relays},
 };
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -12,7 +12,7 @@
         control::{ElectorActor, ScopeIo, ScopeRegistry},
         error::{DaemonError, ListenSnafu},
         forward::ForwardService,
-        maps::{ConfigWatch, HostSelf, MapContext, PollDirector},
+        maps::{ConfigWatch, HostSelf, MapContext, PollDirector, probe_pollers},
         peers::PeerService,
         serve::EntryServer,
         shutdown::{StopOutcome, StopSequence, StopSignal},
@@ -142,6 +142,7 @@
         let seeds = seed_addresses(&self.settings);
         let watch = ConfigWatch::new(context.clone(), director.clone(), self.store.clone(), seeds);
         tokio::spawn(director.run());
+        tokio::spawn(probe_pollers(context.clone()));
         tokio::spawn(watch.clone().watch_config());
         tokio::spawn(watch.watch_hosts());
         tokio::spawn(self.scopes.clone().run());
--- a/crates/daemon/src/peers/peer_service.rs
+++ b/crates/daemon/src/peers/peer_service.rs
@@ -45,6 +45,7 @@
                 let StatusRequest = decode(body)?;
                 Ok(encode(&self.status()))
             }
+            PeerKind::Probe => Ok(encode(&())),
             PeerKind::Handover => {
                 if let Some(scope) = self.scopes.get(&decode(body)?) {
                     scope.tell(ScopeEvent::HandoverOffered).await;
--- a/crates/net/src/peer/protocol.rs
+++ b/crates/net/src/peer/protocol.rs
@@ -38,11 +38,19 @@
     Status,
     /// A controller that leaves names its successor.
     Handover,
+    /// Asks for nothing but an answer.
+    Probe,
 }
 
 impl PeerKind {
     /// All kinds.
-    pub const ALL: [Self; 4] = [Self::Poll, Self::Promise, Self::Status, Self::Handover];
+    pub const ALL: [Self; 5] = [
+        Self::Poll,
+        Self::Promise,
+        Self::Status,
+        Self::Handover,
+        Self::Probe,
+    ];
 
     /// Name in paths and codes.
     pub const fn as_str(self) -> &'static str {
@@ -51,6 +59,7 @@
             Self::Promise => "promise",
             Self::Status => "status",
             Self::Handover => "handover",
+            Self::Probe => "probe",
         }
     }
 }
