--- a/crates/net/src/peer/client.rs
+++ b/crates/net/src/peer/client.rs
@@ -137,7 +137,7 @@
                 status: response.status().as_u16(),
             });
         }
-        let answer = read_frame(response.into_body()).await?;
+        let answer = read_frame(response.into_body(), super::FRAME_BYTES_MAX).await?;
         self.open(host, kind, tag, &answer)
     }
 
--- a/crates/net/src/peer/frame.rs
+++ b/crates/net/src/peer/frame.rs
@@ -38,18 +38,16 @@
     Ok(message)
 }
 
-/// Reads a body up to [`FRAME_BYTES_MAX`].
-pub async fn read_frame<B>(body: B) -> Result<Bytes, PeerError>
+/// Reads a body up to a limit in bytes.
+pub async fn read_frame<B>(body: B, limit: usize) -> Result<Bytes, PeerError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let limited = Limited::new(body, FRAME_BYTES_MAX);
+    let limited = Limited::new(body, limit);
     match limited.collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(PeerError::TooLarge {
-            limit: FRAME_BYTES_MAX,
-        }),
+        Err(error) if error.is::<LengthLimitError>() => Err(PeerError::TooLarge { limit }),
         Err(error) => Err(PeerError::NoAnswer {
             reason: error.to_string(),
         }),
--- a/crates/net/src/peer/server.rs
+++ b/crates/net/src/peer/server.rs
@@ -34,6 +34,10 @@
 /// Largest header block, in bytes: a caller's headers and the envelope.
 const HEADER_BYTES_MAX: u32 = 64 << 10;
 
+/// Largest first message, in bytes. Only a peer that has sent it can make this
+/// host buffer frames of full size.
+const HELLO_BYTES_MAX: usize = 1 << 10;
+
 /// HTTP/2 windows, in bytes.
 const STREAM_WINDOW: u32 = 1 << 20;
 const CONNECTION_WINDOW: u32 = 8 << 20;
@@ -72,6 +76,8 @@
     id: u64,
     window: Mutex<ReplayWindow>,
     forwards: Arc<AtomicBool>,
+    /// The peer has shown that it holds the key.
+    open: AtomicBool,
 }
 
 /// What a message claims about itself before it is checked.
@@ -118,6 +124,7 @@
             id: super::random_nonce(),
             window: Mutex::default(),
             forwards: Arc::default(),
+            open: AtomicBool::new(false),
         });
         let stream = CountedStream::new(stream, self.traffic.clone(), session.forwards.clone());
         let service = service_fn(move |request| {
@@ -181,7 +188,16 @@
         request: Request<Incoming>,
     ) -> Result<Response<PeerBody>, PeerError> {
         let sender = sender_of(request.headers())?;
-        let bytes = read_frame(request.into_body()).await?;
+        let limit = match (kind, session.open.load(Ordering::Acquire)) {
+            (protocol::HELLO, _) => HELLO_BYTES_MAX,
+            (_, true) => super::FRAME_BYTES_MAX,
+            (_, false) => {
+                return Err(PeerError::Unauthentic {
+                    what: "message before the session is open",
+                });
+            }
+        };
+        let bytes = read_frame(request.into_body(), limit).await?;
         let (tag, body) = AuthTag::split(&bytes)?;
         let expected = match kind {
             protocol::HELLO => 0,
@@ -195,7 +211,10 @@
         };
         self.check(session, expected, &claim)?;
         let answer = match kind {
-            protocol::HELLO => encode(&session.id),
+            protocol::HELLO => {
+                session.open.store(true, Ordering::Release);
+                encode(&session.id)
+            }
             _ => {
                 let kind = kind.parse().map_err(|()| PeerError::Malformed {
                     what: "unknown kind",
