Seal envelopes with the peer key for one receiver; probe clocks harmlessly

The envelope used a second authentication scheme and was valid at any host. The clock probe could have run as a request at a server without a free-standing OPTIONS; it carries a passed deadline, so the server refuses it. Clock readings younger than 50 ms are kept, so not every reply takes the lock.

--- a/crates/daemon/src/context/request_context.rs
+++ b/crates/daemon/src/context/request_context.rs
@@ -4,7 +4,7 @@
     super::RequestCounters,
     crate::maps::{ConfigStore, MapStore},
     camphorcove_core::ids::HostId,
-    camphorcove_net::{clock::BootClock, servers::ClockTable},
+    camphorcove_net::{clock::BootClock, peer::PeerKey, servers::ClockTable},
     std::{sync::Arc, time::Duration},
 };
 
@@ -47,7 +47,7 @@
     /// This host's clock.
     pub clock: BootClock,
     /// Key shared by all hosts of the region.
-    pub key: Arc<[u8]>,
+    pub key: PeerKey,
     /// Counters read by the metrics.
     pub counters: Arc<RequestCounters>,
     /// Settings.
--- a/crates/daemon/src/forward/forward_service.rs
+++ b/crates/daemon/src/forward/forward_service.rs
@@ -194,8 +194,8 @@
         let sender = sender.await?;
         let peers = self.context.configs.peers();
         let peer = peers.iter().find(|peer| peer.host.id == *target);
-        let address = peer.ok_or(ResultCode::PeerUnreachable)?.peer;
-        let request = hop_request(&self.context, plan, address, head, body);
+        let peer = peer.ok_or(ResultCode::PeerUnreachable)?;
+        let request = hop_request(&self.context, plan, peer, head, body);
         let request = request.ok_or(ResultCode::BadRequest)?;
         self.context.counters.hops_out.fetch_add(1, Relaxed);
         plan.hand_over();
--- a/crates/daemon/src/forward/peer_hop.rs
+++ b/crates/daemon/src/forward/peer_hop.rs
@@ -15,14 +15,14 @@
         outcome::ResultCode,
         time::BootTime,
     },
-    camphorcove_net::peer::{ForwardEnvelope, open, seal},
+    camphorcove_net::peer::{EnvelopeScope, ForwardEnvelope, PeerAddress, open, seal},
     http::{
         HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, Version,
         header::{CONTENT_LENGTH, HOST},
         uri::PathAndQuery,
     },
     hyper::body::Incoming,
-    std::{net::SocketAddr, time::Duration},
+    std::time::Duration,
 };
 
 /// Part of the remaining time, at most [`HOP_MARGIN`], kept back from a forwarder,
@@ -36,7 +36,7 @@
 pub fn hop_request(
     context: &RequestContext,
     plan: &ForwardPlan,
-    address: SocketAddr,
+    target: &PeerAddress,
     head: &RequestHead,
     body: RequestBody,
 ) -> Option<Request<RequestBody>> {
@@ -47,7 +47,12 @@
         ..plan.envelope.clone()
     };
     let path = head.path.as_str();
-    let sealed = seal(&context.key, &envelope, head.method.as_str(), path).ok()?;
+    let scope = EnvelopeScope {
+        receiver: &target.host.id,
+        method: head.method.as_str(),
+        path,
+    };
+    let sealed = seal(&context.key, scope, &envelope).ok()?;
     let mut headers = head.headers.clone();
     if let Some(host) = headers.remove(HOST) {
         headers.insert(HOP_HOST, host);
@@ -58,7 +63,7 @@
         HeaderValue::from_str(head.method.as_str()).ok()?,
     );
     headers.insert(HOP_PATH, HeaderValue::from_bytes(path.as_bytes()).ok()?);
-    let uri = format!("http://{address}{FORWARD_PATH}");
+    let uri = format!("http://{}{FORWARD_PATH}", target.peer);
     let mut request = Request::new(body);
     *request.method_mut() = Method::POST;
     *request.uri_mut() = uri.parse::<Uri>().ok()?;
@@ -80,7 +85,12 @@
     let path = headers.get(&HOP_PATH).ok_or(ResultCode::PeerRefused)?;
     let path = PathAndQuery::try_from(path.as_bytes()).map_err(|_| ResultCode::PeerRefused)?;
     let sealed = headers.get(&ENVELOPE).ok_or(ResultCode::PeerRefused)?;
-    let envelope = open(&context.key, sealed, method.as_str(), path.as_str()).map_err(|error| {
+    let scope = EnvelopeScope {
+        receiver: &context.host,
+        method: method.as_str(),
+        path: path.as_str(),
+    };
+    let envelope = open(&context.key, scope, sealed).map_err(|error| {
         log::warn!("refused a forwarded request: {error}");
         ResultCode::PeerRefused
     })?;
--- a/crates/daemon/src/forward/server_exchange.rs
+++ b/crates/daemon/src/forward/server_exchange.rs
@@ -24,13 +24,16 @@
     http_body::Body,
     http_body_util::BodyExt,
     hyper::{body::Incoming, client::conn::TrySendError},
-    std::{fmt::Display, net::SocketAddr, sync::atomic::Ordering::Relaxed},
+    std::{fmt::Display, net::SocketAddr, sync::atomic::Ordering::Relaxed, time::Duration},
     tokio::time::{Instant, timeout_at},
 };
 
 /// Text of [`SERVER_VERDICT`] that proves that a request did not run.
 const VERDICT_NOT_RUN: &str = "not-run";
 
+/// A reading this fresh is kept, so that not every reply takes the table's write lock.
+const CLOCK_REFRESH: Duration = Duration::from_millis(50);
+
 /// An instant of the runtime's clock for an instant of the boot-time clock.
 pub fn runtime_instant(context: &RequestContext, end: BootTime) -> Instant {
     Instant::now() + end.since(context.clock.now())
@@ -66,7 +69,10 @@
     Ok(true)
 }
 
-/// Asks a server for its clock with `OPTIONS *`, which runs nothing.
+/// Asks a server for its clock.
+///
+/// The request is `OPTIONS *` with a deadline that has long passed: a server that
+/// honours deadlines refuses it, and any other server has nothing to run for it.
 pub async fn probe_clock(
     context: &RequestContext,
     permit: &mut Permit,
@@ -78,6 +84,7 @@
         .method(Method::OPTIONS)
         .uri("*")
         .header(http::header::HOST, host)
+        .header(SERVER_DEADLINE, 0)
         .body(RequestBody::Empty)
         .map_err(|_| ResultCode::ClockUnknown)?;
     let connection = permit.connection().ok_or(ResultCode::ServerUnreachable)?;
@@ -198,9 +205,14 @@
     let Some(micros) = text.and_then(|text| text.parse().ok()) else {
         return;
     };
+    let now = context.clock.now();
+    let latest = context.clocks.latest(server);
+    if latest.is_some_and(|latest| now.since(latest.received_at) < CLOCK_REFRESH) {
+        return;
+    }
     let clock = ServerClock {
         reading: ServerTime(micros),
-        received_at: context.clock.now(),
+        received_at: now,
     };
     context.clocks.record(server, clock);
 }
--- a/crates/daemon/tests/support/node.rs
+++ b/crates/daemon/tests/support/node.rs
@@ -10,7 +10,7 @@
     },
     camphorcove_net::{
         clock::BootClock,
-        peer::{ConfigSnapshot, PeerAddress},
+        peer::{ConfigSnapshot, PeerAddress, PeerKey},
         servers::ClockTable,
     },
     camphorcoved::{
@@ -233,7 +233,7 @@
         configs,
         clocks: ClockTable::default(),
         clock: BootClock,
-        key: Arc::from(&b"shared key of the tests"[..]),
+        key: PeerKey::new(&[7; 32]).expect("key"),
         counters: Arc::default(),
         tuning,
     }
--- a/crates/net/src/peer/envelope.rs
+++ b/crates/net/src/peer/envelope.rs
@@ -1,14 +1,13 @@
 //! Authenticated envelope of a forwarded request.
 //!
 //! The header value is the hexadecimal form of a 32-byte HMAC-SHA256 followed by
-//! the bincode encoding of the envelope. The HMAC also covers the request's
-//! method and path, so that an envelope cannot be moved to another request.
+//! the bincode encoding of the envelope. The HMAC also covers sender, receiver,
+//! method and path, so that an envelope cannot be moved to another request or host.
 
 use {
-    super::ForwardEnvelope,
-    hmac::{Hmac, KeyInit, Mac},
+    super::{AuthScope, ForwardEnvelope, PeerKey},
+    camphorcove_core::ids::HostId,
     http::HeaderValue,
-    sha2::Sha256,
     snafu::{OptionExt, ResultExt, Snafu, ensure},
 };
 
@@ -18,8 +17,8 @@
 /// Largest accepted encoded envelope; names are limited to 63 bytes each.
 const ENVELOPE_LIMIT: usize = 4_096;
 
-/// Separates this use of the key from the key's other uses.
-const PURPOSE: &[u8] = b"camphorcove/forward/1";
+/// Kind of message in the authentication code.
+const KIND: &str = "forward";
 
 /// Why an envelope is refused.
 #[derive(Debug, Snafu)]
@@ -44,20 +43,29 @@
     },
 }
 
-/// Encodes and authenticates an envelope for a request with this method and path.
+/// What an envelope belongs to.
+#[derive(Clone, Copy, Debug)]
+pub struct EnvelopeScope<'a> {
+    /// Host that receives the request.
+    pub receiver: &'a HostId,
+    /// Method of the caller's request.
+    pub method: &'a str,
+    /// Path and query of the caller's request.
+    pub path: &'a str,
+}
+
+/// Encodes and authenticates an envelope.
 pub fn seal(
-    key: &[u8],
+    key: &PeerKey,
+    scope: EnvelopeScope<'_>,
     envelope: &ForwardEnvelope,
-    method: &str,
-    path: &str,
 ) -> Result<HeaderValue, EnvelopeError> {
     let body =
         bincode::encode_to_vec(envelope, bincode::config::standard()).context(UnencodableSnafu)?;
-    let code = authenticator(key, &body, method, path)
-        .finalize()
-        .into_bytes();
+    let message = signed_bytes(scope, &body);
+    let tag = key.seal(&auth_scope(scope, &envelope.from), &message);
     let mut text = String::with_capacity(2 * (MAC_BYTES + body.len()));
-    for byte in code.iter().chain(&body) {
+    for byte in tag.code.iter().chain(&body) {
         text.push(hex_digit(byte >> 4));
         text.push(hex_digit(byte & 15));
     }
@@ -66,29 +74,45 @@
 
 /// Verifies and decodes an envelope.
 pub fn open(
-    key: &[u8],
+    key: &PeerKey,
+    scope: EnvelopeScope<'_>,
     value: &HeaderValue,
-    method: &str,
-    path: &str,
 ) -> Result<ForwardEnvelope, EnvelopeError> {
     let bytes = from_hex(value.as_bytes()).context(MalformedSnafu)?;
-    let (code, body) = bytes.split_at_checked(MAC_BYTES).context(MalformedSnafu)?;
-    let verified = authenticator(key, body, method, path).verify_slice(code);
-    ensure!(verified.is_ok(), ForgedSnafu);
+    let (code, body) = bytes
+        .split_first_chunk::<MAC_BYTES>()
+        .context(MalformedSnafu)?;
     let config = bincode::config::standard().with_limit::<ENVELOPE_LIMIT>();
-    let (envelope, _) = bincode::decode_from_slice(body, config).context(UndecodableSnafu)?;
+    // The claimed sender is part of what is authenticated, so it is decoded first.
+    let (envelope, _): (ForwardEnvelope, usize) =
+        bincode::decode_from_slice(body, config).context(UndecodableSnafu)?;
+    let message = signed_bytes(scope, body);
+    let verified = key.verify(&auth_scope(scope, &envelope.from), &message, code);
+    ensure!(verified, ForgedSnafu);
     Ok(envelope)
 }
 
-fn authenticator(key: &[u8], body: &[u8], method: &str, path: &str) -> Hmac<Sha256> {
-    let mut mac = Hmac::<Sha256>::new_from_slice(key)
-        .unwrap_or_else(|error| unreachable!("HMAC accepts keys of any length: {error}"));
-    for part in [PURPOSE, method.as_bytes(), path.as_bytes(), body] {
+fn auth_scope<'a>(scope: EnvelopeScope<'a>, sender: &'a HostId) -> AuthScope<'a> {
+    AuthScope {
+        kind: KIND,
+        sender,
+        receiver: scope.receiver,
+        nonce: 0,
+        session: 0,
+        counter: 0,
+    }
+}
+
+/// Method, path and envelope, each with its length.
+fn signed_bytes(scope: EnvelopeScope<'_>, body: &[u8]) -> Vec<u8> {
+    let parts = [scope.method.as_bytes(), scope.path.as_bytes(), body];
+    let mut message = Vec::with_capacity(parts.iter().map(|part| part.len() + 8).sum());
+    for part in parts {
         let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
-        mac.update(&length.to_be_bytes());
-        mac.update(part);
+        message.extend_from_slice(&length.to_be_bytes());
+        message.extend_from_slice(part);
     }
-    mac
+    message
 }
 
 fn hex_digit(nibble: u8) -> char {
--- a/crates/net/src/peer/mod.rs
+++ b/crates/net/src/peer/mod.rs
@@ -19,7 +19,7 @@
 pub use {
     auth::{AuthScope, AuthTag, KEY_BYTES_MIN, PeerKey, ReplayWindow, TAG_BYTES},
     client::PeerClient,
-    envelope::{EnvelopeError, open, seal},
+    envelope::{EnvelopeError, EnvelopeScope, open, seal},
     frame::{FRAME_BYTES_MAX, decode, encode, read_frame},
     messages::{
         ConfigSnapshot, ForwardEnvelope, MapAnswer, MapPoll, PeerAddress, ScopeAnswer,
