--- a/crates/core/src/admission/server_gate.rs
+++ b/crates/core/src/admission/server_gate.rs
@@ -9,7 +9,9 @@
 /// While both classes wait, one start in this many is a batch request.
 const BATCH_TURN: u32 = 5;
 
-/// A new sample's weight in the service-time average is one in this many.
+/// A new sample's weight in the service-time average is one in this many. The average
+/// starts at zero: taken whole, the first sample of a cold server would refuse requests
+/// that it can serve.
 const AVERAGE_WEIGHT: u64 = 8;
 
 /// Limits of a gate.
@@ -153,10 +155,8 @@
             return;
         };
         let sample = u64::try_from(held.as_micros()).unwrap_or(u64::MAX);
-        self.service_micros = match self.service_micros {
-            0 => sample,
-            old => old - old / AVERAGE_WEIGHT + sample / AVERAGE_WEIGHT,
-        };
+        let old = self.service_micros;
+        self.service_micros = old - old / AVERAGE_WEIGHT + sample / AVERAGE_WEIGHT;
     }
 
     /// Removes a waiter whose caller left; `false` if it does not wait.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -69,8 +69,10 @@
 #[test]
 fn a_deadline_that_cannot_be_met_is_refused_at_once() {
     let mut gate = gate(1, 10);
-    gate.offer(waiter(0, Interactive, 1_000), at(0));
-    gate.finish(Some(Duration::from_millis(50)));
+    for ticket in 100..200 {
+        gate.offer(waiter(ticket, Interactive, 1_000), at(0));
+        gate.finish(Some(Duration::from_millis(50)));
+    }
     gate.offer(waiter(1, Interactive, 1_000), at(0));
 
     let too_short = gate.offer(waiter(2, Interactive, 99), at(0));
@@ -85,6 +87,23 @@
     );
 }
 
+/// One slow request of a cold server must not make it refuse what it can serve.
+#[test]
+fn the_first_sample_does_not_decide_alone() {
+    let mut gate = gate(1, 100);
+    gate.offer(waiter(0, Interactive, 1_000), at(0));
+    gate.finish(Some(Duration::from_millis(400)));
+    gate.offer(waiter(1, Interactive, 1_000), at(0));
+
+    let offers = (2..12).map(|ticket| gate.offer(waiter(ticket, Interactive, 1_000), at(0)));
+
+    assert!(
+        offers
+            .into_iter()
+            .all(|offer| offer == GateOffer::Wait { evicted: None })
+    );
+}
+
 /// A wrong estimate must not refuse requests for ever: with a free slot they run.
 #[test]
 fn a_free_slot_is_used_whatever_the_estimate_says() {
