--- a/crates/core/src/control/map_builder.rs
+++ b/crates/core/src/control/map_builder.rs
@@ -1,7 +1,7 @@
 //! Building the routing map from the scope object and the servers' phases.
 
 use {
-    super::{scope_machine::ScopeMachine, server_orders::keeps, server_track::ServerContact},
+    super::{scope_machine::ScopeMachine, server_track::ServerContact, server_view::keeps},
     crate::{
         ids::{FencingToken, ServerId, ZoneName},
         map::{MapVersion, RoutingMap, ServerEntry, ShardEntry},
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -11,8 +11,12 @@
 mod host_table;
 mod map_builder;
 mod map_publisher;
+mod object_events;
 mod object_writer;
+mod order_answers;
 mod ownership_plan;
+mod plan_view;
+mod scope_accessors;
 mod scope_action;
 mod scope_event;
 mod scope_machine;
@@ -20,6 +24,8 @@
 mod server_order;
 mod server_orders;
 mod server_track;
+mod server_view;
+mod shard_change;
 mod tenure;
 
 pub use {
--- a/crates/core/src/control/ownership_plan.rs
+++ b/crates/core/src/control/ownership_plan.rs
@@ -1,18 +1,21 @@
 //! The next content of the scope object: finished, new and urgent changes of owners.
 
 use {
-    super::{scope_machine::ScopeMachine, server_orders::shard_id, server_track::ServerContact},
+    super::{
+        plan_view::PlanView,
+        scope_machine::ScopeMachine,
+        server_track::ServerContact,
+        shard_change::{ShardChange, audit_lines},
+    },
     crate::{
         audit::AuditAction,
         conf::PlacementGoal,
-        ids::{FencingToken, ServerId, ShardId},
-        placement::{
-            PlacementInput, PlacementServer, ShardPlace, assign_unowned, plan_moves, underfilled,
-        },
+        ids::{FencingToken, ServerId},
+        placement::{PlacementInput, ShardPlace, assign_unowned, plan_moves, underfilled},
         scope::{MoveReason, RECORD_LIMIT, ScopeState, ShardState},
         time::BootTime,
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::time::Duration,
 };
 
 /// Time that a new controller waits for all servers before it assigns shards.
@@ -25,26 +28,6 @@
 const AVAILABILITY_PAUSE: Duration = Duration::from_secs(10);
 const CHURN_PAUSE: Duration = Duration::from_secs(60);
 
-/// Servers and places of shards at one moment.
-struct PlanView {
-    names: Vec<ServerId>,
-    servers: Vec<PlacementServer>,
-    places: Vec<ShardPlace>,
-    pins: BTreeMap<ShardId, usize>,
-    /// Shards whose move can be finished now.
-    finished: Vec<usize>,
-    in_flight: usize,
-}
-
-/// One change of a shard, for the audit record.
-struct ShardChange {
-    shard: usize,
-    from: Option<ServerId>,
-    to: ServerId,
-    token: FencingToken,
-    reason: MoveReason,
-}
-
 impl ScopeMachine {
     /// Next content with changes of owners, or `None` if nothing should change.
     pub(super) fn plan_ownership(
@@ -112,112 +95,6 @@
         !unknown || waited
     }
 
-    fn plan_view(&self, state: &ScopeState, now: BootTime) -> PlanView {
-        let names: Vec<ServerId> = self.server_ids().into_iter().collect();
-        let indexes: BTreeMap<&ServerId, usize> = names
-            .iter()
-            .enumerate()
-            .map(|(index, name)| (name, index))
-            .collect();
-        let servers = names.iter().map(|name| self.plan_server(name)).collect();
-        let mut places = Vec::with_capacity(state.shards.len());
-        let mut finished = Vec::new();
-        let mut in_flight = 0;
-        for (index, shard) in state.shards.iter().enumerate() {
-            let place = match shard {
-                ShardState::Unowned => ShardPlace::Unowned,
-                ShardState::Owned { server, .. } => self.owned_place(index, server, &indexes, now),
-                ShardState::Releasing {
-                    from, token, to, ..
-                } => {
-                    let target = indexes.get(to).copied();
-                    if self.is_given_up(index, from, *token, now) {
-                        finished.push(index);
-                        self.finished_place(to, target)
-                    } else {
-                        in_flight += 1;
-                        ShardPlace::Fixed(target.unwrap_or(indexes[from]))
-                    }
-                }
-            };
-            places.push(place);
-        }
-        let pins = self
-            .pins()
-            .into_iter()
-            .filter_map(|(shard, server)| Some((shard, *indexes.get(&server)?)))
-            .collect();
-        PlanView {
-            pins,
-            servers,
-            places,
-            finished,
-            in_flight,
-            names,
-        }
-    }
-
-    fn plan_server(&self, id: &ServerId) -> PlacementServer {
-        let configured = self.spec.as_ref().and_then(|spec| {
-            let servers = &spec.service.servers;
-            servers.iter().find(|server| server.id == *id)
-        });
-        let draining = self.is_draining(id);
-        let up = self
-            .track(id)
-            .is_some_and(|track| track.contact == ServerContact::Up);
-        PlacementServer {
-            weight: configured.map_or(1, |server| server.weight),
-            eligible: up && !draining,
-            draining,
-        }
-    }
-
-    fn owned_place(
-        &self,
-        index: usize,
-        server: &ServerId,
-        indexes: &BTreeMap<&ServerId, usize>,
-        now: BootTime,
-    ) -> ShardPlace {
-        let position = indexes[server];
-        let contact = self.track(server).map(|track| track.contact);
-        match contact {
-            Some(ServerContact::Up) => ShardPlace::Owned(position),
-            Some(ServerContact::Lost) if self.is_clear(index, now) => ShardPlace::Unowned,
-            _ => ShardPlace::Fixed(position),
-        }
-    }
-
-    /// A finished move goes to its target, or to any server if the target has gone.
-    fn finished_place(&self, to: &ServerId, target: Option<usize>) -> ShardPlace {
-        match target {
-            Some(index) if self.plan_server(to).eligible => ShardPlace::Fixed(index),
-            _ => ShardPlace::Unowned,
-        }
-    }
-
-    /// Whether the old owner can no longer act on a shard that it releases.
-    fn is_given_up(
-        &self,
-        index: usize,
-        from: &ServerId,
-        token: FencingToken,
-        now: BootTime,
-    ) -> bool {
-        let Some(track) = self.track(from) else {
-            return false;
-        };
-        let released = track.is_released(shard_id(index), token);
-        let lost = track.contact == ServerContact::Lost;
-        (released || lost) && self.is_clear(index, now)
-    }
-
-    /// Servers that check no tokens also need every live map to have dropped the old owner.
-    fn is_clear(&self, index: usize, now: BootTime) -> bool {
-        self.is_checked() || self.is_unnamed(shard_id(index), now)
-    }
-
     fn finish_moves(&self, view: &PlanView, next: &mut ScopeState) -> Vec<ShardChange> {
         let token = new_token(next);
         let mut changes = Vec::new();
@@ -340,22 +217,6 @@
     }
 }
 
-impl PlanView {
-    fn input<'a>(
-        &'a self,
-        load: &'a crate::placement::LoadTable,
-        goal: PlacementGoal,
-    ) -> PlacementInput<'a> {
-        PlacementInput {
-            servers: &self.servers,
-            shards: &self.places,
-            pins: &self.pins,
-            load,
-            goal,
-        }
-    }
-}
-
 /// Servers that are being filled; a server leaves the set once it holds its quota.
 fn join_set(
     joining: &mut std::collections::BTreeSet<ServerId>,
@@ -391,39 +252,3 @@
         };
     }
 }
-
-/// One line for all shards that move between the same servers for the same reason.
-fn audit_lines(changes: &[ShardChange]) -> Vec<String> {
-    let mut groups: BTreeMap<String, Vec<usize>> = BTreeMap::new();
-    for change in changes {
-        let from = change.from.as_ref().map_or("-", ServerId::as_str);
-        let reason = format!("{:?}", change.reason).to_lowercase();
-        let rest = format!("{from} {} {} {reason}", change.to, change.token);
-        groups.entry(rest).or_default().push(change.shard);
-    }
-    groups
-        .into_iter()
-        .map(|(rest, shards)| format!("{} {rest}", shard_ranges(&shards)))
-        .collect()
-}
-
-/// Sorted shard numbers as ranges, such as `0-3,7`.
-fn shard_ranges(shards: &[usize]) -> String {
-    let mut sorted = shards.to_vec();
-    sorted.sort_unstable();
-    let mut ranges: Vec<(usize, usize)> = Vec::new();
-    for shard in sorted {
-        match ranges.last_mut() {
-            Some((_, end)) if *end + 1 == shard => *end = shard,
-            _ => ranges.push((shard, shard)),
-        }
-    }
-    let texts: Vec<String> = ranges
-        .into_iter()
-        .map(|(start, end)| match start == end {
-            true => start.to_string(),
-            false => format!("{start}-{end}"),
-        })
-        .collect();
-    texts.join(",")
-}
--- a/crates/core/src/control/scope_machine.rs
+++ b/crates/core/src/control/scope_machine.rs
@@ -2,33 +2,23 @@
 
 use {
     super::{
-        HostInfo, ReadFailure, ScopeAction, ScopeCounters, ScopeEvent, ScopeRole, ScopeSpec,
-        WriteFailure, WriteId,
+        HostInfo, ScopeAction, ScopeCounters, ScopeEvent, ScopeRole, ScopeSpec,
         candidacy::CandidacyTimer,
         controller_term::{ControllerTerm, Predecessor},
         host_table::HostTable,
-        object_writer::{ObjectWriter, RETRY_PAUSE, WriteOutcome},
+        object_writer::ObjectWriter,
     },
     crate::{
-        ids::{Epoch, HostId, ObjectVersion, ServerId, ServiceName, ShardId},
-        map::{RoutingMap, ServerPhase},
-        scope::{ScopeState, ShardState},
-        time::{BootTime, OUTAGE_LIMIT, PROMISE_TTL},
+        ids::{Epoch, ObjectVersion, ServerId, ServiceName},
+        map::RoutingMap,
+        scope::ScopeState,
+        time::BootTime,
     },
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc},
 };
 
-/// Time after which a read without an answer counts as failed.
-const READ_LIMIT: Duration = Duration::from_secs(3);
-
-/// Interval of reads by a controller, which prove its contact with the platform.
-const CONTACT_INTERVAL: Duration = Duration::from_secs(10);
-
-/// Interval of reads while the controller's term is in question.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// The scope object as read or written last.
 #[derive(Clone, Debug)]
 pub(super) struct HeldObject {
@@ -67,9 +57,9 @@
     /// Something changed that the plan or the map may depend on.
     pub(super) dirty: bool,
     pub(super) contact_at: BootTime,
-    reading_since: Option<BootTime>,
-    read_not_before: BootTime,
-    wall: Option<(u64, BootTime)>,
+    pub(super) reading_since: Option<BootTime>,
+    pub(super) read_not_before: BootTime,
+    pub(super) wall: Option<(u64, BootTime)>,
     pub(super) actions: Vec<ScopeAction>,
 }
 
@@ -227,106 +217,6 @@
         }
     }
 
-    fn take_read(
-        &mut self,
-        sent_at: BootTime,
-        result: Result<Option<(ObjectVersion, ScopeState)>, ReadFailure>,
-        now: BootTime,
-    ) {
-        self.reading_since = None;
-        let Ok(read) = result else {
-            self.read_not_before = now + RETRY_PAUSE;
-            return;
-        };
-        let version = read.as_ref().map(|(version, _)| *version);
-        let held = self.object.as_ref().map(|object| object.version);
-        if version < held {
-            return;
-        }
-        if !self.writer.read(version, now) {
-            return;
-        }
-        self.questioned = false;
-        let Some((version, state)) = read else {
-            self.decide_takeover(None, now);
-            return;
-        };
-        self.take_object(HeldObject { version, state }, sent_at, now);
-    }
-
-    fn take_object(&mut self, object: HeldObject, sent_at: BootTime, now: BootTime) {
-        let ours = object.state.held_by(&self.host.id, self.nonce);
-        let current = self
-            .term
-            .as_ref()
-            .is_some_and(|term| term.epoch == object.state.epoch);
-        let claimed = ours && self.term.is_none() && self.timer.claimed == object.state.epoch;
-        if ours && (current || claimed) {
-            self.commit(object, sent_at, now);
-            return;
-        }
-        if self.term.is_some() {
-            let jitter = self.jitter();
-            self.timer.superseded(object.state.epoch, jitter, now);
-            self.object = Some(object);
-            self.step_down(now);
-            return;
-        }
-        self.decide_takeover(Some(object), now);
-    }
-
-    fn take_written(
-        &mut self,
-        write: WriteId,
-        result: Result<ObjectVersion, WriteFailure>,
-        now: BootTime,
-    ) {
-        match self.writer.answered(write, result, now) {
-            WriteOutcome::Committed(version, state, sent_at) => {
-                let state = *state;
-                self.commit(HeldObject { version, state }, sent_at, now);
-            }
-            WriteOutcome::Dropped => self.write_dropped(),
-            WriteOutcome::Open => {}
-        }
-    }
-
-    /// Nothing was written; the change is planned again after a pause.
-    fn write_dropped(&mut self) {
-        self.dirty = true;
-        if let Some(term) = &mut self.term {
-            term.authority.proposal_dropped();
-        }
-    }
-
-    /// The object has this content, and this process holds its term.
-    fn commit(&mut self, object: HeldObject, sent_at: BootTime, now: BootTime) {
-        self.contact_at = self.contact_at.max(sent_at);
-        let newer = self
-            .object
-            .as_ref()
-            .is_none_or(|held| held.version < object.version);
-        if !newer && self.term.is_some() {
-            return;
-        }
-        self.counters.writes += 1;
-        self.dirty = true;
-        if self.term.is_none() {
-            self.start_term(object, now);
-            return;
-        }
-        self.note_moves(&object.state);
-        let resigned = object.state.resigned;
-        let electors = object.state.electors.clone();
-        self.object = Some(object);
-        if let Some(term) = &mut self.term {
-            term.authority.settle(&electors);
-        }
-        if resigned {
-            self.finish_resignation(now);
-        }
-    }
-
     /// Ends the term or the candidacy.
     pub(super) fn step_down(&mut self, now: BootTime) {
         self.writer.abandon();
@@ -339,150 +229,4 @@
             self.actions.push(ScopeAction::SteppedDown);
         }
     }
-
-    fn expire_read(&mut self, now: BootTime) {
-        if self
-            .reading_since
-            .is_some_and(|since| now > since + READ_LIMIT)
-        {
-            self.reading_since = None;
-        }
-    }
-
-    /// Asks for a read unless one is under way or was answered too recently.
-    pub(super) fn request_read(&mut self, now: BootTime) {
-        if self.reading_since.is_some() || now < self.read_not_before {
-            return;
-        }
-        self.reading_since = Some(now);
-        self.read_not_before = now + RETRY_PAUSE;
-        self.actions.push(ScopeAction::ReadScope);
-    }
-
-    /// Reads the object now and then, to prove the platform contact or notice a successor.
-    pub(super) fn check_contact(&mut self, now: BootTime) {
-        let interval = if self.is_adopting() || self.questioned || !self.has_authority(now) {
-            CHECK_INTERVAL
-        } else {
-            CONTACT_INTERVAL
-        };
-        if now >= self.contact_at + interval {
-            self.request_read(now);
-        }
-    }
-
-    /// Wall-clock time for audit records; 0 if the daemon never told it.
-    pub(super) fn wall_millis(&self, now: BootTime) -> u64 {
-        self.wall.map_or(0, |(millis, at)| {
-            millis + u64::try_from(now.since(at).as_millis()).unwrap_or(0)
-        })
-    }
-
-    /// Role of this host.
-    pub fn role(&self) -> ScopeRole {
-        self.role
-    }
-
-    /// Term of the scope as this machine knows it.
-    pub fn epoch(&self) -> Epoch {
-        let term = self.term.as_ref().map(|term| term.epoch);
-        let object = self.object.as_ref().map(|object| object.state.epoch);
-        term.or(object)
-            .unwrap_or_default()
-            .max(self.timer.seen_epoch())
-    }
-
-    /// Controller that the scope object or the last map names.
-    pub fn controller(&self) -> Option<&HostId> {
-        let object = self.object.as_ref().map(|object| &object.state);
-        let map = self.last_map.as_ref();
-        match (object, map) {
-            (Some(state), Some(map)) if map.version.epoch > state.epoch => Some(&map.controller),
-            (Some(state), _) => Some(&state.controller),
-            (None, map) => map.map(|map| &map.controller),
-        }
-    }
-
-    /// End of the authority to issue grants and maps; in the past if there is none.
-    pub fn authority_end(&self) -> BootTime {
-        let Some(term) = &self.term else {
-            return BootTime(0);
-        };
-        if self
-            .writer
-            .pending_state()
-            .is_some_and(|state| state.resigned)
-        {
-            return BootTime(0);
-        }
-        if term.gained_at.is_some() {
-            return term.authority.end().min(self.contact_at + OUTAGE_LIMIT);
-        }
-        if self.is_adopting() {
-            return self.contact_at + PROMISE_TTL;
-        }
-        BootTime(0)
-    }
-
-    pub(super) fn has_authority(&self, now: BootTime) -> bool {
-        now < self.authority_end()
-    }
-
-    /// Whether grants are renewed by fence, without a majority of electors.
-    pub(super) fn is_adopting(&self) -> bool {
-        self.term.as_ref().is_some_and(|term| term.adopting)
-    }
-
-    /// Last scope object that was read or written.
-    pub fn state(&self) -> Option<&ScopeState> {
-        self.object.as_ref().map(|object| &object.state)
-    }
-
-    /// Shards whose old owner has not been replaced yet.
-    pub fn moves_in_flight(&self) -> usize {
-        let shards = self.state().map(|state| state.shards.as_slice());
-        shards
-            .unwrap_or_default()
-            .iter()
-            .filter(|shard| matches!(shard, ShardState::Releasing { .. }))
-            .count()
-    }
-
-    /// Phases of the servers, as far as this host controls the scope.
-    pub fn server_phases(&self) -> Vec<(ServerId, ServerPhase)> {
-        let Some(term) = &self.term else {
-            return Vec::new();
-        };
-        term.servers
-            .keys()
-            .map(|id| (id.clone(), self.phase(id)))
-            .collect()
-    }
-
-    /// Shards without an owner that may hold a grant.
-    pub fn unowned_shards(&self) -> usize {
-        let shards = self.state().map(|state| state.shards.as_slice());
-        shards
-            .unwrap_or_default()
-            .iter()
-            .filter(|shard| match shard {
-                ShardState::Unowned => true,
-                ShardState::Owned { server, .. } => self.phase(server) == ServerPhase::Lost,
-                ShardState::Releasing { .. } => false,
-            })
-            .count()
-    }
-
-    /// Shards that an operator pinned, with their server.
-    pub(super) fn pins(&self) -> Vec<(ShardId, ServerId)> {
-        self.spec
-            .as_ref()
-            .map(|spec| spec.pins.clone())
-            .unwrap_or_default()
-    }
-
-    /// Counters since the process started.
-    pub fn counters(&self) -> &ScopeCounters {
-        &self.counters
-    }
 }
--- /dev/null
+++ b/crates/core/tests/support/injection.rs
@@ -0,0 +1,144 @@
+//! Carrying out faults, and what tests read from the world.
+
+use super::prelude::*;
+
+impl World {
+    pub fn apply_fault(&mut self, fault: &Fault) {
+        let micros = self.micros;
+        self.note(format!("{fault:?}"));
+        match *fault {
+            Fault::KillHost(host) => self.hosts[host].alive = false,
+            Fault::RestartHost(host) => self.restart_host(host),
+            Fault::PauseHost(host, span) => self.hosts[host].paused_until = micros + span,
+            Fault::FreezeBeforeSend(host, span) => self.hosts[host].freeze = span,
+            Fault::CutHost {
+                host,
+                inbound,
+                outbound,
+            } => {
+                let nodes = self.nodes();
+                self.network
+                    .cut(Node::Host(host), &nodes, inbound, outbound);
+            }
+            Fault::CutFromPlatform(host) => {
+                let others = [Node::Platform];
+                self.network.cut(Node::Host(host), &others, true, true);
+            }
+            Fault::LosePlatformAnswers(host) => {
+                let link = (Node::Platform, Node::Host(host));
+                self.network.blocked.insert(link);
+            }
+            Fault::LoseWriteAnswers(count) => self.lost_answers = count,
+            Fault::CutFromHosts(host) => {
+                let others: Vec<Node> = (0..self.hosts.len()).map(Node::Host).collect();
+                self.network.cut(Node::Host(host), &others, true, true);
+            }
+            Fault::CutFromServer(host, server) => {
+                let others = [Node::Server(server)];
+                self.network.cut(Node::Host(host), &others, true, true);
+            }
+            Fault::KillServer(server) => self.servers[server].alive = false,
+            Fault::RestartServer(server) => self.servers[server].restart(),
+            Fault::PauseServer(server, span) => self.servers[server].paused_until = micros + span,
+            Fault::DrainServer(server, draining) => self.servers[server].draining = draining,
+            Fault::PlatformDown => self.network.platform_down = true,
+            Fault::PlatformSlow(delay) => self.network.platform_delay = delay,
+            Fault::Loss(percent) => self.network.loss = percent,
+            Fault::Slow(percent, delay) => {
+                self.network.slow = percent;
+                self.network.long_delay = delay;
+            }
+            Fault::Resign(host) => {
+                self.hosts[host].resigned = true;
+                self.tell(host, ScopeEvent::Resign);
+            }
+            Fault::ConfirmLost => {
+                for host in 0..self.hosts.len() {
+                    self.tell(host, ScopeEvent::ConfirmLost);
+                }
+            }
+            Fault::Heal => self.network.heal(),
+            Fault::KillController => {
+                if let Some(host) = self.controller() {
+                    self.hosts[host].alive = false;
+                }
+            }
+            Fault::KillControllerAndServer(server) => {
+                self.servers[server].alive = false;
+                self.apply_fault(&Fault::KillController);
+            }
+        }
+    }
+
+    pub(super) fn restart_host(&mut self, index: usize) {
+        let old = &self.hosts[index];
+        let host = new_host(index, old.clock, old.process + 1, self.micros, self.guards);
+        self.hosts[index] = host;
+        self.start_host(index);
+    }
+
+    pub fn host_index(&self, id: &HostId) -> usize {
+        self.hosts
+            .iter()
+            .position(|host| host.info.id == *id)
+            .unwrap()
+    }
+
+    /// Live host that has authority, if there is one.
+    pub fn controller(&self) -> Option<usize> {
+        (0..self.hosts.len()).find(|&index| {
+            let host = &self.hosts[index];
+            host.alive
+                && host.machine.role() == ScopeRole::Controller
+                && host.machine.authority_end() > self.local(index)
+        })
+    }
+
+    /// Shards for which a live server holds a live grant under the written token.
+    pub fn served_shards(&self) -> usize {
+        let Some((_, state)) = &self.object else {
+            return 0;
+        };
+        let mut served = 0;
+        for (index, shard) in state.shards.iter().enumerate() {
+            let ShardState::Owned { server, token } = shard else {
+                continue;
+            };
+            let server = &self.servers[server_index(server)];
+            let id = ShardId(u32::try_from(index).unwrap());
+            if server.paused_until <= self.micros && server.holds(id, self.micros) == Some(*token) {
+                served += 1;
+            }
+        }
+        served
+    }
+
+    pub fn all_served(&self) -> bool {
+        self.served_shards() == self.spec.service.shards as usize
+    }
+
+    /// Gives a new specification to all hosts.
+    pub fn set_spec(&mut self, spec: ScopeSpec) {
+        self.spec = Arc::new(spec);
+        for index in 0..self.hosts.len() {
+            let process = self.hosts[index].process;
+            let event = ScopeEvent::SpecChanged(self.spec.clone());
+            let step = Step::Event(Box::new(event));
+            self.push(1_000, Message::Host(index, process, step));
+        }
+    }
+
+    /// Delivers an event to a host now.
+    pub fn tell(&mut self, index: usize, event: ScopeEvent) {
+        let process = self.hosts[index].process;
+        let step = Step::Event(Box::new(event));
+        self.push(0, Message::Host(index, process, step));
+    }
+
+    pub fn nodes(&self) -> Vec<Node> {
+        let mut nodes = vec![Node::Platform];
+        nodes.extend((0..self.hosts.len()).map(Node::Host));
+        nodes.extend((0..self.servers.len()).map(Node::Server));
+        nodes
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/prelude.rs
@@ -0,0 +1,34 @@
+//! Names that the parts of the simulation share.
+
+pub use {
+    super::{
+        checker::RunChecker,
+        clock::{DRIFT_PPM, DriftClock},
+        fake_host::{FakeHost, any_clock, new_host},
+        faults::{Fault, RemovedGuards},
+        message::{Message, Queued, Step},
+        network::{FakeNetwork, Node},
+        server::FakeServer,
+        spec::{SERVICE, host_info, scope_spec, server_id},
+        world::{SECOND, World, server_index},
+    },
+    camphorcove_core::{
+        conf::FencingMode,
+        control::{
+            HostInfo, OrderId, ReadFailure, ScopeAction, ScopeEvent, ScopeMachine, ScopeRole,
+            ScopeSpec, ServerFailure, ServerOrder, ServerResult, WriteFailure, WriteId,
+        },
+        election::{ElectorTable, PromiseReply, PromiseRequest, RefuseReason},
+        ids::{Epoch, FencingToken, HostId, ObjectVersion, ServerId, ShardId},
+        map::{MapVersion, RoutingMap},
+        scope::{ScopeState, ShardState},
+        time::{BootTime, GRANT_GRACE},
+    },
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet, BinaryHeap},
+        sync::Arc,
+    },
+};
