Clear servers of hot keys once, and resign only with the platform in reach

A server cleared for a hot key counted as newly joined and was filled again; its load also raised the mean, so the others could stay uneven. A resignation during an outage stopped all renewals although no successor could take over. The size of the audit records in the object is now bounded as well.

--- a/crates/core/src/control/object_events.rs
+++ b/crates/core/src/control/object_events.rs
@@ -36,6 +36,9 @@
         if version < held {
             return;
         }
+        if let Some((_, state)) = &read {
+            self.note_contact(state, sent_at);
+        }
         if !self.writer.read(version, now) {
             return;
         }
@@ -47,6 +50,16 @@
         self.take_object(HeldObject { version, state }, sent_at, now);
     }
 
+    /// A read that shows this term proves the contact, even while a write is pending.
+    fn note_contact(&mut self, state: &ScopeState, sent_at: BootTime) {
+        let ours = state.held_by(&self.host.id, self.nonce);
+        let current = self.term.as_ref().map(|term| term.epoch) == Some(state.epoch);
+        if ours && current {
+            self.contact_at = self.contact_at.max(sent_at);
+            self.dirty |= self.resigning;
+        }
+    }
+
     fn take_object(&mut self, object: HeldObject, sent_at: BootTime, now: BootTime) {
         let ours = object.state.held_by(&self.host.id, self.nonce);
         let current = self
--- a/crates/core/src/control/ownership_plan.rs
+++ b/crates/core/src/control/ownership_plan.rs
@@ -12,7 +12,7 @@
         conf::PlacementGoal,
         ids::{FencingToken, ServerId},
         placement::{PlacementInput, ShardPlace, assign_unowned, plan_moves, underfilled},
-        scope::{MoveReason, RECORD_LIMIT, ScopeState, ShardState},
+        scope::{MoveReason, ScopeState, ShardState},
         time::BootTime,
     },
     std::time::Duration,
@@ -143,7 +143,7 @@
     }
 
     fn start_moves(&mut self, view: &PlanView, next: &mut ScopeState, now: BootTime) -> usize {
-        if next.records.len() >= RECORD_LIMIT {
+        if next.is_full_of_records() {
             return 0;
         }
         let goal = self.goal();
--- a/crates/core/src/control/tenure.rs
+++ b/crates/core/src/control/tenure.rs
@@ -25,6 +25,9 @@
 /// Pause between checks whether the object needs a change.
 const CHECK_PAUSE: Duration = Duration::from_millis(100);
 
+/// A platform that answered a call sent at most this long ago counts as reachable.
+const CONTACT_LIMIT: Duration = Duration::from_millis(500);
+
 /// Pause between changes of the electors.
 const ELECTOR_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -148,7 +151,7 @@
     }
 
     fn next_state(&mut self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
-        if self.resigning {
+        if self.resigning && self.may_resign(now) {
             return Some(self.resigned_state(state, now));
         }
         self.replace_lost_electors(state, now)
@@ -158,6 +161,17 @@
             .or_else(|| self.clear_flag(state, now))
     }
 
+    /// A resignation stops all renewals, so it is written only if the platform just answered.
+    ///
+    /// During an outage no successor could take over, and grants would lapse.
+    fn may_resign(&mut self, now: BootTime) -> bool {
+        if now <= self.contact_at + CONTACT_LIMIT {
+            return true;
+        }
+        self.request_read(now);
+        false
+    }
+
     fn resigned_state(&self, state: &ScopeState, now: BootTime) -> ScopeState {
         let mut next = state.clone();
         next.resigned = true;
--- a/crates/core/src/placement/placement_plan.rs
+++ b/crates/core/src/placement/placement_plan.rs
@@ -1,7 +1,10 @@
 //! Planning of first owners and of moves.
 
 use {
-    super::{PlacementInput, ShardPlace, rebalance::plan_rebalance},
+    super::{
+        PlacementInput, ShardPlace,
+        rebalance::{LoadPlan, plan_rebalance},
+    },
     crate::{ids::ShardId, scope::MoveReason},
     std::collections::BTreeSet,
 };
@@ -59,8 +62,10 @@
 pub(crate) fn underfilled(input: &PlacementInput<'_>) -> Vec<usize> {
     let counts = input.counts();
     let quotas = input.quotas();
+    // A server that was cleared for a hot key has few shards and enough load.
+    let plan = LoadPlan::new(input);
     (0..input.servers.len())
-        .filter(|&server| input.servers[server].eligible)
+        .filter(|&server| input.servers[server].eligible && plan.is_below_mean(server))
         .filter(|&server| counts[server] * 100 < quotas[server] * UNDERFILLED_PERCENT)
         .collect()
 }
--- a/crates/core/src/placement/rebalance.rs
+++ b/crates/core/src/placement/rebalance.rs
@@ -13,10 +13,11 @@
 const CHURN_THRESHOLD: f64 = 0.40;
 
 /// Load of servers while moves are planned.
-struct LoadPlan<'a> {
+pub(super) struct LoadPlan<'a> {
     input: &'a PlacementInput<'a>,
     loads: Vec<f64>,
     movable: Vec<Vec<usize>>,
+    /// Load by weight that each server should have; see `fair_use`.
     mean: f64,
 }
 
@@ -44,7 +45,7 @@
 }
 
 impl<'a> LoadPlan<'a> {
-    fn new(input: &'a PlacementInput<'a>) -> Self {
+    pub(super) fn new(input: &'a PlacementInput<'a>) -> Self {
         let mut loads = vec![0.0; input.servers.len()];
         let mut movable = vec![Vec::new(); input.servers.len()];
         for (index, place) in input.shards.iter().enumerate() {
@@ -65,7 +66,7 @@
             movable,
             mean: 0.0,
         };
-        plan.mean = plan.mean_use();
+        plan.mean = plan.fair_use();
         plan.sort_movable();
         plan
     }
@@ -77,16 +78,54 @@
         }
     }
 
-    fn mean_use(&self) -> f64 {
-        let mut load = 0.0;
-        let mut weight = 0.0;
-        for server in self.eligible() {
-            load += self.loads[server];
-            weight += self.weight(server);
+    /// Mean load by weight of the servers that hold no shard too hot for them.
+    ///
+    /// A server with such a shard keeps only that shard. Its load must not
+    /// raise the mean, or the others would be allowed to be uneven.
+    fn fair_use(&self) -> f64 {
+        let mut mean = self.mean_without(&[]);
+        let mut hot = Vec::new();
+        for _ in 0..self.loads.len() {
+            let next = self.hottest_shards(mean);
+            if next.len() == hot.len() || next.len() == self.eligible().count() {
+                break;
+            }
+            mean = self.mean_without(&next);
+            hot = next;
+        }
+        mean
+    }
+
+    /// Eligible servers with a shard above `mean`, and that shard's load.
+    fn hottest_shards(&self, mean: f64) -> Vec<(usize, f64)> {
+        let mut hottest = vec![0.0; self.loads.len()];
+        for (index, place) in self.input.shards.iter().enumerate() {
+            if let ShardPlace::Owned(server) | ShardPlace::Fixed(server) = *place {
+                let load = self.input.load.of(index);
+                hottest[server] = f64::max(hottest[server], load);
+            }
+        }
+        self.eligible()
+            .filter(|&server| hottest[server] / self.weight(server) > mean)
+            .map(|server| (server, hottest[server]))
+            .collect()
+    }
+
+    fn mean_without(&self, hot: &[(usize, f64)]) -> f64 {
+        let mut load: f64 = self.eligible().map(|server| self.loads[server]).sum();
+        let mut weight: f64 = self.eligible().map(|server| self.weight(server)).sum();
+        for (server, shard_load) in hot {
+            load -= shard_load;
+            weight -= self.weight(*server);
         }
         if weight > 0.0 { load / weight } else { 0.0 }
     }
 
+    /// Whether a server has less than its fair load.
+    pub(super) fn is_below_mean(&self, server: usize) -> bool {
+        self.use_of(server) < self.mean
+    }
+
     fn eligible(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.loads.len()).filter(|&server| self.input.servers[server].eligible)
     }
--- a/crates/core/src/scope/mod.rs
+++ b/crates/core/src/scope/mod.rs
@@ -4,6 +4,6 @@
 mod shard_state;
 
 pub use {
-    scope_state::{RECORD_LIMIT, ScopeState},
+    scope_state::ScopeState,
     shard_state::{MoveReason, ShardState},
 };
--- a/crates/core/src/scope/scope_state.rs
+++ b/crates/core/src/scope/scope_state.rs
@@ -43,7 +43,12 @@
 }
 
 /// Records above this number block planned moves until the daemon has archived some.
-pub const RECORD_LIMIT: usize = 200;
+const RECORD_LIMIT: usize = 200;
+
+/// Bytes of listed moves above which the same holds.
+///
+/// The object must stay below the platform's limit of 1 MB.
+const RECORD_BYTES_LIMIT: usize = 100_000;
 
 impl ScopeState {
     /// Whether a process holds the term.
@@ -67,6 +72,12 @@
         });
     }
 
+    /// Whether planned moves must wait until records are archived.
+    pub fn is_full_of_records(&self) -> bool {
+        let listed: usize = self.records.iter().map(listed_bytes).sum();
+        self.records.len() >= RECORD_LIMIT || listed >= RECORD_BYTES_LIMIT
+    }
+
     /// Drops archived records; the newest stays because the next one is chained to it.
     pub fn drop_records(&mut self, up_to: u64) {
         let newest = self.records.last().map_or(0, |record| record.number);
@@ -74,3 +85,10 @@
             .retain(|record| record.number > up_to || record.number == newest);
     }
 }
+
+fn listed_bytes(record: &AuditRecord) -> usize {
+    match &record.action {
+        AuditAction::Ownership { moves } => moves.iter().map(String::len).sum(),
+        _ => 0,
+    }
+}
--- a/crates/core/tests/ownership_handover.rs
+++ b/crates/core/tests/ownership_handover.rs
@@ -166,6 +166,28 @@
     assert_eq!(world.hosts[old].machine.role(), ScopeRole::Idle);
 }
 
+/// Guards against a planned restart during an outage that costs all servers their grants.
+#[test]
+fn resignation_waits_for_the_platform() {
+    let mut world = settled_world(34, 5, 3, true);
+    let old = world.controller().unwrap();
+    world.apply_fault(&Fault::PlatformDown);
+    run_for(&mut world, 2 * SECOND);
+
+    world.apply_fault(&Fault::Resign(old));
+    let end = world.micros + 30 * SECOND;
+    let lapsed = world.run_while(end, |world| !world.all_served());
+    assert_eq!(lapsed, None);
+
+    world.apply_fault(&Fault::Heal);
+    await_that(&mut world, 5, "handover", |world| {
+        world
+            .controller()
+            .is_some_and(|controller| controller != old)
+    });
+    assert!(world.all_served());
+}
+
 /// Guards against a host that takes the role again while it shuts down.
 #[test]
 fn resigned_host_is_no_candidate() {
--- a/crates/core/tests/ownership_rules.rs
+++ b/crates/core/tests/ownership_rules.rs
@@ -121,6 +121,61 @@
     assert_eq!(moves(&world).len(), 2, "{:?}", moves(&world));
 }
 
+/// Tells the controller the load of each shard once a second.
+fn observe_load(world: &mut World, seconds: u64, rate: impl Fn(ShardId) -> f64) {
+    for _ in 0..seconds {
+        if let Some(controller) = world.controller() {
+            let shards = (0..world.spec.service.shards).map(ShardId);
+            let rates = shards.map(|shard| (shard, rate(shard))).collect();
+            world.tell(controller, ScopeEvent::LoadObserved(rates));
+        }
+        run_for(world, SECOND);
+    }
+}
+
+/// Guards against a hot key whose server also keeps others, and against shards that go to and fro.
+#[test]
+fn server_of_a_hot_key_is_cleared_once() {
+    let mut world = settled_world(35, 5, 3, true);
+    let hot = shards_of(&world, 1)[0];
+    let others = shards_of(&world, 1).len() as u64 - 1;
+
+    observe_load(
+        &mut world,
+        120,
+        |shard| if shard == hot { 500.0 } else { 1.0 },
+    );
+
+    assert_clean(&world);
+    assert!(world.all_served());
+    assert_eq!(shards_of(&world, 1), [hot]);
+    assert_eq!(moves(&world).get("Balance"), Some(&others));
+    assert_eq!(moves(&world).len(), 2, "{:?}", moves(&world));
+}
+
+/// Guards against load that stays uneven, and against moves after it is even.
+#[test]
+fn uneven_load_is_balanced_and_then_left_alone() {
+    let mut world = settled_world(36, 5, 3, true);
+    let busy = shards_of(&world, 0);
+    let rate = |shard: ShardId| if busy.contains(&shard) { 4.0 } else { 1.0 };
+
+    observe_load(&mut world, 60, rate);
+    let balanced = moves(&world);
+    observe_load(&mut world, 60, rate);
+
+    assert_clean(&world);
+    assert!(balanced["Balance"] > 0);
+    assert_eq!(moves(&world), balanced);
+    for server in 0..3 {
+        let load: f64 = shards_of(&world, server).into_iter().map(rate).sum();
+        assert!(
+            (load - 16.0).abs() < 16.0 * 0.15,
+            "server {server} has {load}"
+        );
+    }
+}
+
 /// Guards against more moves in flight than `max_moves`.
 #[test]
 fn moves_are_paced() {
