--- a/crates/core/src/placement/load_table.rs
+++ b/crates/core/src/placement/load_table.rs
@@ -5,10 +5,18 @@
 /// Weight of the newest measurement in the moving average.
 const SMOOTHING: f64 = 0.3;
 
+/// Share of the mean rate that is added to each shard's load.
+const BASE_SHARE: f64 = 0.1;
+
+/// Load of a shard while nothing is measured; any equal value spreads shards evenly.
+const SMALLEST_BASE: f64 = 1e-6;
+
 /// Requests per second by shard, as a moving average.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
     rates: Vec<f64>,
+    /// Added to each rate; kept here because it depends on all rates.
+    base: f64,
     samples: u64,
 }
 
@@ -17,6 +25,7 @@
     pub fn new(shards: usize) -> Self {
         Self {
             rates: vec![0.0; shards],
+            base: SMALLEST_BASE,
             samples: 0,
         }
     }
@@ -36,6 +45,8 @@
                 *slot += share * rate;
             }
         }
+        let mean = self.rates.iter().sum::<f64>() / self.rates.len().max(1) as f64;
+        self.base = f64::max(mean * BASE_SHARE, SMALLEST_BASE);
     }
 
     /// Measurements taken in.
@@ -47,12 +58,6 @@
     ///
     /// Without the base, shards that are idle now would all gather at one server.
     pub fn of(&self, shard: usize) -> f64 {
-        self.rates.get(shard).copied().unwrap_or(0.0) + self.base()
-    }
-
-    fn base(&self) -> f64 {
-        let total: f64 = self.rates.iter().sum();
-        let mean = total / self.rates.len().max(1) as f64;
-        (mean * 0.1).max(1e-6)
+        self.rates.get(shard).copied().unwrap_or(0.0) + self.base
     }
 }
--- a/crates/core/tests/ownership_safety.rs
+++ b/crates/core/tests/ownership_safety.rs
@@ -56,6 +56,8 @@
         2 => (server.clone(), span).prop_map(|(server, span)| Fault::PauseServer(server, span)),
         1 => (server, any::<bool>()).prop_map(|(server, on)| Fault::DrainServer(server, on)),
         1 => (1..4u32).prop_map(Fault::LoseWriteAnswers),
+        2 => (1..=SERVERS).prop_map(Fault::ConfigureServers),
+        1 => Just(Fault::ShiftLoad),
         1 => Just(Fault::PlatformDown),
         1 => (100_000..4_000_000u64).prop_map(Fault::PlatformSlow),
         1 => (1..40u32).prop_map(Fault::Loss),
--- a/crates/core/tests/support/faults.rs
+++ b/crates/core/tests/support/faults.rs
@@ -27,6 +27,10 @@
     RestartServer(usize),
     PauseServer(usize, u64),
     DrainServer(usize, bool),
+    /// Configures only the first servers.
+    ConfigureServers(usize),
+    /// The load shifts to the shards of the first server.
+    ShiftLoad,
     PlatformDown,
     PlatformSlow(u64),
     Loss(u32),
--- a/crates/core/tests/support/injection.rs
+++ b/crates/core/tests/support/injection.rs
@@ -41,6 +41,13 @@
             Fault::RestartServer(server) => self.servers[server].restart(),
             Fault::PauseServer(server, span) => self.servers[server].paused_until = micros + span,
             Fault::DrainServer(server, draining) => self.servers[server].draining = draining,
+            Fault::ConfigureServers(count) => {
+                let mut spec = self.spec.as_ref().clone();
+                spec.version.0 += 1;
+                spec.service.servers = (0..count).map(server_config).collect();
+                self.set_spec(spec);
+            }
+            Fault::ShiftLoad => self.shift_load(),
             Fault::PlatformDown => self.network.platform_down = true,
             Fault::PlatformSlow(delay) => self.network.platform_delay = delay,
             Fault::Loss(percent) => self.network.loss = percent,
@@ -70,6 +77,20 @@
         }
     }
 
+    fn shift_load(&mut self) {
+        let Some((controller, state)) = self.controller().zip(self.object.as_ref()) else {
+            return;
+        };
+        let first = server_id(0);
+        let mut rates = Vec::new();
+        for (index, shard) in state.1.shards.iter().enumerate() {
+            let busy = matches!(shard, ShardState::Owned { server, .. } if *server == first);
+            let id = ShardId(u32::try_from(index).unwrap());
+            rates.push((id, if busy { 10.0 } else { 1.0 }));
+        }
+        self.tell(controller, ScopeEvent::LoadObserved(rates));
+    }
+
     pub(super) fn restart_host(&mut self, index: usize) {
         let old = &self.hosts[index];
         let host = new_host(index, old.clock, old.process + 1, self.micros, self.guards);
--- a/crates/core/tests/support/prelude.rs
+++ b/crates/core/tests/support/prelude.rs
@@ -9,7 +9,7 @@
         message::{Message, Queued, Step},
         network::{FakeNetwork, Node},
         server::FakeServer,
-        spec::{SERVICE, host_info, scope_spec, server_id},
+        spec::{SERVICE, host_info, scope_spec, server_config, server_id},
         world::{SECOND, World, server_index},
     },
     camphorcove_core::{
