--- a/crates/daemon/tests/admin_access.rs
+++ b/crates/daemon/tests/admin_access.rs
@@ -8,7 +8,7 @@
         config::{AuditReader, OPERATOR_STREAM},
         operator::{ApiCode, ApplyReport, RefusalReason, RequestLine, SignedHead, StatusReport},
     },
-    camphorcove_standin::platform::PlatformStandin,
+    camphorcove_standin::platform::{PlatformFaults, PlatformStandin},
     rstest::rstest,
     serde_json::{Value, json},
     std::sync::{Mutex, Once},
@@ -222,6 +222,13 @@
         AuditAction::LossConfirmed { scope, epoch: 7 }
     );
     assert_eq!((records.len(), records[0].reason.as_str()), (2, "fire"));
+    platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    let unrecorded = api.post::<Value>("/v1/confirm-lost", confirm(7)).await;
+    let code = unrecorded.unwrap_err().code;
+    assert_eq!(code, ApiCode::PlatformUnavailable.number());
 }
 
 static LOGGED: Mutex<String> = Mutex::new(String::new());
--- a/crates/net/tests/audit_reader.rs
+++ b/crates/net/tests/audit_reader.rs
@@ -220,16 +220,16 @@
 /// Guards against a head that a host takes for valid although its content is damaged.
 #[rstest]
 #[case::head("config/head", "{}")]
-#[case::part("config/part/", "region = \"x\"")]
+#[case::part("config/part/", &region_text(9))]
 #[tokio::test]
-async fn a_damaged_object_is_reported(#[case] prefix: &str, #[case] content: &'static str) {
+async fn a_damaged_object_is_reported(#[case] prefix: &str, #[case] content: &str) {
     let repo = repo_with_versions(1).await;
     let sizes = repo.store().sizes();
     let (key, _) = sizes
         .iter()
         .find(|(key, _)| key.starts_with(prefix))
         .unwrap();
-    repo.store().overwrite(key, content);
+    repo.store().overwrite(key, content.to_owned());
 
     assert!(repo.load().await.is_err());
     let refused = repo.apply(&region_text(2), None, &author()).await;
