End the region's processes when camphorcove-bench is terminated

A terminated benchmark left its daemons running, which disturbed later measurements. SIGTERM and SIGINT now drop the experiment, and with it the processes that it started.

--- a/crates/bench/src/error/bench_error.rs
+++ b/crates/bench/src/error/bench_error.rs
@@ -38,6 +38,9 @@
         /// Cause.
         reason: String,
     },
+    /// A signal ended the measurement.
+    #[snafu(display("interrupted"))]
+    Interrupted,
     /// A file could not be written.
     #[snafu(display("cannot write {path}: {source}"))]
     NotWritten {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,13 +2,14 @@
 
 use {
     camphorcove_bench::{
-        error::BenchError,
+        error::{BenchError, InterruptedSnafu},
         experiments::{BalanceOptions, CapacityOptions, CostOptions, FailoverOptions},
         load::{self, LoadOptions},
         report::OutputOptions,
     },
     clap::{Parser, Subcommand},
     std::process::ExitCode,
+    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Measurements of the camphorcove router.
@@ -38,7 +39,12 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let command = BenchCommand::parse();
-    match run(command).await {
+    // Dropping an unfinished experiment ends the processes that it started.
+    let result = tokio::select! {
+        result = run(command) => result,
+        result = terminated() => result,
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("camphorcove-bench: {error}");
@@ -47,6 +53,22 @@
     }
 }
 
+/// Waits for a signal to end.
+async fn terminated() -> Result<(), BenchError> {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    InterruptedSnafu.fail()
+}
+
 async fn run(command: BenchCommand) -> Result<(), BenchError> {
     let output = command.output;
     match command.experiment {
