Measure load by shard, latency and results by service; test operations

Placement by measured load had no input and the metrics lacked service labels. Forwarders count requests by shard, polls carry the busiest shards to the controller every 5 s, and the page shows results, latency, queue and imbalance.

--- a/crates/daemon/src/context/request_counters.rs
+++ b/crates/daemon/src/context/request_counters.rs
@@ -1,8 +1,12 @@
 //! Counters of the request path.
 
 use {
+    crate::{maps::ShardLoads, metrics::ServiceStats},
     camphorcove_core::outcome::ResultCode,
-    std::sync::atomic::{AtomicU64, Ordering::Relaxed},
+    std::sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
 };
 
 /// Events counted since the process started. Written without locks, read by the metrics.
@@ -30,6 +34,10 @@
     pub replies_cut: AtomicU64,
     /// Callers that left before their answer was complete.
     pub callers_left: AtomicU64,
+    /// Results and latency by service.
+    pub services: ServiceStats,
+    /// Requests sent to servers, by shard.
+    pub shards: Arc<ShardLoads>,
     results: ResultCounters,
 }
 
--- a/crates/daemon/src/control/scope_actor.rs
+++ b/crates/daemon/src/control/scope_actor.rs
@@ -1,12 +1,17 @@
 //! The actor that drives one scope's machine.
 
 use {
-    super::{scope_io::ScopeIo, scope_report::ScopeReport, scope_watch::ScopeWatch},
+    super::{
+        scope_io::ScopeIo,
+        scope_report::{ObservedTotals, ScopeReport},
+        scope_watch::ScopeWatch,
+    },
     crate::maps::HeldMap,
     arc_swap::ArcSwap,
     camphorcove_core::{
         audit::AuditRecord,
         control::{ScopeAction, ScopeEvent, ScopeMachine, ScopeRole},
+        election::PromiseReply,
         ids::ServerId,
         time::BootTime,
     },
@@ -27,6 +32,7 @@
     addresses: HashMap<ServerId, SocketAddr>,
     archived: u64,
     archiving: bool,
+    promise_failures: u64,
     report: Arc<ArcSwap<ScopeReport>>,
 }
 
@@ -44,6 +50,7 @@
             addresses: HashMap::new(),
             archived: 0,
             archiving: false,
+            promise_failures: 0,
             report,
         }
     }
@@ -55,6 +62,10 @@
             self.archived = self.archived.max(*up_to);
             self.archiving = false;
         }
+        if let ScopeEvent::PromiseAnswered { reply, .. } = &event {
+            let promised = *reply == Some(PromiseReply::Promised);
+            self.promise_failures += u64::from(!promised);
+        }
         let written = matches!(&event, ScopeEvent::ScopeWritten { result: Ok(_), .. });
         let before = self.machine.role();
         let actions = self.machine.handle(event, now);
@@ -166,7 +177,11 @@
     }
 
     fn publish_report(&self) {
-        let report = ScopeReport::of(&self.machine, self.io.context.now());
+        let observed = ObservedTotals {
+            promise_failures: self.promise_failures,
+            unavailable: self.watch.unavailable(),
+        };
+        let report = ScopeReport::of(&self.machine, self.io.context.now(), observed);
         self.report.store(Arc::new(report));
     }
 }
--- a/crates/daemon/src/control/scope_report.rs
+++ b/crates/daemon/src/control/scope_report.rs
@@ -38,9 +38,18 @@
     pub counters: ScopeCounters,
 }
 
+/// Totals that the daemon keeps beside the machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ObservedTotals {
+    /// Requests for a promise that were refused or not answered.
+    pub promise_failures: u64,
+    /// Time without a valid map since the first one was held.
+    pub unavailable: Duration,
+}
+
 impl ScopeReport {
     /// Report of a machine.
-    pub fn of(machine: &ScopeMachine, now: BootTime) -> Self {
+    pub fn of(machine: &ScopeMachine, now: BootTime, observed: ObservedTotals) -> Self {
         let electors = machine.state().map(|state| state.electors.clone());
         Self {
             role: machine.role(),
@@ -52,8 +61,8 @@
             unowned: machine.unowned_shards(),
             phases: machine.server_phases(),
             counters: machine.counters().clone(),
-            promise_failures: 0,
-            unavailable: Duration::ZERO,
+            promise_failures: observed.promise_failures,
+            unavailable: observed.unavailable,
         }
     }
 }
--- a/crates/daemon/src/control/scope_watch.rs
+++ b/crates/daemon/src/control/scope_watch.rs
@@ -1,7 +1,7 @@
 //! Notices what changed around a scope between two ticks.
 
 use {
-    crate::maps::{MapContext, digest},
+    crate::maps::{LOAD_INTERVAL, MapContext, digest},
     camphorcove_core::{
         control::{ScopeEvent, ScopeSpec},
         ids::{ConfigVersion, ServiceName},
@@ -31,11 +31,15 @@
     published: MapVersion,
     replaced: MapVersion,
     wall_told: Option<BootTime>,
+    load_told: BootTime,
+    looked_at: Option<BootTime>,
+    unavailable: Duration,
 }
 
 impl ScopeWatch {
     /// Watch for a machine that was told nothing.
     pub fn new(service: ServiceName, context: Arc<MapContext>) -> Self {
+        let now = context.now();
         Self {
             service,
             context,
@@ -46,6 +50,9 @@
             published: MapVersion::default(),
             replaced: MapVersion::default(),
             wall_told: None,
+            load_told: now,
+            looked_at: None,
+            unavailable: Duration::ZERO,
         }
     }
 
@@ -71,10 +78,43 @@
         events.extend(self.map_event());
         if controls {
             events.extend(self.replaced_event());
+            events.extend(self.load_event());
         }
+        self.note_availability();
         events
     }
 
+    /// Time without a valid map since the first one was held.
+    pub fn unavailable(&self) -> Duration {
+        self.unavailable
+    }
+
+    fn note_availability(&mut self) {
+        let Some(held) = self.context.maps.held(&self.service) else {
+            return;
+        };
+        let now = self.context.now();
+        if let Some(looked_at) = self.looked_at {
+            let lapsed_at = held.valid_until.max(looked_at);
+            self.unavailable += now.since(lapsed_at);
+        }
+        self.looked_at = Some(now);
+    }
+
+    fn load_event(&mut self) -> Option<ScopeEvent> {
+        let now = self.context.now();
+        let span = now.since(self.load_told);
+        if span < LOAD_INTERVAL {
+            return None;
+        }
+        self.load_told = now;
+        let counts = self.context.loads.take(&self.service);
+        let rates = counts
+            .into_iter()
+            .map(|(shard, count)| (shard, f64::from(count) / span.as_secs_f64()));
+        Some(ScopeEvent::LoadObserved(rates.collect()))
+    }
+
     fn wall_event(&mut self) -> Option<ScopeEvent> {
         let now = self.context.now();
         let told = self.wall_told;
--- a/crates/daemon/src/forward/forward_service.rs
+++ b/crates/daemon/src/forward/forward_service.rs
@@ -248,6 +248,10 @@
             let clock = self.context.clocks.latest(&server.id);
             let end = clock.map(|clock| clock.deadline(end));
             stamp_headers(&mut head.headers, plan, end);
+            if let Some(shard) = plan.envelope.shard {
+                let shards = &self.context.counters.shards;
+                shards.count(&plan.envelope.service, shard);
+            }
             let result = exchange(&self.context, permit, plan, head, body).await;
             self.loads.report(
                 &plan.envelope.service,
--- a/crates/daemon/src/maps/map_context.rs
+++ b/crates/daemon/src/maps/map_context.rs
@@ -1,7 +1,7 @@
 //! What the tasks of this host share about maps, configuration and hosts.
 
 use {
-    super::{ConfigStore, ControllerHints, HostTable, MapStore},
+    super::{ConfigStore, ControllerHints, HostTable, MapStore, ShardLoads},
     camphorcove_core::{
         control::HostInfo,
         ids::{HostId, RegionName, ServiceName, ZoneName},
@@ -15,7 +15,7 @@
         collections::BTreeSet,
         net::SocketAddr,
         sync::{
-            Mutex, PoisonError,
+            Arc, Mutex, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
     },
@@ -52,6 +52,8 @@
     pub hints: ControllerHints,
     /// Client for control messages.
     pub client: PeerClient,
+    /// Requests by shard.
+    pub loads: Arc<ShardLoads>,
     controls: Mutex<BTreeSet<ServiceName>>,
     leaving: AtomicBool,
     ready: watch::Sender<bool>,
@@ -59,7 +61,7 @@
 
 impl MapContext {
     /// Context of a host that holds nothing yet.
-    pub fn new(host: HostSelf, client: PeerClient) -> Self {
+    pub fn new(host: HostSelf, client: PeerClient, loads: Arc<ShardLoads>) -> Self {
         Self {
             host,
             clock: BootClock,
@@ -68,6 +70,7 @@
             hosts: HostTable::default(),
             hints: ControllerHints::default(),
             client,
+            loads,
             controls: Mutex::default(),
             leaving: AtomicBool::new(false),
             ready: watch::Sender::new(false),
--- a/crates/daemon/src/maps/mod.rs
+++ b/crates/daemon/src/maps/mod.rs
@@ -13,6 +13,7 @@
 mod poll_handler;
 mod reach_probe;
 mod relay_choice;
+mod shard_loads;
 
 pub use {
     config_watch::ConfigWatch,
@@ -20,9 +21,10 @@
     host_table::{HostTable, digest},
     map_context::{HostSelf, MapContext},
     map_store::{ConfigStore, HeldMap, MapStore},
-    poll_client::{PollClient, PollMode},
+    poll_client::{LOAD_INTERVAL, PollClient, PollMode},
     poll_director::PollDirector,
     poll_handler::answer_poll,
     reach_probe::probe_pollers,
     relay_choice::{is_relay, upstream_relays, zone_relays},
+    shard_loads::ShardLoads,
 };
--- a/crates/daemon/src/maps/poll_client.rs
+++ b/crates/daemon/src/maps/poll_client.rs
@@ -3,7 +3,7 @@
 use {
     super::{HeldMap, MapContext, host_table::digest},
     camphorcove_core::{
-        ids::{ConfigVersion, ServiceName},
+        ids::{ConfigVersion, ServiceName, ShardId},
         map::MapVersion,
         time::{BootTime, MAP_TTL, POLL_HOLD},
     },
@@ -14,6 +14,12 @@
 /// Time for a poll beyond the hold.
 const POLL_MARGIN: Duration = Duration::from_millis(600);
 
+/// Interval of load reports.
+pub const LOAD_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Requests by service and shard.
+type LoadReports = Vec<(ServiceName, Vec<(ShardId, u32)>)>;
+
 /// Polls of one upstream host, with what was exchanged before.
 #[derive(Debug)]
 pub struct PollClient {
@@ -22,6 +28,7 @@
     hosts: Vec<PeerAddress>,
     hosts_digest: u64,
     downstream_sent: u64,
+    loads_sent_at: BootTime,
 }
 
 /// How to poll.
@@ -42,6 +49,7 @@
             hosts: Vec::new(),
             hosts_digest: 0,
             downstream_sent: 0,
+            loads_sent_at: BootTime::default(),
         }
     }
 
@@ -69,7 +77,22 @@
         Ok(())
     }
 
-    fn question(&self, scopes: &[ServiceName], mode: PollMode) -> MapPoll {
+    /// Load reports of the scopes, now and then; not in a search, which many hosts get.
+    fn loads(&mut self, scopes: &[ServiceName], mode: PollMode) -> LoadReports {
+        let now = self.context.now();
+        if mode.urgent || now.since(self.loads_sent_at) < LOAD_INTERVAL {
+            return Vec::new();
+        }
+        self.loads_sent_at = now;
+        let reports = scopes.iter().map(|service| {
+            let counts = self.context.loads.take_report(service);
+            (service.clone(), counts)
+        });
+        reports.filter(|(_, counts)| !counts.is_empty()).collect()
+    }
+
+    fn question(&mut self, scopes: &[ServiceName], mode: PollMode) -> MapPoll {
+        let loads = self.loads(scopes, mode);
         let context = &self.context;
         let now = context.now();
         let mut held = Vec::with_capacity(scopes.len());
@@ -97,6 +120,7 @@
             downstream_digest,
             downstream: (downstream_digest != self.downstream_sent).then_some(downstream),
             urgent: mode.urgent,
+            loads,
         }
     }
 
--- a/crates/daemon/src/maps/poll_handler.rs
+++ b/crates/daemon/src/maps/poll_handler.rs
@@ -16,6 +16,9 @@
     let mut maps = context.maps.changes();
     let mut config = context.config.changes();
     let lacking = context.hosts.note_poll(&poll, context.now());
+    for (service, counts) in &poll.loads {
+        context.loads.add(service, counts);
+    }
     if !poll.urgent && !lacking {
         hold(context, &poll, &mut maps, &mut config).await;
         // The poller may use what this answer carries from now on, so it counts
--- a/crates/daemon/src/metrics/metric_page.rs
+++ b/crates/daemon/src/metrics/metric_page.rs
@@ -20,6 +20,11 @@
         }
     }
 
+    /// Registry of the page, for metrics that keep their own values.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// Adds a counter with its values.
     pub fn counter(&self, name: &str, help: &str, labels: &[&str], values: &[(Vec<&str>, u64)]) {
         let Ok(family) = IntCounterVec::new(Opts::new(name, help), labels) else {
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -2,5 +2,9 @@
 
 mod metric_page;
 mod render;
+mod service_stats;
 
-pub use render::{MetricSources, render};
+pub use {
+    render::{MetricSources, render},
+    service_stats::ServiceStats,
+};
--- a/crates/daemon/src/metrics/render.rs
+++ b/crates/daemon/src/metrics/render.rs
@@ -5,9 +5,10 @@
     crate::{
         context::RequestCounters,
         control::{ScopeRegistry, ScopeReport},
+        forward::ForwardService,
         maps::MapContext,
     },
-    camphorcove_core::{control::ScopeRole, ids::ServiceName, scope::MoveReason},
+    camphorcove_core::{control::ScopeRole, ids::ServiceName, map::RoutingMap, scope::MoveReason},
     camphorcove_net::{
         peer::PeerTraffic,
         platform::{CallKind, HttpStore},
@@ -27,6 +28,8 @@
     pub scopes: &'a ScopeRegistry,
     /// Counters of requests.
     pub counters: &'a RequestCounters,
+    /// Forwarder.
+    pub forward: &'a ForwardService,
     /// Platform.
     pub store: &'a HttpStore,
     /// Bytes exchanged with peers.
@@ -40,6 +43,8 @@
     let page = MetricPage::new();
     let reports = sources.scopes.reports();
     requests(&page, sources.counters);
+    sources.counters.services.register(page.registry());
+    servers(&page, sources);
     scopes(&page, &reports);
     maps(&page, sources.context);
     platform(&page, sources.store);
@@ -120,6 +125,52 @@
     );
 }
 
+/// Load of the servers that this host forwards to, and how evenly it sees the
+/// load spread over all servers of a service.
+fn servers(page: &MetricPage, sources: &MetricSources<'_>) {
+    let loads = sources.forward.server_loads();
+    let mut in_flight = Vec::new();
+    let mut queued = Vec::new();
+    for (service, server, load) in &loads {
+        let labels = vec![service.as_str(), server.as_str()];
+        in_flight.push((labels.clone(), f64::from(load.in_flight)));
+        queued.push((labels, f64::from(load.queued)));
+    }
+    let labels = &["service", "server"];
+    let help = "Requests holding a slot of a server that this host forwards to.";
+    page.gauge("server_requests_in_flight", help, labels, &in_flight);
+    let help = "Requests waiting for a slot of a server that this host forwards to.";
+    page.gauge("server_requests_queued", help, labels, &queued);
+    let maps = sources.context.maps.all();
+    let ratios: Vec<(Vec<&str>, f64)> = maps
+        .iter()
+        .map(|(service, held)| (vec![service.as_str()], imbalance(sources, &held.map)))
+        .collect();
+    page.gauge(
+        "load_imbalance_ratio",
+        "Highest load of a server by weight, divided by the mean; 1 is even.",
+        &["service"],
+        &ratios,
+    );
+}
+
+fn imbalance(sources: &MetricSources<'_>, map: &RoutingMap) -> f64 {
+    let now = sources.context.now();
+    let book = sources.forward.loads().loads(map, now);
+    let mut loads = Vec::new();
+    for server in &map.servers {
+        if let Some(cell) = book.cell(&server.id) {
+            loads.push(cell.load(now) as f64 / f64::from(server.weight.max(1)));
+        }
+    }
+    let sum: f64 = loads.iter().sum();
+    if sum <= 0.0 {
+        return 1.0;
+    }
+    let highest = loads.iter().copied().fold(0.0, f64::max);
+    highest * loads.len() as f64 / sum
+}
+
 fn scopes(page: &MetricPage, reports: &Reports) {
     let gauge = |name: &str, help: &str, read: &dyn Fn(&ScopeReport) -> f64| {
         let values: Vec<(Vec<&str>, f64)> = reports
--- a/crates/daemon/src/node/node_view.rs
+++ b/crates/daemon/src/node/node_view.rs
@@ -112,7 +112,17 @@
     }
 
     async fn loads(&self) -> Vec<ServerLoad> {
-        Vec::new()
+        let loads = self.forward.server_loads().into_iter();
+        let loads = loads.map(|(service, server, load)| ServerLoad {
+            service,
+            server,
+            in_flight: load.in_flight,
+            queued: load.queued,
+            // The forwarder does not tell its connections and ejections.
+            connections: 0,
+            ejected: false,
+        });
+        loads.collect()
     }
 
     fn metrics(&self) -> String {
@@ -120,6 +130,7 @@
             context: &self.context,
             scopes: &self.scopes,
             counters: &self.counters,
+            forward: &self.forward,
             store: &self.store,
             traffic: &self.traffic,
         })
--- a/crates/daemon/src/node/run_node.rs
+++ b/crates/daemon/src/node/run_node.rs
@@ -8,7 +8,7 @@
     crate::{
         admin::{AdminParts, AdminService, serve_admin},
         conf::DaemonSettings,
-        context::{RequestContext, RequestTuning},
+        context::{RequestContext, RequestCounters, RequestTuning},
         control::{ElectorActor, ScopeIo, ScopeRegistry},
         error::{DaemonError, ListenSnafu},
         forward::ForwardService,
@@ -109,10 +109,11 @@
             zone: settings.zone.clone(),
             peer,
         };
-        let context = Arc::new(MapContext::new(host, client));
+        let counters = Arc::<RequestCounters>::default();
+        let context = Arc::new(MapContext::new(host, client, counters.shards.clone()));
         let store = HttpStore::new(settings.platform);
         let clocks = ClockTable::default();
-        let requests = request_context(&settings, &identity, &context, &clocks);
+        let requests = request_context(&identity, &context, &clocks, counters);
         let elector = ElectorActor::spawn(ElectorActor::new(BootClock, store.clone()));
         let template = ScopeIo {
             // Replaced for each scope.
@@ -196,19 +197,19 @@
 }
 
 fn request_context(
-    settings: &DaemonSettings,
     identity: &PeerIdentity,
     context: &MapContext,
     clocks: &ClockTable,
+    counters: Arc<RequestCounters>,
 ) -> RequestContext {
     RequestContext {
-        host: settings.host.clone(),
+        host: identity.host.clone(),
         maps: context.maps.clone(),
         configs: context.config.clone(),
         clocks: clocks.clone(),
         clock: BootClock,
-        key: identity.key.bytes(),
-        counters: Arc::default(),
+        key: identity.key.clone(),
+        counters,
         tuning: RequestTuning {
             seed: identity.nonce,
             ..RequestTuning::default()
--- a/crates/daemon/src/serve/entry_flow.rs
+++ b/crates/daemon/src/serve/entry_flow.rs
@@ -79,10 +79,14 @@
     pub async fn answer(&self, request: Request<Incoming>) -> Response<RouterBody> {
         let counters = &self.context.counters;
         let flight = FlightGuard::new(counters.clone());
+        let start = self.context.clock.now();
         let checked = check_request(&self.context, &self.index, &self.serial, request);
-        let (result, id) = match checked {
+        let (result, known) = match checked {
             Err(code) => (Err(code), None),
-            Ok(entry) => (self.attempts(&entry).await, Some(entry.request)),
+            Ok(entry) => (
+                self.attempts(&entry).await,
+                Some((entry.request, entry.rule)),
+            ),
         };
         let code = result
             .as_ref()
@@ -90,8 +94,13 @@
             .copied()
             .unwrap_or(ResultCode::Answered);
         counters.count_result(code);
+        if let Some((_, rule)) = &known {
+            let duration = self.context.clock.now().since(start);
+            counters.services.record(&rule.config.name, code, duration);
+        }
         let mut answer = result.unwrap_or_else(refusal);
         mark_result(answer.headers_mut(), code);
+        let id = known.map(|(id, _)| id);
         if let Some(value) = id.and_then(|id| HeaderValue::from_str(id.as_str()).ok()) {
             answer.headers_mut().insert(REQUEST_ID, value);
         }
--- a/crates/daemon/tests/support/processes/daemon.rs
+++ b/crates/daemon/tests/support/processes/daemon.rs
@@ -34,6 +34,8 @@
     pub peers: SocketAddr,
     pub announced: Option<SocketAddr>,
     pub shutdown_limit: String,
+    /// Hosts to ask first, as `HOST@ADDRESS`.
+    pub seeds: Vec<String>,
 }
 
 impl DaemonSetup {
@@ -44,7 +46,8 @@
         let text = format!(
             "host = {:?}\nregion = \"test\"\nzone = {:?}\ncallers = \"127.0.0.1:0\"\n\
              peers = \"{}\"\npeers_announced = {announced:?}\noperators = \"127.0.0.1:0\"\n\
-             platform = \"{}\"\npeer_key_file = {:?}\nlog_level = {:?}\nshutdown_limit = {:?}\n",
+             platform = \"{}\"\npeer_key_file = {:?}\nlog_level = {:?}\nshutdown_limit = {:?}\n\
+             seeds = {:?}\n",
             self.host,
             self.zone,
             self.peers,
@@ -52,6 +55,7 @@
             key_file.display().to_string(),
             std::env::var("TEST_LOG_LEVEL").unwrap_or_else(|_| "info".into()),
             self.shutdown_limit,
+            self.seeds,
         );
         let path = self.directory.join(format!("{}.toml", self.host));
         fs::write(&path, text).expect("settings file");
--- a/crates/daemon/tests/support/processes/region.rs
+++ b/crates/daemon/tests/support/processes/region.rs
@@ -115,6 +115,7 @@
             peers: ANY_PORT.parse().expect("address"),
             announced: None,
             shutdown_limit: self.plan.shutdown_limit.to_owned(),
+            seeds: Vec::new(),
         };
         if self.plan.proxies {
             // The proxy must know its target before the daemon runs.
--- a/crates/net/src/peer/messages.rs
+++ b/crates/net/src/peer/messages.rs
@@ -41,6 +41,8 @@
     pub downstream: Option<Vec<PeerAddress>>,
     /// Answer at once instead of waiting for news.
     pub urgent: bool,
+    /// Requests by shard since the last such report; of the busiest shards only.
+    pub loads: Vec<(ServiceName, Vec<(ShardId, u32)>)>,
 }
 
 /// What a peer holds of one scope.
