--- a/crates/daemon/src/maps/map_store.rs
+++ b/crates/daemon/src/maps/map_store.rs
@@ -9,7 +9,7 @@
     },
     camphorcove_net::peer::{ConfigSnapshot, PeerAddress},
     std::{
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         sync::{Arc, Mutex, PoisonError},
     },
     tokio::sync::watch,
@@ -24,11 +24,20 @@
     pub valid_until: BootTime,
 }
 
+/// Older versions kept for each scope, to answer polls with changes only.
+///
+/// A poller is rarely more than a poll behind; each version of a map with 4,096
+/// shards takes about 130 kB.
+const HISTORY: usize = 6;
+
+/// Older versions by scope, newest last.
+type MapHistory = HashMap<ServiceName, VecDeque<Arc<RoutingMap>>>;
+
 /// Maps by scope. Writers take turns; any number of requests read without waiting.
 #[derive(Clone, Debug)]
 pub struct MapStore {
     maps: Arc<ArcSwap<HashMap<ServiceName, HeldMap>>>,
-    writer: Arc<Mutex<()>>,
+    writer: Arc<Mutex<MapHistory>>,
     changes: Arc<watch::Sender<u64>>,
 }
 
@@ -62,7 +71,7 @@
 
     /// Accepts a map unless an equal or newer version with longer validity is held.
     pub fn accept(&self, held: HeldMap) {
-        let _turn = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut history = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
         let mut maps = HashMap::clone(&self.maps.load());
         let service = held.map.service.clone();
         let changed = match maps.get(&service) {
@@ -75,6 +84,13 @@
             }
             _ => true,
         };
+        if changed && let Some(old) = maps.get(&service) {
+            let versions = history.entry(service.clone()).or_default();
+            versions.push_back(old.map.clone());
+            if versions.len() > HISTORY {
+                versions.pop_front();
+            }
+        }
         maps.insert(service, held);
         self.maps.store(Arc::new(maps));
         if changed {
@@ -93,9 +109,17 @@
         }
     }
 
+    /// An older version of a map, if it is still kept.
+    pub fn older(&self, service: &ServiceName, version: MapVersion) -> Option<Arc<RoutingMap>> {
+        let history = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut versions = history.get(service)?.iter();
+        versions.find(|map| map.version == version).cloned()
+    }
+
     /// Removes the maps of services that are no longer configured.
     pub fn retain(&self, keep: impl Fn(&ServiceName) -> bool) {
-        let _turn = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut history = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        history.retain(|service, _| keep(service));
         let maps = self.maps.load();
         if maps.keys().all(&keep) {
             return;
--- a/crates/daemon/src/maps/poll_client.rs
+++ b/crates/daemon/src/maps/poll_client.rs
@@ -7,7 +7,9 @@
         map::MapVersion,
         time::{BootTime, MAP_TTL, POLL_HOLD},
     },
-    camphorcove_net::peer::{MapAnswer, MapPoll, PeerAddress, PeerError, PeerKind, ScopeAnswer},
+    camphorcove_net::peer::{
+        MapAnswer, MapNews, MapPoll, PeerAddress, PeerError, PeerKind, ScopeAnswer,
+    },
     std::{sync::Arc, time::Duration},
 };
 
@@ -149,11 +151,22 @@
 fn adopt_scope(context: &MapContext, scope: ScopeAnswer, sent_at: BootTime) {
     let remaining = Duration::from_micros(scope.remaining_micros).min(MAP_TTL);
     let valid_until = sent_at + remaining;
-    let Some(map) = scope.map else {
-        context
-            .maps
-            .prolong(&scope.service, scope.version, valid_until);
-        return;
+    let map = match scope.news {
+        MapNews::Same => {
+            context
+                .maps
+                .prolong(&scope.service, scope.version, valid_until);
+            return;
+        }
+        MapNews::Whole(map) => Arc::from(map),
+        MapNews::Delta(delta) => {
+            let base = context.maps.held(&scope.service);
+            match base.and_then(|base| delta.apply(&base.map)) {
+                Some(map) => Arc::new(map),
+                // A newer map was adopted meanwhile; the next poll names it.
+                None => return,
+            }
+        }
     };
     if map.service != scope.service || map.version != scope.version {
         log::warn!("answer for scope {} carries another map", scope.service);
@@ -162,10 +175,7 @@
     context
         .hints
         .note(&map.service, map.version.epoch, &map.controller);
-    context.maps.accept(HeldMap {
-        map: Arc::from(map),
-        valid_until,
-    });
+    context.maps.accept(HeldMap { map, valid_until });
 }
 
 fn held_version(context: &MapContext, service: &ServiceName) -> MapVersion {
--- a/crates/daemon/src/maps/poll_handler.rs
+++ b/crates/daemon/src/maps/poll_handler.rs
@@ -4,10 +4,10 @@
     super::{MapContext, host_table::digest},
     camphorcove_core::{
         ids::ServiceName,
-        map::MapVersion,
+        map::{MapVersion, RoutingMap},
         time::{BootTime, POLL_HOLD},
     },
-    camphorcove_net::peer::{MapAnswer, MapPoll, ScopeAnswer},
+    camphorcove_net::peer::{MapAnswer, MapDelta, MapNews, MapPoll, ScopeAnswer},
     tokio::{sync::watch, time::Instant},
 };
 
@@ -87,6 +87,18 @@
         service: service.clone(),
         version: held.map.version,
         remaining_micros: u64::try_from(remaining.as_micros()).unwrap_or(0),
-        map: (held.map.version > version).then(|| Box::new((*held.map).clone())),
+        news: news(context, &held.map, version),
     })
 }
+
+fn news(context: &MapContext, map: &RoutingMap, version: MapVersion) -> MapNews {
+    if map.version <= version {
+        return MapNews::Same;
+    }
+    let base = context.maps.older(&map.service, version);
+    let delta = base.and_then(|base| MapDelta::between(&base, map));
+    match delta {
+        Some(delta) => MapNews::Delta(delta),
+        None => MapNews::Whole(Box::new(map.clone())),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/host_knowledge.rs
@@ -0,0 +1,234 @@
+//! What a host keeps of maps, configuration, other hosts and load.
+
+use {
+    camphorcove_core::{
+        conf::{OperatorOrders, RegionConfig},
+        control::HostInfo,
+        ids::{ConfigVersion, Epoch, ServiceName, ShardId},
+        map::{MapVersion, RoutingMap},
+        time::{BootTime, MAP_TTL, with_drift},
+    },
+    camphorcove_net::peer::{ConfigSnapshot, MapPoll, PeerAddress},
+    camphorcoved::maps::{
+        ConfigStore, HeldMap, HostTable, MapStore, ShardLoads, digest, is_relay, upstream_relays,
+        zone_relays,
+    },
+    rstest::rstest,
+    std::{collections::HashSet, sync::Arc, time::Duration},
+};
+
+const NOW: BootTime = BootTime::from_millis(100_000);
+
+fn service() -> ServiceName {
+    "rutas".parse().unwrap()
+}
+
+fn version(epoch: u64, revision: u64) -> MapVersion {
+    MapVersion {
+        epoch: Epoch(epoch),
+        revision,
+    }
+}
+
+fn held(version: MapVersion, valid_until: BootTime) -> HeldMap {
+    let map = RoutingMap {
+        service: service(),
+        version,
+        config: ConfigVersion(1),
+        controller: "host0".parse().unwrap(),
+        servers: Vec::new(),
+        shards: Vec::new(),
+    };
+    HeldMap {
+        map: Arc::new(map),
+        valid_until,
+    }
+}
+
+fn peer(name: &str, zone: &str) -> PeerAddress {
+    PeerAddress {
+        host: HostInfo {
+            id: name.parse().unwrap(),
+            zone: zone.parse().unwrap(),
+            leaving: false,
+        },
+        peer: "127.0.0.1:1".parse().unwrap(),
+    }
+}
+
+fn poll(from: &PeerAddress, held: MapVersion) -> MapPoll {
+    MapPoll {
+        from: from.clone(),
+        held: vec![(service(), held)],
+        floors: Vec::new(),
+        config: ConfigVersion(1),
+        relay: true,
+        hosts: 0,
+        downstream_digest: digest(&[]),
+        downstream: None,
+        urgent: false,
+        loads: Vec::new(),
+    }
+}
+
+fn config(version: u64) -> ConfigSnapshot {
+    ConfigSnapshot {
+        version: ConfigVersion(version),
+        config: RegionConfig {
+            region: "test".parse().unwrap(),
+            zones: Vec::new(),
+            services: Vec::new(),
+        },
+        orders: OperatorOrders::default(),
+    }
+}
+
+/// Guards against a map that returns to an older version or loses validity.
+#[test]
+fn maps_never_go_back() {
+    let store = MapStore::default();
+    let later = NOW + Duration::from_secs(1);
+
+    store.accept(held(version(2, 5), NOW));
+    store.accept(held(version(2, 4), later));
+    store.accept(held(version(1, 9), later));
+    assert_eq!(store.held(&service()).unwrap().map.version, version(2, 5));
+    store.accept(held(version(2, 5), later));
+    store.accept(held(version(2, 5), NOW));
+
+    let kept = store.held(&service()).unwrap();
+    assert_eq!((kept.map.version, kept.valid_until), (version(2, 5), later));
+    assert!(
+        store.valid(&service(), later).is_none(),
+        "the end is exclusive"
+    );
+}
+
+/// Guards against a prolongation meant for another version.
+#[test]
+fn only_the_held_version_is_prolonged() {
+    let store = MapStore::default();
+    store.accept(held(version(2, 5), NOW));
+
+    store.prolong(&service(), version(2, 4), NOW + Duration::from_secs(1));
+
+    assert_eq!(store.held(&service()).unwrap().valid_until, NOW);
+}
+
+/// Guards against a configuration that reverts.
+#[test]
+fn configuration_never_goes_back() {
+    let store = ConfigStore::default();
+
+    assert!(store.accept(config(3)));
+    assert!(!store.accept(config(2)));
+    assert!(!store.accept(config(3)));
+
+    assert_eq!(store.config().unwrap().version, ConfigVersion(3));
+}
+
+/// Guards against a host that counts as live for ever, or too short to wait out its map.
+#[test]
+fn host_is_live_until_its_map_has_lapsed() {
+    let table = HostTable::default();
+    let host = peer("host1", "a");
+
+    table.note_poll(&poll(&host, version(1, 1)), NOW);
+
+    let limit = with_drift(MAP_TTL);
+    let before = NOW + limit - Duration::from_micros(1);
+    assert_eq!(table.live(before), vec![host]);
+    assert!(table.live(NOW + limit).is_empty());
+}
+
+/// Guards against a map that counts as replaced while a host, or a host behind a
+/// relay, may still use it.
+#[test]
+fn floor_is_the_oldest_version_still_in_use() {
+    let table = HostTable::default();
+    let (first, second) = (peer("host1", "a"), peer("host2", "b"));
+    table.note_poll(&poll(&first, version(1, 7)), NOW);
+    let behind = MapPoll {
+        floors: vec![(service(), version(1, 4))],
+        ..poll(&second, version(1, 7))
+    };
+
+    table.note_poll(&behind, NOW);
+    assert_eq!(table.floor(&service(), NOW), Some(version(1, 4)));
+    table.note_poll(&poll(&second, version(1, 6)), NOW);
+    assert_eq!(table.floor(&service(), NOW), Some(version(1, 6)));
+
+    // A poll for other scopes says nothing of this one.
+    let other = MapPoll {
+        held: Vec::new(),
+        ..poll(&second, version(1, 6))
+    };
+    table.note_poll(&other, NOW);
+    assert_eq!(table.floor(&service(), NOW), Some(version(1, 6)));
+    assert_eq!(table.floor(&service(), NOW + with_drift(MAP_TTL)), None);
+}
+
+/// Guards against forwarders that nobody can reach.
+#[test]
+fn host_that_fails_probes_is_not_live() {
+    let table = HostTable::default();
+    let host = peer("host1", "a");
+    table.note_poll(&poll(&host, version(1, 1)), NOW);
+
+    table.note_probe(&host.host.id, false);
+    table.note_poll(&poll(&host, version(1, 1)), NOW);
+    assert_eq!(table.live(NOW).len(), 1, "one probe may be lost");
+    table.note_probe(&host.host.id, false);
+    let later = NOW + with_drift(MAP_TTL);
+    table.note_poll(&poll(&host, version(1, 1)), later);
+    assert!(table.live(later).is_empty());
+
+    table.note_probe(&host.host.id, true);
+    table.note_poll(&poll(&host, version(1, 1)), later);
+    assert_eq!(table.live(later).len(), 1);
+}
+
+/// Guards against zones without a relay, and against a relay role that hosts dispute.
+#[rstest]
+#[case::few(9, 9)]
+#[case::many(40, 8)]
+fn relays_are_chosen_by_zone(#[case] hosts: usize, #[case] expected: usize) {
+    let zones = ["a", "b", "c", "d"];
+    let all: Vec<PeerAddress> = (0..hosts)
+        .map(|number| peer(&format!("host{number}"), zones[number % 4]))
+        .collect();
+
+    let relays: HashSet<_> = all
+        .iter()
+        .filter(|host| is_relay(host, &all))
+        .collect::<Vec<_>>()
+        .into_iter()
+        .map(|host| host.host.id.clone())
+        .collect();
+
+    assert_eq!(relays.len(), expected);
+    for host in all.iter().filter(|host| !relays.contains(&host.host.id)) {
+        let upstream = upstream_relays(host, &all);
+        assert_eq!(upstream.len(), 2);
+        let zone: HashSet<_> = zone_relays(&host.host.zone, &all).into_iter().collect();
+        assert!(upstream.iter().all(|relay| zone.contains(relay)));
+    }
+}
+
+/// Guards against requests that are counted twice, or lost between hosts.
+#[test]
+fn loads_are_summed_once() {
+    let loads = ShardLoads::default();
+    for _ in 0..3 {
+        loads.count(&service(), ShardId(4_000));
+    }
+    loads.add(
+        &service(),
+        &[(ShardId(4_000), 2), (ShardId(7), 1), (ShardId(u32::MAX), 9)],
+    );
+
+    let report = loads.take_report(&service());
+
+    assert_eq!(report, vec![(ShardId(4_000), 5), (ShardId(7), 1)]);
+    assert!(loads.take(&service()).is_empty());
+}
--- a/crates/net/src/peer/messages.rs
+++ b/crates/net/src/peer/messages.rs
@@ -1,6 +1,7 @@
 //! Message types, encoded with bincode.
 
 use {
+    super::MapDelta,
     camphorcove_core::{
         conf::{OperatorOrders, RegionConfig, RequestClass},
         control::HostInfo,
@@ -45,6 +46,17 @@
     pub loads: Vec<(ServiceName, Vec<(ShardId, u32)>)>,
 }
 
+/// How a newer map reaches a poller.
+#[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
+pub enum MapNews {
+    /// The poller has the version already.
+    Same,
+    /// The whole map.
+    Whole(Box<RoutingMap>),
+    /// Changes since the version that the poller holds.
+    Delta(MapDelta),
+}
+
 /// What a peer holds of one scope.
 #[derive(Clone, Debug, PartialEq, bincode::Encode, bincode::Decode)]
 pub struct ScopeAnswer {
@@ -54,8 +66,8 @@
     pub version: MapVersion,
     /// Validity left, in microseconds, counted by the poller from before it sent the poll.
     pub remaining_micros: u64,
-    /// The map, if the poller's version is older.
-    pub map: Option<Box<RoutingMap>>,
+    /// News, if the poller's version is older.
+    pub news: MapNews,
 }
 
 /// A whole configuration.
--- a/crates/net/src/peer/mod.rs
+++ b/crates/net/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod client;
 mod envelope;
 mod frame;
+mod map_delta;
 mod messages;
 mod peer_error;
 mod protocol;
@@ -21,8 +22,9 @@
     client::PeerClient,
     envelope::{EnvelopeError, EnvelopeScope, open, seal},
     frame::{FRAME_BYTES_MAX, decode, encode, read_frame},
+    map_delta::MapDelta,
     messages::{
-        ConfigSnapshot, ForwardEnvelope, MapAnswer, MapPoll, PeerAddress, ScopeAnswer,
+        ConfigSnapshot, ForwardEnvelope, MapAnswer, MapNews, MapPoll, PeerAddress, ScopeAnswer,
         StatusAnswer, StatusRequest,
     },
     peer_error::PeerError,
