--- a/crates/daemon/tests/host_knowledge.rs
+++ b/crates/daemon/tests/host_knowledge.rs
@@ -136,7 +136,7 @@
     table.note_poll(&poll(&host, version(1, 1)), NOW);
 
     let limit = with_drift(MAP_TTL);
-    let before = NOW + limit - Duration::from_micros(1);
+    let before = NOW + (limit - Duration::from_micros(1));
     assert_eq!(table.live(before), vec![host]);
     assert!(table.live(NOW + limit).is_empty());
 }
