Wait after an operator's confirmation, and bound the cost at many hosts

The old hosts may have granted until the moment of the confirmation, so their last grants are now waited out from there. Ranking all hosts at each event, and reads of all hosts as candidates in an outage, grew with the fleet; ranks are computed only when needed, and low ranks read less often. The module now lists what it needs from the daemon.

--- a/crates/core/src/control/candidacy.rs
+++ b/crates/core/src/control/candidacy.rs
@@ -5,6 +5,7 @@
         ScopeRole,
         controller_term::{ControllerTerm, Predecessor},
         forwarder_table::ForwarderTable,
+        object_writer::RETRY_PAUSE,
         scope_machine::{HeldObject, ScopeMachine},
     },
     crate::{
@@ -24,6 +25,12 @@
 /// Largest factor of the delay after takeovers that produced no map.
 const BACKOFF_LIMIT: u32 = 64;
 
+/// Candidates pause longer between reads by one `RETRY_PAUSE` for each such number of ranks.
+///
+/// In a long outage all hosts become candidates; their reads must stay far
+/// below the rate that the platform sustains.
+const RANKS_PER_PAUSE: u32 = 4;
+
 /// Largest random addition to the delay, so that hosts with equal ranks differ.
 const JITTER_LIMIT_MS: u64 = 100;
 
@@ -111,6 +118,11 @@
         self.prolonged_at + CANDIDATE_DELAY * factor + RANK_DELAY * rank
     }
 
+    /// Whether the best rank would be due; saves the others the work of ranking.
+    fn may_be_due(&self, now: BootTime) -> bool {
+        self.handover || now >= self.delay_end(0)
+    }
+
     pub(super) fn is_due_at(&self, now: BootTime) -> bool {
         self.handover || self.has_waited(now)
     }
@@ -151,10 +163,13 @@
         if self.spec.is_none() || self.hosts.is_empty() || self.host.leaving {
             return false;
         }
-        let controller = self.controller().cloned();
+        if !self.timer.may_be_due(now) {
+            return false;
+        }
         let rank = self
             .hosts
-            .rank(&self.service, &self.host.id, controller.as_ref());
+            .rank(&self.service, &self.host.id, self.controller());
+        self.read_pause = RETRY_PAUSE * (1 + rank / RANKS_PER_PAUSE);
         self.timer.is_due(rank, now)
     }
 
@@ -293,6 +308,7 @@
         self.object = Some(object);
         self.term = Some(term);
         self.role = ScopeRole::Candidate;
+        self.read_pause = RETRY_PAUSE;
         self.dirty = true;
     }
 }
--- a/crates/core/src/control/controller_term.rs
+++ b/crates/core/src/control/controller_term.rs
@@ -32,8 +32,8 @@
     pub(super) authority: AuthorityTable,
     pub(super) gained_at: Option<BootTime>,
     pub(super) had_authority: bool,
-    /// An operator confirmed, or the outage limit proves, that older controllers have stopped.
-    pub(super) old_stopped: bool,
+    /// When an operator confirmed that older controllers have stopped.
+    pub(super) confirmed_at: Option<BootTime>,
     /// Grants and maps of earlier controllers have lapsed after this time.
     pub(super) old_end: BootTime,
     /// Grants are renewed by fence, without a majority of electors.
@@ -48,6 +48,7 @@
     /// The last plan waits for servers, releases or maps, so it is made again soon.
     pub(super) plan_waits: bool,
     pub(super) next_balance: BootTime,
+    pub(super) next_forwarders: BootTime,
     pub(super) electors_changed_at: BootTime,
 }
 
@@ -65,7 +66,7 @@
             authority: AuthorityTable::new(&state.electors),
             gained_at: None,
             had_authority: false,
-            old_stopped: false,
+            confirmed_at: None,
             old_end: BootTime(u64::MAX),
             adopting: false,
             servers: BTreeMap::new(),
@@ -77,6 +78,7 @@
             next_plan: BootTime(0),
             plan_waits: true,
             next_balance: BootTime(0),
+            next_forwarders: BootTime(0),
             electors_changed_at: BootTime(0),
         }
     }
@@ -97,7 +99,11 @@
     /// an adopting controller needs no promises. In both cases the period of a
     /// promise is waited out here, from the write that superseded the predecessor.
     fn waited_out_at(&self, now: BootTime) -> BootTime {
-        let lapsed = now + with_drift(GRANT_GRACE);
+        let mut lapsed = now + with_drift(GRANT_GRACE);
+        if let Some(confirmed_at) = self.confirmed_at {
+            // The old controller may have been granting until the confirmation.
+            lapsed = lapsed.max(confirmed_at + with_drift(PROMISE_TTL + GRANT_GRACE));
+        }
         if self.predecessor.resigned.is_none() && !self.predecessor.uncovered_grants {
             return lapsed;
         }
--- a/crates/core/src/control/host_table.rs
+++ b/crates/core/src/control/host_table.rs
@@ -4,10 +4,10 @@
     super::HostInfo,
     crate::{
         ids::{HostId, ServiceName, ZoneName},
-        keys::rank_hosts,
+        keys::{rank_hosts, rendezvous_score},
         time::{BootTime, MAP_TTL, with_drift},
     },
-    std::collections::BTreeMap,
+    std::{cmp::Reverse, collections::BTreeMap},
 };
 
 /// Largest number of electors of a scope.
@@ -71,14 +71,14 @@
         host: &HostId,
         controller: Option<&HostId>,
     ) -> u32 {
-        let candidates: Vec<HostId> = self
+        let score_of = |id: &HostId| rendezvous_score(service.as_str(), id.as_str());
+        let own = (score_of(host), Reverse(host));
+        let better = self
             .staying()
-            .map(|info| info.id.clone())
-            .filter(|id| Some(id) != controller || id == host)
-            .collect();
-        let ranked = rank_hosts(service.as_str(), &candidates);
-        let position = ranked.iter().position(|id| id == host);
-        u32::try_from(position.unwrap_or(ranked.len())).unwrap_or(u32::MAX)
+            .filter(|info| Some(&info.id) != controller)
+            .filter(|info| (score_of(&info.id), Reverse(&info.id)) > own)
+            .count();
+        u32::try_from(better).unwrap_or(u32::MAX)
     }
 
     /// Electors the scope should have, given those it has.
@@ -95,10 +95,12 @@
             .cloned()
             .collect();
         self.fill(&mut chosen, &kept, size);
+        if chosen.len() == current.len() && chosen.len() == size {
+            return current.to_vec();
+        }
         let ranked = rank_hosts(&format!("electors/{service}"), &staying);
         self.fill(&mut chosen, &ranked, size);
-        let same = chosen.len() == current.len() && chosen.iter().all(|id| current.contains(id));
-        if same { current.to_vec() } else { chosen }
+        chosen
     }
 
     fn fill(&self, chosen: &mut Vec<HostId>, from: &[HostId], size: usize) {
--- a/crates/core/src/control/map_builder.rs
+++ b/crates/core/src/control/map_builder.rs
@@ -8,8 +8,12 @@
         scope::{ScopeState, ShardState},
         time::BootTime,
     },
+    std::time::Duration,
 };
 
+/// Pause between checks of the forwarders while nothing else changes.
+const FORWARDER_PAUSE: Duration = Duration::from_millis(500);
+
 impl ScopeMachine {
     /// Publishes the map if it changed, or prolongs its validity.
     pub(super) fn publish_map(&mut self, now: BootTime) {
@@ -31,7 +35,11 @@
     }
 
     fn update_forwarders(&mut self, now: BootTime) {
-        let Some(spec) = &self.spec else {
+        let due = self
+            .term
+            .as_ref()
+            .is_some_and(|term| now >= term.next_forwarders);
+        let Some(spec) = self.spec.as_ref().filter(|_| self.dirty || due) else {
             return;
         };
         let servers: Vec<(ServerId, ZoneName)> = spec
@@ -43,6 +51,7 @@
         let Some(term) = &mut self.term else {
             return;
         };
+        term.next_forwarders = now + FORWARDER_PAUSE;
         if term.forwarders.update(&servers, &self.hosts, now) {
             self.dirty = true;
         }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -3,6 +3,21 @@
 //! A host runs one machine per scope. The machine is idle, a candidate or the
 //! controller. It owns the controller's view of grants, moves and membership.
 //! The daemon feeds it [`ScopeEvent`]s and carries out its [`ScopeAction`]s.
+//!
+//! The machine relies on the daemon for the following:
+//!
+//! - Each read, write, order and promise request is answered by exactly one
+//!   event, with a failure if no answer came in time. A write is reported as
+//!   `NotSent` only if it can never take effect.
+//! - `sent_at` is read before the message leaves, and the deadline of an order
+//!   is converted to the server's clock with the latest reading of that server.
+//!   Only an order without a grant (set 0, length 0) may go out before the
+//!   server's clock is known.
+//! - Reads of the scope object also go to the host's `ElectorTable`. An elector
+//!   that is asked about a scope it has not read triggers such a read.
+//! - Published maps are passed on with the validity that is left, never more.
+//! - Addresses of servers that left the configuration stay known until no shard
+//!   is theirs.
 
 mod authority_table;
 mod candidacy;
--- a/crates/core/src/control/object_events.rs
+++ b/crates/core/src/control/object_events.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ReadFailure, ScopeAction, WriteFailure, WriteId,
-        object_writer::{RETRY_PAUSE, WriteOutcome},
+        object_writer::WriteOutcome,
         scope_machine::{HeldObject, ScopeMachine},
     },
     crate::{ids::ObjectVersion, scope::ScopeState, time::BootTime},
@@ -28,7 +28,7 @@
     ) {
         self.reading_since = None;
         let Ok(read) = result else {
-            self.read_not_before = now + RETRY_PAUSE;
+            self.read_not_before = now + self.read_pause;
             return;
         };
         let version = read.as_ref().map(|(version, _)| *version);
@@ -148,7 +148,7 @@
             return;
         }
         self.reading_since = Some(now);
-        self.read_not_before = now + RETRY_PAUSE;
+        self.read_not_before = now + self.read_pause;
         self.actions.push(ScopeAction::ReadScope);
     }
 
--- a/crates/core/src/control/scope_machine.rs
+++ b/crates/core/src/control/scope_machine.rs
@@ -6,7 +6,7 @@
         candidacy::CandidacyTimer,
         controller_term::{ControllerTerm, Predecessor},
         host_table::HostTable,
-        object_writer::ObjectWriter,
+        object_writer::{ObjectWriter, RETRY_PAUSE},
     },
     crate::{
         ids::{Epoch, ObjectVersion, ServerId, ServiceName},
@@ -16,7 +16,7 @@
     },
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    std::{collections::BTreeSet, sync::Arc},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 /// The scope object as read or written last.
@@ -59,6 +59,7 @@
     pub(super) contact_at: BootTime,
     pub(super) reading_since: Option<BootTime>,
     pub(super) read_not_before: BootTime,
+    pub(super) read_pause: Duration,
     pub(super) wall: Option<(u64, BootTime)>,
     pub(super) actions: Vec<ScopeAction>,
 }
@@ -91,6 +92,7 @@
             contact_at: BootTime(0),
             reading_since: None,
             read_not_before: BootTime(0),
+            read_pause: RETRY_PAUSE,
             wall: None,
             actions: Vec::new(),
         }
@@ -149,7 +151,7 @@
                 self.dirty = true;
             }
             ScopeEvent::HandoverOffered => self.timer.offer_handover(),
-            ScopeEvent::ConfirmLost => self.confirm_lost(),
+            ScopeEvent::ConfirmLost => self.confirm_lost(now),
             ScopeEvent::Resign => {
                 self.resigning = true;
                 self.dirty = true;
--- a/crates/core/src/control/tenure.rs
+++ b/crates/core/src/control/tenure.rs
@@ -202,13 +202,13 @@
         let electors = self.hosts.choose_electors(&self.service, &state.electors);
         let term = self.term.as_mut()?;
         let limit_passed = now > term.outage_limit_end();
-        if term.gained_at.is_some() || !(term.old_stopped || limit_passed) {
+        if term.gained_at.is_some() || !(term.confirmed_at.is_some() || limit_passed) {
             return None;
         }
         if electors == state.electors || electors.is_empty() {
             return None;
         }
-        let reason = if term.old_stopped {
+        let reason = if term.confirmed_at.is_some() {
             "operator confirmed that the old hosts are lost"
         } else {
             "outage limit has passed"
@@ -218,9 +218,10 @@
         Some(self.elector_state(next, electors, reason, now))
     }
 
-    pub(super) fn confirm_lost(&mut self) {
+    /// Takes an operator's confirmation; it counts only for a successor without a majority.
+    pub(super) fn confirm_lost(&mut self, now: BootTime) {
         if let Some(term) = &mut self.term {
-            term.old_stopped = true;
+            term.confirmed_at.get_or_insert(now);
         }
     }
 
