Define when a map counts as replaced, and test the archive limit

A request under way to a server that checks no tokens runs until its deadline even if its sender has dropped the old map, so the event now also requires that no such request is outstanding.

--- a/crates/core/src/control/scope_event.rs
+++ b/crates/core/src/control/scope_event.rs
@@ -76,7 +76,13 @@
         /// The map, from which a successor takes the forwarders over.
         map: Option<Arc<RoutingMap>>,
     },
-    /// Every live host holds this version or a newer one, or its older map has lapsed.
+    /// Every host has dropped all maps below this version, and so has all it sent under them.
+    ///
+    /// A host has done so if it holds this version or a newer one and none of
+    /// its requests under an older one is outstanding, or if its older map has
+    /// lapsed. The second condition matters for servers that check no tokens: a
+    /// request under way runs until its deadline, whatever its sender holds by
+    /// then. Without this event the machine waits until the older maps lapse.
     MapsReplaced(MapVersion),
     /// Answer to [`ReadScope`](super::ScopeAction::ReadScope); `None` if there is no object.
     ScopeRead {
--- a/crates/core/tests/ownership_rules.rs
+++ b/crates/core/tests/ownership_rules.rs
@@ -4,6 +4,7 @@
 
 use {
     camphorcove_core::{
+        audit::AuditAction,
         control::ScopeEvent,
         ids::{ConfigVersion, ShardId},
         map::ServerPhase,
@@ -13,6 +14,7 @@
     rstest::rstest,
     std::collections::BTreeMap,
     support::{
+        fake_host::FakeHost,
         faults::{Fault, RemovedGuards},
         scenario::*,
         spec::{scope_spec, server_config, server_id},
@@ -85,6 +87,70 @@
     );
 }
 
+/// Guards against a server that is about to be taken away with its shards.
+#[test]
+fn server_listed_as_leaving_gives_up_its_shards() {
+    let mut world = settled_world(37, 5, 3, true);
+    let controller = world.controller().unwrap();
+
+    world.tell(controller, ScopeEvent::ServersLeaving(vec![server_id(2)]));
+
+    await_that(&mut world, 30, "leave", |world| {
+        shards_of(world, 2).is_empty() && world.all_served()
+    });
+}
+
+/// Guards against moves at unchecked servers that wait for maps which no host holds any more.
+#[test]
+fn move_does_not_wait_for_maps_that_all_hosts_dropped() {
+    let mut world = settled_world(38, 5, 3, false);
+    world.requests = false;
+    let started_at = world.micros;
+    world.apply_fault(&Fault::DrainServer(0, true));
+
+    let end = started_at + 30 * SECOND;
+    while !shards_of(&world, 0).is_empty() && world.micros < end {
+        run_for(&mut world, 20_000);
+        let newest = controller_map(&world).version;
+        let controller = world.controller().unwrap();
+        let held = |host: &FakeHost| host.held.as_ref().map(|(map, _)| map.version);
+        if world.hosts.iter().all(|host| held(host) == Some(newest)) {
+            world.tell(controller, ScopeEvent::MapsReplaced(newest));
+        }
+    }
+
+    assert_clean(&world);
+    // Two batches of moves; each would wait 3 s for its maps.
+    let wait = with_drift(MAP_TTL).as_micros() as u64;
+    assert!(
+        world.micros - started_at < wait,
+        "{} us",
+        world.micros - started_at
+    );
+}
+
+/// Guards against an object that outgrows the platform's limit while nothing is archived.
+#[rstest]
+#[case::few(199, 10, false)]
+#[case::many(200, 10, true)]
+#[case::few_but_large(20, 6_000, true)]
+fn planned_moves_wait_for_the_archive(
+    #[case] records: usize,
+    #[case] bytes: usize,
+    #[case] full: bool,
+) {
+    let world = settled_world(39, 3, 2, true);
+    let mut state = state(&world).clone();
+    state.records.clear();
+
+    for _ in 0..records {
+        let moves = vec!["x".repeat(bytes)];
+        state.append_record(0, AuditAction::Ownership { moves }, "test");
+    }
+
+    assert_eq!(state.is_full_of_records(), full);
+}
+
 /// Guards against a server that left the configuration but keeps its shards.
 #[test]
 fn removed_server_gives_up_its_shards() {
