Read configurations off the runtime's threads

ConfigRepo and the operator API now read, check and compare on a thread of their own; equal services are not compared setting by setting.

--- a/crates/core/src/conf/config_diff.rs
+++ b/crates/core/src/conf/config_diff.rs
@@ -23,6 +23,7 @@
                 let count = service.servers.len();
                 lines.push(format!("+ service {} ({count} servers)", service.name));
             }
+            Some(other) if other == service => {}
             Some(other) => diff_service(&mut lines, other, service),
         }
     }
@@ -54,6 +55,7 @@
                 "+ {subject}: server {} ({})",
                 server.id, server.address
             )),
+            Some(other) if other == server => {}
             Some(other) => {
                 let subject = format!("{subject}: server {}", server.id);
                 push_changes(lines, &subject, &server_changes(other, server));
--- a/crates/daemon/src/admin/admin_server.rs
+++ b/crates/daemon/src/admin/admin_server.rs
@@ -27,13 +27,13 @@
 };
 
 /// Connections served at once; further ones wait in the listener's backlog.
-const CONNECTION_LIMIT: usize = 64;
+const CONNECTION_LIMIT: usize = 256;
 
 /// Largest body: a configuration with a margin for the JSON around an order.
 const BODY_LIMIT: usize = CONTENT_LIMIT + 64 * 1024;
 
 /// Longest time for the headers of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Longest time for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -61,7 +61,7 @@
             ("GET", "/v1/moves") => self.moves().await,
             ("POST", "/v1/explain") => self.explain(call),
             ("GET", "/v1/config") => self.config_text(call).await,
-            ("POST", "/v1/config/check") => self.check(call),
+            ("POST", "/v1/config/check") => self.check(call).await,
             ("POST", "/v1/config/diff") => self.diff(call).await,
             ("POST", "/v1/config/apply") => self.apply(call).await,
             ("POST", "/v1/config/rollback") => self.rollback(call).await,
--- a/crates/daemon/src/admin/change_routes.rs
+++ b/crates/daemon/src/admin/change_routes.rs
@@ -7,11 +7,11 @@
         repo_failure::repo_failure,
     },
     camphorcove_core::{
-        conf::{check_change, diff, parse, parse_stored},
+        conf::{RegionConfig, check_change, diff, parse, parse_stored},
         ids::ConfigVersion,
     },
     camphorcove_net::{
-        config::{Author, ChangeOutcome, RepoError},
+        config::{Author, ChangeOutcome, RepoError, off_thread},
         operator::{ApiCode, ApiError, CheckReport, DiffReport, OrderRequest, RollbackRequest},
         platform::ObjectStore,
     },
@@ -27,20 +27,17 @@
         text.map(AdminReply::Text).map_err(repo_failure)
     }
 
-    pub(super) fn check(&self, call: &AdminCall) -> AdminResult {
-        let config = parse(file_name(call), call.text()?).map_err(invalid)?;
+    pub(super) async fn check(&self, call: &AdminCall) -> AdminResult {
+        let config = read_file(call).await?;
+        let servers = config.services.iter().map(|service| service.servers.len());
         json_reply(&CheckReport {
             services: config.services.len(),
-            servers: config
-                .services
-                .iter()
-                .map(|service| service.servers.len())
-                .sum(),
+            servers: servers.sum(),
         })
     }
 
     pub(super) async fn diff(&self, call: &AdminCall) -> AdminResult {
-        let new = parse(file_name(call), call.text()?).map_err(invalid)?;
+        let new = read_file(call).await?;
         let head = self.parts.repo.head().await.map_err(repo_failure)?;
         let Some(head) = head else {
             return json_reply(&DiffReport {
@@ -49,14 +46,19 @@
                 rules: Vec::new(),
             });
         };
-        let text = self.parts.repo.content(Some(head.version)).await;
-        let old = parse_stored(&text.map_err(repo_failure)?)
-            .map_err(|reason| ApiError::new(ApiCode::Damaged, reason))?;
-        json_reply(&DiffReport {
-            version: head.version,
-            lines: diff(Some(&old), &new),
-            rules: check_change(&old, &new).err().unwrap_or_default(),
-        })
+        let version = head.version;
+        let text = self.parts.repo.content(Some(version)).await;
+        let text = text.map_err(repo_failure)?;
+        let report = off_thread(move || {
+            let old = parse_stored(&text)?;
+            Ok(DiffReport {
+                version,
+                lines: diff(Some(&old), &new),
+                rules: check_change(&old, &new).err().unwrap_or_default(),
+            })
+        });
+        let damaged = |reason: String| ApiError::new(ApiCode::Damaged, reason);
+        json_reply(&report.await.map_err(damaged)?)
     }
 
     /// Every change names the version it is made on, so that repeating it after a
@@ -64,9 +66,8 @@
     pub(super) async fn apply(&self, call: &AdminCall) -> AdminResult {
         let expect = call.parsed::<ConfigVersion>("expect")?;
         let author = author(call, call.query.get("reason").unwrap_or_default())?;
-        let file = file_name(call);
+        read_file(call).await?;
         let text = call.text()?;
-        parse(file, text).map_err(invalid)?;
         let outcome = self.parts.repo.apply(text, Some(expect), &author).await;
         finish("apply", &author, outcome)
     }
@@ -92,8 +93,12 @@
     }
 }
 
-fn file_name(call: &AdminCall) -> &str {
-    call.query.get("file").unwrap_or(DEFAULT_FILE)
+/// Reads the file in a request's body.
+async fn read_file(call: &AdminCall) -> Result<RegionConfig, ApiError> {
+    let file = call.query.get("file").unwrap_or(DEFAULT_FILE).to_owned();
+    let text = call.text()?.to_owned();
+    let config = off_thread(move || parse(&file, &text)).await;
+    config.map_err(|faults| repo_failure(RepoError::Invalid { faults }))
 }
 
 pub(super) fn author(call: &AdminCall, reason: &str) -> Result<Author, ApiError> {
@@ -101,10 +106,6 @@
     Ok(Author::now(&call.actor, reason))
 }
 
-fn invalid(faults: Vec<camphorcove_core::conf::Fault>) -> ApiError {
-    repo_failure(RepoError::Invalid { faults })
-}
-
 fn finish(what: &str, author: &Author, outcome: Result<ChangeOutcome, RepoError>) -> AdminResult {
     match outcome {
         Ok(outcome) => {
--- a/crates/net/src/config/config_repo.rs
+++ b/crates/net/src/config/config_repo.rs
@@ -8,6 +8,7 @@
         config_head::{StoredHead, version_of},
         content::{content_hash, download, find_parts, upload},
         head_update::{CONFIG_STREAM, UpdateResult, replace_head},
+        off_thread::off_thread,
         repo_error::*,
     },
     crate::{
@@ -100,7 +101,9 @@
         expected: Option<ConfigVersion>,
         author: &Author,
     ) -> Result<ChangeOutcome, RepoError> {
-        let config = parse("file", content).map_err(|faults| RepoError::Invalid { faults })?;
+        let text = content.to_owned();
+        let config = off_thread(move || parse("file", &text)).await;
+        let config = config.map_err(|faults| RepoError::Invalid { faults })?;
         let change = ChangeRequest::Apply {
             config: Box::new(config),
             hash: content_hash(content.as_bytes()),
@@ -222,7 +225,8 @@
         parts: &[String],
     ) -> Result<RegionConfig, RepoError> {
         let text = download(&self.store, hash, parts).await?;
-        parse_stored(&text).map_err(|reason| RepoError::Damaged {
+        let config = off_thread(move || parse_stored(&text)).await;
+        config.map_err(|reason| RepoError::Damaged {
             key: format!("config/part/{hash}"),
             reason,
         })
--- a/crates/net/src/config/mod.rs
+++ b/crates/net/src/config/mod.rs
@@ -13,6 +13,7 @@
 mod config_repo;
 mod content;
 mod head_update;
+mod off_thread;
 mod order;
 mod repo_error;
 
@@ -24,6 +25,7 @@
     config_head::{ConfigHead, HEAD_KEY},
     config_repo::{ChangeOutcome, ConfigRepo},
     content::{CONTENT_LIMIT, content_hash},
+    off_thread::off_thread,
     order::OperatorOrder,
     repo_error::RepoError,
 };
