Measure slopes of the control plane without sockets

Drives one controller's state machine against servers and electors that answer at once, and reports processor time, orders, object, map and poll sizes by servers, shards, hosts and scopes.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod load;
 pub mod region;
 pub mod report;
+pub mod slopes;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,12 +2,14 @@
 
 use {
     camphorcove_bench::{
-        error::{BenchError, InterruptedSnafu},
+        error::{BenchError, InterruptedSnafu, NotWrittenSnafu},
         experiments::{BalanceOptions, CapacityOptions, CostOptions, FailoverOptions},
         load::{self, LoadOptions},
         report::OutputOptions,
+        slopes,
     },
     clap::{Parser, Subcommand},
+    snafu::ResultExt,
     std::process::ExitCode,
     tokio::signal::unix::{SignalKind, signal},
 };
@@ -34,6 +36,8 @@
     Balance(BalanceOptions),
     /// Measures what hosts spend without requests.
     Capacity(CapacityOptions),
+    /// Measures slopes of the control plane without sockets, as Markdown tables.
+    Slopes,
 }
 
 #[tokio::main]
@@ -82,5 +86,10 @@
         Experiment::Failover(options) => options.run().await?.publish(&output),
         Experiment::Balance(options) => options.run().await?.publish(&output),
         Experiment::Capacity(options) => options.run().await?.publish(&output),
+        Experiment::Slopes => {
+            slopes::write_report(&mut std::io::stdout().lock()).context(NotWrittenSnafu {
+                path: "standard output",
+            })
+        }
     }
 }
