Test repeats after the caller left

A mutation that recorded a request cut off by its caller as "not run" passed all tests. Two tests now cover a caller that leaves while its request runs or waits.

--- a/crates/daemon/tests/idempotency.rs
+++ b/crates/daemon/tests/idempotency.rs
@@ -108,6 +108,64 @@
     assert_eq!(server.ran(), 1);
 }
 
+/// A caller that gave up while its request ran will repeat it; that must not run it again.
+#[rstest]
+#[tokio::test]
+async fn a_repeat_after_the_caller_left_does_not_run(
+    #[values(RoutingMode::Keyed, RoutingMode::Free)] routing: RoutingMode,
+) {
+    let server = FakeServer::start(|_, _| Act::Stall).await;
+    let spec = MapSpec::new(&[(server.address, 0), (server.address, 1)]);
+    let cluster = start(deduplicated(routing, DedupMode::Router), &spec).await;
+    let mut first = RawCaller::connect(cluster.nodes[0].caller).await;
+    first.send(booking("id-1")).await;
+    server.wait_seen(1).await;
+    drop(first);
+    server.wait_dropped(1).await;
+
+    let repeat = book(&cluster, 1, "id-1").await;
+
+    assert_eq!(
+        (repeat.status, repeat.code()),
+        (409, Some(307)),
+        "{repeat:?}"
+    );
+    assert_eq!(server.ran(), 1);
+}
+
+/// A caller that gave up before its request left the router may repeat it.
+#[tokio::test]
+async fn a_repeat_after_leaving_the_queue_runs() {
+    let server = FakeServer::start(|number, _| match number {
+        0 => Act::Stall,
+        _ => Act::Reply(ok_reply("booked")),
+    })
+    .await;
+    let mut spec = MapSpec::new(&[(server.address, 0)]);
+    spec.slots = 1;
+    let service = deduplicated(RoutingMode::Keyed, DedupMode::Router);
+    let cluster = start(service, &spec).await;
+    let mut running = RawCaller::connect(cluster.nodes[0].caller).await;
+    running.send(booking("id-1")).await;
+    server.wait_seen(1).await;
+    let mut queued = RawCaller::connect(cluster.nodes[0].caller).await;
+    queued.send(booking("id-2")).await;
+    let loads = || cluster.nodes[0].forward.server_loads();
+    while loads().iter().all(|(_, _, load)| load.queued == 0) {
+        tokio::task::yield_now().await;
+    }
+    drop(queued);
+    while loads().iter().any(|(_, _, load)| load.queued > 0) {
+        tokio::task::yield_now().await;
+    }
+    drop(running);
+
+    let repeat = book(&cluster, 0, "id-2").await;
+
+    assert_eq!(repeat.code(), Some(200), "{repeat:?}");
+    assert_eq!(server.ran(), 2);
+}
+
 /// A request that is proved not to have run may come again under the same key.
 #[rstest]
 #[tokio::test]
