--- /dev/null
+++ b/crates/cli/src/commands/audit.rs
@@ -0,0 +1,185 @@
+//! Commands of the audit trail.
+
+use {
+    super::api::Api,
+    crate::{
+        args::{AuditCommand, VerifyArgs},
+        error::{AnswerSnafu, AuditFaultsSnafu, CliError, ReadFileSnafu, SettingsSnafu},
+        output::{Printer, plain, table},
+    },
+    camphorcove_core::audit::{AuditRecord, ChainFault, verify_chain},
+    camphorcove_net::{
+        config::AuditPage,
+        operator::{QueryMap, VerifyReport},
+    },
+    snafu::ResultExt,
+    std::{fs, path::Path},
+};
+
+/// Records asked for at once.
+const PAGE: u64 = 500;
+
+/// Runs a command of the audit trail.
+pub async fn run(api: &Api, printer: Printer, command: AuditCommand) -> Result<(), CliError> {
+    match command {
+        AuditCommand::Streams => {
+            let streams: Vec<String> = api.get("/v1/audit/streams", QueryMap::default()).await?;
+            printer.print(&streams, Vec::clone)
+        }
+        AuditCommand::List {
+            stream,
+            from,
+            limit,
+        } => list(api, printer, &stream, from, limit).await,
+        AuditCommand::Verify(args) => verify(api, printer, &args).await,
+        AuditCommand::Export { stream } => export(api, printer, &stream).await,
+    }
+}
+
+async fn list(
+    api: &Api,
+    printer: Printer,
+    stream: &str,
+    from: u64,
+    limit: u64,
+) -> Result<(), CliError> {
+    let end = from.saturating_add(limit);
+    let mut records: Vec<AuditRecord> = Vec::new();
+    let mut next = Some(from);
+    while let Some(number) = next.filter(|number| *number < end) {
+        let page = page(api, stream, number, end - number).await?;
+        records.extend(page.records);
+        next = page.next;
+    }
+    printer.print(&records, |records| {
+        let rows = records.iter().map(record_row);
+        let header = ["number", "time (ms)", "actor", "action", "reason"];
+        table(&header, rows.collect())
+    })
+}
+
+async fn page(api: &Api, stream: &str, from: u64, limit: u64) -> Result<AuditPage, CliError> {
+    let query = QueryMap::default()
+        .with("stream", stream)
+        .with("from", from)
+        .with("limit", limit.min(PAGE));
+    api.get("/v1/audit", query).await
+}
+
+fn record_row(record: &AuditRecord) -> Vec<String> {
+    vec![
+        record.number.to_string(),
+        record.wall_millis.to_string(),
+        record.actor.clone(),
+        serde_json::to_string(&record.action).unwrap_or_default(),
+        record.reason.clone(),
+    ]
+}
+
+async fn export(api: &Api, printer: Printer, stream: &str) -> Result<(), CliError> {
+    let mut next = Some(1);
+    while let Some(number) = next {
+        let page = page(api, stream, number, PAGE).await?;
+        let mut text = Vec::new();
+        for record in &page.records {
+            serde_json::to_writer(&mut text, record).context(AnswerSnafu)?;
+            text.push(b'\n');
+        }
+        printer.print_raw(&text)?;
+        next = page.next;
+    }
+    Ok(())
+}
+
+async fn verify(api: &Api, printer: Printer, args: &VerifyArgs) -> Result<(), CliError> {
+    let reports = match &args.stream {
+        Some(stream) => vec![verify_stream(api, stream, args).await?],
+        None => {
+            let streams: Vec<String> = api.get("/v1/audit/streams", QueryMap::default()).await?;
+            let mut reports = Vec::new();
+            for stream in streams {
+                reports.push(verify_stream(api, &stream, args).await?);
+            }
+            reports
+        }
+    };
+    finish(printer, &reports)
+}
+
+/// Reads a stream page by page and verifies it here, because one answer for a
+/// stream of years would take longer than a request may.
+async fn verify_stream(
+    api: &Api,
+    stream: &str,
+    args: &VerifyArgs,
+) -> Result<VerifyReport, CliError> {
+    let mut records = Vec::new();
+    let mut next = Some(1);
+    while let Some(number) = next {
+        let page = page(api, stream, number, PAGE).await?;
+        records.extend(page.records);
+        next = page.next;
+    }
+    Ok(report_of(stream.to_owned(), &records, args))
+}
+
+fn report_of(stream: String, records: &[AuditRecord], args: &VerifyArgs) -> VerifyReport {
+    let report = verify_chain(records, &args.anchors);
+    VerifyReport {
+        stream,
+        texts: report.faults.iter().map(ChainFault::to_string).collect(),
+        report,
+    }
+}
+
+/// Verifies an exported file without a host.
+pub fn verify_file(file: &Path, args: &VerifyArgs) -> Result<VerifyReport, CliError> {
+    let text = fs::read(file).context(ReadFileSnafu { path: file })?;
+    let name = file.display().to_string();
+    let records = parse_lines(&name, &text)?;
+    Ok(report_of(name, &records, args))
+}
+
+fn parse_lines(name: &str, text: &[u8]) -> Result<Vec<AuditRecord>, CliError> {
+    let mut records = Vec::new();
+    for (index, line) in text.split(|byte| *byte == b'\n').enumerate() {
+        if line.is_empty() {
+            continue;
+        }
+        let record = serde_json::from_slice(line).map_err(|error| {
+            let what = format!("{name}:{}: not an audit record: {error}", index + 1);
+            SettingsSnafu { what }.build()
+        })?;
+        records.push(record);
+    }
+    Ok(records)
+}
+
+/// Prints reports; fails if one has faults.
+pub fn finish(printer: Printer, reports: &[VerifyReport]) -> Result<(), CliError> {
+    printer.print(&reports, |reports| {
+        let mut lines = Vec::new();
+        for report in *reports {
+            lines.push(summary(report));
+            lines.extend(report.texts.iter().map(|text| format!("  {}", plain(text))));
+        }
+        lines
+    })?;
+    let count = reports.iter().map(|report| report.texts.len()).sum();
+    match count {
+        0 => Ok(()),
+        count => AuditFaultsSnafu { count }.fail(),
+    }
+}
+
+fn summary(report: &VerifyReport) -> String {
+    let last = report.report.last.map_or_else(
+        || "no records".to_owned(),
+        |last| format!("last {}:{}", last.number, last.hash),
+    );
+    let (records, faults) = (report.report.records, report.texts.len());
+    format!(
+        "{}: {records} records, {faults} faults, {last}",
+        plain(&report.stream)
+    )
+}
--- a/crates/core/src/conf/mod.rs
+++ b/crates/core/src/conf/mod.rs
@@ -7,6 +7,7 @@
 mod fault_sink;
 mod region_config;
 mod region_reader;
+mod route;
 mod service_config;
 mod service_reader;
 mod setting_info;
@@ -14,7 +15,7 @@
 mod table_reader;
 
 pub use {
-    change_rule::{ChangeFault, check_change},
+    change_rule::{ChangeFault, check_change, check_leftover},
     config_diff::diff,
     fault::{Fault, FaultKind, nearest_name},
     region_config::{OperatorOrders, RegionConfig},
--- a/crates/core/src/control/controller_term.rs
+++ b/crates/core/src/control/controller_term.rs
@@ -9,7 +9,7 @@
         ids::{Epoch, ServerId},
         placement::LoadTable,
         scope::ScopeState,
-        time::{BootTime, GRANT_GRACE, OUTAGE_LIMIT, PROMISE_TTL, with_drift},
+        time::{BootTime, GRANT_GRACE, ORDER_WINDOW, OUTAGE_LIMIT, PROMISE_TTL, with_drift},
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -32,8 +32,8 @@
     pub(super) authority: AuthorityTable,
     pub(super) gained_at: Option<BootTime>,
     pub(super) had_authority: bool,
-    /// An operator confirmed, or the outage limit proves, that older controllers have stopped.
-    pub(super) old_stopped: bool,
+    /// When an operator confirmed that older controllers have stopped.
+    pub(super) confirmed_at: Option<BootTime>,
     /// Grants and maps of earlier controllers have lapsed after this time.
     pub(super) old_end: BootTime,
     /// Grants are renewed by fence, without a majority of electors.
@@ -43,8 +43,12 @@
     pub(super) maps: MapPublisher,
     pub(super) load: LoadTable,
     pub(super) joining: BTreeSet<ServerId>,
+    pub(super) next_check: BootTime,
     pub(super) next_plan: BootTime,
+    /// The last plan waits for servers, releases or maps, so it is made again soon.
+    pub(super) plan_waits: bool,
     pub(super) next_balance: BootTime,
+    pub(super) next_forwarders: BootTime,
     pub(super) electors_changed_at: BootTime,
 }
 
@@ -62,7 +66,7 @@
             authority: AuthorityTable::new(&state.electors),
             gained_at: None,
             had_authority: false,
-            old_stopped: false,
+            confirmed_at: None,
             old_end: BootTime(u64::MAX),
             adopting: false,
             servers: BTreeMap::new(),
@@ -70,8 +74,11 @@
             maps: MapPublisher::new(state.shards.len(), BootTime(u64::MAX)),
             load: LoadTable::new(state.shards.len()),
             joining: BTreeSet::new(),
+            next_check: BootTime(0),
             next_plan: BootTime(0),
+            plan_waits: true,
             next_balance: BootTime(0),
+            next_forwarders: BootTime(0),
             electors_changed_at: BootTime(0),
         }
     }
@@ -92,13 +99,28 @@
     /// an adopting controller needs no promises. In both cases the period of a
     /// promise is waited out here, from the write that superseded the predecessor.
     fn waited_out_at(&self, now: BootTime) -> BootTime {
-        let lapsed = now + with_drift(GRANT_GRACE);
+        let mut lapsed = now + with_drift(GRANT_GRACE);
+        if let Some(confirmed_at) = self.confirmed_at {
+            // The old controller may have been granting until the confirmation.
+            lapsed = lapsed.max(confirmed_at + with_drift(PROMISE_TTL + GRANT_GRACE));
+        }
         if self.predecessor.resigned.is_none() && !self.predecessor.uncovered_grants {
             return lapsed;
         }
         lapsed.max(self.acknowledged_at + with_drift(PROMISE_TTL + GRANT_GRACE))
     }
 
+    /// When the servers drop every order of a predecessor that resigned.
+    ///
+    /// The authority of any other predecessor, and with it its orders, ended
+    /// before this term gained its own.
+    pub(super) fn last_old_order(&self) -> BootTime {
+        if self.predecessor.resigned.is_none() {
+            return BootTime(0);
+        }
+        self.acknowledged_at + with_drift(ORDER_WINDOW)
+    }
+
     /// When a predecessor without platform contact has stopped for certain.
     pub(super) fn outage_limit_end(&self) -> BootTime {
         self.acknowledged_at + with_drift(OUTAGE_LIMIT)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,4 +7,8 @@
 pub mod error;
 pub mod forward;
 pub mod maps;
+pub mod metrics;
+pub mod node;
+pub mod peers;
 pub mod serve;
+pub mod shutdown;
--- a/crates/net/src/peer/auth.rs
+++ b/crates/net/src/peer/auth.rs
@@ -52,6 +52,11 @@
         Self::new(&bytes)
     }
 
+    /// The raw key, for the envelopes of forwarded requests.
+    pub fn bytes(&self) -> Arc<[u8]> {
+        self.0.clone()
+    }
+
     /// Authenticates a message.
     pub fn seal(&self, scope: &AuthScope<'_>, body: &[u8]) -> AuthTag {
         let code = self.code(scope, body).finalize().into_bytes().into();
