--- a/crates/core/tests/ownership_safety.rs
+++ b/crates/core/tests/ownership_safety.rs
@@ -14,14 +14,28 @@
     },
 };
 
-const HOSTS: usize = 5;
 const SERVERS: usize = 3;
 
 /// Faults of one run with the second at which they start.
 type Plan = Vec<(u64, Fault)>;
 
-fn any_host_fault() -> impl Strategy<Value = Fault> {
-    let host = 0..HOSTS;
+/// Hosts, seed and faults of one run.
+#[derive(Clone, Debug)]
+struct RunCase {
+    hosts: usize,
+    seed: u64,
+    plan: Plan,
+}
+
+fn any_case() -> impl Strategy<Value = RunCase> {
+    let hosts = prop_oneof![2 => Just(5usize), 1 => Just(3usize), 1 => Just(8usize)];
+    hosts.prop_flat_map(|hosts| {
+        (0..100_000u64, any_plan(hosts)).prop_map(move |(seed, plan)| RunCase { hosts, seed, plan })
+    })
+}
+
+fn any_host_fault(hosts: usize) -> impl Strategy<Value = Fault> {
+    let host = 0..hosts;
     let span = 500_000..8_000_000u64;
     prop_oneof![
         host.clone().prop_map(Fault::KillHost),
@@ -44,11 +58,11 @@
 }
 
 /// Any fault but the operator's confirmation, which is safe only if the old hosts have stopped.
-fn any_fault() -> impl Strategy<Value = Fault> {
+fn any_fault(hosts: usize) -> impl Strategy<Value = Fault> {
     let server = 0..SERVERS;
     let span = 500_000..8_000_000u64;
     prop_oneof![
-        6 => any_host_fault(),
+        6 => any_host_fault(hosts),
         1 => Just(Fault::KillController),
         1 => server.clone().prop_map(Fault::KillControllerAndServer),
         1 => server.clone().prop_map(Fault::KillServer),
@@ -66,17 +80,18 @@
     ]
 }
 
-fn any_plan() -> impl Strategy<Value = Plan> {
-    prop::collection::vec((4_000..30_000u64, any_fault()), 1..8).prop_map(|plan| {
+fn any_plan(hosts: usize) -> impl Strategy<Value = Plan> {
+    prop::collection::vec((4_000..30_000u64, any_fault(hosts)), 1..8).prop_map(|plan| {
         plan.into_iter()
             .map(|(at, fault)| (at * 1_000, fault))
             .collect()
     })
 }
 
-fn run_plan(seed: u64, checked: bool, plan: &Plan, guards: RemovedGuards) -> World {
-    let mut world = World::new(seed, HOSTS, scope_spec(SERVERS, 12, checked), guards);
-    for (at, fault) in plan {
+fn run_case(case: &RunCase, checked: bool) -> World {
+    let spec = scope_spec(SERVERS, 12, checked);
+    let mut world = World::new(case.seed, case.hosts, spec, RemovedGuards::default());
+    for (at, fault) in &case.plan {
         world.schedule(*at, fault.clone());
     }
     world.run_until(45 * SECOND);
@@ -86,7 +101,7 @@
 /// Ends all faults and replaces what is dead.
 fn repair(world: &mut World) {
     world.apply_fault(&Fault::Heal);
-    for host in 0..HOSTS {
+    for host in 0..world.hosts.len() {
         if !world.hosts[host].alive || world.hosts[host].resigned {
             world.apply_fault(&Fault::RestartHost(host));
         }
@@ -99,8 +114,9 @@
     }
 }
 
-fn check_plan(seed: u64, checked: bool, plan: &Plan) -> Result<(), TestCaseError> {
-    let mut world = run_plan(seed, checked, plan, RemovedGuards::default());
+fn check_case(case: &RunCase, checked: bool) -> Result<(), TestCaseError> {
+    let seed = case.seed;
+    let mut world = run_case(case, checked);
     prop_assert!(
         world.checker.violations.is_empty(),
         "seed {seed}: {:#?}, log {:#?}",
@@ -144,14 +160,14 @@
 
     /// Guards against two owners of a shard at servers that check tokens.
     #[test]
-    fn checked_servers_never_share_a_shard(seed in 0..100_000u64, plan in any_plan()) {
-        check_plan(seed, true, &plan)?;
+    fn checked_servers_never_share_a_shard(case in any_case()) {
+        check_case(&case, true)?;
     }
 
     /// Guards against two owners of a shard where only deadlines fence the old one.
     #[test]
-    fn unchecked_servers_never_share_a_shard(seed in 0..100_000u64, plan in any_plan()) {
-        check_plan(seed, false, &plan)?;
+    fn unchecked_servers_never_share_a_shard(case in any_case()) {
+        check_case(&case, false)?;
     }
 }
 
@@ -164,5 +180,10 @@
         (4_000_000, Fault::Loss(19)),
     ];
 
-    check_plan(2_352, false, &plan).unwrap();
+    let case = RunCase {
+        hosts: 5,
+        seed: 2_352,
+        plan,
+    };
+    check_case(&case, false).unwrap();
 }
