--- a/crates/net/src/config/audit_reader.rs
+++ b/crates/net/src/config/audit_reader.rs
@@ -1,4 +1,7 @@
 //! Reads audit streams: archived records and those in the mutable object.
+//!
+//! A scope's stream has the name of its service. The names of the other streams
+//! are reserved in configuration files.
 
 use {
     super::{
@@ -12,16 +15,30 @@
     crate::platform::{ObjectKey, ObjectStore},
     camphorcove_core::{
         audit::{AuditRecord, ChainAnchor, ChainReport, verify_chain},
+        ids::ServiceName,
         scope::ScopeState,
     },
     futures_util::{StreamExt, TryStreamExt, stream},
-    snafu::OptionExt,
-    std::collections::{BTreeMap, BTreeSet},
+    snafu::{OptionExt, ensure},
+    std::collections::BTreeSet,
 };
 
 /// Archived records read at once; keeps the platform's read rate moderate.
 const READ_PARALLEL: usize = 8;
 
+/// Highest record number that is believed, so that a forged number cannot make a
+/// read endless: several centuries of changes at 1,500 a day.
+const NUMBER_LIMIT: u64 = 1_000_000_000;
+
+/// Part of an audit stream.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct AuditPage {
+    /// Records in order.
+    pub records: Vec<AuditRecord>,
+    /// Number to continue from; `None` at the end of the stream.
+    pub next: Option<u64>,
+}
+
 /// Reads audit streams from a platform.
 #[derive(Clone, Debug)]
 pub struct AuditReader<S> {
@@ -43,8 +60,8 @@
         if self.store.get(&stream_key()).await?.is_some() {
             names.insert(OPERATOR_STREAM.to_owned());
         }
-        for (key, _) in self.store.list("scope/").await? {
-            names.insert(key.as_str().to_owned());
+        for (key, _) in self.store.list(SCOPE_PREFIX).await? {
+            names.extend(key.as_str().strip_prefix(SCOPE_PREFIX).map(str::to_owned));
         }
         for (key, _) in self.store.list("audit/").await? {
             if let Some((stream, _)) = split_key(key.as_str()) {
@@ -54,37 +71,42 @@
         Ok(names.into_iter().collect())
     }
 
-    /// Records of a stream with numbers in `from..`, at most `limit`, in order.
+    /// Records of a stream whose numbers are in a window of `count` from `from`.
     ///
-    /// Missing archived records are left out here and found by [`Self::verify`].
-    pub async fn read(
-        &self,
-        name: &str,
-        from: u64,
-        limit: usize,
-    ) -> Result<Vec<AuditRecord>, RepoError> {
+    /// Missing records are left out here and found by [`Self::verify`].
+    pub async fn read(&self, name: &str, from: u64, count: u64) -> Result<AuditPage, RepoError> {
         // The mutable object is read first: a record that leaves it afterwards
         // has been archived before.
         let current = self.current(name).await?;
-        let archived = self.archived_numbers(name).await?;
-        let mut records: BTreeMap<u64, Option<AuditRecord>> =
-            archived.into_iter().map(|number| (number, None)).collect();
-        for record in current {
-            records.insert(record.number, Some(record));
-        }
-        let (what, found) = ("audit stream", !records.is_empty());
-        found.then_some(()).context(NotFoundSnafu { what, name })?;
-        let wanted = records.into_iter().filter(|(number, _)| *number >= from);
-        let reads = wanted.take(limit).map(|(number, record)| async move {
-            match record {
-                Some(record) => Ok(record),
-                None => self.archived(name, number).await,
+        let last = match current.last() {
+            Some(record) => record.number,
+            None => self.last_archived(name).await?,
+        };
+        let (what, found) = ("audit stream", last > 0);
+        ensure!(found, NotFoundSnafu { what, name });
+        let (key, reason) = (name, "the number of the last record cannot be right");
+        ensure!(last <= NUMBER_LIMIT, DamagedSnafu { key, reason });
+        let end = from.saturating_add(count).min(last.saturating_add(1));
+        let reads = (from.max(1)..end).map(|number| {
+            let held = current
+                .iter()
+                .find(|record| record.number == number)
+                .cloned();
+            async move {
+                match held {
+                    Some(record) => Ok(Some(record)),
+                    None => self.archived(name, number).await,
+                }
             }
         });
-        stream::iter(reads)
+        let read: Vec<Option<AuditRecord>> = stream::iter(reads)
             .buffered(READ_PARALLEL)
             .try_collect()
-            .await
+            .await?;
+        Ok(AuditPage {
+            records: read.into_iter().flatten().collect(),
+            next: (end <= last).then_some(end),
+        })
     }
 
     /// Verifies a whole stream. `anchors` are numbers and hashes noted earlier.
@@ -93,29 +115,31 @@
         name: &str,
         anchors: &[ChainAnchor],
     ) -> Result<ChainReport, RepoError> {
-        let records = self.read(name, 1, usize::MAX).await?;
-        Ok(verify_chain(&records, anchors))
+        let page = self.read(name, 1, u64::MAX).await?;
+        Ok(verify_chain(&page.records, anchors))
     }
 
-    /// Numbers of the archived records of a stream.
-    async fn archived_numbers(&self, name: &str) -> Result<Vec<u64>, RepoError> {
+    /// Number of the last archived record, for a stream without its mutable object.
+    async fn last_archived(&self, name: &str) -> Result<u64, RepoError> {
         let keys = self.store.list(&format!("audit/{name}/")).await?;
         let numbers = keys.iter().filter_map(|(key, _)| {
             let (stream, number) = split_key(key.as_str())?;
             (stream == name).then_some(number)
         });
-        Ok(numbers.collect())
+        Ok(numbers.max().unwrap_or(0))
     }
 
-    async fn archived(&self, name: &str, number: u64) -> Result<AuditRecord, RepoError> {
+    async fn archived(&self, name: &str, number: u64) -> Result<Option<AuditRecord>, RepoError> {
         let key = archive_key(name, number);
-        let stored = self.store.get(&key).await?;
-        let record = stored.and_then(|stored| decode_record(&stored.value));
-        let record = record.filter(|record| record.number == number);
-        record.context(DamagedSnafu {
+        let Some(stored) = self.store.get(&key).await? else {
+            return Ok(None);
+        };
+        let record = decode_record(&stored.value).filter(|record| record.number == number);
+        let record = record.context(DamagedSnafu {
             key: key.to_string(),
-            reason: "the archived audit record is missing, unreadable or has another number",
-        })
+            reason: "the archived audit record is unreadable or has another number",
+        })?;
+        Ok(Some(record))
     }
 
     /// Records in the mutable object of a stream.
@@ -123,11 +147,8 @@
         let key = match name {
             CONFIG_STREAM => ConfigHead::key(),
             OPERATOR_STREAM => stream_key(),
-            scope => ObjectKey::new(scope),
+            service => scope_key(service),
         };
-        if key.as_str() == name && !name.starts_with("scope/") {
-            return Ok(Vec::new());
-        }
         let Some(object) = self.store.get(&key).await? else {
             return Ok(Vec::new());
         };
@@ -149,12 +170,39 @@
     Some((stream, number.parse().ok()?))
 }
 
-/// Decodes a scope object, bincode or JSON.
+/// Reads the scope object of a service.
+pub(super) async fn read_scope<S: ObjectStore>(
+    store: &S,
+    service: &ServiceName,
+) -> Result<Option<ScopeState>, RepoError> {
+    let key = scope_key(service.as_str());
+    let Some(object) = store.get(&key).await? else {
+        return Ok(None);
+    };
+    let scope = decode_scope(&object.value).context(DamagedSnafu {
+        key: key.to_string(),
+        reason: "the scope object is unreadable",
+    })?;
+    Ok(Some(scope))
+}
+
+/// Prefix of scope objects.
+const SCOPE_PREFIX: &str = "scope/";
+
+fn scope_key(service: &str) -> ObjectKey {
+    ObjectKey::new(format!("{SCOPE_PREFIX}{service}"))
+}
+
+/// First byte of the encoding of a scope object.
+const SCOPE_FORMAT: u8 = 1;
+
+/// Largest memory a decoded scope object may claim, in bytes.
+const SCOPE_LIMIT: usize = 64 << 20;
+
+/// Decodes a scope object as the daemon's `control` module encodes it.
 fn decode_scope(value: &[u8]) -> Option<ScopeState> {
-    if let Ok(scope) = serde_json::from_slice(value) {
-        return Some(scope);
-    }
-    let decoded = bincode::decode_from_slice(value, bincode::config::standard());
-    let (scope, length) = decoded.ok()?;
-    (length == value.len()).then_some(scope)
+    let body = value.strip_prefix(&[SCOPE_FORMAT])?;
+    let config = bincode::config::standard().with_limit::<SCOPE_LIMIT>();
+    let (scope, length) = bincode::decode_from_slice(body, config).ok()?;
+    (length == body.len()).then_some(scope)
 }
