--- a/crates/cli/src/commands/audit.rs
+++ b/crates/cli/src/commands/audit.rs
@@ -5,7 +5,7 @@
     crate::{
         args::{AuditCommand, VerifyArgs},
         error::{AnswerSnafu, AuditFaultsSnafu, CliError, ReadFileSnafu, SettingsSnafu},
-        output::{Printer, plain, table},
+        output::{Printer, plain, shorten, table, utc_text},
     },
     camphorcove_core::audit::{AuditRecord, ChainFault, verify_chain},
     camphorcove_net::{
@@ -53,7 +53,7 @@
     }
     printer.print(&records, |records| {
         let rows = records.iter().map(record_row);
-        let header = ["number", "time (ms)", "actor", "action", "reason"];
+        let header = ["number", "time", "actor", "action", "reason"];
         table(&header, rows.collect())
     })
 }
@@ -69,9 +69,9 @@
 fn record_row(record: &AuditRecord) -> Vec<String> {
     vec![
         record.number.to_string(),
-        record.wall_millis.to_string(),
+        utc_text(record.wall_millis),
         record.actor.clone(),
-        serde_json::to_string(&record.action).unwrap_or_default(),
+        shorten(&serde_json::to_string(&record.action).unwrap_or_default()),
         record.reason.clone(),
     ]
 }
--- a/crates/cli/src/output/printer.rs
+++ b/crates/cli/src/output/printer.rs
@@ -72,3 +72,15 @@
         .map(|c| if c.is_control() { '\u{fffd}' } else { c });
     replaced.collect()
 }
+
+/// Longest text of a cell whose content has no bound, in characters.
+const CELL_LIMIT: usize = 100;
+
+/// Shortens a text for a table.
+pub fn shorten(text: &str) -> String {
+    if text.chars().count() <= CELL_LIMIT {
+        return text.to_owned();
+    }
+    let start: String = text.chars().take(CELL_LIMIT).collect();
+    format!("{start}...")
+}
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    camphorcove_net::config::Author,
     camphorcove_standin::platform::PlatformFaults,
     support::{AdminHost, STOCKHOLM, Site, closed_address},
     tokio::{io::AsyncReadExt, net::TcpListener},
@@ -112,6 +113,7 @@
         .await;
 
     assert!(listed.out.contains("opening day"), "{listed:?}");
+    assert!(listed.out.contains("Z  anna"), "{listed:?}");
     assert!(
         verified
             .out
@@ -129,6 +131,35 @@
     assert!(cut.out.contains("cut end: record 2"), "{cut:?}");
 }
 
+/// Guards against wrong dates around leap days.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn times_are_shown_as_dates() {
+    let site = Site::start("dates").await;
+    let times = [
+        (0, "1970-01-01 00:00:00Z"),
+        (951_782_400, "2000-02-29 00:00:00Z"),
+        (1_709_251_199, "2024-02-29 23:59:59Z"),
+        (4_107_542_400, "2100-03-01 00:00:00Z"),
+    ];
+    for (index, (seconds, _)) in times.iter().enumerate() {
+        let text = STOCKHOLM.replace("queue = 48", &format!("queue = {index}"));
+        let author = Author {
+            actor: "anna".into(),
+            reason: String::new(),
+            wall_millis: seconds * 1_000,
+        };
+        site.host.repo.apply(&text, None, &author).await.unwrap();
+    }
+
+    let listed = site.run(&["audit", "list"]).await;
+
+    let shown: Vec<&str> = listed.out.lines().skip(1).collect();
+    assert_eq!(shown.len(), times.len());
+    for (line, (_, date)) in shown.iter().zip(times) {
+        assert!(line.contains(date), "{line} lacks {date}");
+    }
+}
+
 /// Guards against exit codes that a script misinterprets.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn each_kind_of_failure_has_its_exit_code() {
--- a/crates/daemon/src/admin/control_routes.rs
+++ b/crates/daemon/src/admin/control_routes.rs
@@ -9,7 +9,7 @@
     },
     camphorcove_core::{audit::AuditAction, ids::Epoch},
     camphorcove_net::{
-        config::append_operator_record,
+        config::{Author, append_operator_record},
         operator::{ApiCode, ApiError, ConfirmRequest, LevelRequest},
         platform::ObjectStore,
     },
@@ -72,7 +72,21 @@
         );
         let epoch = Epoch(request.epoch);
         let accepted = self.parts.view.confirm_lost(&request.service, epoch).await;
-        accepted.map_err(|reason| ApiError::new(ApiCode::LossRefused, reason))?;
+        if let Err(reason) = accepted {
+            return Err(self.record_refusal(&author, number, reason).await);
+        }
         json_reply(&serde_json::json!({ "record": number }))
     }
+
+    /// Records that the confirmation of record `number` was not accepted.
+    async fn record_refusal(&self, author: &Author, number: u64, reason: String) -> ApiError {
+        let action = AuditAction::Refused {
+            reason: format!("record {number}: {reason}"),
+        };
+        let store = self.parts.repo.store();
+        if let Err(error) = append_operator_record(store, author, action).await {
+            log::error!("a refused confirmation has no audit record: {error}");
+        }
+        ApiError::new(ApiCode::LossRefused, reason)
+    }
 }
--- a/crates/daemon/tests/admin_access.rs
+++ b/crates/daemon/tests/admin_access.rs
@@ -221,7 +221,9 @@
         records[0].action,
         AuditAction::LossConfirmed { scope, epoch: 7 }
     );
-    assert_eq!((records.len(), records[0].reason.as_str()), (2, "fire"));
+    assert_eq!((records.len(), records[0].reason.as_str()), (3, "fire"));
+    let reason = "record 2: this host does not hold a later epoch".to_owned();
+    assert_eq!(records[2].action, AuditAction::Refused { reason });
     platform.set_faults(PlatformFaults {
         outage: true,
         ..PlatformFaults::default()
