--- a/crates/core/src/control/map_builder.rs
+++ b/crates/core/src/control/map_builder.rs
@@ -1,15 +1,19 @@
 //! Building the routing map from the scope object and the servers' phases.
 
 use {
-    super::{scope_machine::ScopeMachine, server_track::ServerContact},
+    super::{scope_machine::ScopeMachine, server_track::ServerContact, server_view::keeps},
     crate::{
-        ids::{ServerId, ZoneName},
+        ids::{FencingToken, ServerId, ZoneName},
         map::{MapVersion, RoutingMap, ServerEntry, ShardEntry},
         scope::{ScopeState, ShardState},
         time::BootTime,
     },
+    std::time::Duration,
 };
 
+/// Pause between checks of the forwarders while nothing else changes.
+const FORWARDER_PAUSE: Duration = Duration::from_millis(500);
+
 impl ScopeMachine {
     /// Publishes the map if it changed, or prolongs its validity.
     pub(super) fn publish_map(&mut self, now: BootTime) {
@@ -31,7 +35,11 @@
     }
 
     fn update_forwarders(&mut self, now: BootTime) {
-        let Some(spec) = &self.spec else {
+        let due = self
+            .term
+            .as_ref()
+            .is_some_and(|term| now >= term.next_forwarders);
+        let Some(spec) = self.spec.as_ref().filter(|_| self.dirty || due) else {
             return;
         };
         let servers: Vec<(ServerId, ZoneName)> = spec
@@ -43,6 +51,7 @@
         let Some(term) = &mut self.term else {
             return;
         };
+        term.next_forwarders = now + FORWARDER_PAUSE;
         if term.forwarders.update(&servers, &self.hosts, now) {
             self.dirty = true;
         }
@@ -103,13 +112,14 @@
             u16::try_from(index).ok()
         };
         let mut entries = Vec::with_capacity(state.shards.len());
-        for shard in &state.shards {
+        for (index, shard) in state.shards.iter().enumerate() {
             let entry = match shard {
                 ShardState::Unowned => ShardEntry::default(),
                 ShardState::Owned { server, token } => ShardEntry {
                     owner: index_of(server),
                     token: *token,
-                    moving: !checked && !self.is_up(server),
+                    moving: self.is_given_away(index, server, *token)
+                        || (!checked && !self.is_up(server)),
                 },
                 ShardState::Releasing { from, token, .. } => ShardEntry {
                     owner: index_of(from),
@@ -122,6 +132,13 @@
         entries
     }
 
+    /// Whether a write that may have taken effect gives the shard to another server.
+    fn is_given_away(&self, index: usize, server: &ServerId, token: FencingToken) -> bool {
+        self.writer
+            .pending_state()
+            .is_some_and(|state| !keeps(state, index, server, token))
+    }
+
     fn is_up(&self, id: &ServerId) -> bool {
         self.track(id)
             .is_some_and(|track| track.contact == ServerContact::Up)
--- a/crates/core/src/control/tenure.rs
+++ b/crates/core/src/control/tenure.rs
@@ -17,7 +17,16 @@
 };
 
 /// Without a majority for this long, a successor adopts the servers it can fence.
-const ADOPTION_DELAY: Duration = Duration::from_millis(3_000);
+///
+/// Promises of a lost controller lapse about 0.6 s after the takeover, so a
+/// successor that reaches its electors does not get here.
+const ADOPTION_DELAY: Duration = Duration::from_millis(800);
+
+/// Pause between checks whether the object needs a change.
+const CHECK_PAUSE: Duration = Duration::from_millis(100);
+
+/// A platform that answered a call sent at most this long ago counts as reachable.
+const CONTACT_LIMIT: Duration = Duration::from_millis(500);
 
 /// Pause between changes of the electors.
 const ELECTOR_PAUSE: Duration = Duration::from_millis(1_000);
@@ -112,45 +121,64 @@
 
     /// Writes the most urgent change of the object, if there is one.
     fn write_object(&mut self, now: BootTime) {
-        if !self.writer.is_free(now) {
+        if !self.writer.is_free(now) || !self.is_check_due(now) {
             return;
         }
         let Some(object) = self.object.clone() else {
             return;
         };
-        let Some(state) = self.next_state(&object.state, now) else {
+        let mut current = object.state;
+        // Before the new record is added, so that the record it is chained to stays.
+        current.drop_records(self.archived);
+        let Some(next) = self.next_state(&current, now) else {
             return;
         };
-        let write = self.writer.start(Some(object.version), state, now);
+        let write = self.writer.start(Some(object.version), next, now);
         self.actions.push(write);
         self.dirty = true;
     }
 
+    /// Some changes depend on time alone, so the object is checked now and then.
+    fn is_check_due(&mut self, now: BootTime) -> bool {
+        let Some(term) = &mut self.term else {
+            return false;
+        };
+        if !self.dirty && now < term.next_check {
+            return false;
+        }
+        term.next_check = now + CHECK_PAUSE;
+        true
+    }
+
     fn next_state(&mut self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
-        if self.resigning {
+        if self.resigning && self.may_resign(now) {
             return Some(self.resigned_state(state, now));
         }
-        let next = self
-            .replace_lost_electors(state, now)
+        self.replace_lost_electors(state, now)
             .or_else(|| self.start_adoption(state, now))
             .or_else(|| self.change_electors(state, now))
             .or_else(|| self.plan_ownership(state, now))
-            .or_else(|| self.clear_flag(state, now));
-        next.map(|mut next| {
-            next.drop_records(self.archived);
-            next
-        })
+            .or_else(|| self.clear_flag(state, now))
+    }
+
+    /// A resignation stops all renewals, so it is written only if the platform just answered.
+    ///
+    /// During an outage no successor could take over, and grants would lapse.
+    fn may_resign(&mut self, now: BootTime) -> bool {
+        if now <= self.contact_at + CONTACT_LIMIT {
+            return true;
+        }
+        self.request_read(now);
+        false
     }
 
     fn resigned_state(&self, state: &ScopeState, now: BootTime) -> ScopeState {
         let mut next = state.clone();
         next.resigned = true;
-        next.drop_records(self.archived);
-        let action = AuditAction::Takeover {
-            before: next.epoch.0,
-            after: next.epoch.0,
+        let action = AuditAction::Resigned {
+            epoch: next.epoch.0,
         };
-        next.append_record(self.wall_millis(now), action, "controller resigns");
+        next.append_record(self.wall_millis(now), action, "host shuts down");
         next
     }
 
@@ -174,13 +202,13 @@
         let electors = self.hosts.choose_electors(&self.service, &state.electors);
         let term = self.term.as_mut()?;
         let limit_passed = now > term.outage_limit_end();
-        if term.gained_at.is_some() || !(term.old_stopped || limit_passed) {
+        if term.gained_at.is_some() || !(term.confirmed_at.is_some() || limit_passed) {
             return None;
         }
         if electors == state.electors || electors.is_empty() {
             return None;
         }
-        let reason = if term.old_stopped {
+        let reason = if term.confirmed_at.is_some() {
             "operator confirmed that the old hosts are lost"
         } else {
             "outage limit has passed"
@@ -190,9 +218,10 @@
         Some(self.elector_state(next, electors, reason, now))
     }
 
-    pub(super) fn confirm_lost(&mut self) {
+    /// Takes an operator's confirmation; it counts only for a successor without a majority.
+    pub(super) fn confirm_lost(&mut self, now: BootTime) {
         if let Some(term) = &mut self.term {
-            term.old_stopped = true;
+            term.confirmed_at.get_or_insert(now);
         }
     }
 
@@ -253,6 +282,7 @@
             return None;
         }
         term.electors_changed_at = now;
+        term.authority.proposal_sent();
         Some(self.elector_state(state.clone(), electors, "electors replaced", now))
     }
 
--- a/crates/daemon/src/control/scope_report.rs
+++ b/crates/daemon/src/control/scope_report.rs
@@ -3,8 +3,9 @@
 use {
     camphorcove_core::{
         control::{ScopeCounters, ScopeMachine, ScopeRole},
-        ids::{Epoch, HostId, ServerId},
+        ids::{Epoch, HostId, ServerId, ShardId},
         map::ServerPhase,
+        scope::ShardState,
         time::BootTime,
     },
     std::time::Duration,
@@ -23,8 +24,12 @@
     pub electors: Vec<HostId>,
     /// Authority left; zero unless this host controls the scope.
     pub authority: Duration,
-    /// Shards whose move is under way.
-    pub moves: usize,
+    /// Moves under way: shard, old owner, new owner, reason.
+    pub moves: Vec<(ShardId, ServerId, ServerId, String)>,
+    /// Requests for a promise that were refused or not answered.
+    pub promise_failures: u64,
+    /// Time without a valid map since the first one was held.
+    pub unavailable: Duration,
     /// Shards that nobody can serve.
     pub unowned: usize,
     /// Phases of servers, if this host controls the scope.
@@ -33,9 +38,18 @@
     pub counters: ScopeCounters,
 }
 
+/// Totals that the daemon keeps beside the machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ObservedTotals {
+    /// Requests for a promise that were refused or not answered.
+    pub promise_failures: u64,
+    /// Time without a valid map since the first one was held.
+    pub unavailable: Duration,
+}
+
 impl ScopeReport {
     /// Report of a machine.
-    pub fn of(machine: &ScopeMachine, now: BootTime) -> Self {
+    pub fn of(machine: &ScopeMachine, now: BootTime, observed: ObservedTotals) -> Self {
         let electors = machine.state().map(|state| state.electors.clone());
         Self {
             role: machine.role(),
@@ -43,10 +57,28 @@
             controller: machine.controller().cloned(),
             electors: electors.unwrap_or_default(),
             authority: machine.authority_end().since(now),
-            moves: machine.moves_in_flight(),
+            moves: moves(machine),
             unowned: machine.unowned_shards(),
             phases: machine.server_phases(),
             counters: machine.counters().clone(),
+            promise_failures: observed.promise_failures,
+            unavailable: observed.unavailable,
         }
     }
 }
+
+fn moves(machine: &ScopeMachine) -> Vec<(ShardId, ServerId, ServerId, String)> {
+    let shards = machine.state().map(|state| state.shards.as_slice());
+    let mut moves = Vec::new();
+    for (shard, number) in shards.unwrap_or_default().iter().zip(0..) {
+        let ShardState::Releasing {
+            from, to, reason, ..
+        } = shard
+        else {
+            continue;
+        };
+        let reason = format!("{reason:?}").to_lowercase();
+        moves.push((ShardId(number), from.clone(), to.clone(), reason));
+    }
+    moves
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,70 @@
 //! Entry point of the daemon.
 
-fn main() {}
+use {
+    camphorcove_net::log::{LogSetup, start},
+    camphorcoved::{
+        conf::{DaemonSettings, read},
+        error::{DaemonError, StartSnafu},
+        node::run_node,
+        shutdown::StopOutcome,
+    },
+    clap::Parser,
+    std::{path::PathBuf, process::ExitCode},
+};
+
+/// The camphorcove router daemon.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct DaemonArgs {
+    /// Settings file; docs/settings.md describes it.
+    #[arg(long)]
+    settings: PathBuf,
+    /// Checks the settings and exits.
+    #[arg(long)]
+    check: bool,
+}
+
+/// Exit code of a planned stop that cut requests.
+const CUT: u8 = 3;
+
+fn main() -> ExitCode {
+    let args = DaemonArgs::parse();
+    match run(&args) {
+        Ok(StopOutcome::Complete) => ExitCode::SUCCESS,
+        Ok(StopOutcome::Cut { .. }) => ExitCode::from(CUT),
+        Err(error) => {
+            eprintln!("camphorcoved: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run(args: &DaemonArgs) -> Result<StopOutcome, DaemonError> {
+    let settings = read(&args.settings)?;
+    if args.check {
+        return Ok(StopOutcome::Complete);
+    }
+    start_log(&settings)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| {
+        let what = "runtime";
+        let reason = error.to_string();
+        StartSnafu { what, reason }.build()
+    })?;
+    let outcome = runtime.block_on(run_node(settings));
+    // Requests that were cut must not delay the exit.
+    runtime.shutdown_background();
+    outcome
+}
+
+fn start_log(settings: &DaemonSettings) -> Result<(), DaemonError> {
+    let setup = LogSetup {
+        program: "camphorcoved",
+        host: Some(settings.host.to_string()),
+        level: settings.log_level,
+    };
+    start(setup).map_err(|error| {
+        let what = "log";
+        let reason = error.to_string();
+        StartSnafu { what, reason }.build()
+    })
+}
--- a/crates/daemon/tests/admin_access.rs
+++ b/crates/daemon/tests/admin_access.rs
@@ -1,5 +1,6 @@
 //! Who may use the operator API, and what becomes of everybody else's requests.
 
+#[path = "support/admin_host.rs"]
 mod support;
 
 use {
--- a/crates/daemon/tests/admin_changes.rs
+++ b/crates/daemon/tests/admin_changes.rs
@@ -1,5 +1,6 @@
 //! Changes through the operator API: complete, exactly once, and recorded.
 
+#[path = "support/admin_host.rs"]
 mod support;
 
 use {
--- a/crates/daemon/tests/admin_state.rs
+++ b/crates/daemon/tests/admin_state.rs
@@ -1,5 +1,6 @@
 //! State shown to operators: owners, services, servers, and reasons.
 
+#[path = "support/admin_host.rs"]
 mod support;
 
 use {
