--- a/crates/core/src/conf/setting_info.rs
+++ b/crates/core/src/conf/setting_info.rs
@@ -73,10 +73,8 @@
     pub default: Option<&'static str>,
 }
 
-/// HTTP methods that a file may name.
-pub const METHODS: &[&str] = &[
-    "GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH", "TRACE",
-];
+/// HTTP methods that a file may name; the router refuses `TRACE` and `CONNECT`.
+pub const METHODS: &[&str] = &["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"];
 
 /// Most shards a service may have: 8,192 entries of typical size keep the scope
 /// object well below the platform's value limit of 1 MB.
--- a/crates/daemon/src/admin/explain_route.rs
+++ b/crates/daemon/src/admin/explain_route.rs
@@ -1,22 +1,30 @@
 //! Explains where a request would go, or why it would be refused.
+//!
+//! The rules are those of the caller listener. Limits that depend on other
+//! requests, such as queues and retries, are not considered.
 
 use {
     super::{
         AdminCall, AdminService, OperatorView,
-        admin_call::{AdminResult, json_reply},
+        admin_call::{AdminResult, json_reply, malformed},
         owner_routes::valid_millis,
         status_routes::phase_name,
     },
-    crate::maps::HeldMap,
+    crate::{
+        maps::HeldMap,
+        serve::{extract_key, has_dot_segment},
+    },
     camphorcove_core::{
-        conf::{RegionConfig, ServiceConfig},
+        conf::ServiceConfig,
         ids::HostId,
         map::{RoutingMap, ServerEntry, ServerPhase},
+        outcome::ResultCode,
     },
     camphorcove_net::{
-        operator::{ExplainReport, ExplainRequest},
+        operator::{ApiError, ExplainReport, ExplainRequest},
         platform::ObjectStore,
     },
+    http::{HeaderMap, HeaderName, HeaderValue, uri::PathAndQuery},
 };
 
 /// Builds a report step by step.
@@ -30,6 +38,7 @@
             report: ExplainReport {
                 host,
                 routed: false,
+                code: None,
                 steps: Vec::new(),
                 service: None,
                 key: None,
@@ -44,29 +53,83 @@
         self.report.steps.push(text.into());
     }
 
-    fn refused(mut self, reason: impl Into<String>) -> ExplainReport {
-        self.step(format!("refused, not run: {}", reason.into()));
+    fn refused(mut self, code: ResultCode, reason: impl Into<String>) -> ExplainReport {
+        self.report.code = Some(code.number());
+        self.step(format!(
+            "refused with code {}: {}",
+            code.number(),
+            reason.into()
+        ));
         self.report
     }
+
+    /// For what the next map may change: the request waits until its deadline.
+    fn waits(mut self, code: ResultCode, reason: impl Into<String>) -> ExplainReport {
+        self.step("the request waits for another map until its deadline");
+        self.refused(code, reason)
+    }
+}
+
+/// The parts of a request that routing looks at.
+struct ExplainedRequest {
+    host: Option<String>,
+    path: PathAndQuery,
+    headers: HeaderMap,
+}
+
+impl ExplainedRequest {
+    fn read(request: &ExplainRequest) -> Result<Self, ApiError> {
+        let path = request.target.parse();
+        let path = path.map_err(|error| malformed(format!("target: {error}")))?;
+        let mut headers = HeaderMap::new();
+        for (name, value) in &request.headers {
+            let name = name.parse::<HeaderName>();
+            let value = value.parse::<HeaderValue>();
+            let (Ok(name), Ok(value)) = (name, value) else {
+                return Err(malformed("headers: expected names and values of HTTP"));
+            };
+            headers.insert(name, value);
+        }
+        let host = Some(request.host.clone()).filter(|host| !host.is_empty());
+        Ok(Self {
+            host,
+            path,
+            headers,
+        })
+    }
 }
 
 impl<S: ObjectStore, V: OperatorView> AdminService<S, V> {
     pub(super) fn explain(&self, call: &AdminCall) -> AdminResult {
         let request: ExplainRequest = call.json()?;
-        json_reply(&self.explanation(&request))
+        let refused = ["CONNECT", "TRACE"].contains(&request.method.as_str());
+        let request = ExplainedRequest::read(&request)?;
+        let explanation = Explanation::new(self.parts.view.host());
+        if refused || has_dot_segment(request.path.path()) {
+            let reason = "the method is refused, or the path has a dot segment";
+            return json_reply(&explanation.refused(ResultCode::BadRequest, reason));
+        }
+        json_reply(&self.explanation(explanation, &request))
     }
 
-    fn explanation(&self, request: &ExplainRequest) -> ExplainReport {
-        let mut explanation = Explanation::new(self.parts.view.host());
+    fn explanation(
+        &self,
+        mut explanation: Explanation,
+        request: &ExplainedRequest,
+    ) -> ExplainReport {
         let Some(snapshot) = self.parts.config.config() else {
-            return explanation.refused("this host has no configuration");
+            return explanation.refused(ResultCode::NoService, "this host has no configuration");
         };
         explanation.step(format!(
             "configuration version {} is in force",
             snapshot.version
         ));
-        let Some(service) = find_service(&snapshot.config, request) else {
-            return explanation.refused("no service answers to this host and path");
+        let found = snapshot
+            .config
+            .route(request.host.as_deref(), request.path.path());
+        let Some(service) = found else {
+            let reason = "no service answers to this host and path";
+            return explanation.refused(ResultCode::NoService, reason);
         };
         explanation.step(format!(
             "service {} (host {}, path prefix {})",
@@ -75,34 +138,41 @@
             service.path_prefix
         ));
         explanation.report.service = Some(service.name.clone());
+        let key = match read_key(&mut explanation, service, request) {
+            Ok(key) => key,
+            Err(reason) => return explanation.refused(ResultCode::BadRequest, reason),
+        };
         let Some(held) = self.parts.maps.held(&service.name) else {
-            return explanation.refused("this host has no routing map of the service");
+            let reason = "this host has no routing map of the service";
+            return explanation.waits(ResultCode::NoMap, reason);
         };
         let valid = valid_millis(&held, self.clock.now());
         explanation.step(describe_map(&held, valid));
         if valid == 0 {
-            return explanation.refused("the routing map has expired");
+            return explanation.waits(ResultCode::NoMap, "the routing map has expired");
         }
-        match service.is_keyed() {
-            true => explain_keyed(explanation, service, &held.map, request),
-            false => explain_free(explanation, &held.map),
+        match key {
+            Some(key) => explain_keyed(explanation, &held.map, &key),
+            None => explain_free(explanation, &held.map),
         }
     }
 }
 
-fn find_service<'a>(
-    config: &'a RegionConfig,
-    request: &ExplainRequest,
-) -> Option<&'a ServiceConfig> {
-    let host = Some(request.host.as_str()).filter(|host| !host.is_empty());
-    config.route(host, split_target(&request.target).0)
-}
-
-fn split_target(target: &str) -> (&str, Option<&str>) {
-    match target.split_once('?') {
-        Some((path, query)) => (path, Some(query)),
-        None => (target, None),
-    }
+/// Key of a request to a keyed service.
+fn read_key(
+    explanation: &mut Explanation,
+    service: &ServiceConfig,
+    request: &ExplainedRequest,
+) -> Result<Option<Vec<u8>>, String> {
+    let Some(source) = service.key.as_ref().filter(|_| service.is_keyed()) else {
+        return Ok(None);
+    };
+    let key = extract_key(source, &request.path, &request.headers);
+    let key = key.map_err(|_| format!("the request has no key in {source}"))?;
+    let text = String::from_utf8_lossy(&key).into_owned();
+    explanation.step(format!("key {text:?} from {source}"));
+    explanation.report.key = Some(text);
+    Ok(Some(key))
 }
 
 fn describe_map(held: &HeldMap, valid: u64) -> String {
@@ -113,30 +183,18 @@
     )
 }
 
-fn explain_keyed(
-    mut explanation: Explanation,
-    service: &ServiceConfig,
-    map: &RoutingMap,
-    request: &ExplainRequest,
-) -> ExplainReport {
-    let Some(source) = &service.key else {
-        return explanation.refused("the service has no key source");
-    };
-    let (path, query) = split_target(&request.target);
-    let header = |name: &str| request.headers.get(name).map(String::as_bytes);
-    let Some(key) = source.extract(path, query, header) else {
-        return explanation.refused(format!("the request has no key in {source}"));
-    };
-    let text = String::from_utf8_lossy(&key).into_owned();
-    explanation.step(format!("key {text:?} from {source}"));
-    explanation.report.key = Some(text);
-    let Some(shard) = map.shard(&key) else {
-        return explanation.refused("the routing map has no shards");
+fn explain_keyed(mut explanation: Explanation, map: &RoutingMap, key: &[u8]) -> ExplainReport {
+    let Some(shard) = map.shard(key) else {
+        return explanation.waits(ResultCode::NoMap, "the routing map has no shards");
     };
     explanation.report.shard = Some(shard);
     let entry = map.entry(shard).copied().unwrap_or_default();
+    if entry.moving {
+        let reason = format!("a move of shard {shard} is under way");
+        return explanation.waits(ResultCode::ShardMoving, reason);
+    }
     let Some(owner) = map.owner(shard) else {
-        return explanation.refused(format!("nobody owns shard {shard}"));
+        return explanation.waits(ResultCode::NoOwner, format!("nobody owns shard {shard}"));
     };
     explanation.step(format!(
         "shard {shard} is owned by server {} under token {}, phase {}",
@@ -144,11 +202,8 @@
         entry.token,
         phase_name(owner.phase)
     ));
-    if entry.moving {
-        explanation.step("a move of the shard is under way: the request waits for the next map");
-    }
     if owner.phase == ServerPhase::Lost {
-        return explanation.refused(format!("server {} is lost", owner.id));
+        return explanation.waits(ResultCode::NoOwner, format!("server {} is lost", owner.id));
     }
     finish_keyed(explanation, owner)
 }
@@ -156,7 +211,8 @@
 fn finish_keyed(mut explanation: Explanation, owner: &ServerEntry) -> ExplainReport {
     explanation.report.servers = vec![owner.id.clone()];
     let Some(forwarder) = &owner.forwarder else {
-        return explanation.refused(format!("no host forwards to server {}", owner.id));
+        let reason = format!("no host forwards to server {}", owner.id);
+        return explanation.waits(ResultCode::NoForwarder, reason);
     };
     explanation.report.forwarder = Some(forwarder.clone());
     explanation.report.routed = true;
@@ -168,20 +224,26 @@
 }
 
 fn explain_free(mut explanation: Explanation, map: &RoutingMap) -> ExplainReport {
-    let ready = map
-        .servers
-        .iter()
-        .filter(|server| server.phase == ServerPhase::Ready && server.forwarder.is_some());
-    explanation.report.servers = ready.map(|server| server.id.clone()).collect();
-    let (count, all) = (explanation.report.servers.len(), map.servers.len());
+    let usable = |phase: ServerPhase| {
+        let servers = map.servers.iter();
+        let servers =
+            servers.filter(move |server| server.phase == phase && server.forwarder.is_some());
+        servers.map(|server| server.id.clone()).collect::<Vec<_>>()
+    };
+    let (mut phase, mut servers) = (ServerPhase::Ready, usable(ServerPhase::Ready));
+    if servers.is_empty() {
+        (phase, servers) = (ServerPhase::Suspect, usable(ServerPhase::Suspect));
+    }
+    let (count, all) = (servers.len(), map.servers.len());
     if count == 0 {
-        return explanation.refused(format!(
-            "none of {all} servers is ready and has a forwarder"
-        ));
+        let reason = format!("none of {all} servers can be used");
+        return explanation.waits(ResultCode::NoOwner, reason);
     }
+    explanation.report.servers = servers;
     explanation.report.routed = true;
     explanation.step(format!(
-        "sent to the less loaded of two random servers out of {count} ready ones of {all}"
+        "sent to the less loaded of two random servers out of {count} in phase {} of {all}",
+        phase_name(phase)
     ));
     explanation.report
 }
--- a/crates/daemon/src/serve/mod.rs
+++ b/crates/daemon/src/serve/mod.rs
@@ -13,6 +13,6 @@
     entry_flow::EntryFlow,
     entry_server::EntryServer,
     framing_guard::FramingGuard,
-    key_extract::extract_key,
+    key_extract::{extract_key, has_dot_segment},
     service_index::{ServiceIndex, ServiceRule},
 };
--- a/crates/net/src/operator/api.rs
+++ b/crates/net/src/operator/api.rs
@@ -149,6 +149,8 @@
         host: HostId,
         /// True if the request would be sent to a server.
         routed: bool,
+        /// Result code of the refusal (docs/result-codes.md).
+        code: Option<u16>,
         /// Steps of the decision, in order; the last one gives the outcome.
         steps: Vec<String>,
         /// Service that matches.
