--- a/crates/bench/src/experiments/failover.rs
+++ b/crates/bench/src/experiments/failover.rs
@@ -19,8 +19,9 @@
 /// shorter gaps also occur without a loss.
 const AFFECTED_FACTOR: u32 = 10;
 
-/// Measures unavailable time as callers see it after a kill of a server, of the
-/// controller and of both.
+/// Measures unavailable time as callers see it after a kill of a server, of
+/// another host than the controller, of the controller, and of controller and
+/// server.
 #[derive(Clone, Debug, clap::Args)]
 pub struct FailoverOptions {
     /// Number of hosts.
@@ -56,6 +57,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Loss {
     Server,
+    /// A host that does not control the service; it forwards to some servers.
+    Host,
     Controller,
     Both,
 }
@@ -72,7 +75,7 @@
             "longest_ms",
             "longest_before_ms",
         ]);
-        for loss in [Loss::Server, Loss::Controller, Loss::Both] {
+        for loss in [Loss::Server, Loss::Host, Loss::Controller, Loss::Both] {
             for round in 1..=self.rounds {
                 let row = self.measure(loss, round).await?;
                 println!("{}", row.join(" "));
@@ -139,10 +142,13 @@
     if matches!(loss, Loss::Server | Loss::Both) {
         region.servers[0][0].process.kill();
     }
-    if matches!(loss, Loss::Controller | Loss::Both) {
-        let mut lost = region.daemons.remove(controller);
-        probe.set_entries(region.entries());
-        lost.process.kill();
-    }
+    let host = match loss {
+        Loss::Server => return Ok(()),
+        Loss::Host => (controller + 1) % region.daemons.len(),
+        Loss::Controller | Loss::Both => controller,
+    };
+    let mut lost = region.daemons.remove(host);
+    probe.set_entries(region.entries());
+    lost.process.kill();
     Ok(())
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -28,7 +28,8 @@
     Load(LoadOptions),
     /// Measures what one daemon adds to a direct connection.
     Cost(CostOptions),
-    /// Measures unavailable time after the loss of a server, the controller and both.
+    /// Measures unavailable time after the loss of a server, a host, the controller,
+    /// or controller and server.
     Failover(FailoverOptions),
     /// Compares balance over servers 1:4 apart in speed.
     Balance(BalanceOptions),
