--- a/crates/core/src/control/candidacy.rs
+++ b/crates/core/src/control/candidacy.rs
@@ -5,6 +5,7 @@
         ScopeRole,
         controller_term::{ControllerTerm, Predecessor},
         forwarder_table::ForwarderTable,
+        object_writer::RETRY_PAUSE,
         scope_machine::{HeldObject, ScopeMachine},
     },
     crate::{
@@ -18,12 +19,27 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// Added to the delay of a host on whose list most electors are missing.
+const ISOLATED_DELAY: Duration = Duration::from_millis(3_000);
+
 /// Largest factor of the delay after takeovers that produced no map.
 const BACKOFF_LIMIT: u32 = 64;
 
+/// Candidates pause longer between reads by one `RETRY_PAUSE` for each such number of ranks.
+///
+/// In a long outage all hosts become candidates; their reads must stay far
+/// below the rate that the platform sustains.
+const RANKS_PER_PAUSE: u32 = 4;
+
 /// Largest random addition to the delay, so that hosts with equal ranks differ.
 const JITTER_LIMIT_MS: u64 = 100;
 
+/// A map counts as prolonged if its validity grew by at least this much.
+///
+/// Hosts that pass an old map on to each other prolong it by their drift, which
+/// is at most 15 ms in `MAP_TTL`.
+const PROLONG_MINIMUM: Duration = Duration::from_millis(50);
+
 /// When this host should try to become the controller.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CandidacyTimer {
@@ -58,19 +74,29 @@
     pub(super) fn restart(&mut self, now: BootTime) {
         self.prolonged_at = now;
         self.handover = false;
+        self.due = None;
     }
 
     /// Maps of a superseded controller do not count as signs of life.
-    pub(super) fn map_observed(&mut self, epoch: Epoch, valid_until: BootTime, now: BootTime) {
+    pub(super) fn map_observed(
+        &mut self,
+        epoch: Epoch,
+        valid_until: BootTime,
+        own: bool,
+        now: BootTime,
+    ) {
         let newer = epoch > self.seen;
-        if epoch < self.seen || (!newer && valid_until <= self.valid_until) {
+        let prolonged = valid_until >= self.valid_until + PROLONG_MINIMUM;
+        if epoch < self.seen || (!newer && !prolonged) {
             return;
         }
         self.seen = epoch;
         self.valid_until = valid_until;
-        self.prolonged_at = now;
-        self.factor = 1;
-        self.handover = false;
+        // The own map, for example of an adopting controller, says nothing about others.
+        if !own {
+            self.factor = 1;
+        }
+        self.restart(now);
     }
 
     /// Another host holds a newer term; give it time to gain authority and publish.
@@ -92,8 +118,18 @@
         self.prolonged_at + CANDIDATE_DELAY * factor + RANK_DELAY * rank
     }
 
+    /// Whether the best rank would be due; saves the others the work of ranking.
+    fn may_be_due(&self, now: BootTime) -> bool {
+        self.handover || now >= self.delay_end(0)
+    }
+
     pub(super) fn is_due_at(&self, now: BootTime) -> bool {
-        self.handover || self.due.is_some_and(|due| now >= due)
+        self.handover || self.has_waited(now)
+    }
+
+    /// Whether the delay has passed, regardless of offers.
+    fn has_waited(&self, now: BootTime) -> bool {
+        self.due.is_some_and(|due| now >= due)
     }
 
     fn is_due(&mut self, rank: u32, now: BootTime) -> bool {
@@ -127,10 +163,13 @@
         if self.spec.is_none() || self.hosts.is_empty() || self.host.leaving {
             return false;
         }
-        let controller = self.controller().cloned();
+        if !self.timer.may_be_due(now) {
+            return false;
+        }
         let rank = self
             .hosts
-            .rank(&self.service, &self.host.id, controller.as_ref());
+            .rank(&self.service, &self.host.id, self.controller());
+        self.read_pause = RETRY_PAUSE * (1 + rank / RANKS_PER_PAUSE);
         self.timer.is_due(rank, now)
     }
 
@@ -154,7 +193,31 @@
             self.role = ScopeRole::Idle;
             return;
         }
-        if self.role == ScopeRole::Candidate {
+        if self.role != ScopeRole::Candidate {
+            return;
+        }
+        if resigned || self.timer.has_waited(now) {
+            self.take_over_if_connected(resigned, now);
+            return;
+        }
+        // The offer came without a mark in the object, so the controller is still there.
+        self.role = ScopeRole::Idle;
+        self.timer.restart(now);
+    }
+
+    /// Takes over at once if a majority of the electors is live, else after a longer delay.
+    ///
+    /// A host that is cut off from the others would only depose a controller
+    /// that works. The list of live hosts is a hint, so this is no guard of safety.
+    fn take_over_if_connected(&mut self, resigned: bool, now: BootTime) {
+        let electors = self.state().map(|state| state.electors.as_slice());
+        let electors = electors.unwrap_or_default();
+        let live = electors
+            .iter()
+            .filter(|id| self.hosts.get(id).is_some())
+            .count();
+        let connected = live > electors.len() / 2;
+        if connected || resigned || self.timer.has_waited(now.back(ISOLATED_DELAY)) {
             self.take_over(now);
         }
     }
@@ -232,11 +295,6 @@
         self.actions.push(write);
     }
 
-    /// Nothing was written; a candidate reads the object again before it retries.
-    pub(super) fn write_dropped(&mut self, _now: BootTime) {
-        self.dirty = true;
-    }
-
     /// Starts the term that the scope object now names.
     pub(super) fn start_term(&mut self, object: HeldObject, now: BootTime) {
         let mut assigned = BTreeMap::new();
@@ -250,6 +308,7 @@
         self.object = Some(object);
         self.term = Some(term);
         self.role = ScopeRole::Candidate;
+        self.read_pause = RETRY_PAUSE;
         self.dirty = true;
     }
 }
--- a/crates/net/src/config/config_repo.rs
+++ b/crates/net/src/config/config_repo.rs
@@ -2,12 +2,13 @@
 
 use {
     super::{
-        Author, ConfigHead, OperatorOrder, RepoError,
+        AuditPage, AuditReader, Author, ConfigHead, OperatorOrder, RepoError,
         archive::{archive_key, decode_record},
         change_plan::ChangeRequest,
         config_head::{StoredHead, version_of},
         content::{content_hash, download, find_parts, upload},
         head_update::{CONFIG_STREAM, UpdateResult, replace_head},
+        off_thread::off_thread,
         repo_error::*,
     },
     crate::{
@@ -86,6 +87,12 @@
         }
     }
 
+    /// Audit records of the versions in a window of `count` from `from`.
+    pub async fn history(&self, from: ConfigVersion, count: u64) -> Result<AuditPage, RepoError> {
+        let reader = AuditReader::new(self.store.clone());
+        reader.read(CONFIG_STREAM, from.0, count).await
+    }
+
     /// Applies a file. Content that is in force already changes nothing, whatever
     /// version is expected, so an apply may be repeated after a lost answer.
     pub async fn apply(
@@ -94,7 +101,9 @@
         expected: Option<ConfigVersion>,
         author: &Author,
     ) -> Result<ChangeOutcome, RepoError> {
-        let config = parse("file", content).map_err(|faults| RepoError::Invalid { faults })?;
+        let text = content.to_owned();
+        let config = off_thread(move || parse("file", &text)).await;
+        let config = config.map_err(|faults| RepoError::Invalid { faults })?;
         let change = ChangeRequest::Apply {
             config: Box::new(config),
             hash: content_hash(content.as_bytes()),
@@ -216,7 +225,8 @@
         parts: &[String],
     ) -> Result<RegionConfig, RepoError> {
         let text = download(&self.store, hash, parts).await?;
-        parse_stored(&text).map_err(|reason| RepoError::Damaged {
+        let config = off_thread(move || parse_stored(&text)).await;
+        config.map_err(|reason| RepoError::Damaged {
             key: format!("config/part/{hash}"),
             reason,
         })
--- a/crates/net/src/config/mod.rs
+++ b/crates/net/src/config/mod.rs
@@ -13,17 +13,19 @@
 mod config_repo;
 mod content;
 mod head_update;
+mod off_thread;
 mod order;
 mod repo_error;
 
 pub use {
-    archive::{archive_key, archive_record, decode_record, encode_record, scope_stream},
-    audit_reader::AuditReader,
+    archive::{archive_key, archive_record, decode_record, encode_record},
+    audit_reader::{AuditPage, AuditReader},
     audit_stream::{OPERATOR_STREAM, append_operator_record},
     author::Author,
     config_head::{ConfigHead, HEAD_KEY},
     config_repo::{ChangeOutcome, ConfigRepo},
     content::{CONTENT_LIMIT, content_hash},
+    off_thread::off_thread,
     order::OperatorOrder,
     repo_error::RepoError,
 };
--- a/crates/net/src/peer/mod.rs
+++ b/crates/net/src/peer/mod.rs
@@ -7,6 +7,7 @@
 
 mod auth;
 mod client;
+mod envelope;
 mod frame;
 mod messages;
 mod peer_error;
@@ -18,6 +19,7 @@
 pub use {
     auth::{AuthScope, AuthTag, KEY_BYTES_MIN, PeerKey, ReplayWindow, TAG_BYTES},
     client::PeerClient,
+    envelope::{EnvelopeError, EnvelopeScope, open, seal},
     frame::{FRAME_BYTES_MAX, decode, encode, read_frame},
     messages::{
         ConfigSnapshot, ForwardEnvelope, MapAnswer, MapPoll, PeerAddress, ScopeAnswer,
