Let a successor replace lost electors after a resignation

Cause: a controller that stopped as planned left its electors in the scope object. When all old hosts were replaced by hosts with other ids, no majority of those electors ever answered, so unchecked servers stayed without an owner and lost servers' shards waited for an hour.

Change: a resigning controller that had authority says so in the scope object. Nobody can hold authority then, so its successor may choose new electors as soon as most old ones left the list of live hosts. While such a change is in doubt both lists must promise; this also closes a gap in the change after an operator's confirmation, where a successor could find the new list while the old list still supported its predecessor.

Before: resignation_frees_a_successor_from_lost_electors fails for checked and unchecked servers (no new controller within 30 s).

--- a/crates/core/src/control/candidacy.rs
+++ b/crates/core/src/control/candidacy.rs
@@ -212,11 +212,7 @@
     fn take_over_if_connected(&mut self, resigned: bool, now: BootTime) {
         let electors = self.state().map(|state| state.electors.as_slice());
         let electors = electors.unwrap_or_default();
-        let live = electors
-            .iter()
-            .filter(|id| self.hosts.get(id).is_some())
-            .count();
-        let connected = live > electors.len() / 2;
+        let connected = self.has_live_majority(electors);
         if connected || resigned || self.timer.has_waited(now.back(ISOLATED_DELAY)) {
             self.take_over(now);
         }
@@ -244,6 +240,7 @@
             config: ConfigVersion(0),
             shards: vec![ShardState::Unowned; shards],
             resigned: false,
+            promises_ended: false,
             uncovered_grants: false,
             records: Vec::new(),
         };
@@ -257,6 +254,7 @@
         };
         self.predecessor = Predecessor {
             resigned: object.state.resigned.then_some(object.state.epoch),
+            promises_ended: object.state.resigned && object.state.promises_ended,
             uncovered_grants: object.state.uncovered_grants,
         };
         let reason = if object.state.resigned {
@@ -284,6 +282,7 @@
         state.sequence = 0;
         state.uncovered_grants |= state.resigned;
         state.resigned = false;
+        state.promises_ended = false;
         state.drop_records(self.archived);
         let action = AuditAction::Takeover {
             before: before.0,
--- a/crates/core/src/control/controller_term.rs
+++ b/crates/core/src/control/controller_term.rs
@@ -19,6 +19,8 @@
 pub(super) struct Predecessor {
     /// Term that its controller gave up in the scope object.
     pub(super) resigned: Option<Epoch>,
+    /// Its controller gave up an authority that it had, so nobody holds one now.
+    pub(super) promises_ended: bool,
     /// Grants may live that no promise covers.
     pub(super) uncovered_grants: bool,
 }
--- a/crates/core/src/control/tenure.rs
+++ b/crates/core/src/control/tenure.rs
@@ -175,6 +175,7 @@
     fn resigned_state(&self, state: &ScopeState, now: BootTime) -> ScopeState {
         let mut next = state.clone();
         next.resigned = true;
+        next.promises_ended = self.has_gained();
         let action = AuditAction::Resigned {
             epoch: next.epoch.0,
         };
@@ -200,24 +201,47 @@
     /// The old controllers have stopped for certain, so their electors may be replaced.
     fn replace_lost_electors(&mut self, state: &ScopeState, now: BootTime) -> Option<ScopeState> {
         let electors = self.hosts.choose_electors(&self.service, &state.electors);
+        let has_majority = self.has_live_majority(&state.electors);
         let term = self.term.as_mut()?;
-        let limit_passed = now > term.outage_limit_end();
-        if term.gained_at.is_some() || !(term.confirmed_at.is_some() || limit_passed) {
-            return None;
-        }
-        if electors == state.electors || electors.is_empty() {
+        if term.gained_at.is_some() {
             return None;
         }
+        // The writer is free, so no change of the electors is in doubt.
+        term.authority.withdraw_proposal();
         let reason = if term.confirmed_at.is_some() {
             "operator confirmed that the old hosts are lost"
-        } else {
+        } else if now > term.outage_limit_end() {
             "outage limit has passed"
+        } else if term.predecessor.promises_ended && !has_majority {
+            "controller resigned and most electors are gone"
+        } else {
+            return None;
         };
+        if electors == state.electors || electors.is_empty() {
+            return None;
+        }
+        // While the write is in doubt, a successor may find either list.
+        term.authority.propose(electors.clone());
         let mut next = state.clone();
         next.uncovered_grants = true;
         Some(self.elector_state(next, electors, reason, now))
     }
 
+    /// Whether most electors are on the list of live hosts; a hint.
+    pub(super) fn has_live_majority(&self, electors: &[HostId]) -> bool {
+        let live = electors
+            .iter()
+            .filter(|id| self.hosts.get(id).is_some())
+            .count();
+        live > electors.len() / 2
+    }
+
+    fn has_gained(&self) -> bool {
+        self.term
+            .as_ref()
+            .is_some_and(|term| term.gained_at.is_some())
+    }
+
     /// Takes an operator's confirmation; it counts only for a successor without a majority.
     pub(super) fn confirm_lost(&mut self, now: BootTime) {
         if let Some(term) = &mut self.term {
--- a/crates/core/src/scope/scope_state.rs
+++ b/crates/core/src/scope/scope_state.rs
@@ -35,6 +35,9 @@
     /// The controller of the term gave up its role and sends nothing more.
     #[serde(default)]
     pub resigned: bool,
+    /// The controller that resigned had authority, so no older controller has any.
+    #[serde(default)]
+    pub promises_ended: bool,
     /// Grants may live that no promise covers; a successor waits out a longer period.
     #[serde(default)]
     pub uncovered_grants: bool,
--- a/crates/core/tests/ownership_handover.rs
+++ b/crates/core/tests/ownership_handover.rs
@@ -249,6 +249,32 @@
     assert_eq!(world.served_shards(), 0);
 }
 
+/// Guards against a planned stop of all old hosts after which nobody may assign shards.
+#[rstest]
+fn resignation_frees_a_successor_from_lost_electors(#[values(true, false)] checked: bool) {
+    let mut world = settled_world(41, 8, 3, checked);
+    let old = world.controller().unwrap();
+    for id in state(&world).electors.clone() {
+        let host = world.host_index(&id);
+        if host != old {
+            world.apply_fault(&Fault::KillHost(host));
+        }
+    }
+
+    world.apply_fault(&Fault::Resign(old));
+    await_that(&mut world, 30, "new electors", |world| {
+        world.controller().is_some_and(|host| host != old) && world.all_served()
+    });
+
+    assert_clean(&world);
+    let electors = state(&world).electors.clone();
+    assert!(
+        electors
+            .iter()
+            .all(|id| world.hosts[world.host_index(id)].alive)
+    );
+}
+
 /// Guards against a confirmation that is ignored.
 #[rstest]
 fn operator_confirmation_ends_the_wait_for_lost_electors(#[values(true, false)] checked: bool) {
--- a/crates/daemon/tests/admin_state.rs
+++ b/crates/daemon/tests/admin_state.rs
@@ -151,6 +151,7 @@
         config: ConfigVersion(1),
         shards: vec![Default::default(); shards],
         resigned: false,
+        promises_ended: false,
         uncovered_grants: false,
         records: Vec::new(),
     };
