--- a/crates/daemon/src/forward/forward_service.rs
+++ b/crates/daemon/src/forward/forward_service.rs
@@ -318,6 +318,9 @@
 
 impl ForwardService {
     fn follow(&self, changed: bool) {
+        if changed {
+            self.links.retain(&self.context);
+        }
         let now = self.context.clock.now();
         for held in self.context.maps.all().values() {
             if changed {
--- a/crates/daemon/src/forward/peer_links.rs
+++ b/crates/daemon/src/forward/peer_links.rs
@@ -12,7 +12,7 @@
     },
     hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{Arc, PoisonError},
         time::Duration,
@@ -81,6 +81,19 @@
         opened.unwrap_or(Err(ResultCode::PeerUnreachable))
     }
 
+    /// Forgets hosts that are gone, so that replaced hosts do not add up.
+    pub fn retain(&self, context: &RequestContext) {
+        let peers = context.configs.peers();
+        let live: HashSet<&HostId> = peers.iter().map(|peer| &peer.host.id).collect();
+        if self.links.load().keys().all(|host| live.contains(host)) {
+            return;
+        }
+        let _changing = self.changing.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut map = HashMap::clone(&self.links.load());
+        map.retain(|host, _| live.contains(host));
+        self.links.store(Arc::new(map));
+    }
+
     fn links_of(&self, host: &HostId) -> Arc<[PeerLink; LINKS]> {
         if let Some(links) = self.links.load().get(host) {
             return links.clone();
