Give freed connections to requests that hold a slot without one

With more slots than connections, such a request waited until some connection closed instead of taking an idle one. A mutation that removed the connection limit had passed all tests; routing_maps now has a case with fewer connections than slots, and it fails under that mutation.

--- a/crates/daemon/src/forward/server_task.rs
+++ b/crates/daemon/src/forward/server_task.rs
@@ -49,7 +49,7 @@
     idle: Vec<ServerConnection>,
     active: HashMap<u64, ActiveRequest>,
     waiting: HashMap<u64, WaitingRequest>,
-    /// Requests with a slot that wait until an aborted connection has closed.
+    /// Requests with a slot that wait for a connection within the server's limit.
     starved: VecDeque<(u64, WaitingRequest)>,
     retired: bool,
 }
@@ -117,9 +117,6 @@
             ServerMessage::Closed => {
                 self.open = self.open.saturating_sub(1);
                 self.idle.retain(|connection| !connection.is_closed());
-                if let Some((ticket, request)) = self.starved.pop_front() {
-                    self.start_request(ticket, request);
-                }
             }
             ServerMessage::Update(limits) => {
                 self.gate.set_limits(limits.gate);
@@ -187,8 +184,13 @@
         }
     }
 
-    /// Gives free slots to waiters.
+    /// Gives free connections to requests that have a slot, and free slots to waiters.
     fn admit(&mut self, now: BootTime) {
+        for _ in 0..self.starved.len() {
+            if let Some((ticket, request)) = self.starved.pop_front() {
+                self.start_request(ticket, request);
+            }
+        }
         while let Some(turn) = self.gate.next_turn(now) {
             match turn {
                 GateTurn::Expire(ticket) => {
--- a/crates/daemon/tests/routing_maps.rs
+++ b/crates/daemon/tests/routing_maps.rs
@@ -177,12 +177,18 @@
 }
 
 /// Slots and connections are limits across all hosts, whoever the callers come to.
+#[rstest]
+#[case::as_many(2, 2)]
+#[case::fewer_connections(4, 2)]
 #[tokio::test]
-async fn slots_and_connections_hold_across_entry_hosts() {
+async fn slots_and_connections_hold_across_entry_hosts(
+    #[case] slots: u32,
+    #[case] connections: u32,
+) {
     let server = answering("ok").await;
     let mut spec = MapSpec::new(&[(server.address, 1)]);
-    spec.slots = 2;
-    spec.connections = 2;
+    spec.slots = slots;
+    spec.connections = connections;
     let mut service = service(RoutingMode::Keyed);
     service.limits.queue = 1_000;
     let cluster = Cluster::start(3, service, &spec).await;
