Refuse pins that ask for two servers of one shard

Two pinned keys can share a shard, which moves as a whole; the second pin would contradict the first without notice. It is refused with code 1207.

--- a/crates/cli/src/error/cli_error.rs
+++ b/crates/cli/src/error/cli_error.rs
@@ -157,6 +157,7 @@
         | ApiCode::ValueTooLarge => ExitStatus::WrongInput,
         ApiCode::VersionMismatch
         | ApiCode::Contended
+        | ApiCode::PinClash
         | ApiCode::WrongHost
         | ApiCode::LossRefused => ExitStatus::Refused,
         ApiCode::Unsigned
--- a/crates/daemon/src/admin/repo_failure.rs
+++ b/crates/daemon/src/admin/repo_failure.rs
@@ -25,6 +25,7 @@
         RepoError::Contended { .. } => ApiCode::Contended,
         RepoError::TooLarge { .. } => ApiCode::ValueTooLarge,
         RepoError::NotFound { .. } => ApiCode::NotFound,
+        RepoError::PinClash { .. } => ApiCode::PinClash,
         RepoError::Damaged { .. } => ApiCode::Damaged,
         RepoError::Store { .. } => ApiCode::PlatformUnavailable,
         RepoError::OutcomeUnknown { .. } => ApiCode::OutcomeUnknown,
--- a/crates/net/src/config/order.rs
+++ b/crates/net/src/config/order.rs
@@ -3,8 +3,9 @@
 use {
     super::{RepoError, repo_error::*},
     camphorcove_core::{
-        conf::{OperatorOrders, RegionConfig, RoutingMode},
+        conf::{OperatorOrders, RegionConfig, ServiceConfig},
         ids::{ServerId, ServiceName},
+        keys::{KeyHash, shard_of},
     },
     snafu::{OptionExt, ensure},
     std::fmt,
@@ -91,9 +92,10 @@
                 key,
                 server,
             } => {
-                check_pin(config, service, key)?;
+                let keyed = check_pin(config, service, key)?;
                 check_server(config, service, server)?;
                 orders.pins.retain(|pin| !is_pin(pin, service, key));
+                check_shard(keyed, &orders, key, server)?;
                 let pin = (service.clone(), key.clone(), server.clone());
                 orders.pins.push(pin);
             }
@@ -126,16 +128,45 @@
     Ok(())
 }
 
-fn check_pin(config: &RegionConfig, service: &ServiceName, key: &str) -> Result<(), RepoError> {
+fn check_pin<'a>(
+    config: &'a RegionConfig,
+    service: &ServiceName,
+    key: &str,
+) -> Result<&'a ServiceConfig, RepoError> {
     let (what, size, limit) = ("the key", key.len(), PIN_KEY_LIMIT);
     ensure!(size <= limit, TooLargeSnafu { what, size, limit });
     let found = config
         .services
         .iter()
-        .find(|other| other.name == *service && other.routing == RoutingMode::Keyed);
+        .find(|other| other.name == *service && other.is_keyed());
     let (what, name) = ("keyed service", service.as_str());
-    found.context(NotFoundSnafu { what, name })?;
-    Ok(())
+    found.context(NotFoundSnafu { what, name })
+}
+
+/// A shard moves as a whole, so all pinned keys of a shard have one server.
+fn check_shard(
+    service: &ServiceConfig,
+    orders: &OperatorOrders,
+    key: &str,
+    server: &ServerId,
+) -> Result<(), RepoError> {
+    let shard = |key: &str| shard_of(KeyHash::of(key.as_bytes()), service.shards);
+    let clash = orders
+        .pins
+        .iter()
+        .find(|(other_service, other_key, other_server)| {
+            *other_service == service.name
+                && other_server != server
+                && shard(other_key) == shard(key)
+        });
+    match clash {
+        None => Ok(()),
+        Some((_, other, server)) => PinClashSnafu {
+            other,
+            server: server.as_str(),
+        }
+        .fail(),
+    }
 }
 
 /// Removes orders for servers that are not configured and returns their texts.
--- a/crates/net/src/config/repo_error.rs
+++ b/crates/net/src/config/repo_error.rs
@@ -57,6 +57,14 @@
         /// Its name.
         name: String,
     },
+    /// Another key of the shard is pinned to another server; nothing changed.
+    #[snafu(display("key {other:?} is in the same shard and pinned to server {server}"))]
+    PinClash {
+        /// The other key.
+        other: String,
+        /// Its server.
+        server: String,
+    },
     /// A stored object is damaged.
     #[snafu(display("object {key} is damaged: {reason}"))]
     Damaged {
--- a/crates/net/src/operator/api_code.rs
+++ b/crates/net/src/operator/api_code.rs
@@ -54,6 +54,7 @@
     Contended = 1204, 409, "other changes came first; nothing changed";
     ValueTooLarge = 1205, 413, "the file or the list of orders is too large; nothing changed";
     NotFound = 1206, 404, "the service, server, key, version or stream is not known";
+    PinClash = 1207, 409, "another key of the shard is pinned to another server; nothing changed";
     PlatformUnavailable = 1301, 503, "the platform is not available; nothing changed";
     OutcomeUnknown = 1302, 504, "the change may have taken effect; repeating it is safe";
     Damaged = 1303, 500, "a stored object is damaged";
--- a/crates/net/tests/audit_reader.rs
+++ b/crates/net/tests/audit_reader.rs
@@ -6,6 +6,7 @@
     camphorcove_core::{
         audit::{AuditAction, ChainFault},
         ids::ConfigVersion,
+        keys::{KeyHash, shard_of},
     },
     camphorcove_net::config::{
         AuditReader, Author, ConfigRepo, OPERATOR_STREAM, OperatorOrder, RepoError,
@@ -193,6 +194,40 @@
     );
 }
 
+/// Guards against pins that ask for two owners of one shard.
+#[tokio::test]
+async fn pinned_keys_of_a_shard_have_one_server() {
+    let repo = repo_with_versions(1).await;
+    let shard = |key: &str| shard_of(KeyHash::of(key.as_bytes()), 64);
+    let mut keys = (0..).map(|number| format!("raft-{number}"));
+    let first = keys.next().unwrap();
+    let second = keys.find(|key| shard(key) == shard(&first)).unwrap();
+    let pin = |key: &str, server: &str| OperatorOrder::Pin {
+        service: "ledig".parse().unwrap(),
+        key: key.into(),
+        server: server.parse().unwrap(),
+    };
+    repo.order(&pin(&first, "l1"), None, &author())
+        .await
+        .unwrap();
+
+    let clash = repo.order(&pin(&second, "l2"), None, &author()).await;
+    let moved = repo
+        .order(&pin(&first, "l2"), None, &author())
+        .await
+        .unwrap();
+    let joined = repo
+        .order(&pin(&second, "l2"), None, &author())
+        .await
+        .unwrap();
+
+    assert!(
+        matches!(clash, Err(RepoError::PinClash { .. })),
+        "{clash:?}"
+    );
+    assert!(moved.changed && joined.changed);
+}
+
 /// Guards against orders for things that do not exist.
 #[rstest]
 #[case::server(drain("l9"))]
