--- a/crates/daemon/src/serve/entry_flow.rs
+++ b/crates/daemon/src/serve/entry_flow.rs
@@ -24,11 +24,11 @@
         retry::{MAX_ATTEMPTS, backoff, retry_is_safe, worth_retrying},
     },
     camphorcove_net::peer::ForwardEnvelope,
-    http::{HeaderValue, Request, Response},
+    http::{HeaderValue, Request, Response, Version, header::CONNECTION},
     hyper::body::Incoming,
     std::sync::{
         Arc,
-        atomic::{AtomicU64, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
 };
 
@@ -42,6 +42,7 @@
     forward: Arc<ForwardService>,
     index: ServiceIndex,
     serial: AtomicU64,
+    stopping: AtomicBool,
 }
 
 /// Where an attempt goes.
@@ -72,14 +73,21 @@
             forward,
             index: ServiceIndex::default(),
             serial: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
         }
     }
 
+    /// Asks callers to close their connections from now on.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Relaxed);
+    }
+
     /// Answers one request of a caller.
     pub async fn answer(&self, request: Request<Incoming>) -> Response<RouterBody> {
         let counters = &self.context.counters;
         let flight = FlightGuard::new(counters.clone());
         let start = self.context.clock.now();
+        let version = request.version();
         let checked = check_request(&self.context, &self.index, &self.serial, request);
         let (result, known) = match checked {
             Err(code) => (Err(code), None),
@@ -100,6 +108,10 @@
         }
         let mut answer = result.unwrap_or_else(refusal);
         mark_result(answer.headers_mut(), code);
+        if version == Version::HTTP_11 && self.stopping.load(Relaxed) {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(CONNECTION, close);
+        }
         let id = known.map(|(id, _)| id);
         if let Some(value) = id.and_then(|id| HeaderValue::from_str(id.as_str()).ok()) {
             answer.headers_mut().insert(REQUEST_ID, value);
--- a/crates/daemon/src/serve/entry_server.rs
+++ b/crates/daemon/src/serve/entry_server.rs
@@ -3,6 +3,7 @@
 use {
     super::{EntryFlow, caller_stream::CallerStream},
     crate::{context::RequestContext, forward::ForwardService},
+    futures_util::FutureExt,
     hyper::service::service_fn,
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -12,7 +13,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
@@ -34,6 +35,9 @@
 /// Interval and limit of pings to callers.
 const PING_INTERVAL: Duration = Duration::from_secs(15);
 
+/// Time in which callers with open connections learn that this host stops.
+const LINGER: Duration = Duration::from_secs(2);
+
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -52,6 +56,10 @@
     }
 
     /// Serves until `shutdown` completes, then finishes the requests in flight.
+    ///
+    /// Closing an idle HTTP/1.1 connection would lose a request that is on its way.
+    /// So open connections are served on for [`LINGER`], each answer asks its caller
+    /// to close, and only connections that stay idle are closed.
     pub async fn run(self, listener: TcpListener, shutdown: impl Future<Output = ()> + Send) {
         let graceful = GracefulShutdown::new();
         let places = Arc::new(Semaphore::new(CALLER_LIMIT));
@@ -65,10 +73,26 @@
                 self.serve(stream, place, &graceful);
             }
         }
+        self.flow.begin_stop();
+        self.serve_backlog(&listener, &places, &graceful);
         drop(listener);
+        let all = u32::try_from(CALLER_LIMIT).unwrap_or(u32::MAX);
+        let _ = timeout(LINGER, places.acquire_many(all)).await;
         graceful.shutdown().await;
     }
 
+    /// Serves callers whose connection the system has already accepted.
+    fn serve_backlog(
+        &self,
+        listener: &TcpListener,
+        places: &Arc<Semaphore>,
+        graceful: &GracefulShutdown,
+    ) {
+        while let Some(Some((stream, place))) = accept(listener, places).now_or_never() {
+            self.serve(stream, place, graceful);
+        }
+    }
+
     fn serve(&self, stream: TcpStream, place: OwnedSemaphorePermit, graceful: &GracefulShutdown) {
         let flow = self.flow.clone();
         let service = service_fn(move |request| {
--- a/crates/daemon/tests/routing_maps.rs
+++ b/crates/daemon/tests/routing_maps.rs
@@ -283,3 +283,25 @@
     assert_eq!(answer.body.len(), 4 << 20);
     assert!(tokio::net::TcpStream::connect(address).await.is_err());
 }
+
+/// A request that is on its way over an idle connection when the stop begins must be served.
+#[rstest]
+#[tokio::test]
+async fn a_stop_serves_a_request_on_an_open_connection(#[values(0, 1)] forwarder: usize) {
+    let server = answering("ok").await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let mut cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    let address = cluster.caller();
+    let mut caller = RawCaller::connect(address).await;
+    caller.send("GET /s/k HTTP/1.1\r\nhost: t\r\n\r\n").await;
+    caller.read_until("\r\n\r\nok").await;
+
+    let stopping = cluster.nodes[0].begin_stop();
+    while tokio::net::TcpStream::connect(address).await.is_ok() {}
+    caller.send("GET /s/k HTTP/1.1\r\nhost: t\r\n\r\n").await;
+    let answer = caller.finish().await;
+    stopping.await.expect("entry server");
+
+    assert_eq!(answer.code(), Some(200), "{answer:?}");
+    assert_eq!(answer.header("connection"), Some("close"));
+}
--- a/crates/daemon/tests/support/caller.rs
+++ b/crates/daemon/tests/support/caller.rs
@@ -111,6 +111,15 @@
         let _ = self.stream.write_all(bytes.as_ref()).await;
     }
 
+    /// Reads one answer that ends with `end`.
+    pub async fn read_until(&mut self, end: &str) {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(end.as_bytes()) {
+            let read = self.stream.read_buf(&mut bytes).await.expect("answer");
+            assert!(read > 0, "closed after {}", String::from_utf8_lossy(&bytes));
+        }
+    }
+
     /// Reads until the router closes the connection.
     pub async fn finish(mut self) -> Answer {
         let mut bytes = Vec::new();
