Do not shorten moves at unchecked servers by polls alone

A host that polls with a newer map may have requests under way that it sent under the older one, and a server that checks no tokens runs them until their deadline. The machine now ignores it and takes MapsDrained, which also promises that no such request is outstanding; without it the older maps are waited out. Maps of earlier controllers always are.

--- a/crates/core/src/control/map_publisher.rs
+++ b/crates/core/src/control/map_publisher.rs
@@ -21,6 +21,8 @@
     valid_until: BootTime,
     /// By shard: when the last map has lapsed that names an owner which the current map does not.
     exposed_until: Vec<BootTime>,
+    /// When the maps of earlier controllers have lapsed.
+    inherited_end: BootTime,
 }
 
 impl MapPublisher {
@@ -31,12 +33,14 @@
             current: None,
             valid_until: BootTime(0),
             exposed_until: vec![inherited_end; shards],
+            inherited_end,
         }
     }
 
     /// Sets the time until which maps of earlier controllers may live.
     pub(super) fn inherit(&mut self, end: BootTime) {
         self.exposed_until.fill(end);
+        self.inherited_end = end;
     }
 
     pub(super) fn current(&self) -> Option<&Arc<RoutingMap>> {
@@ -103,8 +107,11 @@
         !named && lapsed
     }
 
-    /// Notes that all live hosts hold `version` or a newer one.
-    pub(super) fn replaced(&mut self, version: MapVersion, now: BootTime) {
+    /// Notes that nothing is under way under maps of this term below `version`.
+    ///
+    /// Maps of earlier controllers are waited out all the same: a new
+    /// controller does not know yet which hosts hold them.
+    pub(super) fn drained(&mut self, version: MapVersion, now: BootTime) {
         let is_current = self
             .current
             .as_ref()
@@ -113,7 +120,7 @@
             return;
         }
         for until in &mut self.exposed_until {
-            *until = (*until).min(now);
+            *until = (*until).min(now).max(self.inherited_end);
         }
     }
 }
--- a/crates/core/src/control/scope_event.rs
+++ b/crates/core/src/control/scope_event.rs
@@ -76,14 +76,17 @@
         /// The map, from which a successor takes the forwarders over.
         map: Option<Arc<RoutingMap>>,
     },
-    /// Every host has dropped all maps below this version, and so has all it sent under them.
+    /// Every host holds this version or a newer one, or its older map has lapsed.
     ///
-    /// A host has done so if it holds this version or a newer one and none of
-    /// its requests under an older one is outstanding, or if its older map has
-    /// lapsed. The second condition matters for servers that check no tokens: a
-    /// request under way runs until its deadline, whatever its sender holds by
-    /// then. Without this event the machine waits until the older maps lapse.
+    /// The machine takes no decision from it: a request that a host sent under
+    /// the older map may still be under way, and a server that checks no tokens
+    /// runs it until its deadline.
     MapsReplaced(MapVersion),
+    /// As [`MapsReplaced`](Self::MapsReplaced), and no request sent under an older version is outstanding.
+    ///
+    /// A request without an answer is outstanding until its deadline. Without
+    /// this event the machine waits until the older maps have lapsed.
+    MapsDrained(MapVersion),
     /// Answer to [`ReadScope`](super::ScopeAction::ReadScope); `None` if there is no object.
     ScopeRead {
         /// When the read was sent.
--- a/crates/core/src/control/scope_machine.rs
+++ b/crates/core/src/control/scope_machine.rs
@@ -108,7 +108,7 @@
 
     fn take_event(&mut self, event: ScopeEvent, now: BootTime) {
         match event {
-            ScopeEvent::Tick => {}
+            ScopeEvent::Tick | ScopeEvent::MapsReplaced(_) => {}
             ScopeEvent::SpecChanged(spec) => self.take_spec(spec),
             ScopeEvent::HostsChanged(hosts) => self.take_hosts(hosts, now),
             ScopeEvent::MapObserved {
@@ -116,9 +116,9 @@
                 valid_until,
                 map,
             } => self.take_map(epoch, valid_until, map, now),
-            ScopeEvent::MapsReplaced(version) => {
+            ScopeEvent::MapsDrained(version) => {
                 if let Some(term) = &mut self.term {
-                    term.maps.replaced(version, now);
+                    term.maps.drained(version, now);
                     self.dirty = true;
                 }
             }
--- a/crates/core/tests/ownership_rules.rs
+++ b/crates/core/tests/ownership_rules.rs
@@ -7,7 +7,7 @@
         audit::AuditAction,
         control::ScopeEvent,
         ids::{ConfigVersion, ShardId},
-        map::ServerPhase,
+        map::{MapVersion, ServerPhase},
         scope::{MoveReason, ShardState},
         time::{BootTime, MAP_TTL, with_drift},
     },
@@ -100,9 +100,21 @@
     });
 }
 
-/// Guards against moves at unchecked servers that wait for maps which no host holds any more.
+/// Tells the controller its map's version whenever all hosts hold it.
+fn report_held_maps(world: &mut World, event: fn(MapVersion) -> ScopeEvent) {
+    let Some(controller) = world.controller() else {
+        return;
+    };
+    let newest = controller_map(world).version;
+    let held = |host: &FakeHost| host.held.as_ref().map(|(map, _)| map.version);
+    if world.hosts.iter().all(|host| held(host) == Some(newest)) {
+        world.tell(controller, event(newest));
+    }
+}
+
+/// Guards against moves at unchecked servers that wait for maps under which nothing is under way.
 #[test]
-fn move_does_not_wait_for_maps_that_all_hosts_dropped() {
+fn move_does_not_wait_for_drained_maps() {
     let mut world = settled_world(38, 5, 3, false);
     world.requests = false;
     let started_at = world.micros;
@@ -111,22 +123,30 @@
     let end = started_at + 30 * SECOND;
     while !shards_of(&world, 0).is_empty() && world.micros < end {
         run_for(&mut world, 20_000);
-        let newest = controller_map(&world).version;
-        let controller = world.controller().unwrap();
-        let held = |host: &FakeHost| host.held.as_ref().map(|(map, _)| map.version);
-        if world.hosts.iter().all(|host| held(host) == Some(newest)) {
-            world.tell(controller, ScopeEvent::MapsReplaced(newest));
-        }
+        report_held_maps(&mut world, ScopeEvent::MapsDrained);
     }
 
     assert_clean(&world);
     // Two batches of moves; each would wait 3 s for its maps.
     let wait = with_drift(MAP_TTL).as_micros() as u64;
-    assert!(
-        world.micros - started_at < wait,
-        "{} us",
-        world.micros - started_at
-    );
+    let took = world.micros - started_at;
+    assert!(took < wait, "{took} us");
+}
+
+/// Guards against a new owner while requests sent under a replaced map are still under way.
+#[rstest]
+fn replaced_maps_do_not_shorten_a_move(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut world = settled_world(seed, 5, 3, false);
+    world.apply_fault(&Fault::Slow(20, 2 * SECOND));
+    world.apply_fault(&Fault::DrainServer(0, true));
+
+    for _ in 0..1_500 {
+        run_for(&mut world, 20_000);
+        report_held_maps(&mut world, ScopeEvent::MapsReplaced);
+    }
+
+    assert_clean(&world);
+    assert_eq!(shards_of(&world, 0), []);
 }
 
 /// Guards against an object that outgrows the platform's limit while nothing is archived.
