--- a/crates/daemon/tests/support/processes/daemon.rs
+++ b/crates/daemon/tests/support/processes/daemon.rs
@@ -3,7 +3,10 @@
 use {
     super::{MetricValues, wait_for},
     bytes::Bytes,
-    camphorcove_net::http::HttpClient,
+    camphorcove_net::{
+        http::HttpClient,
+        operator::{ClientError, OperatorClient, OperatorKey, OperatorRequest, OperatorSecret},
+    },
     http::Request,
     http_body_util::Full,
     nix::{
@@ -23,6 +26,17 @@
     },
 };
 
+/// Operators that every daemon knows, with the digit that their secret repeats.
+const OPERATORS: [(&str, char); 2] = [("anna", 'a'), ("bertil", 'b')];
+
+fn operator_line((id, digit): (&str, char)) -> String {
+    format!("{id} {}\n", secret(digit))
+}
+
+fn secret(digit: char) -> String {
+    digit.to_string().repeat(64)
+}
+
 /// How to start a daemon.
 #[derive(Clone, Debug)]
 pub struct DaemonSetup {
@@ -42,12 +56,14 @@
     fn write(&self) -> PathBuf {
         let key_file = self.directory.join("peer.key");
         fs::write(&key_file, "5a".repeat(32)).expect("key file");
+        let operators_file = self.directory.join("operators.keys");
+        fs::write(&operators_file, OPERATORS.map(operator_line).concat()).expect("key file");
         let announced = self.announced.map_or(String::new(), |a| a.to_string());
         let text = format!(
             "host = {:?}\nregion = \"test\"\nzone = {:?}\ncallers = \"127.0.0.1:0\"\n\
              peers = \"{}\"\npeers_announced = {announced:?}\noperators = \"127.0.0.1:0\"\n\
              platform = \"{}\"\npeer_key_file = {:?}\nlog_level = {:?}\nshutdown_limit = {:?}\n\
-             seeds = {:?}\n",
+             seeds = {:?}\noperator_keys_file = {:?}\n",
             self.host,
             self.zone,
             self.peers,
@@ -56,6 +72,7 @@
             std::env::var("TEST_LOG_LEVEL").unwrap_or_else(|_| "info".into()),
             self.shutdown_limit,
             self.seeds,
+            operators_file.display().to_string(),
         );
         let path = self.directory.join(format!("{}.toml", self.host));
         fs::write(&path, text).expect("settings file");
@@ -177,6 +194,26 @@
         self.metrics().await?.get(name)
     }
 
+    /// Sends a request of one of the operators to this daemon.
+    pub async fn operator_call(
+        &self,
+        operator: usize,
+        method: &'static str,
+        target: &str,
+        body: &str,
+    ) -> Result<Bytes, ClientError> {
+        let (id, digit) = OPERATORS[operator];
+        let secret = OperatorSecret::from_hex(&secret(digit)).expect("secret");
+        let id = id.to_owned();
+        let client = OperatorClient::new(vec![self.operators], OperatorKey { id, secret });
+        let request = OperatorRequest {
+            method,
+            target: target.to_owned(),
+            body: body.to_owned().into(),
+        };
+        client.call(&request).await
+    }
+
     /// Whether this daemon controls the service.
     pub async fn controls(&self, service: &str) -> bool {
         let name = format!("scope_controller{{service=\"{service}\"}}");
--- a/crates/daemon/tests/support/processes/mod.rs
+++ b/crates/daemon/tests/support/processes/mod.rs
@@ -12,6 +12,6 @@
     caller::{CallResult, CallerClient},
     daemon::{DaemonProcess, DaemonSetup},
     metrics::MetricValues,
-    region::{Region, RegionPlan, SERVICE, keys},
+    region::{Owners, Region, RegionPlan, SERVICE, keys, zone},
     wait::{DEADLINE, LOOK_INTERVAL, wait_for, wait_until},
 };
--- a/crates/daemon/tests/support/processes/region.rs
+++ b/crates/daemon/tests/support/processes/region.rs
@@ -4,9 +4,12 @@
     super::{
         CallResult, CallerClient, DEADLINE, DaemonProcess, DaemonSetup, LOOK_INTERVAL, wait_for,
     },
-    camphorcove_core::ids::{FencingToken, ShardId},
+    camphorcove_core::{
+        audit::{AuditAction, AuditRecord},
+        ids::{FencingToken, ShardId},
+    },
     camphorcove_net::{
-        config::{Author, ConfigRepo},
+        config::{Author, ConfigRepo, decode_record},
         platform::ListedHost,
     },
     camphorcove_standin::{
@@ -14,13 +17,18 @@
         platform::PlatformStandin,
         proxy::ProxyStandin,
     },
+    camphorcoved::control::decode_scope,
     std::{
+        collections::BTreeMap,
         fs,
         net::{SocketAddr, TcpListener},
         path::{Path, PathBuf},
     },
 };
 
+/// Server and token by key.
+pub type Owners = BTreeMap<String, (usize, FencingToken)>;
+
 const ANY_PORT: &str = "127.0.0.1:0";
 
 /// What a region consists of.
@@ -35,6 +43,8 @@
     pub backend: BackendSettings,
     /// A fault proxy in front of each daemon's peer port.
     pub proxies: bool,
+    /// A fault proxy in front of each server.
+    pub server_proxies: bool,
     pub shutdown_limit: &'static str,
 }
 
@@ -51,6 +61,7 @@
                 ..BackendSettings::default()
             },
             proxies: false,
+            server_proxies: false,
             shutdown_limit: "30s",
         }
     }
@@ -64,6 +75,7 @@
     pub servers: Vec<BackendStandin>,
     pub daemons: Vec<DaemonProcess>,
     pub proxies: Vec<ProxyStandin>,
+    pub server_proxies: Vec<ProxyStandin>,
     pub caller: CallerClient,
     directory: PathBuf,
 }
@@ -83,12 +95,18 @@
             let server = BackendStandin::with_settings(plan.backend.clone()).await;
             servers.push(server.expect("backend"));
         }
+        let mut server_proxies = Vec::new();
+        for server in servers.iter().filter(|_| plan.server_proxies) {
+            let proxy = ProxyStandin::to(server.address()).await;
+            server_proxies.push(proxy.expect("proxy"));
+        }
         let mut region = Self {
             plan,
             platform,
             servers,
             daemons: Vec::new(),
             proxies: Vec::new(),
+            server_proxies,
             caller: CallerClient::default(),
             directory,
         };
@@ -106,7 +124,8 @@
         region
     }
 
-    async fn start_daemon(&mut self, number: usize) {
+    /// Starts a daemon whose host id is new, with the given number in it.
+    pub async fn start_daemon(&mut self, number: usize) {
         let mut setup = DaemonSetup {
             host: format!("host{number}"),
             zone: zone(number).to_owned(),
@@ -163,13 +182,20 @@
             text.push_str(&format!(
                 "[[services.servers]]\nid = \"s{number}\"\naddress = \"{}\"\nzone = \"{}\"\n\
                  slots = 64\nconnections = 120\n",
-                self.servers[*number].address(),
+                self.server_address(*number),
                 zone(*number),
             ));
         }
         text
     }
 
+    fn server_address(&self, number: usize) -> SocketAddr {
+        match self.server_proxies.get(number) {
+            Some(proxy) => proxy.address(),
+            None => self.servers[number].address(),
+        }
+    }
+
     /// Applies a configuration.
     pub async fn apply(&self, text: &str) {
         let repo = ConfigRepo::new(self.platform.client());
@@ -223,6 +249,38 @@
         None
     }
 
+    /// Owner and token of every key, as one daemon routes them.
+    pub async fn owners(&self, daemon: &DaemonProcess) -> Owners {
+        let mut owners = Owners::new();
+        for key in keys() {
+            let (owner, run) = wait_for(&key, || self.owner_of(daemon, &key)).await;
+            owners.insert(key, (owner, run.token.expect("token")));
+        }
+        owners
+    }
+
+    /// Changes of owners in the audit trail: old server, new server and reason.
+    pub fn owner_changes(&self) -> Vec<[String; 3]> {
+        let scope = self.platform.object(&format!("scope/{SERVICE}"));
+        let state = decode_scope(&scope.expect("scope object").1).expect("scope object decodes");
+        // Records leave the scope object only after they were archived.
+        let archived = (1..).map_while(|number| {
+            let object = self.platform.object(&format!("audit/{SERVICE}/{number}"))?;
+            Some(decode_record(&object.1).expect("record"))
+        });
+        let mut records: Vec<AuditRecord> = archived.collect();
+        let newest = records.last().map_or(0, |record| record.number);
+        let unarchived = state.records.into_iter();
+        records.extend(unarchived.filter(|record| record.number > newest));
+        let mut changes = Vec::new();
+        for record in records {
+            if let AuditAction::Ownership { moves } = record.action {
+                changes.extend(moves.iter().map(|line| owner_change(line)));
+            }
+        }
+        changes
+    }
+
     /// Number of the daemon that controls the service.
     pub async fn controller(&self) -> usize {
         wait_for("a controller", || async {
@@ -236,6 +294,17 @@
         .await
     }
 
+    /// Fails if a server began a request for a shard after a later owner had begun one.
+    pub fn assert_runs_in_token_order(&self) {
+        let ledgers = self.servers.iter().map(BackendStandin::ledger);
+        let mut runs: Vec<RunEntry> = ledgers.flatten().collect();
+        runs.sort_by_key(|run| (run.shard, run.started));
+        for pair in runs.windows(2) {
+            let in_order = pair[0].shard != pair[1].shard || pair[0].token <= pair[1].token;
+            assert!(in_order, "{:?} after {:?}", pair[1], pair[0]);
+        }
+    }
+
     /// Fails if two servers held a grant for one shard at the same time, or if a
     /// later owner had no higher token.
     pub fn assert_exclusive(&self) {
@@ -271,12 +340,21 @@
     }
 }
 
+/// Reads `SHARDS OLD NEW TOKEN REASON`.
+fn owner_change(line: &str) -> [String; 3] {
+    let fields: Vec<&str> = line.split(' ').collect();
+    let [_, old, new, .., reason] = fields[..] else {
+        panic!("unexpected line in the audit trail: {line}");
+    };
+    [old, new, reason].map(str::to_owned)
+}
+
 /// Keys that fall into different shards.
 pub fn keys() -> Vec<String> {
     (0..40).map(|number| format!("/key{number}")).collect()
 }
 
-fn zone(number: usize) -> &'static str {
+pub fn zone(number: usize) -> &'static str {
     ["a", "b", "c"][number % 3]
 }
 
