Replace the forwarder of a lost host within 5 s

Cause: a lost host counted as live for MAP_TTL after its last poll, and only then did the controller start to wait out MAP_TTL for the host's last map. Hosts that believe their upstream's list prolonged this once more after the loss of a controller.

Change: a host silent for three polls is no longer live, and one that is only listed by an upstream for two; its map is still waited out from then. A host that was dropped before a new controller gained authority holds only older maps, which lapse GRANT_GRACE later, so its servers are not held back any longer.

--- a/crates/core/src/control/controller_term.rs
+++ b/crates/core/src/control/controller_term.rs
@@ -90,6 +90,7 @@
         self.gained_at = Some(now);
         self.old_end = self.waited_out_at(now);
         self.maps.inherit(self.old_end);
+        self.forwarders.gain(now, self.old_end);
         for track in self.servers.values_mut() {
             track.inherit(self.old_end);
         }
--- a/crates/core/src/control/forwarder_table.rs
+++ b/crates/core/src/control/forwarder_table.rs
@@ -15,12 +15,30 @@
 pub(super) struct ForwarderTable {
     assigned: BTreeMap<ServerId, HostId>,
     since: BootTime,
+    /// When the term gained its authority, and when all older maps have lapsed.
+    gained: Option<(BootTime, BootTime)>,
 }
 
 impl ForwarderTable {
     /// Table that starts from the assignment of the last known map.
     pub(super) fn new(assigned: BTreeMap<ServerId, HostId>, since: BootTime) -> Self {
-        Self { assigned, since }
+        Self {
+            assigned,
+            since,
+            gained: None,
+        }
+    }
+
+    /// Notes when the term gained its authority and when all older maps have lapsed.
+    pub(super) fn gain(&mut self, gained_at: BootTime, old_end: BootTime) {
+        self.gained = Some((gained_at, old_end));
+    }
+
+    /// A host that was dropped before the term had authority holds older maps only.
+    fn holds_lapsed_map(&self, host: &HostId, hosts: &HostTable, now: BootTime) -> bool {
+        self.gained.is_some_and(|(gained_at, old_end)| {
+            now > old_end && hosts.was_dropped_by(host, gained_at)
+        })
     }
 
     pub(super) fn get(&self, server: &ServerId) -> Option<&HostId> {
@@ -40,11 +58,18 @@
         let before = self.assigned.clone();
         self.assigned
             .retain(|id, _| servers.iter().any(|(server, _)| server == id));
-        let since = self.since;
-        self.assigned.retain(|_, host| {
-            let leaving = hosts.get(host).is_some_and(|info| info.leaving);
-            !leaving && !hosts.is_gone(host, since, now)
-        });
+        let gone: Vec<HostId> = self
+            .assigned
+            .values()
+            .filter(|host| {
+                let leaving = hosts.get(host).is_some_and(|info| info.leaving);
+                leaving
+                    || hosts.is_gone(host, self.since, now)
+                    || self.holds_lapsed_map(host, hosts, now)
+            })
+            .cloned()
+            .collect();
+        self.assigned.retain(|_, host| !gone.contains(host));
         for (server, zone) in servers {
             if self.assigned.contains_key(server) {
                 continue;
--- a/crates/core/src/control/host_table.rs
+++ b/crates/core/src/control/host_table.rs
@@ -64,6 +64,11 @@
         now > dropped_at + with_drift(MAP_TTL)
     }
 
+    /// Whether a host was dropped from the list by `time` and has not returned.
+    pub(super) fn was_dropped_by(&self, id: &HostId, time: BootTime) -> bool {
+        self.dropped.get(id).is_some_and(|dropped| *dropped <= time)
+    }
+
     /// Rank of a host among those that may become the controller; 0 is first.
     pub(super) fn rank(
         &self,
--- a/crates/core/tests/ownership_handover.rs
+++ b/crates/core/tests/ownership_handover.rs
@@ -351,3 +351,26 @@
         "{moved:?}"
     );
 }
+
+/// Guards against servers that wait for a dead forwarder twice: until the host counts as lost, and
+/// again until its map has lapsed.
+#[rstest]
+fn forwarders_of_a_killed_controller_are_replaced_within_5_s(
+    #[values(51, 52, 53, 54)] seed: u64,
+    #[values(true, false)] checked: bool,
+) {
+    let mut world = settled_world(seed, 5, 6, checked);
+    let old = world.controller().unwrap();
+    assert!(forwarders(&world).values().any(|host| *host == old));
+    let killed_at = world.micros;
+
+    world.apply_fault(&Fault::KillController);
+    let replaced_at = await_that(&mut world, 20, "new forwarders", |world| {
+        world
+            .controller()
+            .is_some_and(|host| host != old && !forwarders(world).values().any(|h| *h == old))
+    });
+
+    let took = replaced_at - killed_at;
+    assert!(took < 5 * SECOND, "took {took} us");
+}
--- a/crates/daemon/src/maps/host_table.rs
+++ b/crates/daemon/src/maps/host_table.rs
@@ -1,8 +1,8 @@
 //! Live hosts of the region, by evidence.
 //!
 //! A host is live while it polls this host and answers its probes, or while a
-//! relay that polls this host says so of it. Hosts that control no scope also believe the list in their upstream's
-//! answers. Controllers do not: two controllers that believed each other's list
+//! relay that polls this host says so of it. Hosts that control no scope also
+//! believe the list in their upstream's answers. Controllers do not: two controllers that believed each other's list
 //! would keep a lost host in it for ever. The platform's list only supplies
 //! addresses to ask.
 
@@ -11,16 +11,27 @@
     camphorcove_core::{
         ids::{HostId, ServiceName},
         map::MapVersion,
-        time::{BootTime, MAP_TTL, with_drift},
+        time::{BootTime, MAP_TTL, POLL_HOLD, with_drift},
     },
     camphorcove_net::peer::{MapPoll, PeerAddress},
     std::{
         collections::{BTreeMap, HashMap},
         sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
     },
     xxhash_rust::xxh3::xxh3_64,
 };
 
+/// A host that was silent for three polls is no longer live.
+///
+/// What the host may still do under its last map is waited out separately.
+const SILENCE_LIMIT: Duration = POLL_HOLD.saturating_mul(3);
+
+/// A host that only an upstream host lists is live for two polls after the answer.
+///
+/// Each step from a poller's upstream to hosts further away adds this time.
+const LISTED_LIMIT: Duration = POLL_HOLD.saturating_mul(2);
+
 /// Live hosts, shared by the tasks of this host.
 #[derive(Debug, Default)]
 pub struct HostTable {
@@ -37,7 +48,7 @@
 #[derive(Clone, Debug)]
 struct LiveRow {
     address: PeerAddress,
-    seen: BootTime,
+    live_until: BootTime,
 }
 
 /// What a host that polls this one has told.
@@ -63,11 +74,11 @@
             .or_insert_with(|| PollerRow::new(poll));
         let lacking = row.note(poll, now);
         let mut seen: Vec<PeerAddress> = row.downstream.clone();
-        if row.is_reached() {
+        if row.is_live(now) {
             seen.push(poll.from.clone());
         }
         for address in seen {
-            rows.see(address, now);
+            rows.see(address, now + SILENCE_LIMIT);
         }
         lacking
     }
@@ -76,13 +87,13 @@
     pub fn note_list(&self, list: &[PeerAddress], now: BootTime) {
         let mut rows = self.rows();
         for address in list {
-            rows.see(address.clone(), now);
+            rows.see(address.clone(), now + LISTED_LIMIT);
         }
     }
 
     /// Records that a host answered a poll of this host.
     pub fn note_answer(&self, from: &PeerAddress, now: BootTime) {
-        self.rows().see(from.clone(), now);
+        self.rows().see(from.clone(), now + SILENCE_LIMIT);
     }
 
     /// Replaces the addresses that the platform's list and the settings supply.
@@ -93,7 +104,7 @@
         self.rows().book = entries.collect();
     }
 
-    /// Live hosts without this one, by id. Forgets hosts not seen for [`MAP_TTL`].
+    /// Live hosts without this one, by id. Forgets hosts that were silent for too long.
     pub fn live(&self, now: BootTime) -> Vec<PeerAddress> {
         let mut rows = self.rows();
         rows.expire(now);
@@ -116,7 +127,7 @@
         let mut rows = self.rows();
         rows.expire(now);
         let pollers = rows.pollers.values();
-        let pollers = pollers.filter(|row| !row.relay && row.is_reached());
+        let pollers = pollers.filter(|row| !row.relay && row.is_live(now));
         let mut downstream: Vec<PeerAddress> = pollers.map(|row| row.address.clone()).collect();
         downstream.sort_by(|left, right| left.host.id.cmp(&right.host.id));
         downstream
@@ -164,14 +175,20 @@
 }
 
 impl TableRows {
-    fn see(&mut self, address: PeerAddress, seen: BootTime) {
+    fn see(&mut self, address: PeerAddress, live_until: BootTime) {
         let id = address.host.id.clone();
-        self.live.insert(id, LiveRow { address, seen });
+        let known = self.live.get(&id);
+        let live_until = known.map_or(live_until, |row| row.live_until.max(live_until));
+        let row = LiveRow {
+            address,
+            live_until,
+        };
+        self.live.insert(id, row);
     }
 
     fn expire(&mut self, now: BootTime) {
         let limit = with_drift(MAP_TTL);
-        self.live.retain(|_, row| now.since(row.seen) < limit);
+        self.live.retain(|_, row| now < row.live_until);
         self.pollers
             .retain(|_, row| now.since(row.answered) < limit);
         for row in self.pollers.values_mut() {
@@ -194,8 +211,8 @@
         }
     }
 
-    fn is_reached(&self) -> bool {
-        self.failed_probes < FAILED_PROBES
+    fn is_live(&self, now: BootTime) -> bool {
+        self.failed_probes < FAILED_PROBES && now.since(self.answered) < SILENCE_LIMIT
     }
 
     fn note(&mut self, poll: &MapPoll, now: BootTime) -> bool {
