Rebalance only once a term has measured load for its pause

Cause: a new controller starts without measurements and rebalanced on the first one, which lacks the hosts that have not reported yet. Replacing the hosts under even load therefore moved shards between healthy servers.

Change: a term waits for the goal's pause (10 s or 60 s) before its first rebalancing, as it already does between rounds.

--- a/crates/core/src/control/ownership_plan.rs
+++ b/crates/core/src/control/ownership_plan.rs
@@ -24,7 +24,7 @@
 /// Pause between plans while nothing is under way.
 const IDLE_PLAN_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Pause between rounds of rebalancing by load, by goal.
+/// Pause before each round of rebalancing by load, by goal.
 const AVAILABILITY_PAUSE: Duration = Duration::from_secs(10);
 const CHURN_PAUSE: Duration = Duration::from_secs(60);
 
@@ -154,16 +154,18 @@
         };
         let input = view.input(&term.load, goal);
         let joining = join_set(&mut term.joining, view, &input);
-        let balance = view.in_flight == 0 && now >= term.next_balance;
+        let pause = match goal {
+            PlacementGoal::Availability => AVAILABILITY_PAUSE,
+            PlacementGoal::Churn => CHURN_PAUSE,
+        };
+        // The first measurements of a term lack the hosts that have not reported yet.
+        let measured = term.gained_at.is_some_and(|at| now >= at + pause);
+        let balance = view.in_flight == 0 && measured && now >= term.next_balance;
         let planned = plan_moves(&input, &joining, balance, limit);
         if planned
             .iter()
             .any(|planned| planned.reason == MoveReason::Balance)
         {
-            let pause = match goal {
-                PlacementGoal::Availability => AVAILABILITY_PAUSE,
-                PlacementGoal::Churn => CHURN_PAUSE,
-            };
             term.next_balance = now + pause;
         }
         for planned in &planned {
