Subtract the clock drift from server deadlines of any length

Cause: the drift was computed from whole seconds, so a permission shorter than one second got none and a server with a slow clock could run work up to 5 ms after it ended. A server that reported a clock near the largest value made the sum overflow. Readings were shared by servers of two services with one id.

Change: the drift comes from with_drift, sums saturate, and readings are kept by the server's address, which is unique in a region.

Before: below_a_second fails. After: it passes.

--- a/crates/daemon/src/control/scope_io.rs
+++ b/crates/daemon/src/control/scope_io.rs
@@ -224,7 +224,7 @@
     ) -> ScopeEvent {
         let sent_at = self.context.now();
         let result = match address {
-            Some(address) => self.deliver(&server, address, &body, valid_until).await,
+            Some(address) => self.deliver(address, &body, valid_until).await,
             None => Err(ServerFailure::NotSent),
         };
         ScopeEvent::OrderAnswered {
@@ -237,14 +237,13 @@
 
     async fn deliver(
         &self,
-        server: &ServerId,
         address: SocketAddr,
         body: &ServerOrder,
         valid_until: BootTime,
     ) -> Result<ServerReply, ServerFailure> {
-        let clock = match self.clocks.latest(server) {
+        let clock = match self.clocks.latest(address) {
             Some(clock) => clock,
-            None => self.probe(server, address).await?,
+            None => self.probe(address).await?,
         };
         let now = self.context.now();
         if now >= valid_until {
@@ -259,16 +258,12 @@
             .grants
             .send(address, body, Some(deadline), timeout)
             .await;
-        sent.map(|stamped| self.note_clock(server, stamped).0)
+        sent.map(|stamped| self.note_clock(address, stamped).0)
     }
 
     /// Learns a server's clock with a renewal that no server can grant, so that
     /// no order is ever sent without a deadline.
-    async fn probe(
-        &self,
-        server: &ServerId,
-        address: SocketAddr,
-    ) -> Result<ServerClock, ServerFailure> {
+    async fn probe(&self, address: SocketAddr) -> Result<ServerClock, ServerFailure> {
         let probe = ServerOrder::Renew {
             service: self.service.clone(),
             epoch: Epoch(0),
@@ -276,15 +271,15 @@
             ttl: Duration::ZERO,
         };
         let sent = self.grants.send(address, &probe, None, ORDER_TIMEOUT).await;
-        sent.map(|stamped| self.note_clock(server, stamped).1)
+        sent.map(|stamped| self.note_clock(address, stamped).1)
     }
 
-    fn note_clock(&self, server: &ServerId, stamped: StampedReply) -> (ServerReply, ServerClock) {
+    fn note_clock(&self, address: SocketAddr, stamped: StampedReply) -> (ServerReply, ServerClock) {
         let clock = ServerClock {
             reading: stamped.clock,
             received_at: self.context.now(),
         };
-        self.clocks.record(server, clock);
+        self.clocks.record(address, clock);
         (stamped.reply, clock)
     }
 }
--- a/crates/daemon/src/forward/forward_service.rs
+++ b/crates/daemon/src/forward/forward_service.rs
@@ -27,6 +27,7 @@
     http::{HeaderValue, Request, Response, header::HOST},
     hyper::body::Incoming,
     std::{
+        net::SocketAddr,
         sync::{Arc, Weak, atomic::Ordering::Relaxed},
         time::Duration,
     },
@@ -235,24 +236,24 @@
                 continue;
             }
             head.ensure_host(server.address);
-            if self.must_know_clock(plan) {
+            if self.must_know_clock(plan, server.address) {
                 let host = head.headers.get(HOST).cloned();
                 let host = host.unwrap_or(HeaderValue::from_static(""));
-                probe_clock(&self.context, &mut permit, &server.id, &host, deadline).await?;
+                probe_clock(&self.context, &mut permit, server.address, &host, deadline).await?;
             }
             let end = match check_route(&self.context, plan) {
                 RouteCheck::Go(now_server, end) if now_server.address == server.address => end,
                 RouteCheck::Refuse(code) => return Err(code),
                 RouteCheck::Go(..) | RouteCheck::Wait(_) => continue,
             };
-            let clock = self.context.clocks.latest(&server.id);
+            let clock = self.context.clocks.latest(server.address);
             let end = clock.map(|clock| clock.deadline(end));
             stamp_headers(&mut head.headers, plan, end);
             if let Some(shard) = plan.envelope.shard {
                 let shards = &self.context.counters.shards;
                 shards.count(&plan.envelope.service, shard);
             }
-            let result = exchange(&self.context, permit, plan, head, body).await;
+            let result = exchange(&self.context, permit, plan, server.address, head, body).await;
             self.loads.report(
                 &plan.envelope.service,
                 &server.id,
@@ -268,8 +269,8 @@
     }
 
     /// A server that does not check tokens must be given a deadline on its own clock.
-    fn must_know_clock(&self, plan: &ForwardPlan) -> bool {
-        if self.context.clocks.latest(&plan.envelope.server).is_some() {
+    fn must_know_clock(&self, plan: &ForwardPlan, server: SocketAddr) -> bool {
+        if self.context.clocks.latest(server).is_some() {
             return false;
         }
         let fencing = self.service_setting(&plan.envelope.service, |service| service.fencing);
--- a/crates/daemon/src/forward/server_exchange.rs
+++ b/crates/daemon/src/forward/server_exchange.rs
@@ -11,7 +11,6 @@
             REQUEST_ID, SERVER_CLOCK, SERVER_DEADLINE, SERVER_SERVICE, SERVER_SHARD, SERVER_TOKEN,
             SERVER_VERDICT,
         },
-        ids::ServerId,
         outcome::ResultCode,
         time::BootTime,
     },
@@ -76,7 +75,7 @@
 pub async fn probe_clock(
     context: &RequestContext,
     permit: &mut Permit,
-    server: &ServerId,
+    server: SocketAddr,
     host: &HeaderValue,
     deadline: Instant,
 ) -> Result<(), ResultCode> {
@@ -126,10 +125,10 @@
     context: &RequestContext,
     mut permit: Permit,
     plan: &ForwardPlan,
+    server: SocketAddr,
     head: RequestHead,
     body: RequestBody,
 ) -> Result<Response<RouterBody>, ResultCode> {
-    let server = &plan.envelope.server;
     let mut request = Request::new(body);
     *request.method_mut() = head.method;
     *request.uri_mut() = Uri::from(head.path);
@@ -198,7 +197,7 @@
     }
 }
 
-fn note_clock(context: &RequestContext, server: &ServerId, headers: &HeaderMap) {
+fn note_clock(context: &RequestContext, server: SocketAddr, headers: &HeaderMap) {
     let text = headers
         .get(SERVER_CLOCK)
         .and_then(|value| value.to_str().ok());
--- a/crates/net/src/servers/server_clock.rs
+++ b/crates/net/src/servers/server_clock.rs
@@ -6,9 +6,10 @@
 //! `reading + (end - received_at)` no later than `end`.
 
 use {
-    camphorcove_core::{ids::ServerId, time::BootTime},
+    camphorcove_core::time::{BootTime, with_drift},
     std::{
         collections::HashMap,
+        net::SocketAddr,
         sync::{Arc, RwLock},
     },
 };
@@ -31,29 +32,33 @@
 impl ServerClock {
     /// A server time that is reached no later than `end`.
     pub fn deadline(&self, end: BootTime) -> ServerTime {
-        let ahead = end.0.saturating_sub(self.received_at.0);
-        let drift = ahead / 1_000_000 * u64::from(camphorcove_core::time::CLOCK_DRIFT_PPM);
-        let behind = self.received_at.0.saturating_sub(end.0);
-        ServerTime((self.reading.0 + ahead).saturating_sub(drift + behind))
+        let ahead = end.since(self.received_at);
+        let drift = with_drift(ahead).saturating_sub(ahead);
+        let behind = self.received_at.since(end);
+        // The server's clock may run faster than this one, so the drift is subtracted.
+        let reading = BootTime(self.reading.0) + ahead;
+        ServerTime(reading.back(drift + behind).0)
     }
 }
 
-/// Latest clock readings by server, shared by the tasks that talk to servers.
+/// Latest clock readings by a server's address, shared by the tasks that talk to servers.
+///
+/// Addresses are unique in a region; server ids only in their service.
 #[derive(Clone, Debug, Default)]
 pub struct ClockTable {
-    clocks: Arc<RwLock<HashMap<ServerId, ServerClock>>>,
+    clocks: Arc<RwLock<HashMap<SocketAddr, ServerClock>>>,
 }
 
 impl ClockTable {
     /// Records a reading.
-    pub fn record(&self, server: &ServerId, clock: ServerClock) {
+    pub fn record(&self, server: SocketAddr, clock: ServerClock) {
         if let Ok(mut clocks) = self.clocks.write() {
-            clocks.insert(server.clone(), clock);
+            clocks.insert(server, clock);
         }
     }
 
     /// Latest reading of a server's clock.
-    pub fn latest(&self, server: &ServerId) -> Option<ServerClock> {
-        self.clocks.read().ok()?.get(server).copied()
+    pub fn latest(&self, server: SocketAddr) -> Option<ServerClock> {
+        self.clocks.read().ok()?.get(&server).copied()
     }
 }
--- /dev/null
+++ b/crates/net/tests/server_clock.rs
@@ -0,0 +1,64 @@
+//! Deadlines on a backend server's clock.
+
+use {
+    camphorcove_core::time::{BootTime, CLOCK_DRIFT_PPM},
+    camphorcove_net::servers::{ClockTable, ServerClock, ServerTime},
+    rstest::rstest,
+};
+
+const RECEIVED: BootTime = BootTime::from_millis(50_000);
+
+fn clock(reading: u64) -> ServerClock {
+    ServerClock {
+        reading: ServerTime(reading),
+        received_at: RECEIVED,
+    }
+}
+
+/// Guards against a deadline that a server with a slower clock reaches after the permission ended.
+#[rstest]
+#[case::below_a_second(600_000)]
+#[case::one_microsecond(1)]
+#[case::seconds(3_500_000)]
+fn a_slow_server_reaches_the_deadline_by_the_end(#[case] ahead: u64) {
+    let end = BootTime(RECEIVED.0 + ahead);
+
+    let deadline = clock(1_000_000).deadline(end);
+
+    // What the slowest clock within the bound shows at the end.
+    let slowest = 1_000_000 + ahead - (ahead * u64::from(CLOCK_DRIFT_PPM)).div_ceil(1_000_000);
+    assert!(deadline.0 <= slowest, "{} > {slowest}", deadline.0);
+}
+
+/// Guards against a permission that has ended and still gets a deadline in the future.
+#[test]
+fn a_deadline_before_the_reading_lies_in_the_past() {
+    let end = RECEIVED.back(std::time::Duration::from_millis(20));
+
+    let deadline = clock(1_000_000).deadline(end);
+
+    assert_eq!(deadline, ServerTime(980_000));
+}
+
+/// Guards against a panic on a server that reports an absurd clock.
+#[test]
+fn the_largest_reading_is_accepted() {
+    let deadline = clock(u64::MAX).deadline(RECEIVED + std::time::Duration::from_secs(1));
+
+    assert!(deadline.0 > u64::MAX / 2);
+}
+
+/// Guards against servers of two services with one id that share a reading.
+#[test]
+fn readings_are_kept_by_address() {
+    let table = ClockTable::default();
+    let (first, second) = (
+        "127.0.0.1:1001".parse().unwrap(),
+        "127.0.0.1:1002".parse().unwrap(),
+    );
+
+    table.record(first, clock(7));
+
+    assert_eq!(table.latest(first), Some(clock(7)));
+    assert_eq!(table.latest(second), None);
+}
