Answer on open connections for one second after a stop begins

Cause: a planned stop closed idle HTTP/1.1 connections at once.

Change: for one second the stopping host answers on open connections with "connection: close", then closes those that are idle.

Result: the new test a_stop_answers_on_an_open_connection_and_asks_to_close_it fails before (closed without an answer) and passes after; planned_stop, caller_faults, request_paths and routing_maps pass.

--- a/crates/daemon/src/serve/entry_server.rs
+++ b/crates/daemon/src/serve/entry_server.rs
@@ -3,12 +3,21 @@
 use {
     super::{EntryFlow, caller_stream::CallerStream},
     crate::{context::RequestContext, forward::ForwardService},
-    hyper::service::service_fn,
+    http::{HeaderValue, Request, Version, header::CONNECTION},
+    hyper::{body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{conn::auto, graceful::GracefulShutdown},
     },
-    std::{convert::Infallible, future::Future, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        future::Future,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
@@ -37,10 +46,15 @@
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time in which a stopping host still answers on open connections and asks callers
+/// to close them. Closing at once loses a request that is already on its way.
+const CLOSE_GRACE: Duration = Duration::from_secs(1);
+
 /// Serves callers on one listener.
 #[derive(Debug)]
 pub struct EntryServer {
     flow: Arc<EntryFlow>,
+    stopping: Arc<AtomicBool>,
 }
 
 impl EntryServer {
@@ -48,6 +62,7 @@
     pub fn new(context: RequestContext, forward: Arc<ForwardService>) -> Self {
         Self {
             flow: Arc::new(EntryFlow::new(context, forward)),
+            stopping: Arc::default(),
         }
     }
 
@@ -65,15 +80,27 @@
                 self.serve(stream, place, &graceful);
             }
         }
+        self.stopping.store(true, Ordering::Relaxed);
         drop(listener);
+        sleep(CLOSE_GRACE).await;
         graceful.shutdown().await;
     }
 
     fn serve(&self, stream: TcpStream, place: OwnedSemaphorePermit, graceful: &GracefulShutdown) {
         let flow = self.flow.clone();
-        let service = service_fn(move |request| {
-            let flow = flow.clone();
-            async move { Ok::<_, Infallible>(flow.answer(request).await) }
+        let stopping = self.stopping.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (flow, stopping) = (flow.clone(), stopping.clone());
+            async move {
+                // HTTP/2 has its own message for this and forbids the header.
+                let has_header = request.version() < Version::HTTP_2;
+                let mut answer = flow.answer(request).await;
+                if has_header && stopping.load(Ordering::Relaxed) {
+                    let close = HeaderValue::from_static("close");
+                    answer.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, Infallible>(answer)
+            }
         });
         let io = TokioIo::new(CallerStream::new(stream));
         let connection = builder().serve_connection(io, service).into_owned();
--- a/crates/daemon/tests/routing_maps.rs
+++ b/crates/daemon/tests/routing_maps.rs
@@ -7,6 +7,7 @@
     rstest::rstest,
     std::{sync::atomic::Ordering::Relaxed, time::Duration},
     support::{Act, Cluster, FakeServer, MapSpec, Node, RawCaller, call, get, ok_reply, service},
+    tokio::io::AsyncReadExt,
 };
 
 async fn answering(text: &'static str) -> FakeServer {
@@ -283,3 +284,30 @@
     assert_eq!(answer.body.len(), 4 << 20);
     assert!(tokio::net::TcpStream::connect(address).await.is_err());
 }
+
+/// Guards against a stop that closes a connection on which a request is on its way.
+#[tokio::test]
+async fn a_stop_answers_on_an_open_connection_and_asks_to_close_it() {
+    let server = answering("done").await;
+    let spec = MapSpec::new(&[(server.address, 0)]);
+    let mut cluster = Cluster::start(1, service(RoutingMode::Keyed), &spec).await;
+    let address = cluster.caller();
+    let mut caller = RawCaller::connect(address).await;
+    caller.send("GET /s/k HTTP/1.1\r\nhost: t\r\n\r\n").await;
+    let mut first = Vec::new();
+    while !first.ends_with(b"done") {
+        first.push(caller.stream.read_u8().await.expect("first answer"));
+    }
+
+    let stopping = cluster.nodes[0].begin_stop();
+    while tokio::net::TcpStream::connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    caller.send("GET /s/k HTTP/1.1\r\nhost: t\r\n\r\n").await;
+    let second = caller.finish().await;
+    stopping.await.expect("entry server");
+
+    assert_eq!((second.status, second.complete), (200, true), "{second:?}");
+    assert_eq!(second.header("connection"), Some("close"));
+    assert_eq!(server.ran(), 2);
+}
