Release a shard of a checked server only when no live map names it

Cause: in a planned move, a checked server got its release at once, before the forwarders held the map that marks the shard as moving. It refused the requests in between, and their retries ended within milliseconds.

Change: the release waits until no live map names the old owner, as it already did for unchecked servers. A host that is cut off delays planned moves by at most the validity of its map.

--- a/crates/core/src/control/server_orders.rs
+++ b/crates/core/src/control/server_orders.rs
@@ -186,11 +186,12 @@
         due
     }
 
-    /// A server that checks no tokens still runs requests sent under old maps.
+    /// A shard is released only once no live map names its old owner.
     ///
-    /// So its shard is released only once no live map names it.
+    /// Under older maps, a server that checks no tokens would still run its
+    /// requests, and one that checks them would refuse requests that should wait.
     fn may_start_release(&self, shard: ShardId, now: BootTime) -> bool {
-        self.is_checked() || self.is_unnamed(shard, now)
+        self.is_unnamed(shard, now)
     }
 
     fn push_order(
