Start a planned move once every host holds the new map

Cause: since a checked server's release waits for the old maps, and the controller ignored reports that all hosts hold the new map, requests for a moving shard waited until the old maps lapsed (4.06 s for a drained server in the simulated region), longer than the 800 ms that the example service allows.

Change: the release at a checked server waits only until no host holds a map that names it; its tokens refuse what is still under way. At servers that check no tokens nothing may be under way, as before.

move_does_not_wait_for_replaced_maps::case_1_checked: before 4.06 s, after less than the 3 s of one map validity. All ownership tests pass.

--- a/crates/core/src/control/map_publisher.rs
+++ b/crates/core/src/control/map_publisher.rs
@@ -13,14 +13,32 @@
 /// A map is published again once its validity can be prolonged by this much.
 const PROLONG_STEP: Duration = Duration::from_millis(100);
 
+/// How long replaced maps that name another owner of a shard still matter.
+#[derive(Clone, Copy, Debug)]
+struct MapExposure {
+    /// A host may still hold such a map.
+    held_until: BootTime,
+    /// A request sent under such a map may still be under way.
+    used_until: BootTime,
+}
+
+impl MapExposure {
+    fn until(end: BootTime) -> Self {
+        Self {
+            held_until: end,
+            used_until: end,
+        }
+    }
+}
+
 /// Maps that a controller has published in its term.
 #[derive(Clone, Debug)]
 pub(super) struct MapPublisher {
     revision: u64,
     current: Option<Arc<RoutingMap>>,
     valid_until: BootTime,
-    /// By shard: when the last map has lapsed that names an owner which the current map does not.
-    exposed_until: Vec<BootTime>,
+    /// By shard, for maps that name an owner which the current map does not.
+    exposures: Vec<MapExposure>,
     /// When the maps of earlier controllers have lapsed.
     inherited_end: BootTime,
 }
@@ -32,14 +50,14 @@
             revision: 0,
             current: None,
             valid_until: BootTime(0),
-            exposed_until: vec![inherited_end; shards],
+            exposures: vec![MapExposure::until(inherited_end); shards],
             inherited_end,
         }
     }
 
     /// Sets the time until which maps of earlier controllers may live.
     pub(super) fn inherit(&mut self, end: BootTime) {
-        self.exposed_until.fill(end);
+        self.exposures.fill(MapExposure::until(end));
         self.inherited_end = end;
     }
 
@@ -85,33 +103,56 @@
             return;
         };
         let lapses_at = now + with_drift(self.valid_until.since(now));
-        for (index, until) in self.exposed_until.iter_mut().enumerate() {
+        for (index, exposure) in self.exposures.iter_mut().enumerate() {
             let named = named_owner(old, index);
             if named.is_some() && named != named_owner(next, index) {
-                *until = (*until).max(lapses_at);
+                exposure.held_until = exposure.held_until.max(lapses_at);
+                exposure.used_until = exposure.used_until.max(lapses_at);
             }
         }
     }
 
-    /// Whether no live map names an owner of the shard.
+    /// Whether no request can be under way that was sent to an owner of the shard.
     pub(super) fn is_unnamed(&self, shard: ShardId, now: BootTime) -> bool {
+        self.is_past(shard, now, |exposure| exposure.used_until)
+    }
+
+    /// Whether no host holds a live map that names an owner of the shard.
+    pub(super) fn is_unheld(&self, shard: ShardId, now: BootTime) -> bool {
+        self.is_past(shard, now, |exposure| exposure.held_until)
+    }
+
+    fn is_past(&self, shard: ShardId, now: BootTime, end: fn(&MapExposure) -> BootTime) -> bool {
         let index = shard.0 as usize;
         let named = self
             .current
             .as_ref()
             .is_none_or(|map| named_owner(map, index).is_some());
         let lapsed = self
-            .exposed_until
+            .exposures
             .get(index)
-            .is_none_or(|until| now > *until);
+            .is_none_or(|exposure| now > end(exposure));
         !named && lapsed
     }
 
+    /// Notes that no host holds a map of this term below `version`.
+    pub(super) fn replaced(&mut self, version: MapVersion, now: BootTime) {
+        self.shorten(version, now, |exposure, end| {
+            exposure.held_until = exposure.held_until.min(end);
+        });
+    }
+
     /// Notes that nothing is under way under maps of this term below `version`.
-    ///
+    pub(super) fn drained(&mut self, version: MapVersion, now: BootTime) {
+        self.shorten(version, now, |exposure, end| {
+            exposure.held_until = exposure.held_until.min(end);
+            exposure.used_until = exposure.used_until.min(end);
+        });
+    }
+
     /// Maps of earlier controllers are waited out all the same: a new
     /// controller does not know yet which hosts hold them.
-    pub(super) fn drained(&mut self, version: MapVersion, now: BootTime) {
+    fn shorten(&mut self, version: MapVersion, now: BootTime, cut: fn(&mut MapExposure, BootTime)) {
         let is_current = self
             .current
             .as_ref()
@@ -119,8 +160,9 @@
         if !is_current {
             return;
         }
-        for until in &mut self.exposed_until {
-            *until = (*until).min(now).max(self.inherited_end);
+        let end = now.max(self.inherited_end);
+        for exposure in &mut self.exposures {
+            cut(exposure, end);
         }
     }
 }
--- a/crates/core/src/control/scope_event.rs
+++ b/crates/core/src/control/scope_event.rs
@@ -78,9 +78,9 @@
     },
     /// Every host holds this version or a newer one, or its older map has lapsed.
     ///
-    /// The machine takes no decision from it: a request that a host sent under
-    /// the older map may still be under way, and a server that checks no tokens
-    /// runs it until its deadline.
+    /// It shortens planned moves at servers that check tokens. A request that a
+    /// host sent under the older map may still be under way, and a server that
+    /// checks no tokens runs it until its deadline.
     MapsReplaced(MapVersion),
     /// As [`MapsReplaced`](Self::MapsReplaced), and no request sent under an older version is outstanding.
     ///
--- a/crates/core/src/control/scope_machine.rs
+++ b/crates/core/src/control/scope_machine.rs
@@ -108,7 +108,7 @@
 
     fn take_event(&mut self, event: ScopeEvent, now: BootTime) {
         match event {
-            ScopeEvent::Tick | ScopeEvent::MapsReplaced(_) => {}
+            ScopeEvent::Tick => {}
             ScopeEvent::SpecChanged(spec) => self.take_spec(spec),
             ScopeEvent::HostsChanged(hosts) => self.take_hosts(hosts, now),
             ScopeEvent::MapObserved {
@@ -116,6 +116,12 @@
                 valid_until,
                 map,
             } => self.take_map(epoch, valid_until, map, now),
+            ScopeEvent::MapsReplaced(version) => {
+                if let Some(term) = &mut self.term {
+                    term.maps.replaced(version, now);
+                    self.dirty = true;
+                }
+            }
             ScopeEvent::MapsDrained(version) => {
                 if let Some(term) = &mut self.term {
                     term.maps.drained(version, now);
--- a/crates/core/src/control/server_orders.rs
+++ b/crates/core/src/control/server_orders.rs
@@ -186,12 +186,17 @@
         due
     }
 
-    /// A shard is released only once no live map names its old owner.
+    /// A shard is released only once its old owner gets no more requests for it.
     ///
-    /// Under older maps, a server that checks no tokens would still run its
-    /// requests, and one that checks them would refuse requests that should wait.
+    /// A server that checks tokens would refuse requests that should wait, so no
+    /// host may hold a map that names it. A server that checks none would run
+    /// them, so no such request may be under way either.
     fn may_start_release(&self, shard: ShardId, now: BootTime) -> bool {
-        self.is_unnamed(shard, now)
+        if self.is_checked() {
+            self.is_unheld(shard, now)
+        } else {
+            self.is_unnamed(shard, now)
+        }
     }
 
     fn push_order(
--- a/crates/core/src/control/server_view.rs
+++ b/crates/core/src/control/server_view.rs
@@ -92,6 +92,12 @@
             .is_some_and(|spec| spec.service.fencing == FencingMode::Checked)
     }
 
+    pub(super) fn is_unheld(&self, shard: ShardId, now: BootTime) -> bool {
+        self.term
+            .as_ref()
+            .is_some_and(|term| term.maps.is_unheld(shard, now))
+    }
+
     pub(super) fn is_unnamed(&self, shard: ShardId, now: BootTime) -> bool {
         self.term
             .as_ref()
--- a/crates/core/tests/ownership_rules.rs
+++ b/crates/core/tests/ownership_rules.rs
@@ -112,10 +112,15 @@
     }
 }
 
-/// Guards against moves at unchecked servers that wait for maps under which nothing is under way.
-#[test]
-fn move_does_not_wait_for_drained_maps() {
-    let mut world = settled_world(38, 5, 3, false);
+/// Guards against planned moves that wait for maps which no longer matter.
+#[rstest]
+#[case::checked(true, ScopeEvent::MapsReplaced)]
+#[case::unchecked(false, ScopeEvent::MapsDrained)]
+fn move_does_not_wait_for_replaced_maps(
+    #[case] checked: bool,
+    #[case] event: fn(MapVersion) -> ScopeEvent,
+) {
+    let mut world = settled_world(38, 5, 3, checked);
     world.requests = false;
     let started_at = world.micros;
     world.apply_fault(&Fault::DrainServer(0, true));
@@ -123,7 +128,7 @@
     let end = started_at + 30 * SECOND;
     while !shards_of(&world, 0).is_empty() && world.micros < end {
         run_for(&mut world, 20_000);
-        report_held_maps(&mut world, ScopeEvent::MapsDrained);
+        report_held_maps(&mut world, event);
     }
 
     assert_clean(&world);
