Let hosts follow a new controller at once

Cause: since silent hosts leave the list of live hosts sooner, a new controller started with almost no hosts: only hosts that control nothing believed lists, for two polls, and nobody polled the new controller until the old map had half run out.

Change: an elector that promises polls the promised controller from then on. An upstream's list counts until the upstream drops a host or its maps have lapsed, except for the upstream itself.

--- a/crates/daemon/src/maps/host_table.rs
+++ b/crates/daemon/src/maps/host_table.rs
@@ -27,11 +27,6 @@
 /// What the host may still do under its last map is waited out separately.
 const SILENCE_LIMIT: Duration = POLL_HOLD.saturating_mul(3);
 
-/// A host that only an upstream host lists is live for two polls after the answer.
-///
-/// Each step from a poller's upstream to hosts further away adds this time.
-const LISTED_LIMIT: Duration = POLL_HOLD.saturating_mul(2);
-
 /// Live hosts, shared by the tasks of this host.
 #[derive(Debug, Default)]
 pub struct HostTable {
@@ -42,6 +37,7 @@
 struct TableRows {
     live: BTreeMap<HostId, LiveRow>,
     pollers: HashMap<HostId, PollerRow>,
+    lists: HashMap<HostId, UpstreamList>,
     book: BTreeMap<HostId, PeerAddress>,
 }
 
@@ -51,6 +47,17 @@
     live_until: BootTime,
 }
 
+/// Live hosts as an upstream host listed them last.
+///
+/// A host leaves the list as soon as the upstream drops it. When the upstream
+/// itself falls silent, its last list is used until its maps have lapsed, so that
+/// a new controller does not start without any hosts.
+#[derive(Clone, Debug)]
+struct UpstreamList {
+    hosts: Vec<PeerAddress>,
+    received: BootTime,
+}
+
 /// What a host that polls this one has told.
 #[derive(Debug)]
 struct PollerRow {
@@ -83,12 +90,17 @@
         lacking
     }
 
-    /// Records the live hosts that an upstream host listed.
-    pub fn note_list(&self, list: &[PeerAddress], now: BootTime) {
-        let mut rows = self.rows();
-        for address in list {
-            rows.see(address.clone(), now + LISTED_LIMIT);
-        }
+    /// Records the live hosts that an upstream host lists now.
+    ///
+    /// Of the upstream host itself the answer is the only evidence.
+    pub fn note_list(&self, upstream: &HostId, list: &[PeerAddress], now: BootTime) {
+        let mut hosts = list.to_vec();
+        hosts.retain(|address| address.host.id != *upstream);
+        let list = UpstreamList {
+            hosts,
+            received: now,
+        };
+        self.rows().lists.insert(upstream.clone(), list);
     }
 
     /// Records that a host answered a poll of this host.
@@ -108,7 +120,7 @@
     pub fn live(&self, now: BootTime) -> Vec<PeerAddress> {
         let mut rows = self.rows();
         rows.expire(now);
-        rows.live.values().map(|row| row.address.clone()).collect()
+        rows.live_hosts().into_values().collect()
     }
 
     /// Live hosts and hosts of the address book, without duplicates.
@@ -116,9 +128,7 @@
         let mut rows = self.rows();
         rows.expire(now);
         let mut known = rows.book.clone();
-        for (id, row) in &rows.live {
-            known.insert(id.clone(), row.address.clone());
-        }
+        known.extend(rows.live_hosts());
         known.into_values().collect()
     }
 
@@ -186,9 +196,23 @@
         self.live.insert(id, row);
     }
 
+    /// Hosts on upstream hosts' lists and, with better evidence, hosts seen directly.
+    fn live_hosts(&self) -> BTreeMap<HostId, PeerAddress> {
+        let mut lists: Vec<&UpstreamList> = self.lists.values().collect();
+        lists.sort_by_key(|list| list.received);
+        let listed = lists.into_iter().flat_map(|list| &list.hosts);
+        let seen = self.live.values().map(|row| &row.address);
+        listed
+            .chain(seen)
+            .map(|address| (address.host.id.clone(), address.clone()))
+            .collect()
+    }
+
     fn expire(&mut self, now: BootTime) {
         let limit = with_drift(MAP_TTL);
         self.live.retain(|_, row| now < row.live_until);
+        self.lists
+            .retain(|_, list| now.since(list.received) < limit);
         self.pollers
             .retain(|_, row| now.since(row.answered) < limit);
         for row in self.pollers.values_mut() {
--- a/crates/daemon/src/maps/poll_client.rs
+++ b/crates/daemon/src/maps/poll_client.rs
@@ -141,7 +141,8 @@
         }
         self.hosts_digest = answer.hosts_digest;
         if context.controls().is_empty() {
-            context.hosts.note_list(&self.hosts, sent_at);
+            let upstream = &answer.from.host.id;
+            context.hosts.note_list(upstream, &self.hosts, sent_at);
         }
     }
 }
--- a/crates/daemon/src/peers/peer_service.rs
+++ b/crates/daemon/src/peers/peer_service.rs
@@ -6,7 +6,11 @@
         forward::ForwardService,
         maps::{MapContext, answer_poll},
     },
-    camphorcove_core::{control::ScopeEvent, election::PromiseRequest, ids::HostId},
+    camphorcove_core::{
+        control::ScopeEvent,
+        election::{PromiseReply, PromiseRequest},
+        ids::HostId,
+    },
     camphorcove_net::peer::{
         MapPoll, PeerBody, PeerError, PeerHandler, PeerKind, StatusAnswer, StatusRequest, decode,
         encode,
@@ -77,8 +81,13 @@
                 what: "promise asked for another host",
             });
         }
-        let answer = self.elector.ask(request).await;
+        let answer = self.elector.ask(request.clone()).await;
         let PromiseAnswer(reply) = answer.map_err(|_| PeerError::Refused { status: 503 })?;
+        if reply == PromiseReply::Promised {
+            // Polling the new controller must not wait until its predecessor's map runs out.
+            let hints = &self.context.hints;
+            hints.note(&request.service, request.epoch, &request.controller);
+        }
         Ok(encode(&reply))
     }
 
--- a/crates/daemon/src/shutdown/stop_sequence.rs
+++ b/crates/daemon/src/shutdown/stop_sequence.rs
@@ -3,12 +3,16 @@
 use {
     super::StopSignal,
     crate::{context::RequestCounters, control::ScopeRegistry, maps::MapContext},
-    camphorcove_core::time::POLL_HOLD,
+    camphorcove_core::time::{MAP_TTL, POLL_HOLD, with_drift},
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::{sync::watch, task::JoinHandle, time::sleep},
+    tokio::{
+        sync::watch,
+        task::JoinHandle,
+        time::{Instant, sleep},
+    },
 };
 
 /// Longest wait for other hosts to take this host's roles over.
@@ -17,8 +21,8 @@
 /// Interval at which the state of the handover is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time in which other hosts receive the map that no longer names this host.
-const MAP_SPREAD: Duration = POLL_HOLD.saturating_mul(2);
+/// Time without forwarded requests after which no host forwards to this one any more.
+const HOP_SILENCE: Duration = POLL_HOLD.saturating_mul(2);
 
 /// How a planned stop ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,7 +81,7 @@
             log::warn!("roles not taken over by other hosts in time");
         }
         let _ = (&mut self.callers).await;
-        sleep(MAP_SPREAD).await;
+        self.hops_ended().await;
         self.stop_peers.send_replace(true);
         for listener in self.listeners {
             let _ = listener.await;
@@ -91,6 +95,22 @@
         }
     }
 
+    /// Waits until other hosts forward nothing to this one.
+    ///
+    /// A host that has not received the new map yet still forwards here. No map
+    /// that names this host outlives the map validity.
+    async fn hops_ended(&self) {
+        let end = Instant::now() + with_drift(MAP_TTL);
+        loop {
+            let received = self.counters.hops_in.load(Ordering::Relaxed);
+            sleep(HOP_SILENCE).await;
+            let silent = self.counters.hops_in.load(Ordering::Relaxed) == received;
+            if silent || Instant::now() >= end {
+                return;
+            }
+        }
+    }
+
     fn forwards(&self) -> bool {
         let now = self.context.now();
         let me = &self.context.host.id;
