--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -128,7 +128,7 @@
     assert_eq!(turns, [GateTurn::Expire(1), GateTurn::Run(2)]);
 }
 
-/// Overnight schedules must be complete by dawn even if interactive requests never stop.
+/// Guards against batch requests that starve while interactive requests never stop.
 #[test]
 fn batch_gets_its_share_while_interactive_requests_wait() {
     let mut gate = gate(1, 100);
