--- a/crates/daemon/src/forward/forward_service.rs
+++ b/crates/daemon/src/forward/forward_service.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        ForwardPlan, LoadBook, LoadGuard, PeerLinks, RequestBody, RequestHead, RouterBody,
+        ForwardPlan, LoadGuard, LoadTable, PeerLinks, RequestBody, RequestHead, RouterBody,
         ServerHandle,
-        home_desk::HomeDesk,
+        home_windows::HomeWindows,
         peer_hop::{hop_reply, hop_request, read_hop_reply, read_hop_request},
         peer_links::send_to_peer,
         route_check::{RouteCheck, check_route, wait_for_map, wait_for_route},
@@ -43,8 +43,8 @@
     context: RequestContext,
     servers: ServerTable,
     links: PeerLinks,
-    loads: LoadBook,
-    homes: HomeDesk,
+    loads: LoadTable,
+    homes: HomeWindows,
     draws: SeededDraw,
 }
 
@@ -56,15 +56,15 @@
             context,
             servers: ServerTable::default(),
             links: PeerLinks::default(),
-            loads: LoadBook::default(),
-            homes: HomeDesk::default(),
+            loads: LoadTable::default(),
+            homes: HomeWindows::default(),
         });
         tokio::spawn(follow_maps(Arc::downgrade(&service)));
         service
     }
 
     /// Load of servers as this host sees it.
-    pub fn loads(&self) -> &LoadBook {
+    pub fn loads(&self) -> &LoadTable {
         &self.loads
     }
 
--- a/crates/daemon/src/forward/home_desk.rs
+++ b/crates/daemon/src/forward/home_windows.rs
@@ -26,30 +26,30 @@
 
 /// Windows and coverage of one service.
 #[derive(Debug)]
-struct ServiceDesk {
+struct ServiceWindows {
     cover: Mutex<HomeCover>,
     parts: Vec<Mutex<IdWindow>>,
 }
 
 /// Windows by service; only requests with an idempotency key come here.
 #[derive(Debug, Default)]
-pub struct HomeDesk {
-    desks: ArcSwap<HashMap<ServiceName, Arc<ServiceDesk>>>,
+pub struct HomeWindows {
+    services: ArcSwap<HashMap<ServiceName, Arc<ServiceWindows>>>,
     changing: Mutex<()>,
 }
 
-impl HomeDesk {
+impl HomeWindows {
     /// Follows a valid map; called at short intervals, so that a gap in validity is noticed.
     pub fn follow(&self, context: &RequestContext, held: &HeldMap) {
-        let desk = self.desk(context, &held.map.service);
+        let windows = self.windows(context, &held.map.service);
         let now = context.clock.now();
-        lock(&desk.cover).observe(&held.map, held.valid_until, now);
+        lock(&windows.cover).observe(&held.map, held.valid_until, now);
     }
 
     /// Since when this host has followed a service's maps without a gap.
     pub fn since(&self, service: &ServiceName) -> Option<BootTime> {
-        let desks = self.desks.load();
-        lock(&desks.get(service)?.cover).since()
+        let services = self.services.load();
+        lock(&services.get(service)?.cover).since()
     }
 
     /// Records the plan's idempotency key if it is new; otherwise says why it may not run.
@@ -62,17 +62,17 @@
         let Some(id) = &plan.envelope.idempotency else {
             return Ok(None);
         };
-        let desk = self.desk(context, &plan.envelope.service);
+        let windows = self.windows(context, &plan.envelope.service);
         let now = context.clock.now();
         let covered = {
-            let mut cover = lock(&desk.cover);
+            let mut cover = lock(&windows.cover);
             cover.observe(&held.map, held.valid_until, now);
             cover.covers(plan.envelope.shard, id, now)
         };
-        let verdict = lock(desk.part(id)).begin(id, covered, now);
+        let verdict = lock(windows.part(id)).begin(id, covered, now);
         match verdict {
             IdVerdict::New => Ok(Some(IdGuard {
-                desk,
+                windows,
                 id: id.clone(),
                 clock: context.clock,
                 handed_over: plan.handed_over.clone(),
@@ -86,22 +86,22 @@
         }
     }
 
-    fn desk(&self, context: &RequestContext, service: &ServiceName) -> Arc<ServiceDesk> {
-        if let Some(desk) = self.desks.load().get(service) {
-            return desk.clone();
+    fn windows(&self, context: &RequestContext, service: &ServiceName) -> Arc<ServiceWindows> {
+        if let Some(windows) = self.services.load().get(service) {
+            return windows.clone();
         }
         let _changing = lock(&self.changing);
-        let mut desks = HashMap::clone(&self.desks.load());
-        let desk = desks
+        let mut services = HashMap::clone(&self.services.load());
+        let windows = services
             .entry(service.clone())
-            .or_insert_with(|| Arc::new(ServiceDesk::new(context)))
+            .or_insert_with(|| Arc::new(ServiceWindows::new(context)))
             .clone();
-        self.desks.store(Arc::new(desks));
-        desk
+        self.services.store(Arc::new(services));
+        windows
     }
 }
 
-impl ServiceDesk {
+impl ServiceWindows {
     fn new(context: &RequestContext) -> Self {
         let tuning = context.tuning;
         let part = || {
@@ -130,7 +130,7 @@
 /// A running idempotency key. Dropping it records what is known at that moment.
 #[derive(Debug)]
 pub struct IdGuard {
-    desk: Arc<ServiceDesk>,
+    windows: Arc<ServiceWindows>,
     id: String,
     clock: BootClock,
     handed_over: Arc<AtomicBool>,
@@ -145,7 +145,7 @@
 
     fn record(&mut self, execution: Execution) {
         self.ended = true;
-        lock(self.desk.part(&self.id)).end(&self.id, execution, self.clock.now());
+        lock(self.windows.part(&self.id)).end(&self.id, execution, self.clock.now());
     }
 }
 
--- a/crates/daemon/src/forward/load_book.rs
+++ b/crates/daemon/src/forward/load_table.rs
@@ -63,12 +63,12 @@
 
 /// Loads by service; read without locks.
 #[derive(Debug, Default)]
-pub struct LoadBook {
+pub struct LoadTable {
     services: ArcSwap<HashMap<ServiceName, Arc<ServiceLoads>>>,
     changing: Mutex<()>,
 }
 
-impl LoadBook {
+impl LoadTable {
     /// Loads for a map's servers, rebuilt when the map's version changes.
     pub fn loads(&self, map: &RoutingMap, now: BootTime) -> Arc<ServiceLoads> {
         if let Some(loads) = self.current(map) {
--- a/crates/daemon/src/forward/mod.rs
+++ b/crates/daemon/src/forward/mod.rs
@@ -9,9 +9,9 @@
 mod caller_body;
 mod forward_plan;
 mod forward_service;
-mod home_desk;
+mod home_windows;
 mod hop_headers;
-mod load_book;
+mod load_table;
 mod peer_hop;
 mod peer_links;
 mod permit;
@@ -34,7 +34,7 @@
         ENVELOPE, FORWARD_PATH, HOP_HOST, HOP_LENGTH, HOP_LOAD, HOP_METHOD, HOP_PATH, single,
         strip_framing, strip_headers,
     },
-    load_book::{LoadBook, ServiceLoads},
+    load_table::{LoadTable, ServiceLoads},
     peer_hop::mark_result,
     peer_links::PeerLinks,
     permit::Permit,
