--- a/crates/daemon/src/maps/host_table.rs
+++ b/crates/daemon/src/maps/host_table.rs
@@ -2,9 +2,9 @@
 //!
 //! A host is live while it polls this host and answers its probes, or while a
 //! relay that polls this host says so of it. Hosts that control no scope also
-//! believe the list in their upstream's answers. Controllers do not: two controllers that believed each other's list
-//! would keep a lost host in it for ever. The platform's list only supplies
-//! addresses to ask.
+//! believe the list in their upstream's answers. Controllers do not: two
+//! controllers that believed each other's list would keep a lost host in it for
+//! ever. The platform's list only supplies addresses to ask.
 
 use {
     super::reach_probe::FAILED_PROBES,
