--- /dev/null
+++ b/crates/core/src/ownership/lease_bounds.rs
@@ -0,0 +1,93 @@
+//! Until when a server may hold a range.
+//!
+//! A lease runs from the arrival of the order. An order that got no answer may have
+//! arrived at any moment until its connection was given up.
+
+use {
+    super::{KeyRange, ServerLife},
+    crate::{ids::ServiceName, time::BootTime},
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Lease of a grant. Renewal, one retry and this lease together stay below the 5 s
+/// within which a key is served again after the loss of its owner.
+pub const GRANT_HOLD: Duration = Duration::from_millis(3_000);
+
+/// Interval at which a grant is renewed: two renewals may be lost within a lease.
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Longest wait for the answer to an order.
+pub const CALL_LIMIT: Duration = Duration::from_millis(400);
+
+/// Longest time that a leader renews grants without word from the store; it covers
+/// the store outages that are borne without loss of keys.
+pub const AUTHORITY_LIMIT: Duration = Duration::from_secs(12);
+
+/// Thousandths by which a server's clock may be slow.
+const SLOW_CLOCK_PERMILLE: u32 = 20;
+
+/// Allowance for timers that fire late.
+const TIMER_MARGIN: Duration = Duration::from_millis(30);
+
+/// Longest time for which a lease of `hold` may last on a server's slow clock.
+pub fn worst_hold(hold: Duration) -> Duration {
+    hold + hold * SLOW_CLOCK_PERMILLE / 1_000 + TIMER_MARGIN
+}
+
+/// Latest ends of the leases that this leader knows of or has inherited.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseBounds {
+    /// End of every lease that an earlier leader may have granted.
+    inherited: BootTime,
+    ends: HashMap<(ServiceName, ServerLife), Vec<(KeyRange, BootTime)>>,
+}
+
+impl LeaseBounds {
+    /// Bounds of a leader whose predecessor may act until `predecessor_end`.
+    pub fn new(predecessor_end: BootTime) -> Self {
+        Self {
+            inherited: predecessor_end + worst_hold(GRANT_HOLD),
+            ends: HashMap::new(),
+        }
+    }
+
+    /// Notes an order that may reach the server until `latest_arrival`.
+    pub fn note(
+        &mut self,
+        service: &ServiceName,
+        owner: &ServerLife,
+        range: KeyRange,
+        latest_arrival: BootTime,
+        hold: Duration,
+    ) {
+        let end = latest_arrival + worst_hold(hold);
+        let ends = self
+            .ends
+            .entry((service.clone(), owner.clone()))
+            .or_default();
+        match ends.iter_mut().find(|(known, _)| *known == range) {
+            Some((_, known)) => *known = end.max(*known),
+            None => ends.push((range, end)),
+        }
+    }
+
+    /// When nobody but the server's next owner can hold any key of `range`.
+    pub fn end(&self, service: &ServiceName, owner: &ServerLife, range: KeyRange) -> BootTime {
+        let ends = self.ends.get(&(service.clone(), owner.clone()));
+        let own = ends
+            .into_iter()
+            .flatten()
+            .filter(|(known, _)| known.overlaps(range))
+            .map(|(_, end)| *end)
+            .max();
+        own.unwrap_or_default().max(self.inherited)
+    }
+
+    /// Forgets leases that are over.
+    pub fn expire(&mut self, now: BootTime) {
+        self.ends.retain(|_, ends| {
+            ends.retain(|(_, end)| *end > now);
+            !ends.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/owner_state.rs
@@ -0,0 +1,149 @@
+//! The stored assignment.
+
+use {
+    super::KeyRange,
+    crate::ids::{HostId, ServerId, ServiceName},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// One incarnation of a server.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServerLife {
+    /// Server.
+    pub id: ServerId,
+    /// Its start.
+    pub incarnation: u64,
+    /// Its address, which an entry that is gone no longer tells.
+    pub address: SocketAddr,
+}
+
+/// The host that may change the assignment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Host.
+    pub host: HostId,
+    /// Number drawn by its process at start.
+    pub nonce: u64,
+    /// Where hosts send their reports.
+    pub address: SocketAddr,
+}
+
+/// Where a range stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RangePhase {
+    /// Nobody can hold it.
+    Free,
+    /// The server may hold it under the token.
+    Owned {
+        /// Owner.
+        owner: ServerLife,
+        /// Token of its grants.
+        token: u64,
+    },
+    /// The server may still hold it and is asked to give it back.
+    Moving {
+        /// Former owner.
+        owner: ServerLife,
+        /// Token under which it is taken back, above that of its grants.
+        token: u64,
+        /// Server that is to get it; the choice may change.
+        target: Option<ServerLife>,
+    },
+}
+
+/// One range.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RangeRecord {
+    /// Keys.
+    pub range: KeyRange,
+    /// Phase.
+    pub phase: RangePhase,
+}
+
+/// Ranges of one service, in order, without gaps.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceOwners {
+    /// Next token that was never used.
+    pub next_token: u64,
+    /// Ranges.
+    pub ranges: Vec<RangeRecord>,
+}
+
+/// The object that all hosts watch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerState {
+    /// Term; rises with each takeover.
+    pub term: u64,
+    /// Number of the write; tells whether a write with a lost answer took effect.
+    pub change: u64,
+    /// Leader; none after an orderly stop.
+    pub leader: Option<LeaderRecord>,
+    /// Key of the messages between hosts, as hexadecimal digits.
+    pub secret: String,
+    /// Owners by service.
+    pub services: BTreeMap<ServiceName, ServiceOwners>,
+}
+
+impl ServiceOwners {
+    /// All keys free; tokens start at `first_token`.
+    pub fn new(first_token: u64) -> Self {
+        Self {
+            next_token: first_token,
+            ranges: vec![RangeRecord {
+                range: KeyRange::ALL,
+                phase: RangePhase::Free,
+            }],
+        }
+    }
+
+    /// Takes a token that is above all earlier ones.
+    pub fn take_token(&mut self) -> u64 {
+        let token = self.next_token;
+        self.next_token += 1;
+        token
+    }
+
+    /// Splits ranges so that `range` is made of whole records, and returns their positions.
+    pub fn isolate(&mut self, range: KeyRange) -> std::ops::Range<usize> {
+        self.cut_before(range.first);
+        if let Some(after) = range.last.checked_add(1) {
+            self.cut_before(after);
+        }
+        let start = self
+            .ranges
+            .partition_point(|record| record.range.last < range.first);
+        let end = self
+            .ranges
+            .partition_point(|record| record.range.first <= range.last);
+        start..end
+    }
+
+    fn cut_before(&mut self, key: u16) {
+        let at = self
+            .ranges
+            .partition_point(|record| record.range.last < key);
+        let Some(record) = self.ranges.get_mut(at) else {
+            return;
+        };
+        if record.range.first >= key {
+            return;
+        }
+        let mut upper = record.clone();
+        record.range.last = key - 1;
+        upper.range.first = key;
+        self.ranges.insert(at + 1, upper);
+    }
+
+    /// Joins neighbours of the same phase.
+    pub fn merge(&mut self) {
+        let mut merged: Vec<RangeRecord> = Vec::with_capacity(self.ranges.len());
+        for record in self.ranges.drain(..) {
+            match merged.last_mut() {
+                Some(last) if last.phase == record.phase => last.range.last = record.range.last,
+                _ => merged.push(record),
+            }
+        }
+        self.ranges = merged;
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/range_moves.rs
@@ -0,0 +1,281 @@
+//! Which ranges change owner so that load is even.
+//!
+//! Answers two loads: keys whose owner is gone, and a few hot keys that make one
+//! server busier than the rest. Every move interrupts its keys for a moment, so a
+//! move is chosen only where it lowers the load of the busiest server noticeably.
+
+use {
+    super::{KeyRange, RangeLoad, RangePhase, RangeRecord, ServerLife},
+    std::collections::BTreeMap,
+};
+
+/// Utilization above the mean, as a factor, from which a server gives keys away.
+const UNEVEN_FACTOR: f32 = 1.3;
+
+/// Utilization below which unevenness does not delay any request noticeably.
+const CALM_UTILIZATION: f32 = 0.45;
+
+/// Moves started at once; more would hold too many keys back at the same time.
+const MOVE_LIMIT: usize = 8;
+
+/// Share of the wanted load that a piece must carry to be worth an interruption.
+const WORTH_SHARE: f32 = 0.25;
+
+/// Weight of all idle keys together, as a share of the whole load: spreads keys
+/// that had no request yet.
+const IDLE_SHARE: f32 = 0.1;
+
+/// Room of one server that takes keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerRoom {
+    /// Server.
+    pub life: ServerLife,
+    /// Load that keeps it fully busy, in the unit of [`RangeLoad`].
+    pub capacity: f32,
+    /// Has joined lately and owns nothing yet.
+    pub empty: bool,
+}
+
+/// A range and its next owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RangeMove {
+    /// Keys.
+    pub range: KeyRange,
+    /// Next owner.
+    pub target: ServerLife,
+}
+
+/// Chooses moves for the ranges of one service; ranges in motion are left alone.
+pub fn choose_moves(
+    records: &[RangeRecord],
+    load: &RangeLoad,
+    rooms: &[ServerRoom],
+) -> Vec<RangeMove> {
+    if rooms.is_empty() {
+        return Vec::new();
+    }
+    let mut draft = MoveDraft::new(records, load, rooms);
+    draft.place_orphans();
+    draft.even_out();
+    draft.moves
+}
+
+struct MoveDraft<'a> {
+    load: &'a RangeLoad,
+    rooms: &'a [ServerRoom],
+    /// Ranges by position in `rooms`.
+    owned: Vec<Vec<KeyRange>>,
+    loads: Vec<f32>,
+    orphans: Vec<KeyRange>,
+    idle_weight: f32,
+    /// Servers that get a range in this round.
+    served: Vec<bool>,
+    moves: Vec<RangeMove>,
+}
+
+impl<'a> MoveDraft<'a> {
+    fn new(records: &[RangeRecord], load: &'a RangeLoad, rooms: &'a [ServerRoom]) -> Self {
+        let positions: BTreeMap<&ServerLife, usize> = rooms
+            .iter()
+            .enumerate()
+            .map(|(at, room)| (&room.life, at))
+            .collect();
+        let total = load.of(KeyRange::ALL).max(1.0);
+        let mut draft = Self {
+            load,
+            rooms,
+            owned: vec![Vec::new(); rooms.len()],
+            loads: vec![0.0; rooms.len()],
+            orphans: Vec::new(),
+            idle_weight: total * IDLE_SHARE / KeyRange::ALL.keys() as f32,
+            served: vec![false; rooms.len()],
+            moves: Vec::new(),
+        };
+        for record in records {
+            let at = match &record.phase {
+                RangePhase::Owned { owner, .. } => positions.get(owner),
+                RangePhase::Free => None,
+                // The target already counts with the load that it will get.
+                RangePhase::Moving { target, .. } => {
+                    if let Some(at) = target.as_ref().and_then(|target| positions.get(target)) {
+                        draft.loads[*at] += draft.weight(record.range);
+                    }
+                    continue;
+                }
+            };
+            match at {
+                Some(at) => {
+                    draft.owned[*at].push(record.range);
+                    draft.loads[*at] += draft.weight(record.range);
+                }
+                None => draft.orphans.push(record.range),
+            }
+        }
+        draft
+    }
+
+    fn weight(&self, range: KeyRange) -> f32 {
+        self.load.of(range) + range.keys() as f32 * self.idle_weight
+    }
+
+    fn utilization(&self, at: usize) -> f32 {
+        self.loads[at] / self.rooms[at].capacity.max(f32::MIN_POSITIVE)
+    }
+
+    fn least_busy(&self) -> usize {
+        (0..self.rooms.len())
+            .min_by(|left, right| self.utilization(*left).total_cmp(&self.utilization(*right)))
+            .unwrap_or(0)
+    }
+
+    fn busiest(&self) -> usize {
+        (0..self.rooms.len())
+            .max_by(|left, right| self.utilization(*left).total_cmp(&self.utilization(*right)))
+            .unwrap_or(0)
+    }
+
+    fn mean_utilization(&self) -> f32 {
+        let capacity: f32 = self.rooms.iter().map(|room| room.capacity).sum();
+        self.loads.iter().sum::<f32>() / capacity.max(f32::MIN_POSITIVE)
+    }
+
+    /// Gives keys without an owner to the servers with most room, in pieces.
+    fn place_orphans(&mut self) {
+        let orphans = std::mem::take(&mut self.orphans);
+        let lost: f32 = orphans.iter().map(|range| self.weight(*range)).sum();
+        let capacity: f32 = self.rooms.iter().map(|room| room.capacity).sum();
+        let level = (self.loads.iter().sum::<f32>() + lost) / capacity.max(f32::MIN_POSITIVE);
+        for orphan in orphans {
+            let mut rest = Some(orphan);
+            while let Some(range) = rest {
+                let target = self.least_busy();
+                let room = (level - self.utilization(target)) * self.rooms[target].capacity;
+                let (piece, left) = self.cut_front(range, room);
+                self.give(piece, target);
+                rest = left;
+            }
+        }
+    }
+
+    /// Longest front of `range` that weighs at most `room`, but at least one key.
+    fn cut_front(&self, range: KeyRange, room: f32) -> (KeyRange, Option<KeyRange>) {
+        let mut weight = 0.0;
+        let mut last = range.first;
+        for (offset, load) in self.load.keys(range).iter().enumerate() {
+            weight += load + self.idle_weight;
+            if offset > 0 && weight > room {
+                break;
+            }
+            last = range.first + u16::try_from(offset).unwrap_or(0);
+        }
+        // A remainder of a few keys is not worth a range of its own.
+        if range.last - last < range.last.saturating_sub(range.first) / 16 {
+            last = range.last;
+        }
+        let piece = KeyRange {
+            first: range.first,
+            last,
+        };
+        let rest = (last < range.last).then(|| KeyRange {
+            first: last + 1,
+            last: range.last,
+        });
+        (piece, rest)
+    }
+
+    fn give(&mut self, range: KeyRange, target: usize) {
+        // The piece is left out of the owned ranges: it is not given on in this round.
+        self.loads[target] += self.weight(range);
+        self.served[target] = true;
+        self.moves.push(RangeMove {
+            range,
+            target: self.rooms[target].life.clone(),
+        });
+    }
+
+    fn even_out(&mut self) {
+        let mean = self.mean_utilization();
+        for _ in 0..MOVE_LIMIT {
+            let (from, to) = (self.busiest(), self.least_busy());
+            let (high, low) = (self.utilization(from), self.utilization(to));
+            let uneven = high > mean * UNEVEN_FACTOR && high > CALM_UTILIZATION;
+            let joins = self.rooms[to].empty && !self.served[to];
+            if from == to || !(uneven || joins) {
+                return;
+            }
+            let slope = 1.0 / self.rooms[from].capacity + 1.0 / self.rooms[to].capacity;
+            let wanted = (high - low) / slope;
+            let Some((index, piece)) = self.best_piece(from, wanted) else {
+                return;
+            };
+            self.take(from, index, piece);
+            self.give(piece, to);
+        }
+    }
+
+    /// End piece of a range of `from` that carries most, up to `wanted`.
+    fn best_piece(&self, from: usize, wanted: f32) -> Option<(usize, KeyRange)> {
+        let mut best: Option<(usize, KeyRange, f32)> = None;
+        for (index, range) in self.owned[from].iter().enumerate() {
+            for piece in [self.front(*range, wanted), self.back(*range, wanted)] {
+                let Some((piece, weight)) = piece else {
+                    continue;
+                };
+                if best.as_ref().is_none_or(|(_, _, most)| weight > *most) {
+                    best = Some((index, piece, weight));
+                }
+            }
+        }
+        let (index, piece, weight) = best?;
+        (weight >= wanted * WORTH_SHARE).then_some((index, piece))
+    }
+
+    fn front(&self, range: KeyRange, wanted: f32) -> Option<(KeyRange, f32)> {
+        let loads = self.load.keys(range);
+        let (count, weight) = self.prefix(loads.iter(), wanted);
+        let last = range.first + u16::try_from(count.checked_sub(1)?).ok()?;
+        let first = range.first;
+        Some((KeyRange { first, last }, weight))
+    }
+
+    fn back(&self, range: KeyRange, wanted: f32) -> Option<(KeyRange, f32)> {
+        let loads = self.load.keys(range);
+        let (count, weight) = self.prefix(loads.iter().rev(), wanted);
+        let first = range.last - u16::try_from(count.checked_sub(1)?).ok()?;
+        let last = range.last;
+        Some((KeyRange { first, last }, weight))
+    }
+
+    fn prefix<'k>(&self, loads: impl Iterator<Item = &'k f32>, wanted: f32) -> (usize, f32) {
+        let (mut count, mut weight) = (0, 0.0);
+        for load in loads {
+            let next = weight + load + self.idle_weight;
+            if next > wanted {
+                break;
+            }
+            weight = next;
+            count += 1;
+        }
+        (count, weight)
+    }
+
+    fn take(&mut self, from: usize, index: usize, piece: KeyRange) {
+        self.loads[from] -= self.weight(piece);
+        let range = self.owned[from].swap_remove(index);
+        if piece == range {
+            return;
+        }
+        let rest = if piece.first == range.first {
+            KeyRange {
+                first: piece.last + 1,
+                last: range.last,
+            }
+        } else {
+            KeyRange {
+                first: range.first,
+                last: piece.first - 1,
+            }
+        };
+        self.owned[from].push(rest);
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/route_rule.rs
@@ -0,0 +1,64 @@
+//! One route, one service and the limits on callers.
+
+use {crate::ids::ServiceName, std::time::Duration};
+
+/// What may be done again when the fate of a request is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatRule {
+    /// The request is idempotent.
+    Idempotent,
+    /// The request runs at most once.
+    AtMostOnce,
+}
+
+/// Part of a route's traffic.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SplitPart {
+    /// Service that gets the part.
+    pub service: ServiceName,
+    /// Share relative to the other parts.
+    pub weight: u32,
+}
+
+/// A route of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteRule {
+    /// Name in logs.
+    pub name: String,
+    /// Host header that selects the route, in lower case.
+    pub host: String,
+    /// Start of the path, with a slash at both ends.
+    pub prefix: String,
+    /// What may be repeated.
+    pub repeat: RepeatRule,
+    /// Longest time that a request is kept waiting.
+    pub time_limit: Duration,
+    /// Time within which an answer has its full worth.
+    pub target: Duration,
+    /// Most servers that one request may be sent to.
+    pub attempts: u32,
+    /// Services, at least one.
+    pub split: Vec<SplitPart>,
+}
+
+/// A service of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceRule {
+    /// Name.
+    pub name: ServiceName,
+    /// Connections that one server accepts from all hosts together.
+    pub connections: u32,
+    /// Servers own key ranges.
+    pub keyed: bool,
+}
+
+/// Limits on what callers send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest header block, in bytes.
+    pub header_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest idle time of a connection.
+    pub idle: Duration,
+}
--- /dev/null
+++ b/crates/core/src/routing/route_table.rs
@@ -0,0 +1,128 @@
+//! The routes in force, checked as a whole.
+
+use {
+    super::{CallerLimits, RouteRule, ServiceRule},
+    crate::ids::{ConfigVersion, ServiceName},
+    snafu::{Snafu, ensure},
+    std::{cmp::Reverse, collections::HashMap, sync::Arc},
+};
+
+/// Why a configuration is rejected as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum TableError {
+    /// A route names a service that is not configured.
+    #[snafu(display("route {route}: service {service} is not configured"))]
+    UnknownService {
+        /// Route.
+        route: String,
+        /// Service.
+        service: ServiceName,
+    },
+    /// A route has no positive weight.
+    #[snafu(display("route {route}: no part of its split has a positive weight"))]
+    NoWeight {
+        /// Route.
+        route: String,
+    },
+    /// A prefix lacks a slash.
+    #[snafu(display("route {route}: prefix {prefix:?} must begin and end with a slash"))]
+    WrongPrefix {
+        /// Route.
+        route: String,
+        /// Prefix.
+        prefix: String,
+    },
+    /// A route allows no attempt or no time.
+    #[snafu(display("route {route}: attempts and time limit must be positive"))]
+    NoRoom {
+        /// Route.
+        route: String,
+    },
+}
+
+/// Routes and services of one version.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// Limits on callers.
+    pub limits: CallerLimits,
+    /// Services by name.
+    pub services: HashMap<ServiceName, ServiceRule>,
+    routes: HashMap<String, Vec<Arc<RouteRule>>>,
+}
+
+impl RouteTable {
+    /// Checks all routes; the first fault rejects the whole configuration.
+    pub fn new(
+        version: ConfigVersion,
+        limits: CallerLimits,
+        services: Vec<ServiceRule>,
+        rules: Vec<RouteRule>,
+    ) -> Result<Self, TableError> {
+        let services: HashMap<_, _> = services
+            .into_iter()
+            .map(|service| (service.name.clone(), service))
+            .collect();
+        let mut routes: HashMap<String, Vec<Arc<RouteRule>>> = HashMap::new();
+        for rule in rules {
+            check(&rule, &services)?;
+            routes
+                .entry(rule.host.clone())
+                .or_default()
+                .push(Arc::new(rule));
+        }
+        for rules in routes.values_mut() {
+            rules.sort_by_key(|rule| Reverse(rule.prefix.len()));
+        }
+        Ok(Self {
+            version,
+            limits,
+            services,
+            routes,
+        })
+    }
+
+    /// Route with the longest prefix of `path` at `host`; a port in `host` is ignored.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let name = match host.rsplit_once(':') {
+            Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+            _ => host,
+        };
+        let rules = match self.routes.get(name) {
+            Some(rules) => rules,
+            None => self.routes.get(&name.to_ascii_lowercase())?,
+        };
+        rules.iter().find(|rule| path.starts_with(&rule.prefix))
+    }
+
+    /// Number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
+
+fn check(rule: &RouteRule, services: &HashMap<ServiceName, ServiceRule>) -> Result<(), TableError> {
+    let route = &rule.name;
+    let prefix = &rule.prefix;
+    ensure!(
+        prefix.starts_with('/') && prefix.ends_with('/'),
+        WrongPrefixSnafu { route, prefix }
+    );
+    ensure!(
+        rule.attempts > 0 && !rule.time_limit.is_zero(),
+        NoRoomSnafu { route }
+    );
+    ensure!(
+        rule.split.iter().any(|part| part.weight > 0),
+        NoWeightSnafu { route }
+    );
+    for part in &rule.split {
+        let service = part.service.clone();
+        ensure!(
+            services.contains_key(&service),
+            UnknownServiceSnafu { route, service }
+        );
+    }
+    Ok(())
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,7 +1,7 @@
 //! Entry point of the daemon.
 
 use {
-    camphorcove_net::log::{LogSetup, start},
+    camphorcove_net::log::{LogSetup, LogTarget, start},
     camphorcoved::{
         conf::{DaemonSettings, read},
         error::{DaemonError, StartSnafu},
@@ -61,6 +61,7 @@
         program: "camphorcoved",
         host: Some(settings.host.to_string()),
         level: settings.log_level,
+        target: LogTarget::StandardError,
     };
     start(setup).map_err(|error| {
         let what = "log";
--- a/crates/daemon/src/serve/entry_server.rs
+++ b/crates/daemon/src/serve/entry_server.rs
@@ -1,8 +1,9 @@
 //! The caller listener.
 
 use {
-    super::{EntryFlow, caller_stream::CallerStream},
+    super::EntryFlow,
     crate::{context::RequestContext, forward::ForwardService},
+    camphorcove_net::http::CallerStream,
     futures_util::FutureExt,
     hyper::service::service_fn,
     hyper_util::{
--- a/crates/daemon/src/serve/mod.rs
+++ b/crates/daemon/src/serve/mod.rs
@@ -1,10 +1,8 @@
 //! The caller listener and the entry host's part of a request.
 
-mod caller_stream;
 mod entry_flow;
 mod entry_request;
 mod entry_server;
-mod framing_guard;
 mod key_extract;
 mod refusal;
 mod service_index;
@@ -12,7 +10,6 @@
 pub use {
     entry_flow::EntryFlow,
     entry_server::EntryServer,
-    framing_guard::FramingGuard,
     key_extract::{extract_key, has_dot_segment},
     service_index::{ServiceIndex, ServiceRule},
 };
--- /dev/null
+++ b/crates/gateway/src/conf/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of the program.
+
+mod gateway_settings;
+
+pub use gateway_settings::{GatewaySettings, read_settings};
--- /dev/null
+++ b/crates/gateway/src/leader/candidacy.rs
@@ -0,0 +1,64 @@
+//! When this host tries to become the leader.
+
+use {camphorcove_core::time::BootTime, std::time::Duration};
+
+/// Time without a digest after which a leader counts as lost: four digests. A
+/// takeover, one grant and this time stay within a lease.
+const DIGEST_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time since the store last confirmed a leader, above which another host tries.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(4_500);
+
+/// Spread of the hosts' tries, so that one of them is usually first.
+const RANK_SPREAD: Duration = Duration::from_millis(400);
+
+/// Pause after a try that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(900);
+
+/// Pause after this host gave up the leadership by itself.
+const RESIGN_PAUSE: Duration = Duration::from_secs(5);
+
+/// Watches the leader's digests.
+#[derive(Clone, Debug)]
+pub struct Candidacy {
+    heard_at: BootTime,
+    not_before: BootTime,
+    rank: Duration,
+}
+
+impl Candidacy {
+    /// Candidacy of a process that starts now; `draw` in 0..1 spreads the hosts.
+    pub fn new(now: BootTime, draw: f64) -> Self {
+        Self {
+            heard_at: now,
+            not_before: now,
+            rank: RANK_SPREAD.mul_f64(draw),
+        }
+    }
+
+    /// Notes a digest, or another sign of a live leader.
+    pub fn heard(&mut self, confirmed_age: Duration, now: BootTime) {
+        if confirmed_age < CONFIRM_LIMIT {
+            self.heard_at = now;
+        }
+    }
+
+    /// Whether to try now; `vacant` if the stored assignment names no leader.
+    pub fn is_due(&self, vacant: bool, now: BootTime) -> bool {
+        let limit = match vacant {
+            true => self.rank / 4,
+            false => DIGEST_LIMIT + self.rank,
+        };
+        now >= self.not_before && now.since(self.heard_at) >= limit
+    }
+
+    /// Notes a try.
+    pub fn tried(&mut self, now: BootTime) {
+        self.not_before = now + RETRY_PAUSE;
+    }
+
+    /// Notes that this host gave up the leadership.
+    pub fn resigned(&mut self, now: BootTime) {
+        self.not_before = now + RESIGN_PAUSE;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -0,0 +1,621 @@
+//! The actor that owns this host's part in the leadership.
+
+use {
+    super::{
+        candidacy::Candidacy,
+        leader_messages::{DigestIn, OwnersSeen, PlanEvent, ReportIn, Resign, Tick, WriteEnded},
+        order_sender::OrderSender,
+        owner_store::{OwnerStore, WriteOutcome},
+    },
+    crate::{
+        peers::{Digest, PeerLink, PeerMessage, Report},
+        state::{HostState, StoreMarks},
+    },
+    camphorcove_core::{
+        ids::{HostId, ServerId, ServiceName},
+        ownership::{
+            AUTHORITY_LIMIT, CALL_LIMIT, LeaderPlan, LeaderRecord, OwnerState, PlanAction,
+            PlanInput, PlanWorld, RangeLoad,
+        },
+        time::{BootTime, with_drift},
+    },
+    camphorcove_platform::StoreClient,
+    kameo::{
+        Actor, Reply,
+        actor::ActorRef,
+        message::{Context, Message},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Interval of the leader's work: a change of owner takes a few of them.
+const LEADER_TICK: Duration = Duration::from_millis(50);
+
+/// Interval of the other hosts' work.
+const FOLLOWER_TICK: Duration = Duration::from_millis(125);
+
+/// Interval of reports and digests. Placement sees a hot key within some of them.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Interval at which the store is asked whether this host is still the leader.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// Time after which a host that does not report no longer counts.
+const HOST_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Owners, from which on silence of half of them points at this host's own links.
+const SILENCE_MIN: usize = 4;
+
+/// One host that reports.
+struct HostTrack {
+    address: SocketAddr,
+    seen_at: BootTime,
+    in_flight: Vec<(ServerId, u32)>,
+}
+
+/// Speed of a server over all hosts.
+#[derive(Default)]
+struct SpeedTrack {
+    mean: f64,
+}
+
+/// What this host is.
+enum Role {
+    /// Another host leads, or none.
+    Follower,
+    /// A takeover is being written.
+    Candidate,
+    /// This host leads.
+    Leader(Box<LeaderPlan>),
+}
+
+/// Pause until the next [`Tick`].
+#[derive(Debug, Reply)]
+pub struct NextTick(pub Duration);
+
+/// Leader, candidate or follower.
+#[derive(Actor)]
+pub struct LeaderActor {
+    state: Arc<HostState>,
+    owners: OwnerStore,
+    orders: OrderSender,
+    link: PeerLink,
+    role: Role,
+    revision: u64,
+    candidacy: Candidacy,
+    hosts: BTreeMap<HostId, HostTrack>,
+    speeds: HashMap<ServerId, SpeedTrack>,
+    marks: StoreMarks,
+    reported_at: BootTime,
+    confirmed_at: BootTime,
+    stopping: bool,
+}
+
+impl LeaderActor {
+    /// Actor of a process that starts now.
+    pub fn new(state: Arc<HostState>, store: StoreClient, link: PeerLink) -> Self {
+        let now = state.now();
+        let candidacy = Candidacy::new(now, state.draw());
+        Self {
+            owners: OwnerStore::new(state.clone(), store),
+            orders: OrderSender::new(state.clone()),
+            link,
+            role: Role::Follower,
+            revision: 0,
+            candidacy,
+            hosts: BTreeMap::new(),
+            speeds: HashMap::new(),
+            marks: StoreMarks::default(),
+            reported_at: now,
+            confirmed_at: now,
+            stopping: false,
+            state,
+        }
+    }
+
+    fn tick(&mut self, actor: &ActorRef<Self>) -> Duration {
+        let now = self.state.now();
+        self.state.expire_fleet();
+        self.state.expire_others();
+        let leads = matches!(self.role, Role::Leader(_));
+        if leads {
+            self.lead(actor, now);
+        } else if !self.stopping {
+            self.consider(actor, now);
+        }
+        if now.since(self.reported_at) >= REPORT_INTERVAL {
+            self.reported_at = now;
+            self.report(now);
+        }
+        match leads {
+            true => LEADER_TICK,
+            false => FOLLOWER_TICK,
+        }
+    }
+
+    /// Keyed services of the configuration.
+    fn keyed_services(&self) -> Vec<ServiceName> {
+        let Some(table) = self.state.table() else {
+            return Vec::new();
+        };
+        let mut names: Vec<_> = table
+            .services
+            .values()
+            .filter(|service| service.keyed)
+            .map(|service| service.name.clone())
+            .collect();
+        names.sort();
+        names
+    }
+
+    /// Tries to take over if no leader is heard.
+    fn consider(&mut self, actor: &ActorRef<Self>, now: BootTime) {
+        let stored = self.state.owners();
+        let vacant = stored
+            .as_ref()
+            .is_none_or(|(owners, _)| owners.leader.is_none());
+        let idle = matches!(self.role, Role::Follower);
+        if !idle || self.state.table().is_none() || !self.candidacy.is_due(vacant, now) {
+            return;
+        }
+        self.candidacy.tried(now);
+        self.role = Role::Candidate;
+        let known = stored.map(|(owners, _)| owners.term);
+        log::info!(term:? = known, vacant; "no leader heard, trying to take over");
+        let owners = self.owners.clone();
+        let record = LeaderRecord {
+            host: self.state.settings.host.clone(),
+            nonce: self.state.nonce,
+            address: self.state.settings.peers,
+        };
+        let secret = self.draw_secret();
+        let actor = actor.clone();
+        tokio::spawn(async move {
+            let ended = take_over(&owners, record, known, secret).await;
+            if let Err(error) = actor.tell(ended).await {
+                log::error!(reason:% = error; "leader actor is gone");
+            }
+        });
+    }
+
+    fn draw_secret(&self) -> String {
+        let mut secret = String::new();
+        for _ in 0..4 {
+            let part = self.state.draw_number();
+            secret.push_str(&format!("{part:016x}"));
+        }
+        secret
+    }
+
+    fn lead(&mut self, actor: &ActorRef<Self>, now: BootTime) {
+        let services = self.keyed_services();
+        let fleet = self.state.fleet();
+        let capacity = self.capacity();
+        let Role::Leader(plan) = &mut self.role else {
+            return;
+        };
+        let term = plan.state().term;
+        let world = PlanWorld {
+            fleet: &fleet,
+            services: &services,
+            capacity: &capacity,
+        };
+        let actions = plan.poll(world, now);
+        let (owners, silent) = plan.silent_owners();
+        let superseded = plan.is_superseded();
+        for action in actions {
+            match action {
+                PlanAction::Write(state) => self.write(actor, *state),
+                action => self.orders.send(actor.clone(), term, action),
+            }
+        }
+        if now.since(self.confirmed_at) >= CONFIRM_INTERVAL {
+            self.confirmed_at = now;
+            self.confirm(actor, term);
+        }
+        if superseded {
+            self.step_down("a server has seen a higher token", now);
+        } else if owners >= SILENCE_MIN && silent * 2 >= owners {
+            log::warn!(term, owners, silent; "half of the owners do not answer this host");
+            self.resign(actor, now);
+        }
+    }
+
+    /// Load that keeps each server fully busy, in the unit of the placement.
+    fn capacity(&self) -> HashMap<ServerId, f32> {
+        let mut capacity = self.state.server_rates();
+        for (id, rate) in &mut capacity {
+            if let Some(speed) = self.speeds.get(id)
+                && speed.mean > 0.0
+            {
+                let slots = self.state.slots(id);
+                *rate = (f64::from(slots) / speed.mean) as f32;
+            }
+            *rate = RangeLoad::steady_count(*rate);
+        }
+        capacity
+    }
+
+    fn write(&self, actor: &ActorRef<Self>, state: OwnerState) {
+        let owners = self.owners.clone();
+        let revision = self.revision;
+        let actor = actor.clone();
+        log::info!(term = state.term, change = state.change, revision; "assignment changes");
+        tokio::spawn(async move {
+            let (sent_at, outcome) = owners.write(&state, revision).await;
+            let ended = WriteEnded {
+                term: state.term,
+                sent_at,
+                outcome,
+            };
+            if let Err(error) = actor.tell(ended).await {
+                log::error!(reason:% = error; "leader actor is gone");
+            }
+        });
+    }
+
+    fn confirm(&self, actor: &ActorRef<Self>, term: u64) {
+        let owners = self.owners.clone();
+        let state = self.state.clone();
+        let actor = actor.clone();
+        tokio::spawn(async move {
+            let sent_at = state.now();
+            match owners.read().await {
+                Ok(Some((stored, _))) => {
+                    let ours = stored.leader.as_ref().map(|leader| leader.nonce);
+                    if ours != Some(state.nonce) || stored.term != term {
+                        return;
+                    }
+                    let input = PlanInput::Confirmed(sent_at);
+                    if let Err(error) = actor.tell(PlanEvent { term, input }).await {
+                        log::error!(reason:% = error; "leader actor is gone");
+                    }
+                }
+                Ok(None) => log::error!(term; "the stored assignment is gone"),
+                Err(fault) => {
+                    log::warn!(term, reason:% = fault; "leader not confirmed by the store");
+                }
+            }
+        });
+    }
+
+    fn step_down(&mut self, reason: &str, now: BootTime) {
+        if let Role::Leader(plan) = &self.role {
+            log::info!(term = plan.state().term, reason; "leadership ended");
+        }
+        self.role = Role::Follower;
+        self.candidacy.heard(Duration::ZERO, now);
+    }
+
+    /// Ends the leadership with a write, so that a successor need not wait.
+    fn resign(&mut self, actor: &ActorRef<Self>, now: BootTime) {
+        let Role::Leader(plan) = &self.role else {
+            return;
+        };
+        let mut state = plan.state().clone();
+        state.leader = None;
+        state.change += 1;
+        let revision = self.revision;
+        self.step_down("resigned", now);
+        self.candidacy.resigned(now);
+        let owners = self.owners.clone();
+        let actor = actor.clone();
+        tokio::spawn(async move {
+            let (_, outcome) = owners.write(&state, revision).await;
+            log::info!(term = state.term, outcome:? = outcome; "leadership given up");
+            drop(actor);
+        });
+    }
+
+    fn report(&mut self, now: BootTime) {
+        let load = self.state.take_report();
+        let host = self.state.settings.host.clone();
+        let report = Report {
+            host,
+            nonce: self.state.nonce,
+            marks: self.state.marks(),
+            load,
+        };
+        if matches!(self.role, Role::Leader(_)) {
+            let own = self.state.settings.peers;
+            self.take_report(report, own, now);
+            self.send_digests(now);
+            return;
+        }
+        let Some((owners, _)) = self.state.owners() else {
+            return;
+        };
+        if let Some(leader) = &owners.leader {
+            let message = PeerMessage::Report(report);
+            self.link.send(&self.state, leader.address, &message);
+        }
+    }
+
+    fn take_report(&mut self, report: Report, from: SocketAddr, now: BootTime) {
+        let Role::Leader(plan) = &mut self.role else {
+            return;
+        };
+        self.marks.merge(&report.marks);
+        for (service, keys) in &report.load.keys {
+            for (key, requests) in keys {
+                plan.count(service, *key, *requests, now);
+            }
+        }
+        let mut in_flight = Vec::new();
+        for load in report.load.servers {
+            in_flight.push((load.server.clone(), load.in_flight));
+            if load.successes == 0 {
+                continue;
+            }
+            let mean = f64::from(load.mean_micros) / 1e6;
+            let speed = self.speeds.entry(load.server).or_default();
+            let weight = 1.0 - 0.9_f64.powf(f64::from(load.successes));
+            speed.mean = match speed.mean {
+                0.0 => mean,
+                old => old + (mean - old) * weight,
+            };
+        }
+        let track = HostTrack {
+            address: from,
+            seen_at: now,
+            in_flight,
+        };
+        self.hosts.insert(report.host, track);
+    }
+
+    fn send_digests(&mut self, now: BootTime) {
+        self.hosts
+            .retain(|_, track| now.since(track.seen_at) < HOST_LIMIT);
+        let Role::Leader(plan) = &self.role else {
+            return;
+        };
+        let mut totals: BTreeMap<ServerId, u32> = BTreeMap::new();
+        for track in self.hosts.values() {
+            for (server, in_flight) in &track.in_flight {
+                *totals.entry(server.clone()).or_default() += in_flight;
+            }
+        }
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        let servers: Vec<_> = totals.into_iter().collect();
+        self.state.set_others(hosts, &servers);
+        let age = plan.confirmed_age(now).as_millis();
+        let digest = Digest {
+            nonce: self.state.nonce,
+            term: plan.state().term,
+            confirmed_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            hosts,
+            marks: self.marks,
+            servers,
+        };
+        let message = PeerMessage::Digest(digest);
+        for (host, track) in &self.hosts {
+            if *host != self.state.settings.host {
+                self.link.send(&self.state, track.address, &message);
+            }
+        }
+    }
+
+    /// Becomes the leader after the store has acknowledged it.
+    fn begin_term(&mut self, state: OwnerState, revision: u64, predecessor_end: BootTime) {
+        let now = self.state.now();
+        log::info!(term = state.term, revision; "this host leads");
+        self.revision = revision;
+        self.confirmed_at = now;
+        self.hosts.clear();
+        self.speeds.clear();
+        self.marks = self.state.marks();
+        self.role = Role::Leader(Box::new(LeaderPlan::new(state, predecessor_end, now)));
+    }
+}
+
+/// A try to take over.
+#[derive(Debug)]
+struct TakeoverEnded {
+    /// State and revision, if this host is the leader now.
+    won: Option<(OwnerState, u64)>,
+    /// The leader before, if it may still act.
+    before: Option<LeaderRecord>,
+    /// Whether another host acts as the leader.
+    other: bool,
+}
+
+async fn take_over(
+    owners: &OwnerStore,
+    record: LeaderRecord,
+    known_term: Option<u64>,
+    secret: String,
+) -> TakeoverEnded {
+    let failed = |other| TakeoverEnded {
+        won: None,
+        before: None,
+        other,
+    };
+    let stored = match owners.read().await {
+        Ok(stored) => stored,
+        Err(fault) => {
+            log::warn!(reason:% = fault; "no takeover: the assignment cannot be read");
+            return failed(false);
+        }
+    };
+    let (mut state, revision) = match stored {
+        Some((state, revision)) => (state, revision),
+        None => {
+            let state = OwnerState {
+                term: 0,
+                change: 0,
+                leader: None,
+                secret,
+                services: BTreeMap::new(),
+            };
+            (state, 0)
+        }
+    };
+    if known_term.is_some_and(|known| state.term > known) && state.leader.is_some() {
+        return failed(true);
+    }
+    let before = state.leader.replace(record);
+    state.term += 1;
+    state.change += 1;
+    match owners.write(&state, revision).await {
+        (_, WriteOutcome::Written { revision }) => TakeoverEnded {
+            won: Some((state, revision)),
+            before,
+            other: false,
+        },
+        (_, WriteOutcome::Lost) => failed(true),
+        (_, WriteOutcome::NotDone) => failed(false),
+    }
+}
+
+impl Message<Tick> for LeaderActor {
+    type Reply = NextTick;
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self, Self::Reply>) -> NextTick {
+        let actor = context.actor_ref().clone();
+        NextTick(self.tick(&actor))
+    }
+}
+
+impl Message<OwnersSeen> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: OwnersSeen, _: &mut Context<Self, Self::Reply>) {
+        let now = self.state.now();
+        let Some((owners, _)) = self.state.owners() else {
+            return;
+        };
+        let leader = owners.leader.as_ref().map(|leader| leader.nonce);
+        if let Role::Leader(plan) = &self.role
+            && owners.term > plan.state().term
+        {
+            self.step_down("another host leads", now);
+        }
+        if leader.is_some() && leader != Some(self.state.nonce) {
+            self.candidacy.heard(Duration::ZERO, now);
+        }
+    }
+}
+
+impl Message<ReportIn> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: ReportIn, _: &mut Context<Self, Self::Reply>) {
+        let now = self.state.now();
+        self.take_report(message.report, message.from, now);
+    }
+}
+
+impl Message<DigestIn> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: DigestIn, _: &mut Context<Self, Self::Reply>) {
+        let now = self.state.now();
+        let DigestIn(digest) = message;
+        let known = self.state.owners().map_or(0, |(owners, _)| owners.term);
+        if digest.term < known || digest.nonce == self.state.nonce {
+            return;
+        }
+        if let Role::Leader(plan) = &self.role
+            && digest.term > plan.state().term
+        {
+            self.step_down("a digest of a later leader arrived", now);
+        }
+        let age = Duration::from_millis(digest.confirmed_age_ms);
+        self.candidacy.heard(age, now);
+        self.state.set_others(digest.hosts, &digest.servers);
+    }
+}
+
+impl Message<Resign> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Resign, context: &mut Context<Self, Self::Reply>) {
+        self.stopping = true;
+        let now = self.state.now();
+        let actor = context.actor_ref().clone();
+        self.resign(&actor, now);
+    }
+}
+
+impl Message<PlanEvent> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, event: PlanEvent, context: &mut Context<Self, Self::Reply>) {
+        let now = self.state.now();
+        let Role::Leader(plan) = &mut self.role else {
+            return;
+        };
+        if plan.state().term != event.term {
+            return;
+        }
+        plan.take(event.input, now);
+        let actor = context.actor_ref().clone();
+        self.lead(&actor, now);
+    }
+}
+
+impl Message<WriteEnded> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, ended: WriteEnded, context: &mut Context<Self, Self::Reply>) {
+        let now = self.state.now();
+        let Role::Leader(plan) = &mut self.role else {
+            return;
+        };
+        if plan.state().term != ended.term {
+            return;
+        }
+        match ended.outcome {
+            WriteOutcome::Written { revision } => {
+                self.revision = revision;
+                plan.take(PlanInput::WriteAcked(ended.sent_at), now);
+            }
+            WriteOutcome::NotDone => plan.take(PlanInput::WriteDropped, now),
+            WriteOutcome::Lost => {
+                self.step_down("another host changed the assignment", now);
+                return;
+            }
+        }
+        let actor = context.actor_ref().clone();
+        self.lead(&actor, now);
+    }
+}
+
+impl Message<TakeoverEnded> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, ended: TakeoverEnded, context: &mut Context<Self, Self::Reply>) {
+        let now = self.state.now();
+        self.role = Role::Follower;
+        self.candidacy.tried(now);
+        if ended.other {
+            self.candidacy.heard(Duration::ZERO, now);
+        }
+        let Some((state, revision)) = ended.won else {
+            return;
+        };
+        let settings = &self.state.settings;
+        let predecessor_end = match &ended.before {
+            // The earlier process on this very host has ended, so it cannot renew any more.
+            Some(before) if before.host == settings.host && before.address == settings.peers => now,
+            Some(_) => now + with_drift(AUTHORITY_LIMIT),
+            None => now,
+        };
+        let predecessor_end = match state.term {
+            1 => BootTime::default(),
+            _ => predecessor_end + CALL_LIMIT,
+        };
+        self.begin_term(state, revision, predecessor_end);
+        let actor = context.actor_ref().clone();
+        if self.stopping {
+            self.resign(&actor, now);
+            return;
+        }
+        self.lead(&actor, now);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -0,0 +1,53 @@
+//! What the leader actor is told.
+
+use {
+    super::owner_store::WriteOutcome,
+    crate::peers::{Digest, Report},
+    camphorcove_core::{ownership::PlanInput, time::BootTime},
+    std::net::SocketAddr,
+};
+
+/// Time to act; the reply is the pause until the next one.
+#[derive(Debug)]
+pub struct Tick;
+
+/// The stored assignment was read.
+#[derive(Debug)]
+pub struct OwnersSeen;
+
+/// A host's report.
+#[derive(Debug)]
+pub struct ReportIn {
+    /// Report.
+    pub report: Report,
+    /// Where digests go.
+    pub from: SocketAddr,
+}
+
+/// The leader's digest.
+#[derive(Debug)]
+pub struct DigestIn(pub Digest);
+
+/// Give up the leadership before this host stops.
+#[derive(Debug)]
+pub struct Resign;
+
+/// An order or a confirmation ended.
+#[derive(Debug)]
+pub(super) struct PlanEvent {
+    /// Term of the plan that it is for.
+    pub term: u64,
+    /// Event.
+    pub input: PlanInput,
+}
+
+/// A write of the assignment ended.
+#[derive(Debug)]
+pub(super) struct WriteEnded {
+    /// Term that the write carried.
+    pub term: u64,
+    /// When it was sent.
+    pub sent_at: BootTime,
+    /// Outcome.
+    pub outcome: WriteOutcome,
+}
--- /dev/null
+++ b/crates/gateway/src/leader/mod.rs
@@ -0,0 +1,12 @@
+//! This host as the leader, or as one that may become it.
+
+mod candidacy;
+mod leader_actor;
+mod leader_messages;
+mod order_sender;
+mod owner_store;
+
+pub use {
+    leader_actor::LeaderActor,
+    leader_messages::{DigestIn, OwnersSeen, ReportIn, Resign, Tick},
+};
--- /dev/null
+++ b/crates/gateway/src/leader/order_sender.rs
@@ -0,0 +1,120 @@
+//! Sends the plan's orders to servers.
+
+use {
+    super::{LeaderActor, leader_messages::PlanEvent},
+    crate::state::{HostState, LogTopic},
+    camphorcove_core::ownership::{CALL_LIMIT, OrderFailure, PlanAction, PlanInput},
+    camphorcove_platform::{GrantOrder, ReleaseOrder, ServerOrders},
+    kameo::actor::ActorRef,
+    std::sync::{Arc, atomic::Ordering},
+};
+
+/// Sends orders and tells the leader actor how they ended.
+#[derive(Clone)]
+pub struct OrderSender {
+    state: Arc<HostState>,
+    orders: ServerOrders,
+}
+
+impl OrderSender {
+    /// Sender for a host.
+    pub fn new(state: Arc<HostState>) -> Self {
+        Self {
+            state,
+            orders: ServerOrders::default(),
+        }
+    }
+
+    /// Sends one order in a task of its own.
+    pub fn send(&self, actor: ActorRef<LeaderActor>, term: u64, action: PlanAction) {
+        let sender = self.clone();
+        self.state.counters.orders.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            let Some(input) = sender.carry_out(action).await else {
+                return;
+            };
+            if let Err(error) = actor.tell(PlanEvent { term, input }).await {
+                log::error!(term, reason:% = error; "leader actor is gone");
+            }
+        });
+    }
+
+    async fn carry_out(&self, action: PlanAction) -> Option<PlanInput> {
+        match action {
+            PlanAction::Write(_) => None,
+            PlanAction::Grant {
+                service,
+                server,
+                address: _,
+                range,
+                token,
+                hold,
+                handover,
+            } => {
+                let order = GrantOrder {
+                    server: server.clone(),
+                    range,
+                    token,
+                    hold,
+                    handover,
+                };
+                let result = self.orders.grant(&order, CALL_LIMIT).await.map(|_| ());
+                self.log_failure("grant", &order.server.id, range, token, result.err());
+                Some(PlanInput::GrantDone {
+                    service,
+                    range,
+                    token,
+                    server,
+                    result,
+                })
+            }
+            PlanAction::Release {
+                service,
+                server,
+                address: _,
+                range,
+                token,
+                limit,
+            } => {
+                let order = ReleaseOrder {
+                    server,
+                    range,
+                    token,
+                };
+                let result = self.orders.release(&order, limit).await;
+                let failure = result.as_ref().err().copied();
+                self.log_failure("release", &order.server.id, range, token, failure);
+                Some(PlanInput::ReleaseDone {
+                    service,
+                    range,
+                    token,
+                    result,
+                })
+            }
+        }
+    }
+
+    fn log_failure(
+        &self,
+        order: &str,
+        server: &camphorcove_core::ids::ServerId,
+        range: camphorcove_core::ownership::KeyRange,
+        token: u64,
+        failure: Option<OrderFailure>,
+    ) {
+        let Some(failure) = failure else {
+            return;
+        };
+        if let Some(left_out) = self.state.may_log(LogTopic::Order) {
+            log::warn!(
+                order,
+                server = server.as_str(),
+                range:% = range,
+                token,
+                failure:? = failure,
+                left_out;
+                "order failed"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -0,0 +1,66 @@
+//! Counters as text for a collector.
+
+use {
+    crate::state::HostState,
+    prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder},
+    std::sync::atomic::Ordering,
+};
+
+/// Renders all counters.
+pub fn render_metrics(state: &HostState) -> Result<Vec<u8>, prometheus::Error> {
+    let registry = Registry::new();
+    let counters = &state.counters;
+    let rows = [
+        ("requests_total", "Requests read.", &counters.requests),
+        (
+            "answered_total",
+            "Answers of servers passed on.",
+            &counters.answered,
+        ),
+        (
+            "refused_total",
+            "Requests refused as not run.",
+            &counters.refused,
+        ),
+        (
+            "failed_total",
+            "Requests that failed after they were sent.",
+            &counters.failed,
+        ),
+        ("repeated_total", "Repeats sent.", &counters.repeated),
+        (
+            "connections_total",
+            "Connections opened to servers.",
+            &counters.connections,
+        ),
+        (
+            "store_calls_total",
+            "Calls to the store.",
+            &counters.store_calls,
+        ),
+        ("orders_total", "Orders to servers.", &counters.orders),
+    ];
+    for (name, help, value) in rows {
+        let counter = IntCounter::new(format!("camphorcove_{name}"), help)?;
+        counter.inc_by(value.load(Ordering::Relaxed));
+        registry.register(Box::new(counter))?;
+    }
+    let version = state.table().map_or(0, |table| table.version.0);
+    let term = state.owners().map_or(0, |(owners, _)| owners.term);
+    let gauges = [
+        (
+            "config_version",
+            "Version of the configuration in force.",
+            version,
+        ),
+        ("leader_term", "Term of the leader.", term),
+    ];
+    for (name, help, value) in gauges {
+        let gauge = IntGauge::new(format!("camphorcove_{name}"), help)?;
+        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        registry.register(Box::new(gauge))?;
+    }
+    let mut page = Vec::new();
+    TextEncoder::new().encode(&registry.gather(), &mut page)?;
+    Ok(page)
+}
--- /dev/null
+++ b/crates/gateway/src/metrics/mod.rs
@@ -0,0 +1,6 @@
+//! Readiness and metrics over HTTP.
+
+mod metric_page;
+mod probe_listener;
+
+pub use {metric_page::render_metrics, probe_listener::serve_probes};
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,9 @@
+//! Datagrams between hosts: reports to the leader, digests from it.
+
+mod peer_codec;
+mod peer_link;
+
+pub use {
+    peer_codec::{Digest, PeerMessage, Report, open_message, seal_message},
+    peer_link::{PeerLink, receive},
+};
--- /dev/null
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -0,0 +1,87 @@
+//! Form and authentication of the datagrams.
+//!
+//! A datagram is the code of [`MAC_BYTES`] bytes followed by the message in bincode.
+//! The key lies in the stored assignment, which only hosts of this system read.
+
+use {
+    crate::state::{LoadReport, StoreMarks},
+    bincode::{Decode, Encode, config},
+    camphorcove_core::ids::{HostId, ServerId},
+    hmac::{Hmac, KeyInit, Mac},
+    sha2::Sha256,
+};
+
+/// Bytes of the code that are sent: 128 bits suffice against guessing.
+const MAC_BYTES: usize = 16;
+
+/// What a host tells the leader.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Report {
+    /// Host.
+    pub host: HostId,
+    /// Number of its process.
+    pub nonce: u64,
+    /// Newest changes that it has seen.
+    pub marks: StoreMarks,
+    /// Its load.
+    pub load: LoadReport,
+}
+
+/// What the leader tells all hosts.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Digest {
+    /// Leader's process.
+    pub nonce: u64,
+    /// Its term.
+    pub term: u64,
+    /// Milliseconds since the store last confirmed the leader.
+    pub confirmed_age_ms: u64,
+    /// Hosts that report.
+    pub hosts: u32,
+    /// Newest changes that any host has seen.
+    pub marks: StoreMarks,
+    /// Requests at each server, over all hosts.
+    pub servers: Vec<(ServerId, u32)>,
+}
+
+/// A datagram's content.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum PeerMessage {
+    /// To the leader.
+    Report(Report),
+    /// From the leader.
+    Digest(Digest),
+}
+
+/// Encodes and authenticates a message.
+pub fn seal_message(secret: &[u8], message: &PeerMessage) -> Vec<u8> {
+    let body = bincode::encode_to_vec(message, config::standard())
+        .unwrap_or_else(|error| unreachable!("messages hold only plain values: {error}"));
+    let mut bytes = code(secret, &body).to_vec();
+    bytes.extend_from_slice(&body);
+    bytes
+}
+
+/// Decodes a message; `None` if it is not authentic or cannot be read.
+pub fn open_message(secret: &[u8], bytes: &[u8]) -> Option<PeerMessage> {
+    let (tag, body) = bytes.split_at_checked(MAC_BYTES)?;
+    let mut mac = mac(secret);
+    mac.update(body);
+    mac.verify_truncated_left(tag).ok()?;
+    let (message, _) = bincode::decode_from_slice(body, config::standard()).ok()?;
+    Some(message)
+}
+
+fn code(secret: &[u8], body: &[u8]) -> [u8; MAC_BYTES] {
+    let mut mac = mac(secret);
+    mac.update(body);
+    let full = mac.finalize().into_bytes();
+    let mut tag = [0; MAC_BYTES];
+    tag.copy_from_slice(&full[..MAC_BYTES]);
+    tag
+}
+
+fn mac(secret: &[u8]) -> Hmac<Sha256> {
+    Hmac::<Sha256>::new_from_slice(secret)
+        .unwrap_or_else(|error| unreachable!("HMAC takes keys of any length: {error}"))
+}
--- /dev/null
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -0,0 +1,82 @@
+//! The datagram socket.
+
+use {
+    super::{PeerMessage, open_message, seal_message},
+    crate::{
+        leader::{DigestIn, LeaderActor, ReportIn},
+        state::{HostState, LogTopic},
+    },
+    kameo::actor::ActorRef,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::UdpSocket, time::sleep},
+};
+
+/// Largest datagram that is read.
+const DATAGRAM_BYTES: usize = 60_000;
+
+/// Pause after a failed receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends datagrams.
+#[derive(Clone, Debug)]
+pub struct PeerLink {
+    socket: Arc<UdpSocket>,
+}
+
+impl PeerLink {
+    /// Link over a bound socket.
+    pub fn new(socket: Arc<UdpSocket>) -> Self {
+        Self { socket }
+    }
+
+    /// Sends a message; a datagram may be lost, so a failure is only logged.
+    pub fn send(&self, state: &HostState, to: SocketAddr, message: &PeerMessage) {
+        let Some((owners, _)) = state.owners() else {
+            return;
+        };
+        let bytes = seal_message(owners.secret.as_bytes(), message);
+        if let Err(error) = self.socket.try_send_to(&bytes, to)
+            && let Some(left_out) = state.may_log(LogTopic::Peer)
+        {
+            log::warn!(to:% = to, left_out, reason:% = error; "datagram not sent");
+        }
+    }
+}
+
+/// Receives datagrams for ever.
+pub async fn receive(state: Arc<HostState>, socket: Arc<UdpSocket>, leader: ActorRef<LeaderActor>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::warn!(reason:% = error; "datagrams cannot be received");
+                sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
+        };
+        let Some((owners, _)) = state.owners() else {
+            continue;
+        };
+        let message = open_message(owners.secret.as_bytes(), &buffer[..length]);
+        let Some(message) = message else {
+            if let Some(left_out) = state.may_log(LogTopic::Peer) {
+                log::warn!(from:% = from, left_out; "datagram rejected");
+            }
+            continue;
+        };
+        let told = match message {
+            PeerMessage::Report(report) => {
+                state.set_peer_marks(&report.marks);
+                leader.tell(ReportIn { report, from }).try_send().is_ok()
+            }
+            PeerMessage::Digest(digest) => {
+                state.set_peer_marks(&digest.marks);
+                leader.tell(DigestIn(digest)).try_send().is_ok()
+            }
+        };
+        if !told && let Some(left_out) = state.may_log(LogTopic::Peer) {
+            log::warn!(from:% = from, left_out; "leader actor is too busy for a datagram");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/mod.rs
@@ -0,0 +1,13 @@
+//! Takes requests of callers and answers them.
+
+mod caller_listener;
+mod http_rules;
+mod own_answer;
+mod request_flow;
+
+pub use {
+    caller_listener::CallerListener,
+    http_rules::strip_connection_headers,
+    own_answer::{Refusal, refuse},
+    request_flow::RequestFlow,
+};
--- /dev/null
+++ b/crates/gateway/src/serve/request_flow.rs
@@ -0,0 +1,459 @@
+//! The way of one request.
+
+use {
+    super::{Refusal, refuse, strip_connection_headers},
+    crate::{
+        forward::{AnswerBody, CallOutcome, CallRequest, ServerPool, send_call},
+        state::{HostState, LogTopic, PickQuery, PickRefusal, ServerPick},
+    },
+    bytes::Bytes,
+    camphorcove_core::{
+        dispatch::AdmissionRule,
+        fleet::ServerEntry,
+        ids::{ServerId, ServiceName},
+        routing::{RepeatRule, RouteRule, RouteTable},
+        time::BootTime,
+    },
+    camphorcove_platform::{RequestHead, decode_request},
+    http::{HeaderValue, Request, Response, StatusCode, header, request::Parts},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::Incoming,
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// Deadline of a caller that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// Longest wait for a key that changes owner; a usual move takes less.
+const OWNER_WAIT: Duration = Duration::from_millis(500);
+
+/// Least time in which another attempt makes sense.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(30);
+
+/// Attempts that never left this host before it gives up.
+const UNSENT_LIMIT: u32 = 4;
+
+/// Time to come back before a configuration is known.
+const CONFIGURATION_COMEBACK: Duration = Duration::from_millis(700);
+
+/// Silence, as a multiple of the expected time, after which an idempotent request is
+/// tried elsewhere.
+const PATIENCE_FACTOR: f64 = 4.0;
+
+/// Shortest such silence, as a share of the route's target.
+const PATIENCE_SHARE: f64 = 1.25;
+
+/// Largest body that is kept for sending, whatever the configuration allows.
+const BODY_LIMIT: usize = 8 << 20;
+
+/// Answers requests.
+pub struct RequestFlow {
+    state: Arc<HostState>,
+    pool: Arc<ServerPool>,
+}
+
+/// What one request brings with it through its attempts.
+struct RequestCase {
+    call: CallRequest,
+    rule: Arc<RouteRule>,
+    service: ServiceName,
+    connections: u32,
+    key: Option<u16>,
+    started: BootTime,
+}
+
+/// Attempts so far.
+#[derive(Default)]
+struct AttemptLog {
+    tried: Vec<ServerId>,
+    sent: u32,
+    unsent: u32,
+    /// Some attempt may have run.
+    may_have_run: bool,
+    waited: Duration,
+    last: Option<Response<AnswerBody>>,
+}
+
+impl RequestFlow {
+    /// Flow of a host.
+    pub fn new(state: Arc<HostState>) -> Self {
+        let pool = Arc::new(ServerPool::new(state.clone()));
+        Self { state, pool }
+    }
+
+    /// Answers a request.
+    pub async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let started = self.state.now();
+        self.state.counters.requests.fetch_add(1, Ordering::Relaxed);
+        let mut response = self.route(request, started).await;
+        if self.state.is_stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
+    async fn route(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        started: BootTime,
+    ) -> Response<AnswerBody> {
+        let head = decode_request(request.headers());
+        let Some(table) = self.state.table() else {
+            let comeback = Some(CONFIGURATION_COMEBACK);
+            return self.own_answer(&head, "", Refusal::NoConfiguration, comeback);
+        };
+        let host = request.headers().get(header::HOST);
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let Some(rule) = table.find(host, request.uri().path()).cloned() else {
+            return self.own_answer(&head, "", Refusal::NoRoute, None);
+        };
+        let case = match self.read_case(&table, rule, &head, request, started).await {
+            Ok(case) => case,
+            Err(refusal) => return self.own_answer(&head, "", refusal, None),
+        };
+        match case.rule.repeat {
+            RepeatRule::Idempotent => self.deliver(case).await,
+            // Work that has begun goes on when its caller leaves.
+            RepeatRule::AtMostOnce => {
+                let flow = self.clone();
+                let delivery = tokio::spawn(async move { flow.deliver(case).await });
+                match delivery.await {
+                    Ok(response) => response,
+                    Err(error) => {
+                        log::error!(reason:% = error; "delivery of a request ended early");
+                        self.own_answer(&head, "", Refusal::AnswerLost, None)
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read_case(
+        &self,
+        table: &RouteTable,
+        rule: Arc<RouteRule>,
+        head: &RequestHead,
+        request: Request<Incoming>,
+        started: BootTime,
+    ) -> Result<RequestCase, Refusal> {
+        let id = head.id.clone().ok_or(Refusal::Malformed)?;
+        let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+        let end = started + deadline.min(rule.time_limit);
+        let (parts, body) = request.into_parts();
+        let limit = table.limits.body_bytes.min(BODY_LIMIT);
+        let body = match timeout(end.since(started), Limited::new(body, limit).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Refusal::TooLarge),
+            Ok(Err(_)) => return Err(Refusal::Malformed),
+            Err(_) => return Err(Refusal::TooLate),
+        };
+        let service = self.state.route_request(&rule);
+        let config = table.services.get(&service);
+        let keyed = config.is_some_and(|service| service.keyed);
+        if keyed && let Some(key) = head.key {
+            self.state.count_key(&service, key);
+        }
+        Ok(RequestCase {
+            call: call_request(parts, body, id, end),
+            rule,
+            connections: config.map_or(1, |service| service.connections),
+            service,
+            key: head.key.filter(|_| keyed),
+            started,
+        })
+    }
+
+    /// Tries servers until one answers or nothing more may be tried.
+    async fn deliver(self: &Arc<Self>, case: RequestCase) -> Response<AnswerBody> {
+        let mut log = AttemptLog::default();
+        loop {
+            let left = case.call.end.since(self.state.now());
+            if left < LEAST_ATTEMPT {
+                return self.give_up(&case, log, Refusal::TooLate, None);
+            }
+            let query = PickQuery {
+                service: &case.service,
+                key: case.key,
+                tried: &log.tried,
+                rule: AdmissionRule {
+                    target: case.rule.target,
+                    left,
+                },
+            };
+            let pick = self.state.pick_server(query);
+            let (entry, permit) = match pick {
+                ServerPick::Send(entry, permit) => (entry, permit),
+                ServerPick::Unowned => {
+                    if !self.await_owner(&mut log, left).await {
+                        let comeback = Some(self.comeback());
+                        return self.give_up(&case, log, Refusal::Unavailable, comeback);
+                    }
+                    continue;
+                }
+                ServerPick::Refuse(reason, comeback) => {
+                    let refusal = match reason {
+                        PickRefusal::NoKey => Refusal::Malformed,
+                        PickRefusal::Overloaded => Refusal::Overloaded,
+                        PickRefusal::TooLate => Refusal::TooLate,
+                        PickRefusal::NoServer | PickRefusal::OwnerSilent => Refusal::Unavailable,
+                    };
+                    return self.give_up(&case, log, refusal, Some(comeback));
+                }
+            };
+            if log.sent > 0 {
+                let allowed = log.sent < case.rule.attempts;
+                if !allowed || !self.state.take_repeat(&case.service) {
+                    drop(permit);
+                    let comeback = Some(self.comeback());
+                    return self.give_up(&case, log, Refusal::Overloaded, comeback);
+                }
+                self.note_repeat(&case, &entry);
+            }
+            let patience = self.patience(&case, &entry, left);
+            let pool = &self.pool;
+            let sending = send_call(pool, &entry, case.connections, permit, &case.call, patience);
+            let outcome = sending.await;
+            if let Some(response) = self.judge(&case, &mut log, entry, outcome).await {
+                return response;
+            }
+        }
+    }
+
+    /// Decides after an attempt: an answer, or nothing if another attempt may follow.
+    async fn judge(
+        &self,
+        case: &RequestCase,
+        log: &mut AttemptLog,
+        entry: ServerEntry,
+        outcome: CallOutcome,
+    ) -> Option<Response<AnswerBody>> {
+        let idempotent = case.rule.repeat == RepeatRule::Idempotent;
+        match outcome {
+            CallOutcome::Answered(response) => {
+                let failed = response.status().is_server_error();
+                log.sent += 1;
+                log.may_have_run = true;
+                if !failed || !idempotent {
+                    self.state.counters.answered.fetch_add(1, Ordering::Relaxed);
+                    return Some(pass_on(response));
+                }
+                self.note_server(case, &entry, "failure answered");
+                log.last = Some(response);
+            }
+            CallOutcome::NotRun(status) => {
+                log.sent += 1;
+                self.note_server(case, &entry, "request refused by server");
+                if status == StatusCode::MISDIRECTED_REQUEST && case.key.is_some() {
+                    let left = case.call.end.since(self.state.now());
+                    self.await_owner(log, left).await;
+                }
+            }
+            CallOutcome::NotSent(reason) => {
+                log.unsent += 1;
+                self.note_server(case, &entry, &reason);
+                if log.unsent >= UNSENT_LIMIT {
+                    let comeback = Some(self.comeback());
+                    return Some(self.give_up(
+                        case,
+                        std::mem::take(log),
+                        Refusal::Unavailable,
+                        comeback,
+                    ));
+                }
+            }
+            CallOutcome::Unknown(reason) => {
+                log.sent += 1;
+                log.may_have_run = true;
+                self.note_server(case, &entry, &reason);
+                if !idempotent {
+                    return Some(self.give_up(
+                        case,
+                        std::mem::take(log),
+                        Refusal::AnswerLost,
+                        None,
+                    ));
+                }
+            }
+            CallOutcome::TimedOut => {
+                log.sent += 1;
+                log.may_have_run = true;
+                self.note_server(case, &entry, "no answer in time");
+                if !idempotent || case.call.end.since(self.state.now()) < LEAST_ATTEMPT {
+                    return Some(self.give_up(case, std::mem::take(log), Refusal::TimedOut, None));
+                }
+            }
+        }
+        log.tried.push(entry.id);
+        None
+    }
+
+    /// Waits for a change of owners; `false` if this request has waited enough.
+    async fn await_owner(&self, log: &mut AttemptLog, left: Duration) -> bool {
+        let rest = OWNER_WAIT.saturating_sub(log.waited).min(left);
+        if rest.is_zero() {
+            return false;
+        }
+        let begun = self.state.now();
+        let changed = timeout(rest, self.state.owners_changed.notified()).await;
+        log.waited += self.state.now().since(begun);
+        changed.is_ok()
+    }
+
+    fn patience(&self, case: &RequestCase, entry: &ServerEntry, left: Duration) -> Duration {
+        let single = case.rule.repeat == RepeatRule::AtMostOnce || case.key.is_some();
+        if single {
+            return left;
+        }
+        let expected = self.state.expected_time(&entry.id);
+        let floor = case.rule.target.mul_f64(PATIENCE_SHARE);
+        expected.mul_f64(PATIENCE_FACTOR).max(floor)
+    }
+
+    fn comeback(&self) -> Duration {
+        camphorcove_core::dispatch::comeback(None, self.state.draw())
+    }
+
+    /// Final answer without a success.
+    fn give_up(
+        &self,
+        case: &RequestCase,
+        log: AttemptLog,
+        refusal: Refusal,
+        comeback: Option<Duration>,
+    ) -> Response<AnswerBody> {
+        if let Some(response) = log.last {
+            self.state.counters.answered.fetch_add(1, Ordering::Relaxed);
+            return pass_on(response);
+        }
+        // "Not run" is said only if no attempt may have run.
+        let refusal = match (log.may_have_run, refusal) {
+            (true, Refusal::TimedOut | Refusal::TooLate) => Refusal::TimedOut,
+            (true, _) => Refusal::AnswerLost,
+            (false, refusal) => refusal,
+        };
+        let comeback = match refusal.status() {
+            StatusCode::SERVICE_UNAVAILABLE => Some(comeback.unwrap_or_else(|| self.comeback())),
+            _ => None,
+        };
+        let head = RequestHead {
+            id: Some(case.call.id.clone()),
+            ..RequestHead::default()
+        };
+        if let Some(left_out) = self.state.may_log(topic(refusal)) {
+            let waited = self.state.now().since(case.started).as_millis();
+            log::info!(
+                request = text(&head),
+                route = case.rule.name.as_str(),
+                service = case.service.as_str(),
+                key:? = case.key,
+                refusal:? = refusal,
+                sent = log.sent,
+                unsent = log.unsent,
+                last_server = log.tried.last().map_or("", |id| id.as_str()),
+                waited_ms:% = waited,
+                comeback_ms:? = comeback.map(|span| span.as_millis()),
+                left_out;
+                "request ended without a server's answer"
+            );
+        }
+        self.count(refusal);
+        refuse(refusal, comeback)
+    }
+
+    /// Answer to a request that never got as far as a service.
+    fn own_answer(
+        &self,
+        head: &RequestHead,
+        route: &str,
+        refusal: Refusal,
+        comeback: Option<Duration>,
+    ) -> Response<AnswerBody> {
+        if let Some(left_out) = self.state.may_log(topic(refusal)) {
+            let version = self.state.table().map(|table| table.version.0);
+            log::info!(
+                request = text(head),
+                route,
+                refusal:? = refusal,
+                config_version:? = version,
+                left_out;
+                "request refused"
+            );
+        }
+        self.count(refusal);
+        refuse(refusal, comeback)
+    }
+
+    fn count(&self, refusal: Refusal) {
+        let counters = &self.state.counters;
+        let counter = match refusal {
+            Refusal::AnswerLost | Refusal::TimedOut => &counters.failed,
+            _ => &counters.refused,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn note_repeat(&self, case: &RequestCase, entry: &ServerEntry) {
+        self.state.counters.repeated.fetch_add(1, Ordering::Relaxed);
+        if let Some(left_out) = self.state.may_log(LogTopic::Repeat) {
+            log::info!(
+                request = case.call.id.to_str().unwrap_or("?"),
+                service = case.service.as_str(),
+                server = entry.id.as_str(),
+                left_out;
+                "request repeated"
+            );
+        }
+    }
+
+    fn note_server(&self, case: &RequestCase, entry: &ServerEntry, reason: &str) {
+        if let Some(left_out) = self.state.may_log(LogTopic::Server) {
+            let reading = self.state.reading(&entry.id);
+            log::info!(
+                request = case.call.id.to_str().unwrap_or("?"),
+                service = case.service.as_str(),
+                server = entry.id.as_str(),
+                reason,
+                reading:? = reading,
+                left_out;
+                "attempt failed"
+            );
+        }
+    }
+}
+
+fn topic(refusal: Refusal) -> LogTopic {
+    match refusal {
+        Refusal::AnswerLost | Refusal::TimedOut => LogTopic::Failure,
+        _ => LogTopic::Refusal,
+    }
+}
+
+fn text(head: &RequestHead) -> &str {
+    let id = head.id.as_ref();
+    id.and_then(|id| id.to_str().ok()).unwrap_or("")
+}
+
+fn call_request(parts: Parts, body: Bytes, id: HeaderValue, end: BootTime) -> CallRequest {
+    let mut headers = parts.headers;
+    strip_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    CallRequest {
+        method: parts.method,
+        target: parts.uri,
+        headers,
+        body,
+        id,
+        end,
+    }
+}
+
+fn pass_on(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    strip_connection_headers(response.headers_mut());
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/state/host_state.rs
@@ -0,0 +1,480 @@
+//! The state that requests, watches and reports share.
+//!
+//! The program runs on one thread, so the lock is never contended; it is never held
+//! across an await.
+
+use {
+    super::{LogGate, LogTopic, StoreKind, StoreMarks},
+    crate::conf::GatewaySettings,
+    bincode::{Decode, Encode},
+    camphorcove_core::{
+        dispatch::{AnswerKind, CallWindow, GaugeReading, ServerGauge, ToldLoad},
+        fleet::{FleetChange, FleetView, ServerEntry},
+        ids::{ServerId, ServiceName},
+        ownership::{OwnerMap, OwnerState},
+        routing::{RouteRule, RouteTable, SplitWheel},
+        time::BootTime,
+    },
+    camphorcove_net::clock::BootClock,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{
+        collections::{BTreeMap, HashMap},
+        fmt,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::Notify,
+};
+
+/// Hosts assumed to share limits before the leader has counted them.
+const HOSTS_AT_START: u32 = 10;
+
+/// Time after which a server counts as unmeasured by other hosts: two reports missed.
+const OTHERS_AGE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Counters of requests.
+#[derive(Debug, Default)]
+pub struct HostCounters {
+    /// Requests read.
+    pub requests: AtomicU64,
+    /// Answers of servers passed on.
+    pub answered: AtomicU64,
+    /// Requests refused as not run.
+    pub refused: AtomicU64,
+    /// Requests that failed after they were sent.
+    pub failed: AtomicU64,
+    /// Repeats sent.
+    pub repeated: AtomicU64,
+    /// Connections opened to servers.
+    pub connections: AtomicU64,
+    /// Calls to the store.
+    pub store_calls: AtomicU64,
+    /// Orders to servers.
+    pub orders: AtomicU64,
+}
+
+/// Load of one server as one host sees it.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct ServerLoad {
+    /// Server.
+    pub server: ServerId,
+    /// Requests of this host at the server.
+    pub in_flight: u32,
+    /// Successes since the last report.
+    pub successes: u32,
+    /// Their mean time at the server, in microseconds.
+    pub mean_micros: u32,
+}
+
+/// What a host reports to the leader.
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+pub struct LoadReport {
+    /// Loads of the servers with requests.
+    pub servers: Vec<ServerLoad>,
+    /// Requests by service and key since the last report.
+    pub keys: Vec<(ServiceName, Vec<(u16, u32)>)>,
+}
+
+pub(super) struct StateInner {
+    pub(super) table: Option<Arc<RouteTable>>,
+    pub(super) wheel: SplitWheel,
+    pub(super) fleet: FleetView,
+    pub(super) fleet_listed: bool,
+    pub(super) gauges: HashMap<ServerId, ServerGauge>,
+    pub(super) windows: HashMap<ServiceName, CallWindow>,
+    pub(super) owners: OwnerMap,
+    pub(super) owner_state: Option<(Arc<OwnerState>, u64)>,
+    pub(super) key_counts: BTreeMap<ServiceName, BTreeMap<u16, u32>>,
+    pub(super) random: ChaCha8Rng,
+    hosts: u32,
+    others_at: BootTime,
+    seen_through: StoreMarks,
+    own_marks: StoreMarks,
+    peer_marks: StoreMarks,
+    log_gate: LogGate,
+}
+
+/// Shared state of one host.
+pub struct HostState {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Clock of leases and deadlines.
+    pub clock: BootClock,
+    /// Number drawn at start.
+    pub nonce: u64,
+    /// Counters.
+    pub counters: HostCounters,
+    /// Wakes requests that wait for a change of owner.
+    pub owners_changed: Notify,
+    /// Wakes watches that other hosts have overtaken.
+    pub marks_changed: Notify,
+    stopping: AtomicBool,
+    inner: Mutex<StateInner>,
+}
+
+impl fmt::Debug for HostState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HostState")
+            .field("host", &self.settings.host)
+            .finish_non_exhaustive()
+    }
+}
+
+impl HostState {
+    /// State of a process that starts now.
+    pub fn new(settings: GatewaySettings) -> Self {
+        let mut random: ChaCha8Rng = rand::make_rng();
+        let nonce = rand::RngExt::random(&mut random);
+        let random = ChaCha8Rng::from_rng(&mut random);
+        Self {
+            settings,
+            clock: BootClock,
+            nonce,
+            counters: HostCounters::default(),
+            owners_changed: Notify::new(),
+            marks_changed: Notify::new(),
+            stopping: AtomicBool::new(false),
+            inner: Mutex::new(StateInner {
+                table: None,
+                wheel: SplitWheel::default(),
+                fleet: FleetView::default(),
+                fleet_listed: false,
+                gauges: HashMap::new(),
+                windows: HashMap::new(),
+                owners: OwnerMap::default(),
+                owner_state: None,
+                key_counts: BTreeMap::new(),
+                random,
+                hosts: HOSTS_AT_START,
+                others_at: BootTime::default(),
+                seen_through: StoreMarks::default(),
+                own_marks: StoreMarks::default(),
+                peer_marks: StoreMarks::default(),
+                log_gate: LogGate::default(),
+            }),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, StateInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Current time.
+    pub fn now(&self) -> BootTime {
+        self.clock.now()
+    }
+
+    /// A random fraction below 1.
+    pub fn draw(&self) -> f64 {
+        rand::RngExt::random(&mut self.lock().random)
+    }
+
+    /// A random number.
+    pub fn draw_number(&self) -> u64 {
+        rand::RngExt::random(&mut self.lock().random)
+    }
+
+    /// Whether a line of the topic may be logged; if so, how many were left out.
+    pub fn may_log(&self, topic: LogTopic) -> Option<u64> {
+        let now = self.now();
+        self.lock().log_gate.pass(topic, now)
+    }
+
+    /// Begins the planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether this host can serve new callers.
+    pub fn is_ready(&self) -> bool {
+        let inner = self.lock();
+        let Some(table) = &inner.table else {
+            return false;
+        };
+        let keyed = table.services.values().any(|service| service.keyed);
+        let owners = !keyed || inner.owner_state.is_some();
+        !self.is_stopping() && inner.fleet_listed && owners
+    }
+
+    /// Configuration in force.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.lock().table.clone()
+    }
+
+    /// Puts a configuration in force; an older version is left out.
+    pub fn set_table(&self, table: RouteTable) -> bool {
+        let mut inner = self.lock();
+        let newer = inner
+            .table
+            .as_ref()
+            .is_none_or(|current| current.version < table.version);
+        if newer {
+            inner.wheel.reset();
+            inner.table = Some(Arc::new(table));
+        }
+        newer
+    }
+
+    /// Counts a request and names the service that gets it.
+    pub fn route_request(&self, rule: &RouteRule) -> ServiceName {
+        let now = self.now();
+        let mut inner = self.lock();
+        let service = inner.wheel.next(rule);
+        self.window(&mut inner, &service).count_request(now);
+        service
+    }
+
+    /// Takes one repeat of a service; `false` if this host's part is spent.
+    pub fn take_repeat(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let mut inner = self.lock();
+        let hosts = inner.hosts;
+        self.window(&mut inner, service).take_repeat(hosts, now)
+    }
+
+    fn window<'i>(&self, inner: &'i mut StateInner, service: &ServiceName) -> &'i mut CallWindow {
+        let settings = &self.settings;
+        inner.windows.entry(service.clone()).or_insert_with(|| {
+            CallWindow::new(
+                settings.repeat_window,
+                settings.repeat_ratio,
+                settings.repeat_slack,
+            )
+        })
+    }
+
+    /// Takes entries of servers and removals; logs what changed.
+    pub fn update_fleet(&self, put: Vec<ServerEntry>, removed: &[ServerId]) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let mut changes = Vec::new();
+        for entry in put {
+            changes.extend(inner.fleet.put(entry));
+        }
+        for id in removed {
+            changes.extend(inner.fleet.remove(id, now));
+        }
+        inner.apply_changes(&changes, now);
+    }
+
+    /// Replaces all entries of servers.
+    pub fn replace_fleet(&self, entries: Vec<ServerEntry>) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let changes = inner.fleet.replace(entries, now);
+        inner.fleet_listed = true;
+        inner.apply_changes(&changes, now);
+    }
+
+    /// Drops servers whose removal has been confirmed by time.
+    pub fn expire_fleet(&self) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let changes = inner.fleet.expire(now);
+        inner.apply_changes(&changes, now);
+    }
+
+    /// Servers as known now.
+    pub fn fleet(&self) -> FleetView {
+        self.lock().fleet.clone()
+    }
+
+    /// Load at which each server is fully busy, in requests a second.
+    pub fn server_rates(&self) -> HashMap<ServerId, f32> {
+        let now = self.now();
+        let inner = self.lock();
+        let rate = |gauge: &ServerGauge| {
+            let reading = gauge.read(now);
+            (f64::from(reading.slots) / reading.service_time.max(0.001)) as f32
+        };
+        inner
+            .gauges
+            .iter()
+            .map(|(id, gauge)| (id.clone(), rate(gauge)))
+            .collect()
+    }
+
+    /// Reading of a server's gauge.
+    pub fn reading(&self, server: &ServerId) -> Option<GaugeReading> {
+        let now = self.now();
+        self.lock().gauges.get(server).map(|gauge| gauge.read(now))
+    }
+
+    /// Expected time until a server answers.
+    pub fn expected_time(&self, server: &ServerId) -> Duration {
+        let seconds = self.reading(server).map_or(0.0, |reading| reading.expected);
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// Slots of a server; 1 if it is unknown.
+    pub fn slots(&self, server: &ServerId) -> u32 {
+        let inner = self.lock();
+        inner.fleet.get(server).map_or(1, |entry| entry.slots)
+    }
+
+    /// Takes the stored assignment; an older revision is left out.
+    pub fn set_owners(&self, state: OwnerState, revision: u64) -> bool {
+        let mut inner = self.lock();
+        let known = inner.owner_state.as_ref().map(|(_, known)| *known);
+        if known.is_some_and(|known| known >= revision) {
+            return false;
+        }
+        let state = Arc::new(state);
+        inner.owners = OwnerMap::new(state.clone());
+        inner.owner_state = Some((state, revision));
+        drop(inner);
+        self.owners_changed.notify_waiters();
+        true
+    }
+
+    /// Stored assignment and its revision.
+    pub fn owners(&self) -> Option<(Arc<OwnerState>, u64)> {
+        self.lock().owner_state.clone()
+    }
+
+    /// Notes that a kind was followed through `through`, with its last change at `change`.
+    pub fn note_seen(&self, kind: StoreKind, through: u64, change: u64) {
+        let mut inner = self.lock();
+        inner.seen_through.raise(kind, through);
+        inner.own_marks.raise(kind, change);
+    }
+
+    /// Newest changes that this host has seen.
+    pub fn marks(&self) -> StoreMarks {
+        self.lock().own_marks
+    }
+
+    /// Takes the newest changes that other hosts have seen.
+    pub fn set_peer_marks(&self, marks: &StoreMarks) {
+        let mut inner = self.lock();
+        let before = inner.peer_marks;
+        inner.peer_marks.merge(marks);
+        let changed = inner.peer_marks != before;
+        drop(inner);
+        if changed {
+            self.marks_changed.notify_waiters();
+        }
+    }
+
+    /// Whether other hosts have seen a change of the kind that this one has not.
+    pub fn is_behind(&self, kind: StoreKind) -> bool {
+        let inner = self.lock();
+        inner.seen_through.get(kind) < inner.peer_marks.get(kind)
+    }
+
+    /// Number of hosts, and the requests of other hosts at each server.
+    pub fn set_others(&self, hosts: u32, totals: &[(ServerId, u32)]) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.hosts = hosts.max(1);
+        inner.others_at = now;
+        for gauge in inner.gauges.values_mut() {
+            gauge.set_others(0);
+        }
+        for (id, total) in totals {
+            if let Some(gauge) = inner.gauges.get_mut(id) {
+                let own = gauge.reported();
+                gauge.set_others(total.saturating_sub(own));
+            }
+        }
+    }
+
+    /// Forgets the requests of other hosts when no digest arrives any more.
+    pub fn expire_others(&self) {
+        let now = self.now();
+        let mut inner = self.lock();
+        if now.since(inner.others_at) < OTHERS_AGE_LIMIT {
+            return;
+        }
+        for gauge in inner.gauges.values_mut() {
+            gauge.set_others(0);
+        }
+    }
+
+    /// Hosts that share limits.
+    pub fn hosts(&self) -> u32 {
+        self.lock().hosts
+    }
+
+    /// What is to be reported to the leader since the last call.
+    pub fn take_report(&self) -> LoadReport {
+        let mut inner = self.lock();
+        let mut servers = Vec::new();
+        for (id, gauge) in &mut inner.gauges {
+            let (successes, mean) = gauge.take_period();
+            let in_flight = gauge.take_reported();
+            if successes == 0 && in_flight == 0 {
+                continue;
+            }
+            servers.push(ServerLoad {
+                server: id.clone(),
+                in_flight,
+                successes,
+                mean_micros: (mean * 1e6) as u32,
+            });
+        }
+        let keys = std::mem::take(&mut inner.key_counts)
+            .into_iter()
+            .map(|(service, keys)| (service, keys.into_iter().collect()))
+            .collect();
+        LoadReport { servers, keys }
+    }
+
+    /// Takes the end of an exchange with a server.
+    pub fn exchange_ended(
+        &self,
+        server: &ServerId,
+        kind: AnswerKind,
+        load: Option<ToldLoad>,
+        latency: Duration,
+    ) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let Some(gauge) = inner.gauges.get_mut(server) else {
+            return;
+        };
+        gauge.ended(kind, latency, now);
+        if let Some(load) = load {
+            gauge.told(load, now);
+        }
+    }
+}
+
+impl StateInner {
+    fn apply_changes(&mut self, changes: &[FleetChange], now: BootTime) {
+        for change in changes {
+            match change {
+                FleetChange::Joined(entry) => {
+                    let gauge = ServerGauge::new(entry.slots, entry.warmup, now);
+                    self.gauges.insert(entry.id.clone(), gauge);
+                    log::info!(
+                        server = entry.id.as_str(),
+                        service = entry.service.as_str(),
+                        incarnation = entry.incarnation,
+                        address:% = entry.address;
+                        "server joined"
+                    );
+                }
+                FleetChange::Draining(id) => {
+                    log::info!(server = id.as_str(); "server drains");
+                }
+                FleetChange::Missing(id) => {
+                    log::info!(server = id.as_str(); "server entry removed, held for a moment");
+                }
+                FleetChange::Left(id) => {
+                    self.gauges.remove(id);
+                    log::info!(server = id.as_str(); "server left");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/mod.rs
@@ -0,0 +1,13 @@
+//! What this host knows, shared by its tasks.
+
+mod host_state;
+mod log_gate;
+mod server_pick;
+mod store_marks;
+
+pub use {
+    host_state::{HostCounters, HostState, LoadReport, ServerLoad},
+    log_gate::{LogGate, LogTopic},
+    server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
+    store_marks::{StoreKind, StoreMarks},
+};
--- /dev/null
+++ b/crates/gateway/src/state/server_pick.rs
@@ -0,0 +1,188 @@
+//! Choice of the server for one attempt of a request.
+
+use {
+    super::HostState,
+    camphorcove_core::{
+        dispatch::{
+            Admission, AdmissionRule, AnswerKind, Candidate, GaugeReading, ToldLoad, choose_server,
+            comeback,
+        },
+        fleet::{ServerEntry, ServerPhase},
+        ids::{ServerId, ServiceName},
+        ownership::OwnerLookup,
+        time::BootTime,
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct PickQuery<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Key, for keyed services.
+    pub key: Option<u16>,
+    /// Servers that were tried for this request.
+    pub tried: &'a [ServerId],
+    /// Time bounds.
+    pub rule: AdmissionRule,
+}
+
+/// Why no server gets the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PickRefusal {
+    /// The service has no server.
+    NoServer,
+    /// Its servers have too much to do.
+    Overloaded,
+    /// The time left does not suffice.
+    TooLate,
+    /// The key's owner does not react.
+    OwnerSilent,
+    /// The request has no key, but the service is keyed.
+    NoKey,
+}
+
+/// Result of the choice.
+#[derive(Debug)]
+pub enum ServerPick {
+    /// Send it there.
+    Send(ServerEntry, ServerPermit),
+    /// The key has no owner at this moment.
+    Unowned,
+    /// Refuse it; come back after this time.
+    Refuse(PickRefusal, Duration),
+}
+
+/// Counts one request at a server until it has ended.
+#[derive(Debug)]
+pub struct ServerPermit {
+    state: Arc<HostState>,
+    server: ServerId,
+    started: BootTime,
+    open: bool,
+}
+
+impl ServerPermit {
+    /// Ends the request.
+    pub fn end(mut self, kind: AnswerKind, load: Option<ToldLoad>) {
+        self.finish(kind, load);
+    }
+
+    fn finish(&mut self, kind: AnswerKind, load: Option<ToldLoad>) {
+        self.open = false;
+        let latency = self.state.now().since(self.started);
+        self.state.exchange_ended(&self.server, kind, load, latency);
+    }
+}
+
+impl Drop for ServerPermit {
+    fn drop(&mut self) {
+        if self.open {
+            self.finish(AnswerKind::Abandoned, None);
+        }
+    }
+}
+
+impl HostState {
+    /// Chooses a server and counts the request there.
+    pub fn pick_server(self: &Arc<Self>, query: PickQuery<'_>) -> ServerPick {
+        let keyed = self
+            .table()
+            .and_then(|table| Some(table.services.get(query.service)?.keyed))
+            .unwrap_or(false);
+        match (keyed, query.key) {
+            (true, Some(key)) => self.pick_owner(query, key),
+            (true, None) => ServerPick::Refuse(PickRefusal::NoKey, Duration::ZERO),
+            (false, _) => self.pick_any(query),
+        }
+    }
+
+    /// Counts a request for a key, whether it is served or not.
+    pub fn count_key(&self, service: &ServiceName, key: u16) {
+        let mut inner = self.lock();
+        let counts = inner.key_counts.entry(service.clone()).or_default();
+        *counts.entry(key).or_default() += 1;
+    }
+
+    fn pick_owner(self: &Arc<Self>, query: PickQuery<'_>, key: u16) -> ServerPick {
+        let now = self.now();
+        let mut inner = self.lock();
+        let owner = match inner.owners.find(query.service, key) {
+            OwnerLookup::Owner(owner) => owner,
+            OwnerLookup::Moving | OwnerLookup::Unassigned => return ServerPick::Unowned,
+        };
+        let entry = match inner.fleet.get(&owner.id) {
+            Some(entry) if entry.incarnation == owner.incarnation => entry.clone(),
+            _ => return ServerPick::Unowned,
+        };
+        let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
+            return ServerPick::Unowned;
+        };
+        let reading = gauge.read(now);
+        let refusal = match query.rule.decide(reading) {
+            _ if reading.avoided => Some(PickRefusal::OwnerSilent),
+            Admission::Send => None,
+            Admission::Overloaded => Some(PickRefusal::Overloaded),
+            Admission::TooLate => Some(PickRefusal::TooLate),
+        };
+        if let Some(refusal) = refusal {
+            let spread = rand::RngExt::random(&mut inner.random);
+            return ServerPick::Refuse(refusal, comeback(Some(reading), spread));
+        }
+        gauge.sent();
+        drop(inner);
+        self.permit(entry, now)
+    }
+
+    fn pick_any(self: &Arc<Self>, query: PickQuery<'_>) -> ServerPick {
+        let now = self.now();
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        let mut entries = Vec::new();
+        let mut candidates = Vec::new();
+        for entry in inner.fleet.entries() {
+            if entry.service != *query.service || entry.phase != ServerPhase::Ready {
+                continue;
+            }
+            let Some(gauge) = inner.gauges.get(&entry.id) else {
+                continue;
+            };
+            candidates.push(Candidate {
+                reading: gauge.read(now),
+                local: entry.zone == self.settings.zone,
+                tried: query.tried.contains(&entry.id),
+            });
+            entries.push(entry);
+        }
+        let Some(at) = choose_server(&candidates, &mut inner.random) else {
+            let spread = rand::RngExt::random(&mut inner.random);
+            return ServerPick::Refuse(PickRefusal::NoServer, comeback(None, spread));
+        };
+        let reading: GaugeReading = candidates[at].reading;
+        let refusal = match query.rule.decide(reading) {
+            Admission::Send => None,
+            Admission::Overloaded => Some(PickRefusal::Overloaded),
+            Admission::TooLate => Some(PickRefusal::TooLate),
+        };
+        if let Some(refusal) = refusal {
+            let spread = rand::RngExt::random(&mut inner.random);
+            return ServerPick::Refuse(refusal, comeback(Some(reading), spread));
+        }
+        let entry = entries[at].clone();
+        if let Some(gauge) = inner.gauges.get_mut(&entry.id) {
+            gauge.sent();
+        }
+        self.permit(entry, now)
+    }
+
+    fn permit(self: &Arc<Self>, entry: ServerEntry, started: BootTime) -> ServerPick {
+        let permit = ServerPermit {
+            state: self.clone(),
+            server: entry.id.clone(),
+            started,
+            open: true,
+        };
+        ServerPick::Send(entry, permit)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state/store_marks.rs
@@ -0,0 +1,54 @@
+//! How far this host has followed the store, and how far other hosts have.
+//!
+//! A watch whose connection went silent looks like a store without changes. Hosts
+//! therefore tell each other the newest change that they saw of each kind; a host
+//! that is behind reads the kind anew.
+
+use bincode::{Decode, Encode};
+
+/// Kinds of objects that a host follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreKind {
+    /// The operator's configuration.
+    Config,
+    /// Entries of servers.
+    Fleet,
+    /// Assignment of keys.
+    Owners,
+}
+
+/// Newest change seen, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct StoreMarks {
+    config: u64,
+    fleet: u64,
+    owners: u64,
+}
+
+impl StoreMarks {
+    /// Mark of a kind.
+    pub fn get(&self, kind: StoreKind) -> u64 {
+        match kind {
+            StoreKind::Config => self.config,
+            StoreKind::Fleet => self.fleet,
+            StoreKind::Owners => self.owners,
+        }
+    }
+
+    /// Raises the mark of a kind.
+    pub fn raise(&mut self, kind: StoreKind, revision: u64) {
+        let mark = match kind {
+            StoreKind::Config => &mut self.config,
+            StoreKind::Fleet => &mut self.fleet,
+            StoreKind::Owners => &mut self.owners,
+        };
+        *mark = revision.max(*mark);
+    }
+
+    /// Raises all marks to those of `other`.
+    pub fn merge(&mut self, other: &Self) {
+        for kind in [StoreKind::Config, StoreKind::Fleet, StoreKind::Owners] {
+            self.raise(kind, other.get(kind));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -0,0 +1,65 @@
+//! Puts new configurations in force.
+
+use {
+    super::{KindChange, KindFollower},
+    crate::state::{HostState, StoreKind},
+    camphorcove_platform::{CONFIG_KIND, CONFIG_NAME, StoredObject, decode_configuration},
+    std::sync::Arc,
+};
+
+/// Follows the operator's configuration.
+pub struct ConfigFollower {
+    state: Arc<HostState>,
+}
+
+impl ConfigFollower {
+    /// Follower for a host.
+    pub fn new(state: Arc<HostState>) -> Self {
+        Self { state }
+    }
+
+    fn adopt(&self, object: &StoredObject) {
+        if object.name != CONFIG_NAME {
+            return;
+        }
+        let revision = object.revision;
+        match decode_configuration(&object.content) {
+            Ok(table) => {
+                let version = table.version;
+                let routes = table.route_count();
+                if self.state.set_table(table) {
+                    log::info!(version:% = version, revision, routes; "configuration in force");
+                }
+            }
+            Err(fault) => {
+                log::error!(revision, reason:% = fault; "configuration rejected, the old one stays");
+            }
+        }
+    }
+}
+
+impl KindFollower for ConfigFollower {
+    const MARK: StoreKind = StoreKind::Config;
+    const KIND: &'static str = CONFIG_KIND;
+
+    fn take(&mut self, changes: Vec<KindChange>) {
+        let mut newest: Option<StoredObject> = None;
+        for change in changes {
+            match change {
+                KindChange::Listed(objects) => {
+                    newest = objects
+                        .into_iter()
+                        .find(|object| object.name == CONFIG_NAME);
+                }
+                KindChange::Changed(object) if object.name == CONFIG_NAME => newest = Some(object),
+                KindChange::Changed(_) => {}
+                KindChange::Removed(object) => {
+                    log::warn!(name = object.name.as_str(); "configuration removed, the old one stays");
+                }
+            }
+        }
+        if let Some(object) = newest {
+            self.adopt(&object);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watch/mod.rs
@@ -0,0 +1,11 @@
+//! Follows the platform's store.
+
+mod config_follower;
+mod fleet_follower;
+mod kind_follower;
+mod owner_follower;
+
+pub use kind_follower::{KindChange, KindFollower, follow};
+pub use {
+    config_follower::ConfigFollower, fleet_follower::FleetFollower, owner_follower::OwnerFollower,
+};
--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -48,6 +48,7 @@
 pub struct HttpClient {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
     idle_limit: usize,
+    abortive_close: bool,
 }
 
 impl Default for HttpClient {
@@ -62,9 +63,17 @@
         Self {
             idle: Arc::default(),
             idle_limit,
+            abortive_close: false,
         }
     }
 
+    /// Resets connections instead of closing them, so that the bytes of a request
+    /// that was given up are not delivered later.
+    pub fn with_abortive_close(mut self) -> Self {
+        self.abortive_close = true;
+        self
+    }
+
     /// Sends a request and reads the whole response within `timeout`.
     ///
     /// The connection is closed if the returned future is dropped early.
@@ -100,7 +109,7 @@
                 Err(_) => return not_sent("timed out waiting for a connection"),
             }
         }
-        timeout_at(end, connect(address))
+        timeout_at(end, connect(address, self.abortive_close))
             .await
             .unwrap_or_else(|_| not_sent("timed out connecting"))
     }
@@ -134,13 +143,18 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, ExchangeError> {
+async fn connect(address: SocketAddr, abortive_close: bool) -> Result<Sender, ExchangeError> {
     let stream = TcpStream::connect(address)
         .await
         .or_else(|error| not_sent(error.to_string()))?;
     stream
         .set_nodelay(true)
         .or_else(|error| not_sent(error.to_string()))?;
+    if abortive_close {
+        stream
+            .set_zero_linger()
+            .or_else(|error| not_sent(error.to_string()))?;
+    }
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .or_else(|error| not_sent(error.to_string()))?;
--- a/crates/net/src/log/json_log.rs
+++ b/crates/net/src/log/json_log.rs
@@ -4,6 +4,7 @@
 //! become members of the JSON object.
 
 use {
+    super::line_writer::LineWriter,
     crate::clock::wall_millis,
     log::{
         LevelFilter, Record,
@@ -22,11 +23,30 @@
     pub host: Option<String>,
     /// Level at start.
     pub level: LevelFilter,
+    /// Where the lines go.
+    pub target: LogTarget,
+}
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogTarget {
+    /// Standard error, written by the task that logs.
+    StandardError,
+    /// Standard output, written by a thread of its own; lines that it cannot write in
+    /// time are dropped and counted, so that no task waits for a slow reader.
+    BoundedOutput,
 }
 
 /// Starts logging; fails if the process has a logger already.
 pub fn start(setup: LogSetup) -> Result<(), log::SetLoggerError> {
     let level = setup.level;
+    let output: fern::Output = match setup.target {
+        LogTarget::StandardError => std::io::stderr().into(),
+        LogTarget::BoundedOutput => {
+            let writer = LineWriter::start(setup.program);
+            fern::Output::call(move |record| writer.send(record.args().to_string()))
+        }
+    };
     // The dispatcher passes everything; `log::set_max_level` alone filters, so
     // that the level can change while running.
     fern::Dispatch::new()
@@ -36,7 +56,7 @@
         .format(move |out, message, record| {
             out.finish(format_args!("{}", json_line(&setup, message, record)));
         })
-        .chain(std::io::stderr())
+        .chain(output)
         .apply()?;
     log::set_max_level(level);
     Ok(())
--- /dev/null
+++ b/crates/net/src/log/line_writer.rs
@@ -0,0 +1,65 @@
+//! Writes log lines to standard output without ever blocking the caller.
+
+use {
+    crate::clock::wall_millis,
+    serde_json::json,
+    std::{
+        io::{Write, stdout},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+            mpsc::{Receiver, SyncSender, sync_channel},
+        },
+        thread,
+    },
+};
+
+/// Lines that wait for the writer: some seconds of a busy host.
+const QUEUE_LINES: usize = 2_048;
+
+/// Queue of lines with one writing thread.
+#[derive(Debug)]
+pub struct LineWriter {
+    queue: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LineWriter {
+    /// Starts the thread; without one, lines are dropped.
+    pub fn start(program: &'static str) -> Self {
+        let (queue, lines) = sync_channel(QUEUE_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = dropped.clone();
+        let thread = thread::Builder::new().name("log".into());
+        if let Err(error) = thread.spawn(move || write_lines(program, &lines, &counter)) {
+            eprintln!("{program}: no thread for the log: {error}");
+        }
+        Self { queue, dropped }
+    }
+
+    /// Queues a line, or counts it as dropped.
+    pub fn send(&self, line: String) {
+        if self.queue.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_lines(program: &str, lines: &Receiver<String>, dropped: &AtomicU64) {
+    while let Ok(line) = lines.recv() {
+        let mut text = line + "\n";
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let note = json!({
+                "time_ms": wall_millis(),
+                "level": "WARN",
+                "program": program,
+                "message": "log lines dropped",
+                "count": lost,
+            });
+            text.push_str(&format!("{note}\n"));
+        }
+        // Without a reader on standard output there is nowhere to report the error.
+        let _ = stdout().lock().write_all(text.as_bytes());
+    }
+}
--- a/crates/net/src/log/mod.rs
+++ b/crates/net/src/log/mod.rs
@@ -1,5 +1,6 @@
-//! Logging: one JSON object a line on standard error.
+//! Logging: one JSON object a line on standard error or standard output.
 
 mod json_log;
+mod line_writer;
 
-pub use json_log::{LogSetup, set_level, start};
+pub use json_log::{LogSetup, LogTarget, set_level, start};
