--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -31,6 +31,7 @@
 struct FleetSlot {
     entry: ServerEntry,
     missing_since: Option<BootTime>,
+    draining_since: Option<BootTime>,
 }
 
 /// Servers by id.
@@ -41,11 +42,14 @@
 
 impl FleetView {
     /// Takes one entry.
-    pub fn put(&mut self, entry: ServerEntry) -> Option<FleetChange> {
+    pub fn put(&mut self, entry: ServerEntry, now: BootTime) -> Option<FleetChange> {
         let id = entry.id.clone();
+        let drains = entry.phase == ServerPhase::Draining;
+        let since = self.slots.get(&id).and_then(|slot| slot.draining_since);
         let fresh = FleetSlot {
             entry: entry.clone(),
             missing_since: None,
+            draining_since: drains.then(|| since.unwrap_or(now)),
         };
         let Some(old) = self.slots.insert(id.clone(), fresh) else {
             return Some(FleetChange::Joined(entry));
@@ -76,7 +80,7 @@
         let mut changes = Vec::new();
         let listed: Vec<ServerId> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
-            changes.extend(self.put(entry));
+            changes.extend(self.put(entry, now));
         }
         let known: Vec<ServerId> = self.slots.keys().cloned().collect();
         for id in known {
@@ -108,6 +112,12 @@
         self.slots.get(id).map(|slot| &slot.entry)
     }
 
+    /// Since when the server is known to leave.
+    pub fn leaving_since(&self, id: &ServerId) -> Option<BootTime> {
+        let slot = self.slots.get(id)?;
+        slot.draining_since.or(slot.missing_since)
+    }
+
     /// All servers that still count.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
         self.slots.values().map(|slot| &slot.entry)
--- a/crates/core/src/ownership/key_range.rs
+++ b/crates/core/src/ownership/key_range.rs
@@ -1,6 +1,7 @@
 //! Ranges of numeric keys.
 
 use {
+    bincode::{Decode, Encode},
     serde::{Deserialize, Serialize},
     std::fmt,
 };
@@ -9,7 +10,9 @@
 pub const LAST_KEY: u16 = u16::MAX;
 
 /// Consecutive keys, both ends included.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
+)]
 pub struct KeyRange {
     /// First key.
     pub first: u16,
--- a/crates/core/src/ownership/leader_plan.rs
+++ b/crates/core/src/ownership/leader_plan.rs
@@ -15,26 +15,35 @@
         time::BootTime,
     },
     std::{
-        collections::{BTreeMap, HashMap},
-        net::SocketAddr,
+        collections::{BTreeMap, BTreeSet, HashMap},
         time::Duration,
     },
 };
 
 /// Pause before an order that failed is sent again.
-const ORDER_PAUSE: Duration = Duration::from_millis(250);
+const ORDER_PAUSE: Duration = Duration::from_millis(100);
 
-/// Failed renewals in a row after which a server counts as silent.
-const SILENT_FAILURES: u32 = 2;
+/// Time without any answer after which a server counts as silent. Three orders fit
+/// in; with the lease of the last one, keys are served again within 5 s of a loss.
+const SILENT_LIMIT: Duration = Duration::from_millis(1_300);
+
+/// Tokens kept for taking one range back. Each try that got no answer may be carried
+/// out later, so the next one needs a higher token.
+pub(super) const RAISE_TOKENS: u64 = 16;
+
+/// Time without a new server after which the first assignment is made, so that it
+/// covers the servers that start together.
+const FIRST_FLEET_QUIET: Duration = Duration::from_millis(1_000);
+
+/// Longest wait for the fleet before the first assignment.
+const FIRST_FLEET_LIMIT: Duration = Duration::from_millis(4_000);
 
 /// Interval at which load is evened out: long enough to see the effect of a move.
 const BALANCE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Longest wait for the answer to a release, which comes when running work has ended.
-const RELEASE_LIMIT: Duration = GRANT_HOLD;
-
-/// Time after a takeover in which servers may be listed late.
-const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// A lost answer is found by asking again.
+const RELEASE_LIMIT: Duration = Duration::from_millis(1_200);
 
 type RangeKey = (ServiceName, KeyRange, u64);
 
@@ -81,8 +90,10 @@
         service: ServiceName,
         /// Keys.
         range: KeyRange,
-        /// Token.
+        /// Token that marks the move.
         token: u64,
+        /// Server.
+        server: ServerLife,
         /// Outcome.
         result: Result<Option<String>, OrderFailure>,
     },
@@ -99,12 +110,12 @@
         service: ServiceName,
         /// Server.
         server: ServerLife,
-        /// Its address.
-        address: SocketAddr,
         /// Keys.
         range: KeyRange,
-        /// Token.
+        /// Token of the record that the order is for.
         token: u64,
+        /// How far the order's own token lies above it.
+        raise: u64,
         /// Lease.
         hold: Duration,
         /// State of the former owner.
@@ -116,12 +127,12 @@
         service: ServiceName,
         /// Server.
         server: ServerLife,
-        /// Its address.
-        address: SocketAddr,
         /// Keys.
         range: KeyRange,
-        /// Token.
+        /// Token of the record that the order is for.
         token: u64,
+        /// How far the order's own token lies above it.
+        raise: u64,
         /// Longest wait for the answer.
         limit: Duration,
     },
@@ -130,16 +141,12 @@
 #[derive(Clone, Debug, Default)]
 struct GrantTrack {
     in_flight: bool,
-    answered: bool,
-    failures: u32,
     due: BootTime,
 }
 
 /// Steps of taking a range back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum ClearStep {
-    /// A release asks a silent server for a sign of life.
-    Probe,
     /// A grant with a higher token shuts out renewals of earlier leaders.
     #[default]
     Raise,
@@ -153,7 +160,11 @@
 struct ClearTrack {
     step: ClearStep,
     in_flight: bool,
+    /// The order in flight is a grant.
+    granting: bool,
     due: BootTime,
+    /// Raises sent so far.
+    raises: u64,
     handover: Option<String>,
 }
 
@@ -170,10 +181,21 @@
     clears: HashMap<RangeKey, ClearTrack>,
     handovers: HashMap<RangeKey, String>,
     loads: BTreeMap<ServiceName, RangeLoad>,
+    /// Last answer of each server, and when it was first asked since.
+    heard: HashMap<ServerLife, ServerHeard>,
+    fleet_size: usize,
+    fleet_grew_at: BootTime,
     moved_keys: u64,
     superseded: bool,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct ServerHeard {
+    answered_at: BootTime,
+    /// An order failed since the last answer.
+    failed: bool,
+}
+
 /// What the plan looks at.
 #[derive(Clone, Copy, Debug)]
 pub struct PlanWorld<'a> {
@@ -185,6 +207,12 @@
     pub capacity: &'a HashMap<ServerId, f32>,
 }
 
+impl ServerHeard {
+    fn is_silent(self, now: BootTime) -> bool {
+        self.failed && now.since(self.answered_at) >= SILENT_LIMIT
+    }
+}
+
 impl LeaderPlan {
     /// Plan after a takeover that the store acknowledged.
     ///
@@ -201,6 +229,9 @@
             clears: HashMap::new(),
             handovers: HashMap::new(),
             loads: BTreeMap::new(),
+            heard: HashMap::new(),
+            fleet_size: 0,
+            fleet_grew_at: now,
             moved_keys: 0,
             superseded: false,
         }
@@ -232,23 +263,39 @@
     }
 
     /// Owners with grants, and how many of them do not answer.
-    pub fn silent_owners(&self) -> (usize, usize) {
-        let mut failing: BTreeMap<&ServerLife, bool> = BTreeMap::new();
-        for (service, owners) in &self.state.services {
-            for record in &owners.ranges {
-                let RangePhase::Owned { owner, token } = &record.phase else {
-                    continue;
-                };
-                let key = (service.clone(), record.range, *token);
-                let silent = self
-                    .grants
-                    .get(&key)
-                    .is_some_and(|track| track.failures >= SILENT_FAILURES);
-                *failing.entry(owner).or_default() |= silent;
+    pub fn silent_owners(&self, now: BootTime) -> (usize, usize) {
+        let mut owners: BTreeSet<&ServerLife> = BTreeSet::new();
+        for record in self
+            .state
+            .services
+            .values()
+            .flat_map(|owners| &owners.ranges)
+        {
+            match &record.phase {
+                RangePhase::Owned { owner, .. } | RangePhase::Moving { owner, .. } => {
+                    owners.insert(owner);
+                }
+                RangePhase::Free => {}
             }
         }
-        let silent = failing.values().filter(|silent| **silent).count();
-        (failing.len(), silent)
+        let silent = owners.iter().filter(|owner| self.is_silent(owner, now));
+        (owners.len(), silent.count())
+    }
+
+    fn is_silent(&self, server: &ServerLife, now: BootTime) -> bool {
+        let heard = self.heard.get(server);
+        heard.is_some_and(|heard| heard.is_silent(now))
+    }
+
+    fn note_answer(&mut self, server: &ServerLife, answered: bool, now: BootTime) {
+        let heard = self.heard.entry(server.clone()).or_insert(ServerHeard {
+            answered_at: now,
+            failed: false,
+        });
+        if answered {
+            heard.answered_at = now;
+        }
+        heard.failed = !answered;
     }
 
     /// Counts requests for a key.
@@ -276,8 +323,9 @@
                 service,
                 range,
                 token,
+                server,
                 result,
-            } => self.release_done((service, range, token), result, now),
+            } => self.release_done((service, range, token), &server, result, now),
         }
     }
 
@@ -313,30 +361,25 @@
         if result == Err(OrderFailure::Superseded) && live_keys(&self.state).contains(&key) {
             self.superseded = true;
         }
+        let answered = !matches!(
+            result,
+            Err(OrderFailure::NotSent | OrderFailure::Unanswered)
+        );
+        self.note_answer(server, answered, now);
         if let Some(track) = self.clears.get_mut(&key) {
             track.in_flight = false;
             match result {
                 Ok(()) => track.step = ClearStep::Release,
                 Err(OrderFailure::OtherServer) => track.step = ClearStep::Done,
-                Err(_) => {
-                    track.step = ClearStep::Probe;
-                    track.due = now + ORDER_PAUSE;
-                }
+                Err(_) => track.due = now + ORDER_PAUSE,
             }
         }
         if let Some(track) = self.grants.get_mut(&key) {
             track.in_flight = false;
-            match result {
-                Ok(()) => {
-                    track.answered = true;
-                    track.failures = 0;
-                    track.due = now + RENEW_INTERVAL;
-                }
-                Err(_) => {
-                    track.failures += 1;
-                    track.due = now + ORDER_PAUSE;
-                }
-            }
+            track.due = match result {
+                Ok(()) => now + RENEW_INTERVAL,
+                Err(_) => now + ORDER_PAUSE,
+            };
         }
         if result.is_ok() {
             self.handovers.remove(&key);
@@ -346,20 +389,27 @@
     fn release_done(
         &mut self,
         key: RangeKey,
+        server: &ServerLife,
         result: Result<Option<String>, OrderFailure>,
         now: BootTime,
     ) {
+        let answered = !matches!(
+            result,
+            Err(OrderFailure::NotSent | OrderFailure::Unanswered)
+        );
+        self.note_answer(server, answered, now);
         let Some(track) = self.clears.get_mut(&key) else {
             return;
         };
         track.in_flight = false;
         match (result, track.step) {
-            (Ok(_), ClearStep::Probe) => track.step = ClearStep::Raise,
-            (Ok(handover), _) => {
+            (Ok(handover), ClearStep::Release) => {
                 track.step = ClearStep::Done;
                 track.handover = handover;
             }
             (Err(OrderFailure::OtherServer), _) => track.step = ClearStep::Done,
+            // A silent server that answers again is asked in the usual order.
+            (Ok(_), _) => {}
             (Err(_), _) => track.due = now + ORDER_PAUSE,
         }
     }
@@ -399,20 +449,26 @@
                 if life_ended(world.fleet, owner) {
                     continue;
                 }
-                let address = owner.address;
+                // A silent server is not asked again: each order could prolong its lease.
+                if self
+                    .heard
+                    .get(owner)
+                    .is_some_and(|heard| heard.is_silent(now))
+                {
+                    continue;
+                }
                 let key = (service.clone(), record.range, *token);
                 let track = self.grants.entry(key.clone()).or_default();
-                // A silent server is not asked again: each order could prolong its lease.
-                if track.in_flight || now < track.due || track.failures >= SILENT_FAILURES {
+                if track.in_flight || now < track.due {
                     continue;
                 }
                 track.in_flight = true;
                 actions.push(PlanAction::Grant {
                     service: service.clone(),
                     server: owner.clone(),
-                    address,
                     range: record.range,
                     token: *token,
+                    raise: 0,
                     hold: GRANT_HOLD,
                     handover: self.handovers.get(&key).cloned(),
                 });
@@ -432,31 +488,41 @@
                 if track.in_flight || now < track.due || track.step == ClearStep::Done {
                     continue;
                 }
-                let address = owner.address;
+                let silent = self
+                    .heard
+                    .get(owner)
+                    .is_some_and(|heard| heard.is_silent(now));
                 let (service, server, range, token) =
                     (service.clone(), owner.clone(), record.range, *token);
-                let limit = match track.step {
-                    ClearStep::Probe => CALL_LIMIT,
-                    _ => RELEASE_LIMIT,
-                };
+                // Only a release does not prolong the lease of a silent server. Without
+                // tokens left, the end of the lease has to be awaited.
+                let raise = track.raises;
+                let probe = silent || (track.step == ClearStep::Raise && raise + 1 >= RAISE_TOKENS);
                 track.in_flight = true;
+                track.granting = track.step == ClearStep::Raise && !probe;
                 actions.push(match track.step {
-                    ClearStep::Raise => PlanAction::Grant {
-                        service,
-                        server,
-                        address,
-                        range,
-                        token,
-                        hold: GRANT_HOLD,
-                        handover: None,
-                    },
+                    ClearStep::Raise if !probe => {
+                        track.raises += 1;
+                        PlanAction::Grant {
+                            service,
+                            server,
+                            range,
+                            token,
+                            raise,
+                            hold: GRANT_HOLD,
+                            handover: None,
+                        }
+                    }
                     _ => PlanAction::Release {
                         service,
                         server,
-                        address,
                         range,
                         token,
-                        limit,
+                        raise: raise.saturating_sub(1),
+                        limit: match silent {
+                            true => CALL_LIMIT,
+                            false => RELEASE_LIMIT,
+                        },
                     },
                 });
             }
@@ -466,12 +532,13 @@
     /// Next assignment, if it differs.
     fn draft(&mut self, world: PlanWorld<'_>, now: BootTime) -> Option<OwnerState> {
         let mut draft = self.state.clone();
+        self.note_fleet(world, now);
         for service in world.services {
             let owners = draft
                 .services
                 .entry(service.clone())
                 .or_insert_with(|| ServiceOwners::new(1));
-            let rooms = self.rooms(world, service, owners);
+            let rooms = self.rooms(world, service, owners, now);
             self.settle_moves(world, service, owners, &rooms, now);
             self.start_moves(world, service, owners, &rooms, now);
             owners.merge();
@@ -495,6 +562,7 @@
         world: PlanWorld<'_>,
         service: &ServiceName,
         owners: &ServiceOwners,
+        now: BootTime,
     ) -> Vec<ServerRoom> {
         let mut rooms = Vec::new();
         for entry in world.fleet.entries() {
@@ -506,7 +574,7 @@
                 incarnation: entry.incarnation,
                 address: entry.address,
             };
-            if self.is_silent(service, owners, &life) {
+            if self.is_silent(&life, now) {
                 continue;
             }
             let known = world.capacity.get(&entry.id).copied();
@@ -523,24 +591,23 @@
         rooms
     }
 
-    fn is_silent(&self, service: &ServiceName, owners: &ServiceOwners, life: &ServerLife) -> bool {
-        let granted = owners.ranges.iter().any(|record| {
-            let RangePhase::Owned { owner, token } = &record.phase else {
-                return false;
-            };
-            let key = (service.clone(), record.range, *token);
-            let track = self.grants.get(&key);
-            owner == life && track.is_some_and(|track| track.failures >= SILENT_FAILURES)
-        });
-        let clearing = owners.ranges.iter().any(|record| {
-            let RangePhase::Moving { owner, token, .. } = &record.phase else {
-                return false;
-            };
-            let key = (service.clone(), record.range, *token);
-            let track = self.clears.get(&key);
-            owner == life && track.is_some_and(|track| track.step == ClearStep::Probe)
-        });
-        granted || clearing
+    fn note_fleet(&mut self, world: PlanWorld<'_>, now: BootTime) {
+        let size = world.fleet.entries().count();
+        if size > self.fleet_size {
+            self.fleet_grew_at = now;
+        }
+        self.fleet_size = size;
+    }
+
+    /// Whether the servers that start together are likely to be known.
+    fn is_fleet_settled(&self, owners: &ServiceOwners, now: BootTime) -> bool {
+        let untouched = owners
+            .ranges
+            .iter()
+            .all(|record| record.phase == RangePhase::Free);
+        !untouched
+            || now.since(self.fleet_grew_at) >= FIRST_FLEET_QUIET
+            || now.since(self.started_at) >= FIRST_FLEET_LIMIT
     }
 
     /// Gives ranges that nobody holds any more to their next owner.
@@ -567,10 +634,10 @@
             };
             let key = (service.clone(), record.range, *token);
             let track = self.clears.get(&key);
-            let in_flight = track.is_some_and(|track| track.in_flight);
+            let raising = track.is_some_and(|track| track.in_flight && track.granting);
             let released = track.is_some_and(|track| track.step == ClearStep::Done);
             let expired =
-                !in_flight && !renewing && now > self.bounds.end(service, owner, record.range);
+                !raising && !renewing && now > self.bounds.end(service, owner, record.range);
             if !(released || expired || life_ended(world.fleet, owner)) {
                 continue;
             }
@@ -616,26 +683,19 @@
             RangePhase::Owned { owner, .. } => !rooms.iter().any(|room| room.life == *owner),
             RangePhase::Moving { .. } => false,
         });
-        let settled = now.since(self.started_at) >= SETTLE_TIME;
-        if !settled || !(orphaned || self.balance_due(now)) {
+        if !self.is_fleet_settled(owners, now) || !(orphaned || self.balance_due(now)) {
             return;
         }
         let empty = RangeLoad::new(now);
         let load = self.loads.get(service).unwrap_or(&empty);
         for planned in choose_moves(&owners.ranges, load, rooms) {
-            self.start_move(service, owners, planned.range, &planned.target);
+            Self::start_move(owners, planned.range, &planned.target);
         }
     }
 
-    fn start_move(
-        &mut self,
-        service: &ServiceName,
-        owners: &mut ServiceOwners,
-        range: KeyRange,
-        target: &ServerLife,
-    ) {
+    fn start_move(owners: &mut ServiceOwners, range: KeyRange, target: &ServerLife) {
         for at in owners.isolate(range) {
-            let token = owners.take_token();
+            let token = owners.take_tokens(RAISE_TOKENS);
             let record = &mut owners.ranges[at];
             record.phase = match &record.phase {
                 RangePhase::Free => RangePhase::Owned {
@@ -643,34 +703,11 @@
                     token,
                 },
                 RangePhase::Owned { owner, .. } if owner == target => continue,
-                RangePhase::Owned { owner, token: held } => {
-                    let silent =
-                        self.grants
-                            .iter()
-                            .any(|((name, held_range, held_token), track)| {
-                                name == service
-                                    && held_token == held
-                                    && held_range.contains(record.range.first)
-                                    && track.failures > 0
-                            });
-                    let key = (service.clone(), record.range, token);
-                    let step = match silent {
-                        true => ClearStep::Probe,
-                        false => ClearStep::Raise,
-                    };
-                    self.clears.insert(
-                        key,
-                        ClearTrack {
-                            step,
-                            ..ClearTrack::default()
-                        },
-                    );
-                    RangePhase::Moving {
-                        owner: owner.clone(),
-                        token,
-                        target: Some(target.clone()),
-                    }
-                }
+                RangePhase::Owned { owner, .. } => RangePhase::Moving {
+                    owner: owner.clone(),
+                    token,
+                    target: Some(target.clone()),
+                },
                 RangePhase::Moving { .. } => continue,
             };
         }
--- a/crates/core/src/ownership/lease_bounds.rs
+++ b/crates/core/src/ownership/lease_bounds.rs
@@ -16,8 +16,8 @@
 /// Interval at which a grant is renewed: two renewals may be lost within a lease.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(800);
 
-/// Longest wait for the answer to an order.
-pub const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// Longest wait for the answer to an order: many times a round trip between zones.
+pub const CALL_LIMIT: Duration = Duration::from_millis(300);
 
 /// Longest time that a leader renews grants without word from the store; it covers
 /// the store outages that are borne without loss of keys.
--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -1,14 +1,17 @@
 //! The stored assignment.
 
 use {
-    super::KeyRange,
+    super::{KeyRange, leader_plan::RAISE_TOKENS},
     crate::ids::{HostId, ServerId, ServiceName},
+    bincode::{Decode, Encode},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// One incarnation of a server.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
+)]
 pub struct ServerLife {
     /// Server.
     pub id: ServerId,
@@ -19,7 +22,7 @@
 }
 
 /// The host that may change the assignment.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct LeaderRecord {
     /// Host.
     pub host: HostId,
@@ -30,7 +33,7 @@
 }
 
 /// Where a range stands.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub enum RangePhase {
     /// Nobody can hold it.
     Free,
@@ -53,7 +56,7 @@
 }
 
 /// One range.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct RangeRecord {
     /// Keys.
     pub range: KeyRange,
@@ -62,7 +65,7 @@
 }
 
 /// Ranges of one service, in order, without gaps.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct ServiceOwners {
     /// Next token that was never used.
     pub next_token: u64,
@@ -71,7 +74,7 @@
 }
 
 /// The object that all hosts watch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct OwnerState {
     /// Term; rises with each takeover.
     pub term: u64,
@@ -85,6 +88,37 @@
     pub services: BTreeMap<ServiceName, ServiceOwners>,
 }
 
+impl OwnerState {
+    /// First state, without a leader.
+    pub fn new(secret: String) -> Self {
+        Self {
+            term: 0,
+            change: 0,
+            leader: None,
+            secret,
+            services: BTreeMap::new(),
+        }
+    }
+
+    /// Makes `leader` the leader of the next term; returns the leader before.
+    ///
+    /// Ranges in motion get new tokens, as the leader before may have used up the
+    /// ones that they have.
+    pub fn begin_term(&mut self, leader: LeaderRecord) -> Option<LeaderRecord> {
+        self.term += 1;
+        self.change += 1;
+        for owners in self.services.values_mut() {
+            for record in &mut owners.ranges {
+                if let RangePhase::Moving { token, .. } = &mut record.phase {
+                    *token = owners.next_token;
+                    owners.next_token += RAISE_TOKENS;
+                }
+            }
+        }
+        self.leader.replace(leader)
+    }
+}
+
 impl ServiceOwners {
     /// All keys free; tokens start at `first_token`.
     pub fn new(first_token: u64) -> Self {
@@ -97,10 +131,10 @@
         }
     }
 
-    /// Takes a token that is above all earlier ones.
-    pub fn take_token(&mut self) -> u64 {
+    /// Takes `count` tokens that are above all earlier ones, and returns the first.
+    pub fn take_tokens(&mut self, count: u64) -> u64 {
         let token = self.next_token;
-        self.next_token += 1;
+        self.next_token += count;
         token
     }
 
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -56,18 +56,30 @@
     NotSent(String),
     /// It was sent and may have run; there is no valid answer.
     Unknown(String),
+    /// It was sent and may have run; another attempt has been allowed.
+    Silent,
     /// It was sent and may have run; the time is over.
     TimedOut,
 }
 
-/// Sends the request to the server and reads its answer, for at most `patience`.
+/// When an attempt may be ended before the request's time is over.
+pub struct CallPatience<'a> {
+    /// Silence that is borne.
+    pub span: Duration,
+    /// Whether another attempt may follow; it takes the repeat.
+    pub may_repeat: &'a (dyn Fn() -> bool + Sync),
+}
+
+/// Sends the request to the server and reads its answer.
+///
+/// Without leave for another attempt, a slow server is awaited to the end.
 pub async fn send_call(
     pool: &Arc<ServerPool>,
     entry: &ServerEntry,
     connections: u32,
     permit: ServerPermit,
     call: &CallRequest,
-    patience: Duration,
+    patience: Option<CallPatience<'_>>,
 ) -> CallOutcome {
     let mut line = match pool.line(entry, connections).await {
         Ok(line) => line,
@@ -87,19 +99,34 @@
         permit.end(AnswerKind::Abandoned, None);
         return CallOutcome::NotSent("request cannot be built".into());
     };
-    let exchange = exchange(&mut line, request, call);
-    let result = match timeout(left.min(patience), exchange).await {
-        Ok(result) => result,
-        Err(_) => {
-            let silent = patience < left;
-            permit.end(
-                match silent {
-                    true => AnswerKind::Silent,
-                    false => AnswerKind::Abandoned,
-                },
-                None,
-            );
-            return CallOutcome::TimedOut;
+    let result = {
+        let exchange = exchange(&mut line, request, call);
+        tokio::pin!(exchange);
+        let early = match patience {
+            Some(patience) if patience.span < left => {
+                match timeout(patience.span, &mut exchange).await {
+                    Ok(result) => Some(result),
+                    Err(_) if (patience.may_repeat)() => {
+                        permit.end(AnswerKind::Silent, None);
+                        return CallOutcome::Silent;
+                    }
+                    Err(_) => None,
+                }
+            }
+            _ => None,
+        };
+        match early {
+            Some(result) => result,
+            None => {
+                let rest = call.end.since(BootClock.now());
+                match timeout(rest, exchange).await {
+                    Ok(result) => result,
+                    Err(_) => {
+                        permit.end(AnswerKind::Abandoned, None);
+                        return CallOutcome::TimedOut;
+                    }
+                }
+            }
         }
     };
     match result {
--- a/crates/gateway/src/leader/candidacy.rs
+++ b/crates/gateway/src/leader/candidacy.rs
@@ -2,12 +2,9 @@
 
 use {camphorcove_core::time::BootTime, std::time::Duration};
 
-/// Time without a digest after which a leader counts as lost: four digests. A
+/// Time without a digest after which a leader counts as lost: six digests. A
 /// takeover, one grant and this time stay within a lease.
-const DIGEST_LIMIT: Duration = Duration::from_millis(1_000);
-
-/// Time since the store last confirmed a leader, above which another host tries.
-const CONFIRM_LIMIT: Duration = Duration::from_millis(4_500);
+const DIGEST_LIMIT: Duration = Duration::from_millis(800);
 
 /// Spread of the hosts' tries, so that one of them is usually first.
 const RANK_SPREAD: Duration = Duration::from_millis(400);
@@ -36,11 +33,9 @@
         }
     }
 
-    /// Notes a digest, or another sign of a live leader.
-    pub fn heard(&mut self, confirmed_age: Duration, now: BootTime) {
-        if confirmed_age < CONFIRM_LIMIT {
-            self.heard_at = now;
-        }
+    /// Notes a sign of a leader that reaches the store.
+    pub fn heard(&mut self, now: BootTime) {
+        self.heard_at = now;
     }
 
     /// Whether to try now; `vacant` if the stored assignment names no leader.
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -3,13 +3,16 @@
 use {
     super::{
         candidacy::Candidacy,
-        leader_messages::{DigestIn, OwnersSeen, PlanEvent, ReportIn, Resign, Tick, WriteEnded},
+        leader_messages::{
+            ConfirmEnded, DigestIn, OwnersIn, OwnersSeen, PlanEvent, ReportIn, Resign, Tick,
+            WriteEnded,
+        },
         order_sender::OrderSender,
         owner_store::{OwnerStore, WriteOutcome},
     },
     crate::{
         peers::{Digest, PeerLink, PeerMessage, Report},
-        state::{HostState, StoreMarks},
+        state::{HostState, ServerTag, StoreKind, StoreMarks},
     },
     camphorcove_core::{
         ids::{HostId, ServerId, ServiceName},
@@ -26,7 +29,7 @@
         message::{Context, Message},
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -40,10 +43,19 @@
 const FOLLOWER_TICK: Duration = Duration::from_millis(125);
 
 /// Interval of reports and digests. Placement sees a hot key within some of them.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+const REPORT_INTERVAL: Duration = Duration::from_millis(125);
 
 /// Interval at which the store is asked whether this host is still the leader.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(2_000);
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Interval of these questions while the store does not answer.
+const CONFIRM_RETRY: Duration = Duration::from_millis(300);
+
+/// Failed questions in a row after which the leader tells that it lacks the store.
+const CONFIRM_FAILURES: u32 = 2;
+
+/// Digests between two that list the hosts.
+const PEERS_EVERY: u32 = 8;
 
 /// Time after which a host that does not report no longer counts.
 const HOST_LIMIT: Duration = Duration::from_millis(1_500);
@@ -55,7 +67,7 @@
 struct HostTrack {
     address: SocketAddr,
     seen_at: BootTime,
-    in_flight: Vec<(ServerId, u32)>,
+    in_flight: Vec<(ServerTag, u32)>,
 }
 
 /// Speed of a server over all hosts.
@@ -89,7 +101,14 @@
     revision: u64,
     candidacy: Candidacy,
     hosts: BTreeMap<HostId, HostTrack>,
-    speeds: HashMap<ServerId, SpeedTrack>,
+    speeds: HashMap<ServerTag, SpeedTrack>,
+    /// Where reports go, and the term of that leader.
+    leader_at: Option<(SocketAddr, u64)>,
+    /// All hosts, as the last digest listed them.
+    peers: Vec<SocketAddr>,
+    digests: u32,
+    confirm_failures: u32,
+    confirming: bool,
     marks: StoreMarks,
     reported_at: BootTime,
     confirmed_at: BootTime,
@@ -110,6 +129,11 @@
             candidacy,
             hosts: BTreeMap::new(),
             speeds: HashMap::new(),
+            leader_at: None,
+            peers: Vec::new(),
+            digests: 0,
+            confirm_failures: 0,
+            confirming: false,
             marks: StoreMarks::default(),
             reported_at: now,
             confirmed_at: now,
@@ -156,9 +180,11 @@
     /// Tries to take over if no leader is heard.
     fn consider(&mut self, actor: &ActorRef<Self>, now: BootTime) {
         let stored = self.state.owners();
-        let vacant = stored
-            .as_ref()
-            .is_none_or(|(owners, _)| owners.leader.is_none());
+        // A write of this process may have taken effect after it was given up.
+        let vacant = stored.as_ref().is_none_or(|(owners, _)| {
+            let leader = owners.leader.as_ref();
+            leader.is_none_or(|leader| leader.nonce == self.state.nonce)
+        });
         let idle = matches!(self.role, Role::Follower);
         if !idle || self.state.table().is_none() || !self.candidacy.is_due(vacant, now) {
             return;
@@ -206,7 +232,7 @@
             capacity: &capacity,
         };
         let actions = plan.poll(world, now);
-        let (owners, silent) = plan.silent_owners();
+        let (owners, silent) = plan.silent_owners(now);
         let superseded = plan.is_superseded();
         for action in actions {
             match action {
@@ -214,8 +240,13 @@
                 action => self.orders.send(actor.clone(), term, action),
             }
         }
-        if now.since(self.confirmed_at) >= CONFIRM_INTERVAL {
+        let interval = match self.confirm_failures {
+            0 => CONFIRM_INTERVAL,
+            _ => CONFIRM_RETRY,
+        };
+        if !self.confirming && now.since(self.confirmed_at) >= interval {
             self.confirmed_at = now;
+            self.confirming = true;
             self.confirm(actor, term);
         }
         if superseded {
@@ -230,7 +261,7 @@
     fn capacity(&self) -> HashMap<ServerId, f32> {
         let mut capacity = self.state.server_rates();
         for (id, rate) in &mut capacity {
-            if let Some(speed) = self.speeds.get(id)
+            if let Some(speed) = self.speeds.get(&ServerTag::of(id))
                 && speed.mean > 0.0
             {
                 let slots = self.state.slots(id);
@@ -265,31 +296,43 @@
         let actor = actor.clone();
         tokio::spawn(async move {
             let sent_at = state.now();
-            match owners.read().await {
-                Ok(Some((stored, _))) => {
-                    let ours = stored.leader.as_ref().map(|leader| leader.nonce);
-                    if ours != Some(state.nonce) || stored.term != term {
-                        return;
-                    }
-                    let input = PlanInput::Confirmed(sent_at);
-                    if let Err(error) = actor.tell(PlanEvent { term, input }).await {
-                        log::error!(reason:% = error; "leader actor is gone");
-                    }
+            let confirmed = match owners.read().await {
+                Ok(stored) => {
+                    let leader = stored.and_then(|(stored, _)| Some((stored.leader?, stored.term)));
+                    let ours = |(leader, at): (LeaderRecord, u64)| {
+                        leader.nonce == state.nonce && at == term
+                    };
+                    leader.is_some_and(ours).then_some(sent_at)
                 }
-                Ok(None) => log::error!(term; "the stored assignment is gone"),
                 Err(fault) => {
                     log::warn!(term, reason:% = fault; "leader not confirmed by the store");
+                    None
                 }
+            };
+            if let Err(error) = actor.tell(ConfirmEnded { term, confirmed }).await {
+                log::error!(reason:% = error; "leader actor is gone");
             }
         });
     }
 
+    /// Takes what the stored assignment says of the leader.
+    fn owners_seen(&mut self, now: BootTime) {
+        let Some((owners, _)) = self.state.owners() else {
+            return;
+        };
+        if let Role::Leader(plan) = &self.role
+            && owners.term > plan.state().term
+        {
+            self.step_down("another host leads", now);
+        }
+    }
+
     fn step_down(&mut self, reason: &str, now: BootTime) {
         if let Role::Leader(plan) = &self.role {
             log::info!(term = plan.state().term, reason; "leadership ended");
         }
         self.role = Role::Follower;
-        self.candidacy.heard(Duration::ZERO, now);
+        self.candidacy.heard(now);
     }
 
     /// Ends the leadership with a write, so that a successor need not wait.
@@ -308,7 +351,9 @@
         tokio::spawn(async move {
             let (_, outcome) = owners.write(&state, revision).await;
             log::info!(term = state.term, outcome:? = outcome; "leadership given up");
-            drop(actor);
+            if let Err(error) = actor.tell(Announce).await {
+                log::error!(reason:% = error; "leader actor is gone");
+            }
         });
     }
 
@@ -327,15 +372,45 @@
             self.send_digests(now);
             return;
         }
-        let Some((owners, _)) = self.state.owners() else {
+        if let Some(address) = self.leader_address() {
+            let message = PeerMessage::Report(report);
+            self.link.send(&self.state, address, &message);
+        }
+    }
+
+    /// Address of the latest leader known from the store or from its digests.
+    fn leader_address(&self) -> Option<SocketAddr> {
+        let stored = self.state.owners();
+        let stored = stored.and_then(|(owners, _)| {
+            let leader = owners.leader.as_ref()?;
+            Some((leader.address, owners.term))
+        });
+        let latest = [stored, self.leader_at].into_iter().flatten();
+        latest
+            .max_by_key(|(_, term)| *term)
+            .map(|(address, _)| address)
+    }
+
+    /// Sends the assignment to all hosts.
+    fn announce(&self) {
+        let Some((owners, revision)) = self.state.owners() else {
             return;
         };
-        if let Some(leader) = &owners.leader {
-            let message = PeerMessage::Report(report);
-            self.link.send(&self.state, leader.address, &message);
+        let mut state = OwnerState::clone(&owners);
+        state.secret.clear();
+        let message = PeerMessage::Owners(revision, Box::new(state));
+        for address in self.peer_addresses() {
+            self.link.send(&self.state, address, &message);
         }
     }
 
+    fn peer_addresses(&self) -> BTreeSet<SocketAddr> {
+        let reporting = self.hosts.values().map(|track| track.address);
+        let mut addresses: BTreeSet<_> = self.peers.iter().copied().chain(reporting).collect();
+        addresses.remove(&self.state.settings.peers);
+        addresses
+    }
+
     fn take_report(&mut self, report: Report, from: SocketAddr, now: BootTime) {
         let Role::Leader(plan) = &mut self.role else {
             return;
@@ -348,7 +423,7 @@
         }
         let mut in_flight = Vec::new();
         for load in report.load.servers {
-            in_flight.push((load.server.clone(), load.in_flight));
+            in_flight.push((load.server, load.in_flight));
             if load.successes == 0 {
                 continue;
             }
@@ -374,29 +449,36 @@
         let Role::Leader(plan) = &self.role else {
             return;
         };
-        let mut totals: BTreeMap<ServerId, u32> = BTreeMap::new();
+        let term = plan.state().term;
+        let mut totals: BTreeMap<ServerTag, u32> = BTreeMap::new();
         for track in self.hosts.values() {
             for (server, in_flight) in &track.in_flight {
-                *totals.entry(server.clone()).or_default() += in_flight;
+                *totals.entry(*server).or_default() += in_flight;
             }
         }
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
         let servers: Vec<_> = totals.into_iter().collect();
         self.state.set_others(hosts, &servers);
-        let age = plan.confirmed_age(now).as_millis();
+        let listed = self.digests.is_multiple_of(PEERS_EVERY);
+        self.digests = self.digests.wrapping_add(1);
+        if listed {
+            self.peers = self.hosts.values().map(|track| track.address).collect();
+        }
         let digest = Digest {
             nonce: self.state.nonce,
-            term: plan.state().term,
-            confirmed_age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            term,
+            has_store: self.confirm_failures < CONFIRM_FAILURES,
             hosts,
             marks: self.marks,
             servers,
+            peers: match listed {
+                true => self.peers.clone(),
+                false => Vec::new(),
+            },
         };
         let message = PeerMessage::Digest(digest);
-        for (host, track) in &self.hosts {
-            if *host != self.state.settings.host {
-                self.link.send(&self.state, track.address, &message);
-            }
+        for address in self.peer_addresses() {
+            self.link.send(&self.state, address, &message);
         }
     }
 
@@ -406,10 +488,14 @@
         log::info!(term = state.term, revision; "this host leads");
         self.revision = revision;
         self.confirmed_at = now;
+        self.confirm_failures = 0;
+        self.confirming = false;
         self.hosts.clear();
         self.speeds.clear();
         self.marks = self.state.marks();
         self.role = Role::Leader(Box::new(LeaderPlan::new(state, predecessor_end, now)));
+        self.announce();
+        self.send_digests(now);
     }
 }
 
@@ -444,23 +530,12 @@
     };
     let (mut state, revision) = match stored {
         Some((state, revision)) => (state, revision),
-        None => {
-            let state = OwnerState {
-                term: 0,
-                change: 0,
-                leader: None,
-                secret,
-                services: BTreeMap::new(),
-            };
-            (state, 0)
-        }
+        None => (OwnerState::new(secret), 0),
     };
     if known_term.is_some_and(|known| state.term > known) && state.leader.is_some() {
         return failed(true);
     }
-    let before = state.leader.replace(record);
-    state.term += 1;
-    state.change += 1;
+    let before = state.begin_term(record);
     match owners.write(&state, revision).await {
         (_, WriteOutcome::Written { revision }) => TakeoverEnded {
             won: Some((state, revision)),
@@ -486,18 +561,62 @@
 
     async fn handle(&mut self, _: OwnersSeen, _: &mut Context<Self, Self::Reply>) {
         let now = self.state.now();
-        let Some((owners, _)) = self.state.owners() else {
+        self.owners_seen(now);
+    }
+}
+
+/// Send the assignment to all hosts.
+#[derive(Debug)]
+struct Announce;
+
+impl Message<Announce> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Announce, _: &mut Context<Self, Self::Reply>) {
+        self.announce();
+    }
+}
+
+impl Message<OwnersIn> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: OwnersIn, _: &mut Context<Self, Self::Reply>) {
+        let now = self.state.now();
+        let OwnersIn {
+            mut state,
+            revision,
+        } = message;
+        let Some((known, _)) = self.state.owners() else {
             return;
         };
-        let leader = owners.leader.as_ref().map(|leader| leader.nonce);
-        if let Role::Leader(plan) = &self.role
-            && owners.term > plan.state().term
-        {
-            self.step_down("another host leads", now);
+        state.secret.clone_from(&known.secret);
+        if self.state.set_owners(state, revision) {
+            self.state.note_seen(StoreKind::Owners, revision, revision);
+            self.owners_seen(now);
         }
-        if leader.is_some() && leader != Some(self.state.nonce) {
-            self.candidacy.heard(Duration::ZERO, now);
+    }
+}
+
+impl Message<ConfirmEnded> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, ended: ConfirmEnded, _: &mut Context<Self, Self::Reply>) {
+        let now = self.state.now();
+        self.confirming = false;
+        let Role::Leader(plan) = &mut self.role else {
+            return;
+        };
+        if plan.state().term != ended.term {
+            return;
         }
+        match ended.confirmed {
+            Some(sent_at) => {
+                self.confirm_failures = 0;
+                plan.take(PlanInput::Confirmed(sent_at), now);
+            }
+            None => self.confirm_failures += 1,
+        }
+        self.owners_seen(now);
     }
 }
 
@@ -515,8 +634,9 @@
 
     async fn handle(&mut self, message: DigestIn, _: &mut Context<Self, Self::Reply>) {
         let now = self.state.now();
-        let DigestIn(digest) = message;
+        let DigestIn { digest, from } = message;
         let known = self.state.owners().map_or(0, |(owners, _)| owners.term);
+        let known = self.leader_at.map_or(known, |(_, term)| known.max(term));
         if digest.term < known || digest.nonce == self.state.nonce {
             return;
         }
@@ -525,8 +645,13 @@
         {
             self.step_down("a digest of a later leader arrived", now);
         }
-        let age = Duration::from_millis(digest.confirmed_age_ms);
-        self.candidacy.heard(age, now);
+        self.leader_at = Some((from, digest.term));
+        if !digest.peers.is_empty() {
+            self.peers = digest.peers;
+        }
+        if digest.has_store {
+            self.candidacy.heard(now);
+        }
         self.state.set_others(digest.hosts, &digest.servers);
     }
 }
@@ -574,6 +699,7 @@
             WriteOutcome::Written { revision } => {
                 self.revision = revision;
                 plan.take(PlanInput::WriteAcked(ended.sent_at), now);
+                self.announce();
             }
             WriteOutcome::NotDone => plan.take(PlanInput::WriteDropped, now),
             WriteOutcome::Lost => {
@@ -594,7 +720,7 @@
         self.role = Role::Follower;
         self.candidacy.tried(now);
         if ended.other {
-            self.candidacy.heard(Duration::ZERO, now);
+            self.candidacy.heard(now);
         }
         let Some((state, revision)) = ended.won else {
             return;
--- a/crates/gateway/src/leader/leader_messages.rs
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -3,7 +3,10 @@
 use {
     super::owner_store::WriteOutcome,
     crate::peers::{Digest, Report},
-    camphorcove_core::{ownership::PlanInput, time::BootTime},
+    camphorcove_core::{
+        ownership::{OwnerState, PlanInput},
+        time::BootTime,
+    },
     std::net::SocketAddr,
 };
 
@@ -26,12 +29,35 @@
 
 /// The leader's digest.
 #[derive(Debug)]
-pub struct DigestIn(pub Digest);
+pub struct DigestIn {
+    /// Digest.
+    pub digest: Digest,
+    /// The leader's address.
+    pub from: SocketAddr,
+}
+
+/// An assignment that the leader sent.
+#[derive(Debug)]
+pub struct OwnersIn {
+    /// Assignment, without the key of the datagrams.
+    pub state: OwnerState,
+    /// Its revision.
+    pub revision: u64,
+}
 
 /// Give up the leadership before this host stops.
 #[derive(Debug)]
 pub struct Resign;
 
+/// Whether the store confirmed the leader.
+#[derive(Debug)]
+pub(super) struct ConfirmEnded {
+    /// Term that was asked for.
+    pub term: u64,
+    /// When the call was sent, if the store named this leader.
+    pub confirmed: Option<BootTime>,
+}
+
 /// An order or a confirmation ended.
 #[derive(Debug)]
 pub(super) struct PlanEvent {
--- a/crates/gateway/src/leader/order_sender.rs
+++ b/crates/gateway/src/leader/order_sender.rs
@@ -3,7 +3,10 @@
 use {
     super::{LeaderActor, leader_messages::PlanEvent},
     crate::state::{HostState, LogTopic},
-    camphorcove_core::ownership::{CALL_LIMIT, OrderFailure, PlanAction, PlanInput},
+    camphorcove_core::{
+        ids::ServerId,
+        ownership::{CALL_LIMIT, KeyRange, OrderFailure, PlanAction, PlanInput},
+    },
     camphorcove_platform::{GrantOrder, ReleaseOrder, ServerOrders},
     kameo::actor::ActorRef,
     std::sync::{Arc, atomic::Ordering},
@@ -45,16 +48,16 @@
             PlanAction::Grant {
                 service,
                 server,
-                address: _,
                 range,
                 token,
+                raise,
                 hold,
                 handover,
             } => {
                 let order = GrantOrder {
                     server: server.clone(),
                     range,
-                    token,
+                    token: token + raise,
                     hold,
                     handover,
                 };
@@ -71,15 +74,15 @@
             PlanAction::Release {
                 service,
                 server,
-                address: _,
                 range,
                 token,
+                raise,
                 limit,
             } => {
                 let order = ReleaseOrder {
-                    server,
+                    server: server.clone(),
                     range,
-                    token,
+                    token: token + raise,
                 };
                 let result = self.orders.release(&order, limit).await;
                 let failure = result.as_ref().err().copied();
@@ -88,6 +91,7 @@
                     service,
                     range,
                     token,
+                    server,
                     result,
                 })
             }
@@ -97,8 +101,8 @@
     fn log_failure(
         &self,
         order: &str,
-        server: &camphorcove_core::ids::ServerId,
-        range: camphorcove_core::ownership::KeyRange,
+        server: &ServerId,
+        range: KeyRange,
         token: u64,
         failure: Option<OrderFailure>,
     ) {
--- a/crates/gateway/src/node/run_host.rs
+++ b/crates/gateway/src/node/run_host.rs
@@ -4,12 +4,12 @@
     crate::{
         conf::GatewaySettings,
         error::{GatewayError, ListenSnafu, StartSnafu},
-        leader::{LeaderActor, Resign, Tick},
+        leader::{LeaderActor, OwnerStore, Resign, Tick},
         metrics::serve_probes,
         peers::{PeerLink, receive},
         serve::{CallerListener, RequestFlow},
         state::HostState,
-        watch::{ConfigFollower, FleetFollower, OwnerFollower, follow},
+        watch::{ConfigFollower, FleetFollower, follow, read_owners},
     },
     camphorcove_platform::StoreClient,
     kameo::actor::{ActorRef, Spawn},
@@ -55,10 +55,10 @@
         store.clone(),
         FleetFollower::new(state.clone()),
     ));
-    tokio::spawn(follow(
+    tokio::spawn(read_owners(
         state.clone(),
-        store,
-        OwnerFollower::new(state.clone(), leader.clone()),
+        OwnerStore::new(state.clone(), store),
+        leader.clone(),
     ));
     tokio::spawn(receive(state.clone(), socket, leader.clone()));
     tokio::spawn(serve_probes(state.clone(), readiness));
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -4,11 +4,12 @@
 //! The key lies in the stored assignment, which only hosts of this system read.
 
 use {
-    crate::state::{LoadReport, StoreMarks},
+    crate::state::{LoadReport, ServerTag, StoreMarks},
     bincode::{Decode, Encode, config},
-    camphorcove_core::ids::{HostId, ServerId},
+    camphorcove_core::{ids::HostId, ownership::OwnerState},
     hmac::{Hmac, KeyInit, Mac},
     sha2::Sha256,
+    std::net::SocketAddr,
 };
 
 /// Bytes of the code that are sent: 128 bits suffice against guessing.
@@ -34,14 +35,16 @@
     pub nonce: u64,
     /// Its term.
     pub term: u64,
-    /// Milliseconds since the store last confirmed the leader.
-    pub confirmed_age_ms: u64,
+    /// The leader reaches the store.
+    pub has_store: bool,
     /// Hosts that report.
     pub hosts: u32,
     /// Newest changes that any host has seen.
     pub marks: StoreMarks,
     /// Requests at each server, over all hosts.
-    pub servers: Vec<(ServerId, u32)>,
+    pub servers: Vec<(ServerTag, u32)>,
+    /// Addresses of all hosts, in some digests; a later leader announces itself there.
+    pub peers: Vec<SocketAddr>,
 }
 
 /// A datagram's content.
@@ -51,6 +54,8 @@
     Report(Report),
     /// From the leader.
     Digest(Digest),
+    /// From the leader: the assignment at a revision, without the key of the datagrams.
+    Owners(u64, Box<OwnerState>),
 }
 
 /// Encodes and authenticates a message.
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -3,7 +3,7 @@
 use {
     super::{PeerMessage, open_message, seal_message},
     crate::{
-        leader::{DigestIn, LeaderActor, ReportIn},
+        leader::{DigestIn, LeaderActor, OwnersIn, ReportIn},
         state::{HostState, LogTopic},
     },
     kameo::actor::ActorRef,
@@ -14,6 +14,9 @@
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 60_000;
 
+/// Largest datagram that is sent. Hosts read a larger assignment from the store.
+const SENT_BYTES: usize = 8_000;
+
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -35,6 +38,10 @@
             return;
         };
         let bytes = seal_message(owners.secret.as_bytes(), message);
+        if bytes.len() > SENT_BYTES {
+            log::debug!(to:% = to, bytes = bytes.len(); "message too large for a datagram");
+            return;
+        }
         if let Err(error) = self.socket.try_send_to(&bytes, to)
             && let Some(left_out) = state.may_log(LogTopic::Peer)
         {
@@ -72,7 +79,11 @@
             }
             PeerMessage::Digest(digest) => {
                 state.set_peer_marks(&digest.marks);
-                leader.tell(DigestIn(digest)).try_send().is_ok()
+                leader.tell(DigestIn { digest, from }).try_send().is_ok()
+            }
+            PeerMessage::Owners(revision, owners) => {
+                let state = *owners;
+                leader.tell(OwnersIn { state, revision }).try_send().is_ok()
             }
         };
         if !told && let Some(left_out) = state.may_log(LogTopic::Peer) {
--- a/crates/gateway/src/serve/request_flow.rs
+++ b/crates/gateway/src/serve/request_flow.rs
@@ -3,7 +3,7 @@
 use {
     super::{Refusal, refuse, strip_connection_headers},
     crate::{
-        forward::{AnswerBody, CallOutcome, CallRequest, ServerPool, send_call},
+        forward::{AnswerBody, CallOutcome, CallPatience, CallRequest, ServerPool, send_call},
         state::{HostState, LogTopic, PickQuery, PickRefusal, ServerPick},
     },
     bytes::Bytes,
@@ -74,6 +74,8 @@
     unsent: u32,
     /// Some attempt may have run.
     may_have_run: bool,
+    /// The next attempt has been counted as a repeat.
+    repeat_taken: bool,
     waited: Duration,
     last: Option<Response<AnswerBody>>,
 }
@@ -206,15 +208,22 @@
                 }
             };
             if log.sent > 0 {
-                let allowed = log.sent < case.rule.attempts;
-                if !allowed || !self.state.take_repeat(&case.service) {
+                let allowed =
+                    std::mem::take(&mut log.repeat_taken) || self.may_repeat(&case, log.sent);
+                if !allowed {
                     drop(permit);
                     let comeback = Some(self.comeback());
                     return self.give_up(&case, log, Refusal::Overloaded, comeback);
                 }
                 self.note_repeat(&case, &entry);
             }
-            let patience = self.patience(&case, &entry, left);
+            let sent = log.sent + 1;
+            // A server's work is not broken off while the host stops.
+            let may_repeat = || !self.state.is_stopping() && self.may_repeat(&case, sent);
+            let patience = self.patience(&case, &entry).map(|span| CallPatience {
+                span,
+                may_repeat: &may_repeat,
+            });
             let pool = &self.pool;
             let sending = send_call(pool, &entry, case.connections, permit, &case.call, patience);
             let outcome = sending.await;
@@ -279,13 +288,17 @@
                     ));
                 }
             }
+            CallOutcome::Silent => {
+                log.sent += 1;
+                log.may_have_run = true;
+                log.repeat_taken = true;
+                self.note_server(case, &entry, "silent for longer than usual");
+            }
             CallOutcome::TimedOut => {
                 log.sent += 1;
                 log.may_have_run = true;
                 self.note_server(case, &entry, "no answer in time");
-                if !idempotent || case.call.end.since(self.state.now()) < LEAST_ATTEMPT {
-                    return Some(self.give_up(case, std::mem::take(log), Refusal::TimedOut, None));
-                }
+                return Some(self.give_up(case, std::mem::take(log), Refusal::TimedOut, None));
             }
         }
         log.tried.push(entry.id);
@@ -304,14 +317,23 @@
         changed.is_ok()
     }
 
-    fn patience(&self, case: &RequestCase, entry: &ServerEntry, left: Duration) -> Duration {
+    /// Whether an attempt after `sent` others is allowed; counts it as a repeat.
+    fn may_repeat(&self, case: &RequestCase, sent: u32) -> bool {
+        sent < case.rule.attempts
+            && case.call.end.since(self.state.now()) >= LEAST_ATTEMPT
+            && self.state.take_repeat(&case.service)
+    }
+
+    /// Silence after which another server is tried; none if only one may run it, or if
+    /// the host stops, as a server's work is not broken off then.
+    fn patience(&self, case: &RequestCase, entry: &ServerEntry) -> Option<Duration> {
         let single = case.rule.repeat == RepeatRule::AtMostOnce || case.key.is_some();
-        if single {
-            return left;
+        if single || self.state.is_stopping() {
+            return None;
         }
         let expected = self.state.expected_time(&entry.id);
         let floor = case.rule.target.mul_f64(PATIENCE_SHARE);
-        expected.mul_f64(PATIENCE_FACTOR).max(floor)
+        Some(expected.mul_f64(PATIENCE_FACTOR).max(floor))
     }
 
     fn comeback(&self) -> Duration {
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -11,6 +11,7 @@
         dispatch::{AnswerKind, CallWindow, GaugeReading, ServerGauge, ToldLoad},
         fleet::{FleetChange, FleetView, ServerEntry},
         ids::{ServerId, ServiceName},
+        keys::KeyHash,
         ownership::{OwnerMap, OwnerState},
         routing::{RouteRule, RouteTable, SplitWheel},
         time::BootTime,
@@ -57,11 +58,23 @@
     pub orders: AtomicU64,
 }
 
+/// Short name of a server in datagrams. A collision only blurs the load of two servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct ServerTag(u32);
+
+impl ServerTag {
+    /// Tag of a server.
+    pub fn of(server: &ServerId) -> Self {
+        let bytes = KeyHash::of(server.as_str().as_bytes()).0.to_le_bytes();
+        Self(u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+    }
+}
+
 /// Load of one server as one host sees it.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct ServerLoad {
     /// Server.
-    pub server: ServerId,
+    pub server: ServerTag,
     /// Requests of this host at the server.
     pub in_flight: u32,
     /// Successes since the last report.
@@ -258,7 +271,7 @@
         let mut inner = self.lock();
         let mut changes = Vec::new();
         for entry in put {
-            changes.extend(inner.fleet.put(entry));
+            changes.extend(inner.fleet.put(entry, now));
         }
         for id in removed {
             changes.extend(inner.fleet.remove(id, now));
@@ -372,19 +385,15 @@
     }
 
     /// Number of hosts, and the requests of other hosts at each server.
-    pub fn set_others(&self, hosts: u32, totals: &[(ServerId, u32)]) {
+    pub fn set_others(&self, hosts: u32, totals: &[(ServerTag, u32)]) {
         let now = self.now();
         let mut inner = self.lock();
         inner.hosts = hosts.max(1);
         inner.others_at = now;
-        for gauge in inner.gauges.values_mut() {
-            gauge.set_others(0);
-        }
-        for (id, total) in totals {
-            if let Some(gauge) = inner.gauges.get_mut(id) {
-                let own = gauge.reported();
-                gauge.set_others(total.saturating_sub(own));
-            }
+        let totals: HashMap<ServerTag, u32> = totals.iter().copied().collect();
+        for (id, gauge) in &mut inner.gauges {
+            let total = totals.get(&ServerTag::of(id)).copied().unwrap_or(0);
+            gauge.set_others(total.saturating_sub(gauge.reported()));
         }
     }
 
@@ -416,7 +425,7 @@
                 continue;
             }
             servers.push(ServerLoad {
-                server: id.clone(),
+                server: ServerTag::of(id),
                 in_flight,
                 successes,
                 mean_micros: (mean * 1e6) as u32,
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -6,7 +6,7 @@
 mod store_marks;
 
 pub use {
-    host_state::{HostCounters, HostState, LoadReport, ServerLoad},
+    host_state::{HostCounters, HostState, LoadReport, ServerLoad, ServerTag},
     log_gate::{LogGate, LogTopic},
     server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
     store_marks::{StoreKind, StoreMarks},
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -15,6 +15,10 @@
     std::{sync::Arc, time::Duration},
 };
 
+/// Time after which a leaving server gets no keyed request any more, even if its keys
+/// have no other owner yet. No request may reach it 2 s after the store learned of it.
+const LEAVER_LIMIT: Duration = Duration::from_millis(1_300);
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct PickQuery<'a> {
@@ -116,6 +120,10 @@
             Some(entry) if entry.incarnation == owner.incarnation => entry.clone(),
             _ => return ServerPick::Unowned,
         };
+        let leaving = inner.fleet.leaving_since(&owner.id);
+        if leaving.is_some_and(|since| now.since(since) >= LEAVER_LIMIT) {
+            return ServerPick::Unowned;
+        }
         let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
             return ServerPick::Unowned;
         };
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -30,6 +30,9 @@
 /// Time for which a watch may lag behind other hosts before the kind is listed.
 const LAG_LIMIT: Duration = Duration::from_millis(250);
 
+/// Pause after changes, so that changes in quick succession come with one paid call.
+const GATHER_TIME: Duration = Duration::from_millis(150);
+
 /// What happened to the objects of a kind.
 #[derive(Debug)]
 pub enum KindChange {
@@ -129,11 +132,15 @@
                         }
                     });
                 }
-                if !changes.is_empty() {
+                let changed = !changes.is_empty();
+                if changed {
                     follower.take(changes);
                 }
                 revision = next.max(revision);
                 state.note_seen(F::MARK, revision, newest);
+                if changed {
+                    sleep(GATHER_TIME).await;
+                }
             }
             Err(fault) => return WatchEnd::Fault(fault),
         }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -3,9 +3,9 @@
 mod config_follower;
 mod fleet_follower;
 mod kind_follower;
-mod owner_follower;
+mod owner_reader;
 
 pub use kind_follower::{KindChange, KindFollower, follow};
 pub use {
-    config_follower::ConfigFollower, fleet_follower::FleetFollower, owner_follower::OwnerFollower,
+    config_follower::ConfigFollower, fleet_follower::FleetFollower, owner_reader::read_owners,
 };
