--- a/crates/core/src/ownership/leader_plan.rs
+++ b/crates/core/src/ownership/leader_plan.rs
@@ -39,7 +39,7 @@
 const FIRST_FLEET_LIMIT: Duration = Duration::from_millis(4_000);
 
 /// Interval at which load is evened out: long enough to see the effect of a move.
-const BALANCE_INTERVAL: Duration = Duration::from_millis(1_000);
+const BALANCE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Longest wait for the answer to a release, which comes when running work has ended.
 /// A lost answer is found by asking again.
--- a/crates/core/src/ownership/range_load.rs
+++ b/crates/core/src/ownership/range_load.rs
@@ -8,10 +8,10 @@
 
 /// Time after which a count is worth half: long enough for a steady picture from
 /// some hundred requests, short enough to see a new hot key within two seconds.
-const HALF_LIFE: Duration = Duration::from_millis(1_500);
+const HALF_LIFE: Duration = Duration::from_millis(1_000);
 
 /// Interval of the fading.
-const FADE_INTERVAL: Duration = Duration::from_millis(500);
+const FADE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Load of one service by key.
 #[derive(Clone, Debug)]
--- a/crates/core/src/ownership/range_moves.rs
+++ b/crates/core/src/ownership/range_moves.rs
@@ -15,8 +15,12 @@
 /// Utilization below which unevenness does not delay any request noticeably.
 const CALM_UTILIZATION: f32 = 0.45;
 
-/// Moves started at once; more would hold too many keys back at the same time.
-const MOVE_LIMIT: usize = 8;
+/// Moves started at once, as a share of the servers; more would hold too many keys back
+/// at the same time.
+const MOVE_SHARE: f32 = 0.5;
+
+/// Fewest moves that may start at once.
+const LEAST_MOVES: usize = 6;
 
 /// Share of the wanted load that a piece must carry to be worth an interruption.
 const WORTH_SHARE: f32 = 0.25;
@@ -195,7 +199,8 @@
 
     fn even_out(&mut self) {
         let mean = self.mean_utilization();
-        for _ in 0..MOVE_LIMIT {
+        let limit = (self.rooms.len() as f32 * MOVE_SHARE) as usize;
+        for _ in 0..limit.max(LEAST_MOVES) {
             let (from, to) = (self.busiest(), self.least_busy());
             let (high, low) = (self.utilization(from), self.utilization(to));
             let uneven = high > mean * UNEVEN_FACTOR && high > CALM_UTILIZATION;
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -30,8 +30,13 @@
 /// Time for which a watch may lag behind other hosts before the kind is listed.
 const LAG_LIMIT: Duration = Duration::from_millis(250);
 
-/// Pause after changes, so that changes in quick succession come with one paid call.
-const GATHER_TIME: Duration = Duration::from_millis(150);
+/// Pause after changes for each host, so that changes in quick succession come with one
+/// paid call, and the calls of all hosts together stay bounded.
+const GATHER_PER_HOST: Duration = Duration::from_millis(12);
+
+/// Shortest and longest such pause; a change has to be in force within 2 s.
+const GATHER_LEAST: Duration = Duration::from_millis(120);
+const GATHER_MOST: Duration = Duration::from_millis(800);
 
 /// What happened to the objects of a kind.
 #[derive(Debug)]
@@ -139,7 +144,8 @@
                 revision = next.max(revision);
                 state.note_seen(F::MARK, revision, newest);
                 if changed {
-                    sleep(GATHER_TIME).await;
+                    let pause = GATHER_PER_HOST * state.hosts();
+                    sleep(pause.clamp(GATHER_LEAST, GATHER_MOST)).await;
                 }
             }
             Err(fault) => return WatchEnd::Fault(fault),
