--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -156,14 +156,16 @@
             let Some(gauge) = inner.gauges.get(&entry.id) else {
                 continue;
             };
+            let reading = gauge.read(now);
             candidates.push(Candidate {
-                reading: gauge.read(now),
+                reading,
+                admitted: query.rule.decide(reading) == Admission::Send,
                 local: entry.zone == self.settings.zone,
                 tried: query.tried.contains(&entry.id),
             });
             entries.push(entry);
         }
-        let Some(at) = choose_server(&candidates, &mut inner.random) else {
+        let Some(at) = choose_server(&candidates, query.rule.target, &mut inner.random) else {
             let spread = rand::RngExt::random(&mut inner.random);
             return ServerPick::Refuse(PickRefusal::NoServer, comeback(None, spread));
         };
