Know when an earlier leader has ended, and follow the store soon after a cut

(2) a leader that was stopped during an outage of the store resigned although nobody could follow. Change: a new term counts as a sign of its leader; a report of the leader before, or reports of most hosts, end its authority; a leader without the store goes on only while most hosts report to it; resignation waits for the store; connections to the store are tried for 0.4 s.

--- a/crates/core/src/ownership/leader_plan.rs
+++ b/crates/core/src/ownership/leader_plan.rs
@@ -6,8 +6,9 @@
 
 use {
     super::{
-        AUTHORITY_LIMIT, CALL_LIMIT, GRANT_HOLD, KeyRange, LeaseBounds, OwnerState, RENEW_INTERVAL,
-        RangeLoad, RangePhase, RangeRecord, ServerLife, ServerRoom, ServiceOwners, choose_moves,
+        AUTHORITY_ALONE, AUTHORITY_LIMIT, CALL_LIMIT, GRANT_HOLD, KeyRange, LeaseBounds,
+        MAJORITY_AGE, OwnerState, RENEW_INTERVAL, RangeLoad, RangePhase, RangeRecord, ServerLife,
+        ServerRoom, ServiceOwners, choose_moves,
     },
     crate::{
         fleet::{FleetView, ServerPhase},
@@ -71,6 +72,10 @@
     WriteDropped,
     /// The store confirmed at a call sent then that this host is the leader.
     Confirmed(BootTime),
+    /// Most hosts reported to this leader lately.
+    MajorityReports,
+    /// An earlier leader acts no longer than this.
+    PredecessorEnds(BootTime),
     /// A grant was answered or failed.
     GrantDone {
         /// Service.
@@ -176,6 +181,7 @@
     bounds: LeaseBounds,
     started_at: BootTime,
     confirmed_at: BootTime,
+    majority_at: BootTime,
     balanced_at: BootTime,
     grants: HashMap<RangeKey, GrantTrack>,
     clears: HashMap<RangeKey, ClearTrack>,
@@ -224,6 +230,7 @@
             bounds: LeaseBounds::new(predecessor_end),
             started_at: now,
             confirmed_at: now,
+            majority_at: BootTime::default(),
             balanced_at: now,
             grants: HashMap::new(),
             clears: HashMap::new(),
@@ -252,9 +259,12 @@
         self.superseded
     }
 
-    /// Whether grants may be renewed: the store has named this leader recently.
+    /// Whether grants may be renewed: the store has named this leader recently, or a
+    /// successor could not have won most hosts yet.
     pub fn has_authority(&self, now: BootTime) -> bool {
-        now.since(self.confirmed_at) < AUTHORITY_LIMIT
+        let age = now.since(self.confirmed_at);
+        let supported = now.since(self.majority_at) < MAJORITY_AGE;
+        age < AUTHORITY_ALONE || (supported && age < AUTHORITY_LIMIT)
     }
 
     /// Time since the store last confirmed this leader.
@@ -312,6 +322,8 @@
             PlanInput::WriteAcked(sent_at) => self.adopt_pending(sent_at),
             PlanInput::WriteDropped => self.pending = None,
             PlanInput::Confirmed(sent_at) => self.confirmed_at = self.confirmed_at.max(sent_at),
+            PlanInput::MajorityReports => self.majority_at = now,
+            PlanInput::PredecessorEnds(end) => self.bounds.predecessor_ends(end),
             PlanInput::GrantDone {
                 service,
                 range,
--- a/crates/core/src/ownership/lease_bounds.rs
+++ b/crates/core/src/ownership/lease_bounds.rs
@@ -19,10 +19,17 @@
 /// Longest wait for the answer to an order: many times a round trip between zones.
 pub const CALL_LIMIT: Duration = Duration::from_millis(300);
 
-/// Longest time that a leader renews grants without word from the store; it covers
-/// the store outages that are borne without loss of keys.
+/// Longest time that a leader renews grants without word from the store while most
+/// hosts report to it; it covers the store outages that are borne without loss of keys.
 pub const AUTHORITY_LIMIT: Duration = Duration::from_secs(12);
 
+/// The same while most hosts do not report to it: two questions to the store may fail.
+/// A successor to which most hosts report waits only for this.
+pub const AUTHORITY_ALONE: Duration = Duration::from_millis(2_500);
+
+/// Time for which the report of most hosts counts.
+pub const MAJORITY_AGE: Duration = Duration::from_millis(1_000);
+
 /// Thousandths by which a server's clock may be slow.
 const SLOW_CLOCK_PERMILLE: u32 = 20;
 
@@ -51,6 +58,11 @@
         }
     }
 
+    /// Lowers the bound of an earlier leader that is known to act no longer than this.
+    pub fn predecessor_ends(&mut self, end: BootTime) {
+        self.inherited = self.inherited.min(end + worst_hold(GRANT_HOLD));
+    }
+
     /// Notes an order that may reach the server until `latest_arrival`.
     pub fn note(
         &mut self,
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -18,7 +18,8 @@
     key_range::{KeyRange, LAST_KEY},
     leader_plan::{LeaderPlan, OrderFailure, PlanAction, PlanInput, PlanWorld},
     lease_bounds::{
-        AUTHORITY_LIMIT, CALL_LIMIT, GRANT_HOLD, LeaseBounds, RENEW_INTERVAL, worst_hold,
+        AUTHORITY_ALONE, AUTHORITY_LIMIT, CALL_LIMIT, GRANT_HOLD, LeaseBounds, MAJORITY_AGE,
+        RENEW_INTERVAL, worst_hold,
     },
     owner_map::{OwnerLookup, OwnerMap},
     owner_state::{LeaderRecord, OwnerState, RangePhase, RangeRecord, ServerLife, ServiceOwners},
--- a/crates/gateway/src/leader/candidacy.rs
+++ b/crates/gateway/src/leader/candidacy.rs
@@ -9,6 +9,10 @@
 /// Spread of the hosts' tries, so that one of them is usually first.
 const RANK_SPREAD: Duration = Duration::from_millis(400);
 
+/// Part of that time that has passed when a process starts: a live leader answers the
+/// first reports at once.
+const START_HEAD: Duration = Duration::from_millis(300);
+
 /// Pause after a try that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(900);
 
@@ -27,7 +31,7 @@
     /// Candidacy of a process that starts now; `draw` in 0..1 spreads the hosts.
     pub fn new(now: BootTime, draw: f64) -> Self {
         Self {
-            heard_at: now,
+            heard_at: now.back(START_HEAD),
             not_before: now,
             rank: RANK_SPREAD.mul_f64(draw),
         }
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -17,8 +17,8 @@
     camphorcove_core::{
         ids::{HostId, ServerId, ServiceName},
         ownership::{
-            AUTHORITY_LIMIT, CALL_LIMIT, LeaderPlan, LeaderRecord, OwnerState, PlanAction,
-            PlanInput, PlanWorld, RangeLoad,
+            AUTHORITY_ALONE, AUTHORITY_LIMIT, CALL_LIMIT, LeaderPlan, LeaderRecord, MAJORITY_AGE,
+            OwnerState, PlanAction, PlanInput, PlanWorld, RangeLoad,
         },
         time::{BootTime, with_drift},
     },
@@ -109,6 +109,13 @@
     digests: u32,
     confirm_failures: u32,
     confirming: bool,
+    /// Hosts of which most have to report, as of the last word from the store.
+    quorum_base: usize,
+    /// The leader before, until it is known to act no longer.
+    before: Option<LeaderRecord>,
+    /// Highest term seen.
+    seen_term: u64,
+    term_began: BootTime,
     marks: StoreMarks,
     reported_at: BootTime,
     confirmed_at: BootTime,
@@ -134,6 +141,10 @@
             digests: 0,
             confirm_failures: 0,
             confirming: false,
+            quorum_base: 0,
+            before: None,
+            seen_term: 0,
+            term_began: now,
             marks: StoreMarks::default(),
             reported_at: now,
             confirmed_at: now,
@@ -325,6 +336,11 @@
         {
             self.step_down("another host leads", now);
         }
+        // A new leader gets time to be heard.
+        if owners.term > self.seen_term && owners.leader.is_some() {
+            self.candidacy.heard(now);
+        }
+        self.seen_term = self.seen_term.max(owners.term);
     }
 
     fn step_down(&mut self, reason: &str, now: BootTime) {
@@ -335,6 +351,14 @@
         self.candidacy.heard(now);
     }
 
+    /// Resigns before a planned stop. Without the store no successor could follow, so
+    /// this host leads on until the store is back or the process ends.
+    fn resign_if_stopping(&mut self, actor: &ActorRef<Self>, now: BootTime) {
+        if self.stopping && self.confirm_failures == 0 {
+            self.resign(actor, now);
+        }
+    }
+
     /// Ends the leadership with a write, so that a successor need not wait.
     fn resign(&mut self, actor: &ActorRef<Self>, now: BootTime) {
         let Role::Leader(plan) = &self.role else {
@@ -369,6 +393,7 @@
         if matches!(self.role, Role::Leader(_)) {
             let own = self.state.settings.peers;
             self.take_report(report, own, now);
+            self.count_majority(now);
             self.send_digests(now);
             return;
         }
@@ -440,9 +465,41 @@
             seen_at: now,
             in_flight,
         };
+        // A leader does not report: this one has been started anew or has stepped down.
+        let predecessor =
+            |before: &LeaderRecord| before.host == report.host && before.address == from;
+        if self.before.as_ref().is_some_and(predecessor) {
+            log::info!(host = report.host.as_str(); "the leader before acts no longer");
+            self.before = None;
+            plan.take(PlanInput::PredecessorEnds(now + CALL_LIMIT), now);
+        }
         self.hosts.insert(report.host, track);
     }
 
+    /// Tells the plan whether most hosts report to this leader.
+    fn count_majority(&mut self, now: BootTime) {
+        let fresh = |track: &&HostTrack| now.since(track.seen_at) < REPORT_INTERVAL * 2;
+        let reporting = self.hosts.values().filter(fresh).count();
+        let base = self.quorum_base;
+        let Role::Leader(plan) = &mut self.role else {
+            return;
+        };
+        if now.since(self.term_began) >= AUTHORITY_LIMIT {
+            self.before = None;
+        }
+        if base == 0 || reporting * 2 <= base {
+            return;
+        }
+        plan.take(PlanInput::MajorityReports, now);
+        // Most hosts have left the leader before, so it acts on its own at most.
+        if self.before.take().is_some() {
+            let alone = self.term_began + AUTHORITY_ALONE;
+            let end = alone.max(now + MAJORITY_AGE) + CALL_LIMIT;
+            log::info!(reporting, base; "most hosts have left the leader before");
+            plan.take(PlanInput::PredecessorEnds(end), now);
+        }
+    }
+
     fn send_digests(&mut self, now: BootTime) {
         self.hosts
             .retain(|_, track| now.since(track.seen_at) < HOST_LIMIT);
@@ -483,8 +540,18 @@
     }
 
     /// Becomes the leader after the store has acknowledged it.
-    fn begin_term(&mut self, state: OwnerState, revision: u64, predecessor_end: BootTime) {
+    fn begin_term(
+        &mut self,
+        state: OwnerState,
+        revision: u64,
+        before: Option<LeaderRecord>,
+        predecessor_end: BootTime,
+    ) {
         let now = self.state.now();
+        // With the leader before, this host knows the hosts from its last digest.
+        self.quorum_base = self.peers.len();
+        self.before = before;
+        self.term_began = now;
         log::info!(term = state.term, revision; "this host leads");
         self.revision = revision;
         self.confirmed_at = now;
@@ -600,7 +667,7 @@
 impl Message<ConfirmEnded> for LeaderActor {
     type Reply = ();
 
-    async fn handle(&mut self, ended: ConfirmEnded, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, ended: ConfirmEnded, context: &mut Context<Self, Self::Reply>) {
         let now = self.state.now();
         self.confirming = false;
         let Role::Leader(plan) = &mut self.role else {
@@ -612,11 +679,17 @@
         match ended.confirmed {
             Some(sent_at) => {
                 self.confirm_failures = 0;
+                // Hosts only leave the count while the store is there.
+                if self.before.is_none() {
+                    self.quorum_base = self.hosts.len();
+                }
                 plan.take(PlanInput::Confirmed(sent_at), now);
             }
             None => self.confirm_failures += 1,
         }
         self.owners_seen(now);
+        let actor = context.actor_ref().clone();
+        self.resign_if_stopping(&actor, now);
     }
 }
 
@@ -663,7 +736,7 @@
         self.stopping = true;
         let now = self.state.now();
         let actor = context.actor_ref().clone();
-        self.resign(&actor, now);
+        self.resign_if_stopping(&actor, now);
     }
 }
 
@@ -736,12 +809,9 @@
             1 => BootTime::default(),
             _ => predecessor_end + CALL_LIMIT,
         };
-        self.begin_term(state, revision, predecessor_end);
+        self.begin_term(state, revision, ended.before, predecessor_end);
         let actor = context.actor_ref().clone();
-        if self.stopping {
-            self.resign(&actor, now);
-            return;
-        }
+        self.resign_if_stopping(&actor, now);
         self.lead(&actor, now);
     }
 }
--- a/crates/gateway/src/node/run_host.rs
+++ b/crates/gateway/src/node/run_host.rs
@@ -26,6 +26,10 @@
 /// Pause of the leader's loop if its actor does not answer.
 const ACTOR_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest wait for a connection to the store: many round trips. Together with the
+/// pauses between tries, a host follows the store again 1 s after a partition.
+const STORE_CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
 /// Runs the host until it is told to stop.
 pub async fn run_host(settings: GatewaySettings, file: PathBuf) -> Result<(), GatewayError> {
     let mut terminate = listen_signal(SignalKind::terminate())?;
@@ -39,7 +43,7 @@
         address,
     })?;
     let socket = Arc::new(socket);
-    let store = StoreClient::new(settings.store);
+    let store = StoreClient::new(settings.store, STORE_CONNECT_LIMIT);
     let state = Arc::new(HostState::new(settings));
     log::info!(nonce = state.nonce, zone = state.settings.zone.as_str(); "host starts");
 
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -25,7 +25,7 @@
 
 /// First and longest pause after a failed call.
 const PAUSE_FIRST: Duration = Duration::from_millis(150);
-const PAUSE_LIMIT: Duration = Duration::from_millis(1_200);
+const PAUSE_LIMIT: Duration = Duration::from_millis(500);
 
 /// Time for which a watch may lag behind other hosts before the kind is listed.
 const LAG_LIMIT: Duration = Duration::from_millis(250);
--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -48,6 +48,7 @@
 pub struct HttpClient {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
     idle_limit: usize,
+    connect_limit: Option<Duration>,
     abortive_close: bool,
 }
 
@@ -63,10 +64,18 @@
         Self {
             idle: Arc::default(),
             idle_limit,
+            connect_limit: None,
             abortive_close: false,
         }
     }
 
+    /// Limits the wait for a new connection. After a partition, a new try succeeds
+    /// before an old one sends its opening packet again.
+    pub fn with_connect_limit(mut self, limit: Duration) -> Self {
+        self.connect_limit = Some(limit);
+        self
+    }
+
     /// Resets connections instead of closing them, so that the bytes of a request
     /// that was given up are not delivered later.
     pub fn with_abortive_close(mut self) -> Self {
@@ -109,6 +118,8 @@
                 Err(_) => return not_sent("timed out waiting for a connection"),
             }
         }
+        let connect_end = self.connect_limit.map(|limit| Instant::now() + limit);
+        let end = connect_end.map_or(end, |connect_end| connect_end.min(end));
         timeout_at(end, connect(address, self.abortive_close))
             .await
             .unwrap_or_else(|_| not_sent("timed out connecting"))
