Hold keyed requests only for a move that has begun

Change: a host that stops resigns only after an answer of the store; requests wait for a move that began less than 0.4 s ago, or 60 ms for news after a refusal by the owner, and are refused at once otherwise.

--- a/crates/core/src/ownership/owner_map.rs
+++ b/crates/core/src/ownership/owner_map.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{OwnerState, RangePhase, ServerLife},
-    crate::ids::ServiceName,
-    std::sync::Arc,
+    crate::{ids::ServiceName, time::BootTime},
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// Who serves a key.
@@ -11,8 +11,8 @@
 pub enum OwnerLookup {
     /// This server.
     Owner(ServerLife),
-    /// The key changes owner.
-    Moving,
+    /// The key changes owner, as this host knows since then.
+    Moving(BootTime),
     /// The key has no owner.
     Unassigned,
 }
@@ -21,12 +21,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct OwnerMap {
     state: Option<Arc<OwnerState>>,
+    /// Moves in progress by service and token, with the time they were first seen.
+    moves: HashMap<(ServiceName, u64), BootTime>,
 }
 
 impl OwnerMap {
-    /// View of `state`.
-    pub fn new(state: Arc<OwnerState>) -> Self {
-        Self { state: Some(state) }
+    /// Replaces the view, as learned at `now`.
+    pub fn update(&mut self, state: Arc<OwnerState>, now: BootTime) {
+        let mut moves = HashMap::new();
+        for (service, owners) in &state.services {
+            for record in &owners.ranges {
+                if let RangePhase::Moving { token, .. } = &record.phase {
+                    let key = (service.clone(), *token);
+                    let since = self.moves.get(&key).copied().unwrap_or(now);
+                    moves.insert(key, since);
+                }
+            }
+        }
+        self.moves = moves;
+        self.state = Some(state);
     }
 
     /// Who serves `key` of `service`.
@@ -43,7 +56,10 @@
             .partition_point(|record| record.range.last < key);
         match owners.ranges.get(at).map(|record| &record.phase) {
             Some(RangePhase::Owned { owner, .. }) => OwnerLookup::Owner(owner.clone()),
-            Some(RangePhase::Moving { .. }) => OwnerLookup::Moving,
+            Some(RangePhase::Moving { token, .. }) => {
+                let since = self.moves.get(&(service.clone(), *token));
+                OwnerLookup::Moving(since.copied().unwrap_or_default())
+            }
             Some(RangePhase::Free) | None => OwnerLookup::Unassigned,
         }
     }
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -351,14 +351,6 @@
         self.candidacy.heard(now);
     }
 
-    /// Resigns before a planned stop. Without the store no successor could follow, so
-    /// this host leads on until the store is back or the process ends.
-    fn resign_if_stopping(&mut self, actor: &ActorRef<Self>, now: BootTime) {
-        if self.stopping && self.confirm_failures == 0 {
-            self.resign(actor, now);
-        }
-    }
-
     /// Ends the leadership with a write, so that a successor need not wait.
     fn resign(&mut self, actor: &ActorRef<Self>, now: BootTime) {
         let Role::Leader(plan) = &self.role else {
@@ -676,6 +668,7 @@
         if plan.state().term != ended.term {
             return;
         }
+        let confirmed = ended.confirmed.is_some();
         match ended.confirmed {
             Some(sent_at) => {
                 self.confirm_failures = 0;
@@ -688,8 +681,12 @@
             None => self.confirm_failures += 1,
         }
         self.owners_seen(now);
-        let actor = context.actor_ref().clone();
-        self.resign_if_stopping(&actor, now);
+        // Without the store no successor could follow, so a host that stops leads on
+        // until the store has just answered, or its process ends.
+        if self.stopping && confirmed {
+            let actor = context.actor_ref().clone();
+            self.resign(&actor, now);
+        }
     }
 }
 
@@ -734,9 +731,11 @@
 
     async fn handle(&mut self, _: Resign, context: &mut Context<Self, Self::Reply>) {
         self.stopping = true;
+        // The store is asked at once: without it, this host leads on.
+        self.confirmed_at = BootTime::default();
         let now = self.state.now();
         let actor = context.actor_ref().clone();
-        self.resign_if_stopping(&actor, now);
+        self.lead(&actor, now);
     }
 }
 
@@ -811,7 +810,6 @@
         };
         self.begin_term(state, revision, ended.before, predecessor_end);
         let actor = context.actor_ref().clone();
-        self.resign_if_stopping(&actor, now);
         self.lead(&actor, now);
     }
 }
--- a/crates/gateway/src/serve/request_flow.rs
+++ b/crates/gateway/src/serve/request_flow.rs
@@ -28,9 +28,13 @@
 /// Deadline of a caller that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
-/// Longest wait for a key that changes owner; a usual move takes less.
+/// Longest wait of one request for a change of owner; a usual move takes less.
 const OWNER_WAIT: Duration = Duration::from_millis(500);
 
+/// Longest wait for news of an owner after a server refused a key as not its own: the
+/// leader sends a change to all hosts at once.
+const OWNER_NEWS_WAIT: Duration = Duration::from_millis(60);
+
 /// Least time in which another attempt makes sense.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(30);
 
@@ -190,8 +194,8 @@
             let pick = self.state.pick_server(query);
             let (entry, permit) = match pick {
                 ServerPick::Send(entry, permit) => (entry, permit),
-                ServerPick::Unowned => {
-                    if !self.await_owner(&mut log, left).await {
+                ServerPick::Unowned(wait) => {
+                    if !self.await_owner(&mut log, wait.min(left)).await {
                         let comeback = Some(self.comeback());
                         return self.give_up(&case, log, Refusal::Unavailable, comeback);
                     }
@@ -202,7 +206,9 @@
                         PickRefusal::NoKey => Refusal::Malformed,
                         PickRefusal::Overloaded => Refusal::Overloaded,
                         PickRefusal::TooLate => Refusal::TooLate,
-                        PickRefusal::NoServer | PickRefusal::OwnerSilent => Refusal::Unavailable,
+                        PickRefusal::NoServer | PickRefusal::OwnerSilent | PickRefusal::NoOwner => {
+                            Refusal::Unavailable
+                        }
                     };
                     return self.give_up(&case, log, refusal, Some(comeback));
                 }
@@ -259,7 +265,9 @@
                 self.note_server(case, &entry, "request refused by server");
                 if status == StatusCode::MISDIRECTED_REQUEST && case.key.is_some() {
                     let left = case.call.end.since(self.state.now());
-                    self.await_owner(log, left).await;
+                    if !self.await_owner(log, OWNER_NEWS_WAIT.min(left)).await {
+                        self.state.note_lapse(&entry.id);
+                    }
                 }
             }
             CallOutcome::NotSent(reason) => {
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -102,6 +102,8 @@
     pub(super) owners: OwnerMap,
     pub(super) owner_state: Option<(Arc<OwnerState>, u64)>,
     pub(super) key_counts: BTreeMap<ServiceName, BTreeMap<u16, u32>>,
+    /// Owners that refused a key as not theirs, until when they are not asked.
+    pub(super) lapsed: HashMap<ServerId, BootTime>,
     pub(super) random: ChaCha8Rng,
     hosts: u32,
     others_at: BootTime,
@@ -161,6 +163,7 @@
                 owners: OwnerMap::default(),
                 owner_state: None,
                 key_counts: BTreeMap::new(),
+                lapsed: HashMap::new(),
                 random,
                 hosts: HOSTS_AT_START,
                 others_at: BootTime::default(),
@@ -336,13 +339,15 @@
 
     /// Takes the stored assignment; an older revision is left out.
     pub fn set_owners(&self, state: OwnerState, revision: u64) -> bool {
+        let now = self.now();
         let mut inner = self.lock();
         let known = inner.owner_state.as_ref().map(|(_, known)| *known);
         if known.is_some_and(|known| known >= revision) {
             return false;
         }
         let state = Arc::new(state);
-        inner.owners = OwnerMap::new(state.clone());
+        inner.owners.update(state.clone(), now);
+        inner.lapsed.clear();
         inner.owner_state = Some((state, revision));
         drop(inner);
         self.owners_changed.notify_waiters();
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -1,7 +1,7 @@
 //! Choice of the server for one attempt of a request.
 
 use {
-    super::HostState,
+    super::{HostState, host_state::StateInner},
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, AnswerKind, Candidate, GaugeReading, ToldLoad, choose_server,
@@ -19,6 +19,13 @@
 /// have no other owner yet. No request may reach it 2 s after the store learned of it.
 const LEAVER_LIMIT: Duration = Duration::from_millis(1_300);
 
+/// Time that a usual move of a key takes: an answer of the old owner with its running
+/// work, two writes and a grant. Requests wait for it, and not for longer ones.
+const MOVE_TIME: Duration = Duration::from_millis(400);
+
+/// Time for which an owner that refused a key as not its own is not asked for keys.
+const LAPSE_PAUSE: Duration = Duration::from_millis(200);
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct PickQuery<'a> {
@@ -43,6 +50,8 @@
     TooLate,
     /// The key's owner does not react.
     OwnerSilent,
+    /// The key has no owner, and a change is not expected at once.
+    NoOwner,
     /// The request has no key, but the service is keyed.
     NoKey,
 }
@@ -52,8 +61,8 @@
 pub enum ServerPick {
     /// Send it there.
     Send(ServerEntry, ServerPermit),
-    /// The key has no owner at this moment.
-    Unowned,
+    /// The key has no owner at this moment, but should have one before this time is over.
+    Unowned(Duration),
     /// Refuse it; come back after this time.
     Refuse(PickRefusal, Duration),
 }
@@ -88,6 +97,13 @@
     }
 }
 
+impl StateInner {
+    fn no_owner(&mut self) -> ServerPick {
+        let spread = rand::RngExt::random(&mut self.random);
+        ServerPick::Refuse(PickRefusal::NoOwner, comeback(None, spread))
+    }
+}
+
 impl HostState {
     /// Chooses a server and counts the request there.
     pub fn pick_server(self: &Arc<Self>, query: PickQuery<'_>) -> ServerPick {
@@ -114,18 +130,24 @@
         let mut inner = self.lock();
         let owner = match inner.owners.find(query.service, key) {
             OwnerLookup::Owner(owner) => owner,
-            OwnerLookup::Moving | OwnerLookup::Unassigned => return ServerPick::Unowned,
+            OwnerLookup::Moving(since) if now.since(since) < MOVE_TIME => {
+                return ServerPick::Unowned(MOVE_TIME - now.since(since));
+            }
+            OwnerLookup::Moving(_) | OwnerLookup::Unassigned => return inner.no_owner(),
         };
         let entry = match inner.fleet.get(&owner.id) {
             Some(entry) if entry.incarnation == owner.incarnation => entry.clone(),
-            _ => return ServerPick::Unowned,
+            _ => return inner.no_owner(),
         };
         let leaving = inner.fleet.leaving_since(&owner.id);
-        if leaving.is_some_and(|since| now.since(since) >= LEAVER_LIMIT) {
-            return ServerPick::Unowned;
+        let lapsed = inner.lapsed.get(&owner.id);
+        if leaving.is_some_and(|since| now.since(since) >= LEAVER_LIMIT)
+            || lapsed.is_some_and(|until| now < *until)
+        {
+            return inner.no_owner();
         }
         let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
-            return ServerPick::Unowned;
+            return inner.no_owner();
         };
         let reading = gauge.read(now);
         let refusal = match query.rule.decide(reading) {
@@ -143,6 +165,12 @@
         self.permit(entry, now)
     }
 
+    /// Notes that a server refused a key as not its own.
+    pub fn note_lapse(&self, server: &ServerId) {
+        let until = self.now() + LAPSE_PAUSE;
+        self.lock().lapsed.insert(server.clone(), until);
+    }
+
     fn pick_any(self: &Arc<Self>, query: PickQuery<'_>) -> ServerPick {
         let now = self.now();
         let mut inner = self.lock();
