--- a/crates/gateway/src/serve/request_flow.rs
+++ b/crates/gateway/src/serve/request_flow.rs
@@ -4,9 +4,9 @@
     super::{Refusal, refuse, strip_connection_headers},
     crate::{
         forward::{AnswerBody, CallOutcome, CallPatience, CallRequest, ServerPool, send_call},
-        state::{HostState, LogTopic, PickQuery, PickRefusal, ServerPick},
+        state::{BodyLease, HostState, LogTopic, PickQuery, PickRefusal, ServerPick},
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     camphorcove_core::{
         dispatch::AdmissionRule,
         fleet::ServerEntry,
@@ -16,7 +16,7 @@
     },
     camphorcove_platform::{RequestHead, decode_request},
     http::{HeaderValue, Request, Response, StatusCode, header, request::Parts},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    http_body_util::BodyExt,
     hyper::body::Incoming,
     std::{
         sync::{Arc, atomic::Ordering},
@@ -68,6 +68,8 @@
     connections: u32,
     key: Option<u16>,
     started: BootTime,
+    /// Keeps the body's memory counted until the request has ended.
+    _body: BodyLease,
 }
 
 /// Attempts so far.
@@ -120,7 +122,11 @@
         };
         let case = match self.read_case(&table, rule, &head, request, started).await {
             Ok(case) => case,
-            Err(refusal) => return self.own_answer(&head, "", refusal, None),
+            Err(refusal) => {
+                let comeback =
+                    (refusal.status() == StatusCode::SERVICE_UNAVAILABLE).then(|| self.comeback());
+                return self.own_answer(&head, "", refusal, comeback);
+            }
         };
         match case.rule.repeat {
             RepeatRule::Idempotent => self.deliver(case).await,
@@ -152,10 +158,9 @@
         let end = started + deadline.min(rule.time_limit);
         let (parts, body) = request.into_parts();
         let limit = table.limits.body_bytes.min(BODY_LIMIT);
-        let body = match timeout(end.since(started), Limited::new(body, limit).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Refusal::TooLarge),
-            Ok(Err(_)) => return Err(Refusal::Malformed),
+        let reading = self.read_body(body, limit);
+        let (body, lease) = match timeout(end.since(started), reading).await {
+            Ok(read) => read?,
             Err(_) => return Err(Refusal::TooLate),
         };
         let service = self.state.route_request(&rule);
@@ -171,9 +176,34 @@
             service,
             key: head.key.filter(|_| keyed),
             started,
+            _body: lease,
         })
     }
 
+    /// Reads a body of at most `limit` bytes.
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        limit: usize,
+    ) -> Result<(Bytes, BodyLease), Refusal> {
+        let mut lease = self.state.bodies.begin();
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Refusal::Malformed)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if bytes.len() + data.len() > limit {
+                return Err(Refusal::TooLarge);
+            }
+            if !lease.grow(data.len()) {
+                return Err(Refusal::Overloaded);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok((bytes.freeze(), lease))
+    }
+
     /// Tries servers until one answers or nothing more may be tried.
     async fn deliver(self: &Arc<Self>, case: RequestCase) -> Response<AnswerBody> {
         let mut log = AttemptLog::default();
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -4,7 +4,7 @@
 //! across an await.
 
 use {
-    super::{LogGate, LogTopic, StoreKind, StoreMarks},
+    super::{BodyBudget, LogGate, LogTopic, StoreKind, StoreMarks},
     crate::conf::GatewaySettings,
     bincode::{Decode, Encode},
     camphorcove_core::{
@@ -123,6 +123,8 @@
     pub nonce: u64,
     /// Counters.
     pub counters: HostCounters,
+    /// Memory of request bodies.
+    pub bodies: Arc<BodyBudget>,
     /// Wakes requests that wait for a change of owner.
     pub owners_changed: Notify,
     /// Wakes watches that other hosts have overtaken.
@@ -145,11 +147,13 @@
         let mut random: ChaCha8Rng = rand::make_rng();
         let nonce = rand::RngExt::random(&mut random);
         let random = ChaCha8Rng::from_rng(&mut random);
+        let bodies = Arc::new(BodyBudget::new(settings.memory_mb));
         Self {
             settings,
             clock: BootClock,
             nonce,
             counters: HostCounters::default(),
+            bodies,
             owners_changed: Notify::new(),
             marks_changed: Notify::new(),
             stopping: AtomicBool::new(false),
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -325,3 +325,21 @@
     assert_eq!(answer.status, 400);
     assert!(server.log().requests.is_empty());
 }
+
+/// Guards against bodies that take all memory, and against memory that is not given back.
+#[tokio::test]
+async fn bodies_beyond_the_memory_are_refused() {
+    let server = ScriptedServer::start(vec![whole("fine")]).await;
+    let host = host_with(vec![entry("s-1", "plain", server.address)]).await;
+    let text = request("POST", "/write/a", "r1", "", &"x".repeat(1_000));
+    let mut others = host.state.bodies.begin();
+    let memory = usize::try_from(host.state.settings.memory_mb << 20).expect("fits");
+    others.grow(memory / 4);
+
+    let refused = call(host.address, &text).await;
+    drop(others);
+    let served = call(host.address, &text).await;
+
+    assert_eq!((refused.status, served.status), (503, 200));
+    assert!(refused.head.contains("retry-after:"));
+}
