--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -19,9 +19,9 @@
 /// have no other owner yet. No request may reach it 2 s after the store learned of it.
 const LEAVER_LIMIT: Duration = Duration::from_millis(1_300);
 
-/// Time that a usual move of a key takes: an answer of the old owner with its running
-/// work, two writes and a grant. Requests wait for it, and not for longer ones.
-const MOVE_TIME: Duration = Duration::from_millis(400);
+/// Time that a usual move of a key takes: the end of the old owner's running work, two
+/// writes and a grant. Requests wait for such moves, and not for longer ones.
+const MOVE_TIME: Duration = Duration::from_millis(1_200);
 
 /// Time for which an owner that refused a key as not its own is not asked for keys.
 const LAPSE_PAUSE: Duration = Duration::from_millis(200);
