Send changes of owners as differences

Change: the leader sends the records that differ with a checksum of the result; watches gather 0.5 s at most; a removed entry is held for 1.0 s. Ruled out: larger datagrams, which real networks break into fragments.

--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -12,7 +12,7 @@
 
 /// Time for which a removed entry still names a server: below the 2 s after which
 /// no request may reach a server that left.
-pub const REMOVAL_HOLD: Duration = Duration::from_millis(1_200);
+pub const REMOVAL_HOLD: Duration = Duration::from_millis(1_000);
 
 /// A change that a host acts on and logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -9,6 +9,7 @@
 mod key_range;
 mod leader_plan;
 mod lease_bounds;
+mod owner_delta;
 mod owner_map;
 mod owner_state;
 mod range_load;
@@ -21,6 +22,7 @@
         AUTHORITY_ALONE, AUTHORITY_LIMIT, CALL_LIMIT, GRANT_HOLD, LeaseBounds, MAJORITY_AGE,
         RENEW_INTERVAL, worst_hold,
     },
+    owner_delta::OwnerDelta,
     owner_map::{OwnerLookup, OwnerMap},
     owner_state::{LeaderRecord, OwnerState, RangePhase, RangeRecord, ServerLife, ServiceOwners},
     range_load::RangeLoad,
--- /dev/null
+++ b/crates/core/src/ownership/owner_delta.rs
@@ -0,0 +1,82 @@
+//! Differences between two assignments, small enough for a datagram.
+
+use {
+    super::{LeaderRecord, OwnerState, RangeRecord, ServiceOwners},
+    crate::ids::ServiceName,
+    bincode::{Decode, Encode, config},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// What changes from one assignment to the next.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct OwnerDelta {
+    term: u64,
+    change: u64,
+    leader: Option<LeaderRecord>,
+    services: Vec<ServiceDelta>,
+    /// Hash of the result, without the key of the datagrams.
+    checksum: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+struct ServiceDelta {
+    service: ServiceName,
+    next_token: u64,
+    records: Vec<RangeRecord>,
+}
+
+impl OwnerDelta {
+    /// What leads from `old` to `new`.
+    pub fn between(old: &OwnerState, new: &OwnerState) -> Self {
+        let mut services = Vec::new();
+        for (service, owners) in &new.services {
+            let before = old.services.get(service);
+            if before == Some(owners) {
+                continue;
+            }
+            let known = before.map_or(&[][..], |before| &before.ranges);
+            let fresh = |record: &&RangeRecord| !known.contains(record);
+            services.push(ServiceDelta {
+                service: service.clone(),
+                next_token: owners.next_token,
+                records: owners.ranges.iter().filter(fresh).cloned().collect(),
+            });
+        }
+        Self {
+            term: new.term,
+            change: new.change,
+            leader: new.leader.clone(),
+            services,
+            checksum: checksum(new),
+        }
+    }
+
+    /// Applies the difference; `None` if the result is not what the sender has.
+    pub fn apply(&self, old: &OwnerState) -> Option<OwnerState> {
+        let mut state = old.clone();
+        state.term = self.term;
+        state.change = self.change;
+        state.leader.clone_from(&self.leader);
+        for delta in &self.services {
+            let owners = state
+                .services
+                .entry(delta.service.clone())
+                .or_insert_with(|| ServiceOwners::new(delta.next_token));
+            owners.next_token = delta.next_token;
+            for record in &delta.records {
+                for at in owners.isolate(record.range) {
+                    owners.ranges[at].phase = record.phase.clone();
+                }
+            }
+            owners.merge();
+        }
+        (checksum(&state) == self.checksum).then_some(state)
+    }
+}
+
+fn checksum(state: &OwnerState) -> u64 {
+    let public = (&state.term, &state.change, &state.leader, &state.services);
+    let bytes = bincode::encode_to_vec(public, config::standard())
+        .unwrap_or_else(|error| unreachable!("assignments hold only plain values: {error}"));
+    xxh3_64(&bytes)
+}
--- /dev/null
+++ b/crates/core/tests/owner_delta.rs
@@ -0,0 +1,77 @@
+//! Changes of the assignment that travel in datagrams.
+
+use camphorcove_core::ownership::{
+    KeyRange, OwnerDelta, OwnerState, RangePhase, ServerLife, ServiceOwners,
+};
+
+fn life(number: u16) -> ServerLife {
+    ServerLife {
+        id: format!("s-{number}").parse().expect("valid id"),
+        incarnation: 1,
+        address: ([127, 0, 0, 1], 7_000 + number).into(),
+    }
+}
+
+/// An assignment with one range a server.
+fn assigned(servers: u16) -> OwnerState {
+    let mut state = OwnerState::new("secret".into());
+    let mut owners = ServiceOwners::new(1);
+    let ranges = KeyRange::ALL.divide(usize::from(servers));
+    for (number, range) in (0..servers).zip(ranges) {
+        give(&mut owners, range, number);
+    }
+    state
+        .services
+        .insert("boats".parse().expect("valid name"), owners);
+    state
+}
+
+fn give(owners: &mut ServiceOwners, range: KeyRange, number: u16) {
+    let token = owners.take_tokens(1);
+    for at in owners.isolate(range) {
+        owners.ranges[at].phase = RangePhase::Owned {
+            owner: life(number),
+            token,
+        };
+    }
+    owners.merge();
+}
+
+fn moved(mut state: OwnerState, range: KeyRange, number: u16) -> OwnerState {
+    state.change += 1;
+    for owners in state.services.values_mut() {
+        give(owners, range, number);
+    }
+    state
+}
+
+/// Guards against hosts whose assignment differs from the leader's after a change that
+/// splits or swallows ranges.
+#[test]
+fn change_leads_to_the_leaders_assignment() {
+    let old = assigned(4);
+    let ranges = [(100, 200), (0, 40_000), (65_535, 65_535), (0, 65_535)];
+
+    for (first, last) in ranges {
+        let new = moved(old.clone(), KeyRange { first, last }, 3);
+
+        let applied = OwnerDelta::between(&old, &new).apply(&old);
+
+        assert_eq!(applied, Some(new));
+    }
+}
+
+/// Guards against a change that is applied to another assignment than it was made for.
+#[test]
+fn change_of_another_assignment_is_rejected() {
+    let old = assigned(4);
+    let range = KeyRange {
+        first: 100,
+        last: 200,
+    };
+    let delta = OwnerDelta::between(&old, &moved(old.clone(), range, 3));
+
+    let applied = delta.apply(&assigned(5));
+
+    assert_eq!(applied, None);
+}
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -11,14 +11,14 @@
         owner_store::{OwnerStore, WriteOutcome},
     },
     crate::{
-        peers::{Digest, PeerLink, PeerMessage, Report},
+        peers::{Digest, OwnerChange, PeerLink, PeerMessage, Report},
         state::{HostState, ServerTag, StoreKind, StoreMarks},
     },
     camphorcove_core::{
         ids::{HostId, ServerId, ServiceName},
         ownership::{
             AUTHORITY_ALONE, AUTHORITY_LIMIT, CALL_LIMIT, LeaderPlan, LeaderRecord, MAJORITY_AGE,
-            OwnerState, PlanAction, PlanInput, PlanWorld, RangeLoad,
+            OwnerDelta, OwnerState, PlanAction, PlanInput, PlanWorld, RangeLoad,
         },
         time::{BootTime, with_drift},
     },
@@ -116,6 +116,8 @@
     /// Highest term seen.
     seen_term: u64,
     term_began: BootTime,
+    /// Assignment that was last sent to all hosts, or known before this host led.
+    announced: Option<(Arc<OwnerState>, u64)>,
     marks: StoreMarks,
     reported_at: BootTime,
     confirmed_at: BootTime,
@@ -145,6 +147,7 @@
             before: None,
             seen_term: 0,
             term_began: now,
+            announced: None,
             marks: StoreMarks::default(),
             reported_at: now,
             confirmed_at: now,
@@ -202,6 +205,7 @@
         }
         self.candidacy.tried(now);
         self.role = Role::Candidate;
+        self.announced.clone_from(&stored);
         let known = stored.map(|(owners, _)| owners.term);
         log::info!(term:? = known, vacant; "no leader heard, trying to take over");
         let owners = self.owners.clone();
@@ -408,14 +412,21 @@
             .map(|(address, _)| address)
     }
 
-    /// Sends the assignment to all hosts.
-    fn announce(&self) {
+    /// Sends what changed in the assignment since the last time to all hosts.
+    fn announce(&mut self) {
         let Some((owners, revision)) = self.state.owners() else {
             return;
         };
-        let mut state = OwnerState::clone(&owners);
-        state.secret.clear();
-        let message = PeerMessage::Owners(revision, Box::new(state));
+        let before = self.announced.replace((owners.clone(), revision));
+        let Some((old, from)) = before else {
+            return;
+        };
+        let change = OwnerChange {
+            from,
+            to: revision,
+            delta: OwnerDelta::between(&old, &owners),
+        };
+        let message = PeerMessage::Owners(change);
         for address in self.peer_addresses() {
             self.link.send(&self.state, address, &message);
         }
@@ -641,16 +652,22 @@
 
     async fn handle(&mut self, message: OwnersIn, _: &mut Context<Self, Self::Reply>) {
         let now = self.state.now();
-        let OwnersIn {
-            mut state,
-            revision,
-        } = message;
-        let Some((known, _)) = self.state.owners() else {
+        let OwnersIn(change) = message;
+        let Some((known, revision)) = self.state.owners() else {
+            return;
+        };
+        // Without the state that the change starts from, the store is read: the digests
+        // name the newest revision.
+        if revision != change.from {
+            return;
+        }
+        let Some(state) = change.delta.apply(&known) else {
+            log::warn!(from = change.from, to = change.to; "change of owners does not fit");
             return;
         };
-        state.secret.clone_from(&known.secret);
-        if self.state.set_owners(state, revision) {
-            self.state.note_seen(StoreKind::Owners, revision, revision);
+        if self.state.set_owners(state, change.to) {
+            self.state
+                .note_seen(StoreKind::Owners, change.to, change.to);
             self.owners_seen(now);
         }
     }
--- a/crates/gateway/src/leader/leader_messages.rs
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -2,11 +2,8 @@
 
 use {
     super::owner_store::WriteOutcome,
-    crate::peers::{Digest, Report},
-    camphorcove_core::{
-        ownership::{OwnerState, PlanInput},
-        time::BootTime,
-    },
+    crate::peers::{Digest, OwnerChange, Report},
+    camphorcove_core::{ownership::PlanInput, time::BootTime},
     std::net::SocketAddr,
 };
 
@@ -36,14 +33,9 @@
     pub from: SocketAddr,
 }
 
-/// An assignment that the leader sent.
+/// A change of the assignment that the leader sent.
 #[derive(Debug)]
-pub struct OwnersIn {
-    /// Assignment, without the key of the datagrams.
-    pub state: OwnerState,
-    /// Its revision.
-    pub revision: u64,
-}
+pub struct OwnersIn(pub OwnerChange);
 
 /// Give up the leadership before this host stops.
 #[derive(Debug)]
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,6 +4,6 @@
 mod peer_link;
 
 pub use {
-    peer_codec::{Digest, PeerMessage, Report, open_message, seal_message},
+    peer_codec::{Digest, OwnerChange, PeerMessage, Report, open_message, seal_message},
     peer_link::{PeerLink, receive},
 };
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -6,7 +6,7 @@
 use {
     crate::state::{LoadReport, ServerTag, StoreMarks},
     bincode::{Decode, Encode, config},
-    camphorcove_core::{ids::HostId, ownership::OwnerState},
+    camphorcove_core::{ids::HostId, ownership::OwnerDelta},
     hmac::{Hmac, KeyInit, Mac},
     sha2::Sha256,
     std::net::SocketAddr,
@@ -47,6 +47,17 @@
     pub peers: Vec<SocketAddr>,
 }
 
+/// A change of the assignment.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct OwnerChange {
+    /// Revision that it starts from.
+    pub from: u64,
+    /// Revision that it leads to.
+    pub to: u64,
+    /// Difference.
+    pub delta: OwnerDelta,
+}
+
 /// A datagram's content.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum PeerMessage {
@@ -54,8 +65,8 @@
     Report(Report),
     /// From the leader.
     Digest(Digest),
-    /// From the leader: the assignment at a revision, without the key of the datagrams.
-    Owners(u64, Box<OwnerState>),
+    /// From the leader: a change of the assignment.
+    Owners(OwnerChange),
 }
 
 /// Encodes and authenticates a message.
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -14,7 +14,7 @@
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 60_000;
 
-/// Largest datagram that is sent. Hosts read a larger assignment from the store.
+/// Largest datagram that is sent. Hosts read a larger change from the store.
 const SENT_BYTES: usize = 8_000;
 
 /// Pause after a failed receive.
@@ -81,10 +81,7 @@
                 state.set_peer_marks(&digest.marks);
                 leader.tell(DigestIn { digest, from }).try_send().is_ok()
             }
-            PeerMessage::Owners(revision, owners) => {
-                let state = *owners;
-                leader.tell(OwnersIn { state, revision }).try_send().is_ok()
-            }
+            PeerMessage::Owners(change) => leader.tell(OwnersIn(change)).try_send().is_ok(),
         };
         if !told && let Some(left_out) = state.may_log(LogTopic::Peer) {
             log::warn!(from:% = from, left_out; "leader actor is too busy for a datagram");
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -36,7 +36,7 @@
 
 /// Shortest and longest such pause; a change has to be in force within 2 s.
 const GATHER_LEAST: Duration = Duration::from_millis(120);
-const GATHER_MOST: Duration = Duration::from_millis(800);
+const GATHER_MOST: Duration = Duration::from_millis(500);
 
 /// What happened to the objects of a kind.
 #[derive(Debug)]
