Bind reports to a term, and count on late reports of most hosts

Cause, found by reading: a report that was delayed from an earlier term could have passed for proof that the leader before acts no longer, and a leader may count a report for half a second before it counts as support. Change: reports name the term; the bound of the leader before is 0.5 s later.

--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -416,9 +416,15 @@
     fn report(&mut self, now: BootTime) {
         let load = self.state.take_report();
         let host = self.state.settings.host.clone();
+        let leader = self.leader_address();
+        let term = match &self.role {
+            Role::Leader(plan) => plan.state().term,
+            Role::Follower | Role::Candidate => leader.map_or(0, |(_, term)| term),
+        };
         let report = Report {
             host,
             nonce: self.state.nonce,
+            term,
             marks: self.state.marks(),
             load,
         };
@@ -429,23 +435,21 @@
             self.send_digests(now);
             return;
         }
-        if let Some(address) = self.leader_address() {
+        if let Some((address, _)) = leader {
             let message = PeerMessage::Report(report);
             self.link.send(&self.state, address, &message);
         }
     }
 
-    /// Address of the latest leader known from the store or from its digests.
-    fn leader_address(&self) -> Option<SocketAddr> {
+    /// Address and term of the latest leader known from the store or from its digests.
+    fn leader_address(&self) -> Option<(SocketAddr, u64)> {
         let stored = self.state.owners();
         let stored = stored.and_then(|(owners, _)| {
             let leader = owners.leader.as_ref()?;
             Some((leader.address, owners.term))
         });
         let latest = [stored, self.leader_at].into_iter().flatten();
-        latest
-            .max_by_key(|(_, term)| *term)
-            .map(|(address, _)| address)
+        latest.max_by_key(|(_, term)| *term)
     }
 
     /// Sends what changed in the assignment since the last time to all hosts.
@@ -480,6 +484,10 @@
             return;
         };
         self.marks.merge(&report.marks);
+        // A report that was meant for another term tells nothing of who follows whom now.
+        if report.term != plan.state().term {
+            return;
+        }
         for (service, keys) in &report.load.keys {
             for (key, requests) in keys {
                 plan.count(service, *key, *requests, now);
@@ -537,7 +545,9 @@
         // Most hosts have left the leader before, so it acts on its own at most.
         if self.before.take().is_some() {
             let alone = self.term_began + AUTHORITY_ALONE;
-            let end = alone.max(now + MAJORITY_AGE) + CALL_LIMIT;
+            // The leader before may have counted their last reports until now.
+            let supported = now + MAJORITY_AGE + REPORT_MOST * 2;
+            let end = alone.max(supported) + CALL_LIMIT;
             log::info!(reporting, base; "most hosts have left the leader before");
             plan.take(PlanInput::PredecessorEnds(end), now);
         }
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -22,6 +22,8 @@
     pub host: HostId,
     /// Number of its process.
     pub nonce: u64,
+    /// Term of the leader that the report is for.
+    pub term: u64,
     /// Newest changes that it has seen.
     pub marks: StoreMarks,
     /// Its load.
