--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -104,23 +104,6 @@
         }
     }
 
-    /// Takes the service time that other servers of the service show.
-    pub fn assume(&mut self, service_time: f64) {
-        if !self.measured {
-            self.service_time = service_time;
-        }
-    }
-
-    /// Whether an answer has shown the server's speed.
-    pub fn is_measured(&self) -> bool {
-        self.measured
-    }
-
-    /// Requests of this host at the server.
-    pub fn in_flight(&self) -> u32 {
-        self.own
-    }
-
     /// Counts a request sent.
     pub fn sent(&mut self) {
         self.own += 1;
--- a/crates/core/src/ownership/leader_plan.rs
+++ b/crates/core/src/ownership/leader_plan.rs
@@ -191,7 +191,6 @@
     heard: HashMap<ServerLife, ServerHeard>,
     fleet_size: usize,
     fleet_grew_at: BootTime,
-    moved_keys: u64,
     superseded: bool,
 }
 
@@ -239,7 +238,6 @@
             heard: HashMap::new(),
             fleet_size: 0,
             fleet_grew_at: now,
-            moved_keys: 0,
             superseded: false,
         }
     }
@@ -259,11 +257,6 @@
         records.any(|record| matches!(record.phase, RangePhase::Moving { .. }))
     }
 
-    /// Keys that changed owner in this term.
-    pub fn moved_keys(&self) -> u64 {
-        self.moved_keys
-    }
-
     /// Whether a server has seen a token of a later leader.
     pub fn is_superseded(&self) -> bool {
         self.superseded
@@ -675,7 +668,6 @@
                 Some(target) => {
                     let token = *next_token;
                     *next_token += 1;
-                    self.moved_keys += u64::from(record.range.keys());
                     if let Some(handover) = handover {
                         self.handovers
                             .insert((service.clone(), record.range, token), handover);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -16,7 +16,7 @@
 #[derive(Debug, Parser)]
 #[command(version)]
 struct GatewayArgs {
-    /// Settings file; docs/settings.md describes it.
+    /// Settings file; docs/gateway-settings.md describes it.
     #[arg(
         long,
         env = "CAMPHORCOVE_SETTINGS",
--- a/crates/gateway/src/serve/request_flow.rs
+++ b/crates/gateway/src/serve/request_flow.rs
@@ -113,19 +113,19 @@
         let head = decode_request(request.headers());
         let Some(table) = self.state.table() else {
             let comeback = Some(CONFIGURATION_COMEBACK);
-            return self.own_answer(&head, "", Refusal::NoConfiguration, comeback);
+            return self.own_answer(&head, Refusal::NoConfiguration, comeback);
         };
         let host = request.headers().get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
         let Some(rule) = table.find(host, request.uri().path()).cloned() else {
-            return self.own_answer(&head, "", Refusal::NoRoute, None);
+            return self.own_answer(&head, Refusal::NoRoute, None);
         };
         let case = match self.read_case(&table, rule, &head, request, started).await {
             Ok(case) => case,
             Err(refusal) => {
                 let comeback =
                     (refusal.status() == StatusCode::SERVICE_UNAVAILABLE).then(|| self.comeback());
-                return self.own_answer(&head, "", refusal, comeback);
+                return self.own_answer(&head, refusal, comeback);
             }
         };
         match case.rule.repeat {
@@ -138,7 +138,7 @@
                     Ok(response) => response,
                     Err(error) => {
                         log::error!(reason:% = error; "delivery of a request ended early");
-                        self.own_answer(&head, "", Refusal::AnswerLost, None)
+                        self.own_answer(&head, Refusal::AnswerLost, None)
                     }
                 }
             }
@@ -429,7 +429,6 @@
     fn own_answer(
         &self,
         head: &RequestHead,
-        route: &str,
         refusal: Refusal,
         comeback: Option<Duration>,
     ) -> Response<AnswerBody> {
@@ -437,7 +436,6 @@
             let version = self.state.table().map(|table| table.version.0);
             log::info!(
                 request = text(head),
-                route,
                 refusal:? = refusal,
                 config_version:? = version,
                 left_out;
