Stop raising the token of an owner whose successor is being written

Change: a range whose next owner is being written gets no further orders. The test former_owner_gets_no_grant_while_its_successor_is_written failed before.

--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -1,17 +1,21 @@
-//! Entries of servers with the delay before a removal counts.
+//! Entries of servers, and what the removal of an entry means.
 //!
-//! An entry also disappears when the store could not take its heartbeats for a
-//! while. Such an entry comes back soon after the store does, so a removal without
-//! a drain before it is held back for [`REMOVAL_HOLD`].
+//! A server that leaves may only remove its entry: it gets no new work then, but goes on
+//! serving the keys that it owns until they have moved. An entry also disappears when
+//! the store could not take its heartbeats; such a server counts as before until
+//! it has had time to come back.
 
 use {
-    super::{ServerEntry, ServerPhase},
+    super::{RemovalRule, ServerEntry, ServerPhase},
     crate::{ids::ServerId, time::BootTime},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
-/// Time for which a removed entry still names a server: below the 2 s after which
-/// no request may reach a server that left.
+/// Time for which a server that removed its entry may still serve its keys: servers do
+/// so for about 2 s, and no request may reach them later.
 pub const REMOVAL_HOLD: Duration = Duration::from_millis(1_000);
 
 /// A change that a host acts on and logs.
@@ -21,8 +25,10 @@
     Joined(ServerEntry),
     /// A server takes no new work any more.
     Draining(ServerId),
-    /// A server's entry has vanished; it is used until the hold ends.
-    Missing(ServerId),
+    /// A server removed its entry without a drain; it takes no new work any more.
+    Removed(ServerId),
+    /// An entry vanished around an outage of the store; the server counts until then.
+    Missing(ServerId, BootTime),
     /// A server is gone.
     Left(ServerId),
 }
@@ -30,8 +36,9 @@
 #[derive(Clone, Debug)]
 struct FleetSlot {
     entry: ServerEntry,
-    missing_since: Option<BootTime>,
     draining_since: Option<BootTime>,
+    /// The entry is removed, and the server no longer counts from then on.
+    gone_at: Option<BootTime>,
 }
 
 /// Servers by id.
@@ -48,7 +55,7 @@
         let since = self.slots.get(&id).and_then(|slot| slot.draining_since);
         let fresh = FleetSlot {
             entry: entry.clone(),
-            missing_since: None,
+            gone_at: None,
             draining_since: drains.then(|| since.unwrap_or(now)),
         };
         let Some(old) = self.slots.insert(id.clone(), fresh) else {
@@ -62,43 +69,64 @@
     }
 
     /// Takes a removal.
-    pub fn remove(&mut self, id: &ServerId, now: BootTime) -> Option<FleetChange> {
+    pub fn remove(
+        &mut self,
+        id: &ServerId,
+        rule: RemovalRule,
+        now: BootTime,
+    ) -> Option<FleetChange> {
         let slot = self.slots.get_mut(id)?;
+        if slot.gone_at.is_some() {
+            return None;
+        }
         if slot.entry.phase == ServerPhase::Draining {
             self.slots.remove(id);
             return Some(FleetChange::Left(id.clone()));
         }
-        if slot.missing_since.is_some() {
-            return None;
+        match rule {
+            RemovalRule::Leaves => {
+                slot.entry.phase = ServerPhase::Draining;
+                slot.draining_since = Some(now);
+                slot.gone_at = Some(now + REMOVAL_HOLD);
+                Some(FleetChange::Removed(id.clone()))
+            }
+            RemovalRule::MayReturn { until } => {
+                slot.gone_at = Some(until);
+                Some(FleetChange::Missing(id.clone(), until))
+            }
         }
-        slot.missing_since = Some(now);
-        Some(FleetChange::Missing(id.clone()))
     }
 
     /// Replaces all entries by a complete list.
-    pub fn replace(&mut self, entries: Vec<ServerEntry>, now: BootTime) -> Vec<FleetChange> {
+    pub fn replace(
+        &mut self,
+        entries: Vec<ServerEntry>,
+        rule: RemovalRule,
+        now: BootTime,
+    ) -> Vec<FleetChange> {
         let mut changes = Vec::new();
-        let listed: Vec<ServerId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let unlisted = self.unlisted(&entries);
         for entry in entries {
             changes.extend(self.put(entry, now));
         }
-        let known: Vec<ServerId> = self.slots.keys().cloned().collect();
-        for id in known {
-            if listed.contains(&id) {
-                continue;
-            }
-            changes.extend(self.remove(&id, now));
+        for id in unlisted {
+            changes.extend(self.remove(&id, rule, now));
         }
         changes
     }
 
+    /// Servers that a complete list does not name.
+    pub fn unlisted(&self, entries: &[ServerEntry]) -> Vec<ServerId> {
+        let listed: BTreeSet<&ServerId> = entries.iter().map(|entry| &entry.id).collect();
+        let known = self.slots.keys();
+        known.filter(|id| !listed.contains(id)).cloned().collect()
+    }
+
     /// Drops servers whose hold is over.
     pub fn expire(&mut self, now: BootTime) -> Vec<FleetChange> {
         let mut changes = Vec::new();
         self.slots.retain(|id, slot| {
-            let over = slot
-                .missing_since
-                .is_some_and(|since| now.since(since) >= REMOVAL_HOLD);
+            let over = slot.gone_at.is_some_and(|at| now >= at);
             if over {
                 changes.push(FleetChange::Left(id.clone()));
             }
@@ -114,8 +142,7 @@
 
     /// Since when the server is known to leave.
     pub fn leaving_since(&self, id: &ServerId) -> Option<BootTime> {
-        let slot = self.slots.get(id)?;
-        slot.draining_since.or(slot.missing_since)
+        self.slots.get(id)?.draining_since
     }
 
     /// All servers that still count.
--- a/crates/core/src/ownership/leader_plan.rs
+++ b/crates/core/src/ownership/leader_plan.rs
@@ -458,7 +458,7 @@
                     continue;
                 };
                 // A range that the pending write moves is not renewed any more.
-                if !still_owned(self.pending.as_ref(), service, record) {
+                if !is_unchanged(self.pending.as_ref(), service, record) {
                     continue;
                 }
                 if life_ended(world.fleet, owner) {
@@ -498,6 +498,11 @@
                 let RangePhase::Moving { owner, token, .. } = &record.phase else {
                     continue;
                 };
+                // A range whose next owner is being written has no former owner any more;
+                // a raise would give it one.
+                if !is_unchanged(self.pending.as_ref(), service, record) {
+                    continue;
+                }
                 let key = (service.clone(), record.range, *token);
                 let track = self.clears.entry(key).or_default();
                 if track.in_flight || now < track.due || track.step == ClearStep::Done {
@@ -748,7 +753,12 @@
     keys
 }
 
-fn still_owned(pending: Option<&OwnerState>, service: &ServiceName, record: &RangeRecord) -> bool {
+/// Whether the pending write leaves the record as it is.
+fn is_unchanged(
+    pending: Option<&OwnerState>,
+    service: &ServiceName,
+    record: &RangeRecord,
+) -> bool {
     let Some(pending) = pending else {
         return true;
     };
--- /dev/null
+++ b/crates/core/tests/leader_plan.rs
@@ -0,0 +1,201 @@
+//! Single decisions of the leader's plan.
+
+use {
+    camphorcove_core::{
+        fleet::{FleetView, ServerEntry, ServerPhase},
+        ids::{ServerId, ServiceName},
+        ownership::{
+            KeyRange, LeaderPlan, OrderFailure, OwnerState, PlanAction, PlanInput, PlanWorld,
+            RangePhase, RangeRecord, ServerLife, ServiceOwners,
+        },
+        time::BootTime,
+    },
+    std::{collections::HashMap, time::Duration},
+};
+
+const START: BootTime = BootTime::from_millis(100_000);
+
+/// Interval at which the plan is polled.
+const STEP: Duration = Duration::from_millis(50);
+
+fn service() -> ServiceName {
+    "boats".parse().expect("valid name")
+}
+
+fn life(number: u16) -> ServerLife {
+    ServerLife {
+        id: format!("s-{number}").parse().expect("valid id"),
+        incarnation: 1,
+        address: ([127, 0, 0, 1], 7_000 + number).into(),
+    }
+}
+
+fn fleet(numbers: &[u16]) -> FleetView {
+    let mut fleet = FleetView::default();
+    for number in numbers {
+        let life = life(*number);
+        let entry = ServerEntry {
+            id: life.id,
+            incarnation: life.incarnation,
+            service: service(),
+            address: life.address,
+            zone: "z".parse().expect("valid name"),
+            slots: 3,
+            phase: ServerPhase::Ready,
+            warmup: Duration::ZERO,
+        };
+        fleet.put(entry, START);
+    }
+    fleet
+}
+
+fn owned_by(records: &[(u16, u16, u16, u64)]) -> OwnerState {
+    let mut state = OwnerState::new(String::new());
+    let ranges = records.iter().map(|(first, last, owner, token)| {
+        let range = KeyRange {
+            first: *first,
+            last: *last,
+        };
+        let phase = RangePhase::Owned {
+            owner: life(*owner),
+            token: *token,
+        };
+        RangeRecord { range, phase }
+    });
+    let owners = ServiceOwners {
+        next_token: 100,
+        ranges: ranges.collect(),
+    };
+    state.services.insert(service(), owners);
+    state
+}
+
+/// A plan with its fleet; servers named silent do not answer.
+struct PlanRun {
+    plan: LeaderPlan,
+    fleet: FleetView,
+    now: BootTime,
+}
+
+impl PlanRun {
+    fn new(state: OwnerState, servers: &[u16]) -> Self {
+        Self {
+            plan: LeaderPlan::new(state, BootTime::default(), START),
+            fleet: fleet(servers),
+            now: START,
+        }
+    }
+
+    fn poll(&mut self) -> Vec<PlanAction> {
+        self.now += STEP;
+        self.plan.take(PlanInput::Confirmed(self.now), self.now);
+        let capacity: HashMap<ServerId, f32> = HashMap::new();
+        let world = PlanWorld {
+            fleet: &self.fleet,
+            services: &[service()],
+            capacity: &capacity,
+        };
+        self.plan.poll(world, self.now)
+    }
+
+    /// Ends an order as its server does.
+    fn end(&mut self, action: &PlanAction, failure: Option<OrderFailure>) {
+        let input = match action.clone() {
+            PlanAction::Write(_) => return,
+            PlanAction::Grant {
+                service,
+                server,
+                range,
+                token,
+                ..
+            } => PlanInput::GrantDone {
+                service,
+                range,
+                token,
+                server,
+                result: failure.map_or(Ok(()), Err),
+            },
+            PlanAction::Release {
+                service,
+                server,
+                range,
+                token,
+                ..
+            } => PlanInput::ReleaseDone {
+                service,
+                range,
+                token,
+                server,
+                result: failure.map_or(Ok(None), Err),
+            },
+        };
+        self.plan.take(input, self.now);
+    }
+
+    /// Polls with a server that does not answer until the plan has a write for which
+    /// `wanted` holds; earlier writes are acknowledged. Returns the open orders, too.
+    fn until_write(
+        &mut self,
+        silent: &ServerLife,
+        wanted: impl Fn(&OwnerState) -> bool,
+    ) -> Vec<PlanAction> {
+        for _ in 0..400 {
+            let mut open = Vec::new();
+            let mut found = false;
+            for action in self.poll() {
+                match &action {
+                    PlanAction::Write(state) if wanted(state) => found = true,
+                    PlanAction::Write(_) => {
+                        self.plan.take(PlanInput::WriteAcked(self.now), self.now);
+                    }
+                    PlanAction::Grant { server, .. } if server == silent => {
+                        self.end(&action, Some(OrderFailure::Unanswered));
+                    }
+                    PlanAction::Release { server, .. } if server == silent => open.push(action),
+                    _ => self.end(&action, None),
+                }
+            }
+            if found {
+                return open;
+            }
+            for action in open {
+                self.end(&action, Some(OrderFailure::Unanswered));
+            }
+        }
+        panic!("no such write");
+    }
+}
+
+fn owner_of(state: &OwnerState, key: u16) -> Option<ServerId> {
+    let owners = state.services.get(&service())?;
+    let mut ranges = owners.ranges.iter();
+    let record = ranges.find(|record| record.range.first <= key && key <= record.range.last)?;
+    match &record.phase {
+        RangePhase::Owned { owner, .. } => Some(owner.id.clone()),
+        RangePhase::Moving { .. } | RangePhase::Free => None,
+    }
+}
+
+/// Guards against two owners: a silent owner whose lease is over answers again while the
+/// write that names its successor is under way, and gets a grant with a raised token.
+#[test]
+fn former_owner_gets_no_grant_while_its_successor_is_written() {
+    let state = owned_by(&[(0, 65_535, 0, 7)]);
+    let mut run = PlanRun::new(state, &[0, 1]);
+    let silent = life(0);
+    let successor = life(1).id;
+
+    let open = run.until_write(&silent, |state| {
+        owner_of(state, 0) == Some(successor.clone())
+    });
+    for action in &open {
+        run.end(action, None);
+    }
+    let mut later = Vec::new();
+    for _ in 0..10 {
+        later.extend(run.poll());
+    }
+
+    let to_silent = |action: &&PlanAction| matches!(action, PlanAction::Grant { server, .. } if *server == silent);
+    assert_eq!(later.iter().find(to_silent), None);
+}
--- a/crates/core/tests/range_ownership.rs
+++ b/crates/core/tests/range_ownership.rs
@@ -17,6 +17,7 @@
         lost_orders: 0.0,
         fault_chance: 0.0,
         slow_clock: 1.02,
+        write_delay: Duration::from_millis(5),
     }
 }
 
@@ -26,6 +27,7 @@
         lost_orders: 0.1,
         fault_chance: 0.006,
         slow_clock: 1.02,
+        write_delay: Duration::from_millis(250),
     }
 }
 
--- a/crates/core/tests/support/range_world.rs
+++ b/crates/core/tests/support/range_world.rs
@@ -36,6 +36,8 @@
     pub fault_chance: f64,
     /// Factor by which leases last longer on the servers' clocks.
     pub slow_clock: f64,
+    /// Longest time until the store has done a write, and until its answer arrives.
+    pub write_delay: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -92,6 +94,17 @@
     told: bool,
 }
 
+struct WriteInFlight {
+    leader: u64,
+    revision: u64,
+    state: OwnerState,
+    done_at: BootTime,
+    answered_at: BootTime,
+    /// Whether the store did it, once it has been there.
+    done: Option<bool>,
+    sent_at: BootTime,
+}
+
 /// The world.
 pub struct RangeWorld {
     now: BootTime,
@@ -103,6 +116,7 @@
     store: Option<(OwnerState, u64)>,
     store_down_until: BootTime,
     orders: Vec<OrderInFlight>,
+    writes: Vec<WriteInFlight>,
     next_nonce: u64,
     /// Broken rules, as text.
     pub violations: Vec<String>,
@@ -137,6 +151,7 @@
             store: None,
             store_down_until: BootTime::default(),
             orders: Vec::new(),
+            writes: Vec::new(),
             next_nonce: 1,
             violations: Vec::new(),
         };
@@ -230,6 +245,7 @@
             self.inject();
         }
         self.deliver();
+        self.finish_writes();
         self.lead();
         self.check_holders();
     }
@@ -350,16 +366,19 @@
                     sent.push((leader.nonce, leader.plan.state().term, action));
                     continue;
                 };
-                let stored = self.store.as_ref().map(|(_, revision)| *revision);
-                let input = match reaches_store && stored == Some(leader.revision) {
-                    true => {
-                        leader.revision += 1;
-                        self.store = Some((*state, leader.revision));
-                        PlanInput::WriteAcked(self.now)
-                    }
-                    false => PlanInput::WriteDropped,
-                };
-                leader.plan.take(input, self.now);
+                let longest = self.faults.write_delay.as_micros().max(1);
+                let longest = u64::try_from(longest).unwrap_or(u64::MAX);
+                let mut delay = || Duration::from_micros(self.random.random_range(0..longest));
+                let done_at = self.now + delay();
+                self.writes.push(WriteInFlight {
+                    leader: leader.nonce,
+                    revision: leader.revision,
+                    state: *state,
+                    done_at,
+                    answered_at: done_at + delay(),
+                    done: None,
+                    sent_at: self.now,
+                });
             }
         }
         for (leader, term, action) in sent {
@@ -371,6 +390,50 @@
         }
     }
 
+    /// Does the writes that have reached the store, and tells leaders how theirs ended.
+    fn finish_writes(&mut self) {
+        let store_up = self.store_up();
+        let mut writes = std::mem::take(&mut self.writes);
+        for write in &mut writes {
+            if write.done.is_some() || self.now < write.done_at {
+                continue;
+            }
+            let leader = self.leader_mut(write.leader);
+            let cut_until = leader.map(|leader| leader.cut_from_store_until);
+            let reaches_store = store_up && cut_until.is_none_or(|until| self.now >= until);
+            let stored = self.store.as_ref().map(|(_, revision)| *revision);
+            let done = reaches_store && stored == Some(write.revision);
+            if done {
+                self.store = Some((write.state.clone(), write.revision + 1));
+            }
+            write.done = Some(done);
+        }
+        let now = self.now;
+        for write in &writes {
+            let (Some(done), true) = (write.done, now >= write.answered_at) else {
+                continue;
+            };
+            let Some(leader) = self.leader_mut(write.leader) else {
+                continue;
+            };
+            let input = match done {
+                true => {
+                    leader.revision += 1;
+                    PlanInput::WriteAcked(write.sent_at)
+                }
+                false => PlanInput::WriteDropped,
+            };
+            leader.plan.take(input, now);
+        }
+        writes.retain(|write| write.done.is_none() || now < write.answered_at);
+        self.writes = writes;
+    }
+
+    fn leader_mut(&mut self, nonce: u64) -> Option<&mut SimLeader> {
+        let mut leaders = self.leaders.iter_mut();
+        leaders.find(|leader| leader.nonce == nonce)
+    }
+
     fn send(&mut self, leader: u64, term: u64, action: PlanAction) {
         let (service, server, range, token, raised, kind, limit) = match action {
             PlanAction::Grant {
--- a/crates/gateway/src/conf/gateway_settings.rs
+++ b/crates/gateway/src/conf/gateway_settings.rs
@@ -25,6 +25,8 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Share of a processor core that this host may use.
+    pub cpu_share: f64,
     /// Memory limit, in MiB.
     pub memory_mb: u64,
     /// Most open file descriptors.
@@ -48,6 +50,7 @@
     peers: Spanned<String>,
     metrics: Spanned<String>,
     store: Spanned<String>,
+    cpu_share: Spanned<FileNumber>,
     memory_mb: Spanned<u64>,
     descriptors: Spanned<u64>,
     stop_limit_s: Spanned<FileNumber>,
@@ -112,6 +115,7 @@
         peers: source.parse("peers", &table.peers, "IP:PORT")?,
         metrics: source.parse("metrics", &table.metrics, "IP:PORT")?,
         store: source.parse("store", &table.store, "IP:PORT")?,
+        cpu_share: source.cpu_share(&table.cpu_share)?,
         memory_mb: source.at_least("memory_mb", &table.memory_mb, 32)?,
         descriptors: source.descriptors(&table.descriptors)?,
         stop_limit: source.seconds("stop_limit_s", &table.stop_limit_s)?,
@@ -159,6 +163,15 @@
         Ok(usize::try_from(number).unwrap_or(usize::MAX))
     }
 
+    fn cpu_share(&self, value: &Spanned<FileNumber>) -> Result<f64, GatewayError> {
+        let number = value.get_ref().value();
+        if number.is_finite() && number > 0.0 {
+            return Ok(number);
+        }
+        let found = number.to_string();
+        self.fail(value.span().start, "cpu_share", &found, "above 0")
+    }
+
     fn seconds(&self, key: &str, value: &Spanned<FileNumber>) -> Result<Duration, GatewayError> {
         let seconds = value.get_ref().value();
         match Duration::try_from_secs_f64(seconds) {
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -93,6 +93,11 @@
             return CallOutcome::NotSent(end.to_string());
         }
     };
+    // Opening a connection takes time on a busy host; the server may have left meanwhile.
+    if !pool.may_use(entry) {
+        permit.end(AnswerKind::Abandoned, None);
+        return CallOutcome::NotSent("server has left".into());
+    }
     let now = BootClock.now();
     let left = call.end.since(now);
     let Some(request) = outgoing(call, entry, left) else {
--- a/crates/gateway/src/forward/server_pool.rs
+++ b/crates/gateway/src/forward/server_pool.rs
@@ -144,6 +144,11 @@
         })
     }
 
+    /// Whether a request may still be sent to the server.
+    pub fn may_use(&self, entry: &ServerEntry) -> bool {
+        self.state.is_usable(entry)
+    }
+
     /// Keeps a connection after a whole answer.
     pub fn keep(&self, line: ServerLine, idle_limit: Option<Duration>) {
         if line.sender.is_closed() {
--- a/crates/gateway/src/leader/candidacy.rs
+++ b/crates/gateway/src/leader/candidacy.rs
@@ -9,6 +9,13 @@
 /// Spread of the hosts' tries, so that one of them is usually first.
 const RANK_SPREAD: Duration = Duration::from_millis(400);
 
+/// Part of the spread that depends on the host's processor: renewals and reports of a
+/// large fleet keep a small host busy, so larger hosts try first.
+const SIZE_SHARE: f64 = 0.6;
+
+/// Share of a core from which on a host counts as large.
+const LARGE_SHARE: f64 = 0.5;
+
 /// Part of that time that has passed when a process starts: a live leader answers the
 /// first reports at once.
 const START_HEAD: Duration = Duration::from_millis(300);
@@ -28,12 +35,15 @@
 }
 
 impl Candidacy {
-    /// Candidacy of a process that starts now; `draw` in 0..1 spreads the hosts.
-    pub fn new(now: BootTime, draw: f64) -> Self {
+    /// Candidacy of a process that starts now, on a host with `cpu_share` of a core;
+    /// `draw` in 0..1 spreads hosts of the same size.
+    pub fn new(now: BootTime, cpu_share: f64, draw: f64) -> Self {
+        let lack = 1.0 - (cpu_share / LARGE_SHARE).clamp(0.0, 1.0);
+        let rank = SIZE_SHARE * lack + (1.0 - SIZE_SHARE) * draw;
         Self {
             heard_at: now.back(START_HEAD),
             not_before: now,
-            rank: RANK_SPREAD.mul_f64(draw),
+            rank: RANK_SPREAD.mul_f64(rank),
         }
     }
 
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -138,7 +138,7 @@
     /// Actor of a process that starts now.
     pub fn new(state: Arc<HostState>, store: StoreClient, link: PeerLink) -> Self {
         let now = state.now();
-        let candidacy = Candidacy::new(now, state.draw());
+        let candidacy = Candidacy::new(now, state.settings.cpu_share, state.draw());
         Self {
             owners: OwnerStore::new(state.clone(), store),
             orders: OrderSender::new(state.clone()),
--- a/crates/gateway/src/leader/order_sender.rs
+++ b/crates/gateway/src/leader/order_sender.rs
@@ -6,10 +6,14 @@
     camphorcove_core::{
         ids::ServerId,
         ownership::{CALL_LIMIT, KeyRange, OrderFailure, PlanAction, PlanInput},
+        time::BootTime,
     },
     camphorcove_platform::{GrantOrder, ReleaseOrder, ServerOrders},
     kameo::actor::ActorRef,
-    std::sync::{Arc, atomic::Ordering},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
 /// Sends orders and tells the leader actor how they ended.
@@ -29,11 +33,15 @@
     }
 
     /// Sends one order in a task of its own.
+    ///
+    /// Its time counts from this call: a successor waits no longer for orders of this
+    /// leader, so a task that runs late must not send.
     pub fn send(&self, actor: ActorRef<LeaderActor>, term: u64, action: PlanAction) {
         let sender = self.clone();
+        let decided_at = self.state.now();
         self.state.counters.orders.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
-            let Some(input) = sender.carry_out(action).await else {
+            let Some(input) = sender.carry_out(action, decided_at).await else {
                 return;
             };
             if let Err(error) = actor.tell(PlanEvent { term, input }).await {
@@ -42,7 +50,8 @@
         });
     }
 
-    async fn carry_out(&self, action: PlanAction) -> Option<PlanInput> {
+    async fn carry_out(&self, action: PlanAction, decided_at: BootTime) -> Option<PlanInput> {
+        let left = |limit: Duration| (decided_at + limit).since(self.state.now());
         match action {
             PlanAction::Write(_) => None,
             PlanAction::Grant {
@@ -61,7 +70,11 @@
                     hold,
                     handover,
                 };
-                let result = self.orders.grant(&order, CALL_LIMIT).await.map(|_| ());
+                let result = self
+                    .orders
+                    .grant(&order, left(CALL_LIMIT))
+                    .await
+                    .map(|_| ());
                 self.log_failure("grant", &order.server.id, range, token, result.err());
                 Some(PlanInput::GrantDone {
                     service,
@@ -84,7 +97,7 @@
                     range,
                     token: token + raise,
                 };
-                let result = self.orders.release(&order, limit).await;
+                let result = self.orders.release(&order, left(limit)).await;
                 let failure = result.as_ref().err().copied();
                 self.log_failure("release", &order.server.id, range, token, failure);
                 Some(PlanInput::ReleaseDone {
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -9,7 +9,7 @@
     bincode::{Decode, Encode},
     camphorcove_core::{
         dispatch::{AnswerKind, CallWindow, GaugeReading, ServerGauge, ToldLoad},
-        fleet::{FleetChange, FleetView, ServerEntry},
+        fleet::{FleetChange, FleetView, LapseGuard, RemovalRule, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName},
         keys::KeyHash,
         ownership::{OwnerMap, OwnerState},
@@ -95,7 +95,8 @@
 pub(super) struct StateInner {
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) wheel: SplitWheel,
-    pub(super) fleet: FleetView,
+    pub(super) fleet: Arc<FleetView>,
+    lapse_guard: LapseGuard,
     pub(super) fleet_listed: bool,
     pub(super) gauges: HashMap<ServerId, ServerGauge>,
     pub(super) windows: HashMap<ServiceName, CallWindow>,
@@ -160,7 +161,8 @@
             inner: Mutex::new(StateInner {
                 table: None,
                 wheel: SplitWheel::default(),
-                fleet: FleetView::default(),
+                fleet: Arc::default(),
+                lapse_guard: LapseGuard::default(),
                 fleet_listed: false,
                 gauges: HashMap::new(),
                 windows: HashMap::new(),
@@ -276,12 +278,14 @@
     pub fn update_fleet(&self, put: Vec<ServerEntry>, removed: &[ServerId]) {
         let now = self.now();
         let mut inner = self.lock();
+        let rule = inner.removal_rule(removed.len(), now);
+        let fleet = Arc::make_mut(&mut inner.fleet);
         let mut changes = Vec::new();
         for entry in put {
-            changes.extend(inner.fleet.put(entry, now));
+            changes.extend(fleet.put(entry, now));
         }
         for id in removed {
-            changes.extend(inner.fleet.remove(id, now));
+            changes.extend(fleet.remove(id, rule, now));
         }
         inner.apply_changes(&changes, now);
     }
@@ -290,21 +294,29 @@
     pub fn replace_fleet(&self, entries: Vec<ServerEntry>) {
         let now = self.now();
         let mut inner = self.lock();
-        let changes = inner.fleet.replace(entries, now);
+        let removed = inner.fleet.unlisted(&entries).len();
+        let rule = inner.removal_rule(removed, now);
+        let changes = Arc::make_mut(&mut inner.fleet).replace(entries, rule, now);
         inner.fleet_listed = true;
         inner.apply_changes(&changes, now);
     }
 
+    /// Notes that the store answers again after an outage.
+    pub fn note_store_returned(&self) {
+        let now = self.now();
+        self.lock().lapse_guard.store_returned(now);
+    }
+
     /// Drops servers whose removal has been confirmed by time.
     pub fn expire_fleet(&self) {
         let now = self.now();
         let mut inner = self.lock();
-        let changes = inner.fleet.expire(now);
+        let changes = Arc::make_mut(&mut inner.fleet).expire(now);
         inner.apply_changes(&changes, now);
     }
 
     /// Servers as known now.
-    pub fn fleet(&self) -> FleetView {
+    pub fn fleet(&self) -> Arc<FleetView> {
         self.lock().fleet.clone()
     }
 
@@ -468,6 +480,12 @@
 }
 
 impl StateInner {
+    fn removal_rule(&self, removed: usize, now: BootTime) -> RemovalRule {
+        let entries = self.fleet.entries();
+        let ready = entries.filter(|entry| entry.phase == ServerPhase::Ready);
+        self.lapse_guard.rule(removed, ready.count(), now)
+    }
+
     fn apply_changes(&mut self, changes: &[FleetChange], now: BootTime) {
         for change in changes {
             match change {
@@ -485,8 +503,16 @@
                 FleetChange::Draining(id) => {
                     log::info!(server = id.as_str(); "server drains");
                 }
-                FleetChange::Missing(id) => {
-                    log::info!(server = id.as_str(); "server entry removed, held for a moment");
+                FleetChange::Removed(id) => {
+                    log::info!(server = id.as_str(); "server entry removed, no new requests");
+                }
+                FleetChange::Missing(id, until) => {
+                    let held_ms = until.since(now).as_millis();
+                    log::info!(
+                        server = id.as_str(),
+                        held_ms:% = held_ms;
+                        "server entry missing after an outage, held for a moment"
+                    );
                 }
                 FleetChange::Left(id) => {
                     self.gauges.remove(id);
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -98,6 +98,13 @@
 }
 
 impl StateInner {
+    fn is_usable(&self, entry: &ServerEntry, now: BootTime) -> bool {
+        let known = self.fleet.get(&entry.id);
+        let same = known.is_some_and(|known| known.incarnation == entry.incarnation);
+        let leaving = self.fleet.leaving_since(&entry.id);
+        same && leaving.is_none_or(|since| now.since(since) < LEAVER_LIMIT)
+    }
+
     fn no_owner(&mut self) -> ServerPick {
         let spread = rand::RngExt::random(&mut self.random);
         ServerPick::Refuse(PickRefusal::NoOwner, comeback(None, spread))
@@ -139,11 +146,8 @@
             Some(entry) if entry.incarnation == owner.incarnation => entry.clone(),
             _ => return inner.no_owner(),
         };
-        let leaving = inner.fleet.leaving_since(&owner.id);
         let lapsed = inner.lapsed.get(&owner.id);
-        if leaving.is_some_and(|since| now.since(since) >= LEAVER_LIMIT)
-            || lapsed.is_some_and(|until| now < *until)
-        {
+        if !inner.is_usable(&entry, now) || lapsed.is_some_and(|until| now < *until) {
             return inner.no_owner();
         }
         let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
@@ -165,6 +169,12 @@
         self.permit(entry, now)
     }
 
+    /// Whether a request that was given to the server may still be sent to it.
+    pub fn is_usable(&self, entry: &ServerEntry) -> bool {
+        let now = self.now();
+        self.lock().is_usable(entry, now)
+    }
+
     /// Notes that a server refused a key as not its own.
     pub fn note_lapse(&self, server: &ServerId) {
         let until = self.now() + LAPSE_PAUSE;
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -76,6 +76,7 @@
             Ok(listing) => {
                 if lost {
                     log::info!(kind = F::KIND, revision = listing.revision; "store regained");
+                    state.note_store_returned();
                     lost = false;
                 }
                 pause = PAUSE_FIRST;
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -42,6 +42,7 @@
         peers: any,
         metrics: any,
         store,
+        cpu_share: 1.0,
         memory_mb: 128,
         descriptors: 1_024,
         stop_limit: Duration::from_secs(6),
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -235,7 +235,7 @@
         let text = format!(
             "host = \"host-{number}\"\nzone = \"zone-a\"\ncallers = \"{callers}\"\n\
              readiness = \"{readiness}\"\npeers = \"{peers}\"\nmetrics = \"{metrics}\"\n\
-             store = \"{}\"\nmemory_mb = 128\ndescriptors = 1024\nstop_limit_s = 5\n\
+             store = \"{}\"\ncpu_share = 1\nmemory_mb = 128\ndescriptors = 1024\nstop_limit_s = 5\n\
              repeat_ratio = 0.2\nrepeat_slack = 60\nrepeat_window_s = 10\n",
             proxy.address()
         );
--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -94,6 +94,10 @@
     ) -> Result<Response<Bytes>, ExchangeError> {
         let end = Instant::now() + timeout;
         let mut sender = self.connection(address, end).await?;
+        // A busy host may have come here late; a request that nobody awaits is not sent.
+        if Instant::now() >= end {
+            return not_sent("timed out before sending");
+        }
         let request = with_host(request, address);
         let reply = timeout_at(end, converse(&mut sender, request))
             .await
