Let the leader pass on changes of servers, and end the rush of takeovers

At the start and after a power loss all hosts tried to take over within 100 ms, each took over from the one before, and terms 1 to 7 began within 150 ms. Ruled out: pages of lists (one call a list), failed reads.

Change: - The leader and two other hosts watch the store. The leader sends changes of servers by datagram; digests name the newest revisions; a host that missed something asks the leader, and reads the store if it does not get it within 0.4 s or hears no digest for 1.2 s. Without the store, the two watchers change every eight digests, and only they try it. - Watches wait 4 s instead of 20 s, so that dead connections of all three show. - A host that learns of a leader for the first time gives it time to be heard; the earlier process of the same host need not be waited for. A message is encoded and signed once for all hosts.

--- a/crates/core/src/fleet/server_entry.rs
+++ b/crates/core/src/fleet/server_entry.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::ids::{ServerId, ServiceName, ZoneName},
+    bincode::{Decode, Encode},
     std::{net::SocketAddr, time::Duration},
 };
 
 /// Whether a server takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum ServerPhase {
     /// Takes requests.
     Ready,
@@ -15,7 +16,7 @@
 }
 
 /// What a server says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ServerEntry {
     /// Id.
     pub id: ServerId,
--- a/crates/core/src/ownership/leader_plan.rs
+++ b/crates/core/src/ownership/leader_plan.rs
@@ -754,11 +754,7 @@
 }
 
 /// Whether the pending write leaves the record as it is.
-fn is_unchanged(
-    pending: Option<&OwnerState>,
-    service: &ServiceName,
-    record: &RangeRecord,
-) -> bool {
+fn is_unchanged(pending: Option<&OwnerState>, service: &ServiceName, record: &RangeRecord) -> bool {
     let Some(pending) = pending else {
         return true;
     };
--- a/crates/core/src/ownership/owner_delta.rs
+++ b/crates/core/src/ownership/owner_delta.rs
@@ -35,7 +35,12 @@
                 continue;
             }
             let known = before.map_or(&[][..], |before| &before.ranges);
-            let fresh = |record: &&RangeRecord| !known.contains(record);
+            // Ranges are in order, so the only candidate is found by its first key.
+            let fresh = |record: &&RangeRecord| {
+                let first = record.range.first;
+                let at = known.partition_point(|known| known.range.first < first);
+                known.get(at) != Some(*record)
+            };
             services.push(ServiceDelta {
                 service: service.clone(),
                 next_token: owners.next_token,
--- a/crates/gateway/src/leader/candidacy.rs
+++ b/crates/gateway/src/leader/candidacy.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Debug)]
 pub struct Candidacy {
     heard_at: BootTime,
+    /// When this host learned that nobody leads.
+    vacant_at: Option<BootTime>,
     not_before: BootTime,
     rank: Duration,
 }
@@ -42,6 +44,7 @@
         let rank = SIZE_SHARE * lack + (1.0 - SIZE_SHARE) * draw;
         Self {
             heard_at: now.back(START_HEAD),
+            vacant_at: None,
             not_before: now,
             rank: RANK_SPREAD.mul_f64(rank),
         }
@@ -52,13 +55,16 @@
         self.heard_at = now;
     }
 
-    /// Whether to try now; `vacant` if the stored assignment names no leader.
-    pub fn is_due(&self, vacant: bool, now: BootTime) -> bool {
-        let limit = match vacant {
-            true => self.rank / 4,
-            false => DIGEST_LIMIT + self.rank,
+    /// Whether to try now; `vacant` if nobody can be the leader.
+    pub fn is_due(&mut self, vacant: bool, now: BootTime) -> bool {
+        let waited = match vacant {
+            true => now.since(*self.vacant_at.get_or_insert(now)) >= self.rank / 2,
+            false => {
+                self.vacant_at = None;
+                now.since(self.heard_at) >= DIGEST_LIMIT + self.rank
+            }
         };
-        now >= self.not_before && now.since(self.heard_at) >= limit
+        waited && now >= self.not_before
     }
 
     /// Notes a try.
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -4,15 +4,15 @@
     super::{
         candidacy::Candidacy,
         leader_messages::{
-            ConfirmEnded, DigestIn, OwnersIn, OwnersSeen, PlanEvent, ReportIn, Resign, Tick,
-            WriteEnded,
+            ConfirmEnded, DigestIn, MissedIn, OwnersIn, OwnersSeen, PlanEvent, ReportIn, Resign,
+            Tick, WriteEnded,
         },
         order_sender::OrderSender,
         owner_store::{OwnerStore, WriteOutcome},
     },
     crate::{
         peers::{Digest, OwnerChange, PeerLink, PeerMessage, Report},
-        state::{HostState, ServerTag, StoreKind, StoreMarks},
+        state::{ChangeLog, FleetUpdate, HostState, ServerTag, StoreKind, StoreMarks},
     },
     camphorcove_core::{
         ids::{HostId, ServerId, ServiceName},
@@ -62,6 +62,16 @@
 /// Digests between two that list the hosts.
 const PEERS_EVERY: u32 = 8;
 
+/// Hosts that watch the store besides the leader: all of them rarely lose it together.
+const WATCHERS: usize = 2;
+
+/// Digests after which others watch, while the leader lacks the store.
+const WATCHER_TURN: u32 = 8;
+
+/// Free slots of a server up to which hosts are told its load. With more, a request
+/// does not wait there.
+const SPARE_SLOTS: u32 = 1;
+
 /// Time after which a host that does not report no longer counts.
 const HOST_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -116,6 +126,14 @@
     leader_at: Option<(SocketAddr, u64)>,
     /// All hosts, as the last digest listed them.
     peers: Vec<SocketAddr>,
+    /// The leader does not reach the store, and this host is to try.
+    lacks_store: bool,
+    /// The last digest said that the leader does not reach the store.
+    store_away: bool,
+    /// Last change of servers that this leader sent.
+    fleet_sent: u64,
+    /// Changes of the assignment that this leader sent.
+    owner_log: ChangeLog<OwnerChange>,
     digests: u32,
     confirm_failures: u32,
     confirming: bool,
@@ -150,6 +168,10 @@
             speeds: HashMap::new(),
             leader_at: None,
             peers: Vec::new(),
+            lacks_store: false,
+            store_away: false,
+            fleet_sent: 0,
+            owner_log: ChangeLog::default(),
             digests: 0,
             confirm_failures: 0,
             confirming: false,
@@ -180,6 +202,9 @@
             self.reported_at = now;
             self.report(now);
         }
+        if leads {
+            self.pass_on_fleet();
+        }
         match leads {
             true => LEADER_TICK,
             false => FOLLOWER_TICK,
@@ -204,11 +229,10 @@
     /// Tries to take over if no leader is heard.
     fn consider(&mut self, actor: &ActorRef<Self>, now: BootTime) {
         let stored = self.state.owners();
-        // A write of this process may have taken effect after it was given up.
-        let vacant = stored.as_ref().is_none_or(|(owners, _)| {
-            let leader = owners.leader.as_ref();
-            leader.is_none_or(|leader| leader.nonce == self.state.nonce)
-        });
+        let leader = stored
+            .as_ref()
+            .and_then(|(owners, _)| owners.leader.as_ref());
+        let vacant = self.lacks_store || leader.is_none_or(|leader| self.is_ended(leader));
         let idle = matches!(self.role, Role::Follower);
         if !idle || self.state.table().is_none() || !self.candidacy.is_due(vacant, now) {
             return;
@@ -234,6 +258,13 @@
         });
     }
 
+    /// Whether the record is of an earlier process on this host, or of a write of this
+    /// process that took effect after it was given up.
+    fn is_ended(&self, leader: &LeaderRecord) -> bool {
+        let settings = &self.state.settings;
+        leader.host == settings.host && leader.address == settings.peers
+    }
+
     fn draw_secret(&self) -> String {
         let mut secret = String::new();
         for _ in 0..4 {
@@ -383,6 +414,7 @@
             log::info!(term = plan.state().term, reason; "leadership ended");
         }
         self.role = Role::Follower;
+        self.state.set_leads(false);
         self.candidacy.heard(now);
     }
 
@@ -466,9 +498,31 @@
             to: revision,
             delta: OwnerDelta::between(&old, &owners),
         };
+        self.owner_log.push(change.clone());
         let message = PeerMessage::Owners(change);
-        for address in self.peer_addresses() {
-            self.link.send(&self.state, address, &message);
+        self.link
+            .send_all(&self.state, &self.peer_addresses(), &message);
+    }
+
+    /// Sends new changes of servers to all hosts.
+    fn pass_on_fleet(&mut self) {
+        for update in self.state.fleet_updates(self.fleet_sent) {
+            self.fleet_sent = update.to;
+            let message = PeerMessage::Fleet(FleetUpdate::clone(&update));
+            self.link
+                .send_all(&self.state, &self.peer_addresses(), &message);
+        }
+    }
+
+    /// Sends a host again what it missed.
+    fn send_missed(&self, marks: &StoreMarks, to: SocketAddr) {
+        for update in self.state.fleet_updates(marks.get(StoreKind::Fleet)) {
+            let message = PeerMessage::Fleet(FleetUpdate::clone(&update));
+            self.link.send(&self.state, to, &message);
+        }
+        for change in self.owner_log.since(marks.get(StoreKind::Owners)) {
+            let message = PeerMessage::Owners(OwnerChange::clone(&change));
+            self.link.send(&self.state, to, &message);
         }
     }
 
@@ -567,19 +621,27 @@
             }
         }
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
-        let servers: Vec<_> = totals.into_iter().collect();
+        let mut servers: Vec<_> = totals.into_iter().collect();
         self.state.set_others(hosts, &servers);
+        let slots = self.state.slots_by_tag();
+        servers.retain(|(server, total)| {
+            let slots = slots.get(server).copied().unwrap_or_default();
+            total + SPARE_SLOTS >= slots
+        });
         let listed = self.digests.is_multiple_of(PEERS_EVERY);
         self.digests = self.digests.wrapping_add(1);
         if listed {
             self.peers = self.hosts.values().map(|track| track.address).collect();
         }
+        let has_store = self.confirm_failures < CONFIRM_FAILURES;
+        let watchers = self.watchers(has_store);
         let digest = Digest {
             nonce: self.state.nonce,
             term,
-            has_store: self.confirm_failures < CONFIRM_FAILURES,
+            has_store,
             hosts,
             marks: self.marks,
+            watchers,
             servers,
             peers: match listed {
                 true => self.peers.clone(),
@@ -587,9 +649,23 @@
             },
         };
         let message = PeerMessage::Digest(digest);
-        for address in self.peer_addresses() {
-            self.link.send(&self.state, address, &message);
+        self.link
+            .send_all(&self.state, &self.peer_addresses(), &message);
+    }
+
+    /// Hosts that are to watch the store besides this one. Without the store, they take
+    /// turns, until one reaches it and takes over.
+    fn watchers(&self, has_store: bool) -> Vec<SocketAddr> {
+        let own = &self.state.settings.host;
+        let others = self.hosts.iter().filter(|(host, _)| *host != own);
+        let mut others: Vec<SocketAddr> = others.map(|(_, track)| track.address).collect();
+        if !has_store && !others.is_empty() {
+            let turn = usize::try_from(self.digests / WATCHER_TURN).unwrap_or(0);
+            let at = turn * WATCHERS % others.len();
+            others.rotate_left(at);
         }
+        others.truncate(WATCHERS);
+        others
     }
 
     /// Becomes the leader after the store has acknowledged it.
@@ -613,6 +689,9 @@
         self.hosts.clear();
         self.speeds.clear();
         self.marks = self.state.marks();
+        self.fleet_sent = self.marks.get(StoreKind::Fleet);
+        self.lacks_store = false;
+        self.state.set_leads(true);
         self.role = Role::Leader(Box::new(LeaderPlan::new(state, predecessor_end, now)));
         self.announce();
         self.send_digests(now);
@@ -652,7 +731,16 @@
         Some((state, revision)) => (state, revision),
         None => (OwnerState::new(secret), 0),
     };
-    if known_term.is_some_and(|known| state.term > known) && state.leader.is_some() {
+    // A leader that this host has just learned of gets time to be heard.
+    let unknown = known_term.is_none_or(|known| state.term > known);
+    let same_host =
+        |leader: &LeaderRecord| leader.host == record.host && leader.address == record.address;
+    if unknown
+        && state
+            .leader
+            .as_ref()
+            .is_some_and(|leader| !same_host(leader))
+    {
         return failed(true);
     }
     let before = state.begin_term(record);
@@ -716,8 +804,7 @@
             return;
         };
         if self.state.set_owners(state, change.to) {
-            self.state
-                .note_seen(StoreKind::Owners, change.to, change.to);
+            self.state.note_revision(StoreKind::Owners, change.to);
             self.owners_seen(now);
         }
     }
@@ -738,6 +825,9 @@
         let confirmed = ended.confirmed.is_some();
         match ended.confirmed {
             Some(sent_at) => {
+                if self.confirm_failures >= CONFIRM_FAILURES {
+                    self.state.note_store_returned();
+                }
                 self.confirm_failures = 0;
                 // Hosts only leave the count while the store is there.
                 if self.before.is_none() {
@@ -786,10 +876,33 @@
         if !digest.peers.is_empty() {
             self.peers = digest.peers;
         }
-        if digest.has_store {
+        let watches = digest.watchers.contains(&self.state.settings.peers);
+        // Most hosts leave it to the watchers to find out whether the store is back.
+        if digest.has_store || !watches {
             self.candidacy.heard(now);
         }
+        self.lacks_store = watches && !digest.has_store;
+        let was_away = std::mem::replace(&mut self.store_away, !digest.has_store);
+        if was_away && digest.has_store {
+            self.state.note_store_returned();
+        }
+        self.state.note_digest(watches);
         self.state.set_others(digest.hosts, &digest.servers);
+        let behind = |kind| self.state.is_behind(kind);
+        if !watches && (behind(StoreKind::Fleet) || behind(StoreKind::Owners)) {
+            let message = PeerMessage::Missed(self.state.marks());
+            self.link.send(&self.state, from, &message);
+        }
+    }
+}
+
+impl Message<MissedIn> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: MissedIn, _: &mut Context<Self, Self::Reply>) {
+        if matches!(self.role, Role::Leader(_)) {
+            self.send_missed(&message.marks, message.from);
+        }
     }
 }
 
@@ -867,10 +980,9 @@
         let Some((state, revision)) = ended.won else {
             return;
         };
-        let settings = &self.state.settings;
         let predecessor_end = match &ended.before {
             // The earlier process on this very host has ended, so it cannot renew any more.
-            Some(before) if before.host == settings.host && before.address == settings.peers => now,
+            Some(before) if self.is_ended(before) => now,
             Some(_) => now + with_drift(AUTHORITY_LIMIT),
             None => now,
         };
--- a/crates/gateway/src/leader/leader_messages.rs
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -2,7 +2,10 @@
 
 use {
     super::owner_store::WriteOutcome,
-    crate::peers::{Digest, OwnerChange, Report},
+    crate::{
+        peers::{Digest, OwnerChange, Report},
+        state::StoreMarks,
+    },
     camphorcove_core::{ownership::PlanInput, time::BootTime},
     std::net::SocketAddr,
 };
@@ -37,6 +40,15 @@
 #[derive(Debug)]
 pub struct OwnersIn(pub OwnerChange);
 
+/// A host missed a change that the leader sent.
+#[derive(Debug)]
+pub struct MissedIn {
+    /// What the host has seen.
+    pub marks: StoreMarks,
+    /// Its address.
+    pub from: SocketAddr,
+}
+
 /// Give up the leadership before this host stops.
 #[derive(Debug)]
 pub struct Resign;
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -8,6 +8,6 @@
 
 pub use {
     leader_actor::LeaderActor,
-    leader_messages::{DigestIn, OwnersIn, OwnersSeen, ReportIn, Resign, Tick},
+    leader_messages::{DigestIn, MissedIn, OwnersIn, OwnersSeen, ReportIn, Resign, Tick},
     owner_store::OwnerStore,
 };
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -125,7 +125,7 @@
 
     fn adopt(&self, state: &OwnerState, revision: u64) {
         self.state.set_owners(state.clone(), revision);
-        self.state.note_seen(StoreKind::Owners, revision, revision);
+        self.state.note_revision(StoreKind::Owners, revision);
     }
 
     fn count(&self) {
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -4,7 +4,7 @@
 //! The key lies in the stored assignment, which only hosts of this system read.
 
 use {
-    crate::state::{LoadReport, ServerTag, StoreMarks},
+    crate::state::{FleetUpdate, LoadReport, Revised, ServerTag, StoreMarks},
     bincode::{Decode, Encode, config},
     camphorcove_core::{ids::HostId, ownership::OwnerDelta},
     hmac::{Hmac, KeyInit, Mac},
@@ -43,7 +43,9 @@
     pub hosts: u32,
     /// Newest changes that any host has seen.
     pub marks: StoreMarks,
-    /// Requests at each server, over all hosts.
+    /// Hosts that watch the store besides the leader.
+    pub watchers: Vec<SocketAddr>,
+    /// Requests over all hosts at each server that has few free slots.
     pub servers: Vec<(ServerTag, u32)>,
     /// Addresses of all hosts, in some digests; a later leader announces itself there.
     pub peers: Vec<SocketAddr>,
@@ -60,6 +62,16 @@
     pub delta: OwnerDelta,
 }
 
+impl Revised for OwnerChange {
+    fn start(&self) -> u64 {
+        self.from
+    }
+
+    fn end(&self) -> u64 {
+        self.to
+    }
+}
+
 /// A datagram's content.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum PeerMessage {
@@ -69,6 +81,10 @@
     Digest(Digest),
     /// From the leader: a change of the assignment.
     Owners(OwnerChange),
+    /// From the leader: changes of servers.
+    Fleet(FleetUpdate),
+    /// To the leader: what the host has seen, as it missed something.
+    Missed(StoreMarks),
 }
 
 /// Encodes and authenticates a message.
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -3,11 +3,11 @@
 use {
     super::{PeerMessage, open_message, seal_message},
     crate::{
-        leader::{DigestIn, LeaderActor, OwnersIn, ReportIn},
-        state::{HostState, LogTopic},
+        leader::{DigestIn, LeaderActor, MissedIn, OwnersIn, ReportIn},
+        state::{FleetUpdate, HostState, LogTopic},
     },
     kameo::actor::ActorRef,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::UdpSocket, time::sleep},
 };
 
@@ -34,18 +34,25 @@
 
     /// Sends a message; a datagram may be lost, so a failure is only logged.
     pub fn send(&self, state: &HostState, to: SocketAddr, message: &PeerMessage) {
+        self.send_all(state, &BTreeSet::from([to]), message);
+    }
+
+    /// Sends a message to several hosts.
+    pub fn send_all(&self, state: &HostState, to: &BTreeSet<SocketAddr>, message: &PeerMessage) {
         let Some((owners, _)) = state.owners() else {
             return;
         };
         let bytes = seal_message(owners.secret.as_bytes(), message);
         if bytes.len() > SENT_BYTES {
-            log::debug!(to:% = to, bytes = bytes.len(); "message too large for a datagram");
+            log::debug!(bytes = bytes.len(); "message too large for a datagram");
             return;
         }
-        if let Err(error) = self.socket.try_send_to(&bytes, to)
-            && let Some(left_out) = state.may_log(LogTopic::Peer)
-        {
-            log::warn!(to:% = to, left_out, reason:% = error; "datagram not sent");
+        for address in to {
+            if let Err(error) = self.socket.try_send_to(&bytes, *address)
+                && let Some(left_out) = state.may_log(LogTopic::Peer)
+            {
+                log::warn!(to:% = address, left_out, reason:% = error; "datagram not sent");
+            }
         }
     }
 }
@@ -82,9 +89,25 @@
                 leader.tell(DigestIn { digest, from }).try_send().is_ok()
             }
             PeerMessage::Owners(change) => leader.tell(OwnersIn(change)).try_send().is_ok(),
+            PeerMessage::Fleet(update) => {
+                take_update(&state, update);
+                true
+            }
+            PeerMessage::Missed(marks) => leader.tell(MissedIn { marks, from }).try_send().is_ok(),
         };
         if !told && let Some(left_out) = state.may_log(LogTopic::Peer) {
             log::warn!(from:% = from, left_out; "leader actor is too busy for a datagram");
         }
     }
 }
+
+/// Takes changes of servers unless this host's own watch brings them.
+fn take_update(state: &HostState, update: FleetUpdate) {
+    if state.is_direct() {
+        return;
+    }
+    let (from, to) = (update.from, update.to);
+    if !state.update_fleet(update) {
+        log::debug!(from, to; "changes of servers are known or do not fit");
+    }
+}
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -4,7 +4,10 @@
 //! across an await.
 
 use {
-    super::{BodyBudget, LogGate, LogTopic, StoreKind, StoreMarks},
+    super::{
+        BodyBudget, ChangeLog, FleetUpdate, LogGate, LogTopic, RevisionSpan, StoreFeed, StoreKind,
+        StoreMarks,
+    },
     crate::conf::GatewaySettings,
     bincode::{Decode, Encode},
     camphorcove_core::{
@@ -34,6 +37,10 @@
 /// Hosts assumed to share limits before the leader has counted them.
 const HOSTS_AT_START: u32 = 10;
 
+/// Longest time by which a change is dated back to the last digest before it: together
+/// with the time for which a leaving server is still used, it stays below 2 s.
+const BLIND_LIMIT: Duration = Duration::from_millis(700);
+
 /// Time after which a server counts as unmeasured by other hosts: two reports missed.
 const OTHERS_AGE_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -97,6 +104,13 @@
     pub(super) wheel: SplitWheel,
     pub(super) fleet: Arc<FleetView>,
     lapse_guard: LapseGuard,
+    /// Latest changes of servers, for hosts that missed one.
+    fleet_log: ChangeLog<FleetUpdate>,
+    /// Revision after which this host knows every change of servers.
+    fleet_from: u64,
+    feed: StoreFeed,
+    /// When this host last knew that it had missed nothing.
+    current_at: BootTime,
     pub(super) fleet_listed: bool,
     pub(super) gauges: HashMap<ServerId, ServerGauge>,
     pub(super) windows: HashMap<ServiceName, CallWindow>,
@@ -131,6 +145,7 @@
     /// Wakes watches that other hosts have overtaken.
     pub marks_changed: Notify,
     stopping: AtomicBool,
+    leads: AtomicBool,
     inner: Mutex<StateInner>,
 }
 
@@ -158,11 +173,16 @@
             owners_changed: Notify::new(),
             marks_changed: Notify::new(),
             stopping: AtomicBool::new(false),
+            leads: AtomicBool::new(false),
             inner: Mutex::new(StateInner {
                 table: None,
                 wheel: SplitWheel::default(),
                 fleet: Arc::default(),
                 lapse_guard: LapseGuard::default(),
+                fleet_log: ChangeLog::default(),
+                fleet_from: 0,
+                feed: StoreFeed::new(BootClock.now()),
+                current_at: BootTime::default(),
                 fleet_listed: false,
                 gauges: HashMap::new(),
                 windows: HashMap::new(),
@@ -274,31 +294,126 @@
         })
     }
 
-    /// Takes entries of servers and removals; logs what changed.
-    pub fn update_fleet(&self, put: Vec<ServerEntry>, removed: &[ServerId]) {
+    /// Takes changes of servers that this host's own watch shows, up to revision `to`.
+    pub fn change_fleet(&self, put: Vec<ServerEntry>, removed: Vec<ServerId>, to: u64) {
+        let from = self.lock().fleet_from;
+        self.update_fleet(FleetUpdate {
+            from,
+            to,
+            put,
+            removed,
+        });
+    }
+
+    /// Takes changes of servers; logs what changed.
+    ///
+    /// A change that does not continue what this host knows is left out.
+    pub fn update_fleet(&self, update: FleetUpdate) -> bool {
         let now = self.now();
         let mut inner = self.lock();
-        let rule = inner.removal_rule(removed.len(), now);
+        let through = inner.seen_through.get(StoreKind::Fleet);
+        if through < update.from || through >= update.to {
+            return false;
+        }
+        let rule = inner.removal_rule(update.removed.len(), now);
+        let known_at = inner.known_at(now);
         let fleet = Arc::make_mut(&mut inner.fleet);
         let mut changes = Vec::new();
-        for entry in put {
-            changes.extend(fleet.put(entry, now));
+        for entry in &update.put {
+            changes.extend(fleet.put(entry.clone(), known_at));
         }
-        for id in removed {
-            changes.extend(fleet.remove(id, rule, now));
+        for id in &update.removed {
+            changes.extend(fleet.remove(id, rule, known_at));
         }
         inner.apply_changes(&changes, now);
+        inner.seen_through.raise(StoreKind::Fleet, update.to);
+        inner.own_marks.raise(StoreKind::Fleet, update.to);
+        inner.fleet_from = update.to;
+        inner.fleet_log.push(update);
+        true
     }
 
-    /// Replaces all entries of servers.
-    pub fn replace_fleet(&self, entries: Vec<ServerEntry>) {
+    /// Replaces all entries of servers by a list of the store.
+    pub fn replace_fleet(&self, entries: Vec<ServerEntry>, span: RevisionSpan) {
         let now = self.now();
         let mut inner = self.lock();
-        let removed = inner.fleet.unlisted(&entries).len();
-        let rule = inner.removal_rule(removed, now);
+        let removed = inner.fleet.unlisted(&entries);
+        let rule = inner.removal_rule(removed.len(), now);
+        let known = inner.fleet.clone();
+        let differs = |entry: &&ServerEntry| known.get(&entry.id) != Some(*entry);
+        let put: Vec<ServerEntry> = entries.iter().filter(differs).cloned().collect();
         let changes = Arc::make_mut(&mut inner.fleet).replace(entries, rule, now);
         inner.fleet_listed = true;
         inner.apply_changes(&changes, now);
+        // Only a removal that no watch showed is newer than all objects of the list.
+        let to = match removed.is_empty() {
+            true => span.newest,
+            false => span.through,
+        };
+        inner.seen_through.raise(StoreKind::Fleet, span.through);
+        inner.own_marks.raise(StoreKind::Fleet, to);
+        let from = inner.fleet_from;
+        if from == 0 {
+            // The first list does not tell what was removed before it.
+            inner.fleet_from = span.through;
+        } else if to > from {
+            inner.fleet_from = to;
+            inner.fleet_log.push(FleetUpdate {
+                from,
+                to,
+                put,
+                removed,
+            });
+        }
+    }
+
+    /// Changes of servers that lead on from `revision`, as far as they are known.
+    pub fn fleet_updates(&self, revision: u64) -> Vec<Arc<FleetUpdate>> {
+        self.lock().fleet_log.since(revision)
+    }
+
+    /// Revision through which this host has followed a kind.
+    pub fn seen_through(&self, kind: StoreKind) -> u64 {
+        self.lock().seen_through.get(kind)
+    }
+
+    /// Notes a digest of the leader, which says whether this host is to watch the store.
+    pub fn note_digest(&self, direct: bool) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.feed.note_digest(direct, now);
+        if inner.seen_through.get(StoreKind::Fleet) >= inner.peer_marks.get(StoreKind::Fleet) {
+            inner.current_at = now;
+        }
+        drop(inner);
+        if direct {
+            self.marks_changed.notify_waiters();
+        }
+    }
+
+    /// Notes whether this host leads; a leader watches the store.
+    pub fn set_leads(&self, leads: bool) {
+        self.leads.store(leads, Ordering::Relaxed);
+        if leads {
+            self.lock().feed.go_direct();
+            self.marks_changed.notify_waiters();
+        }
+    }
+
+    /// Whether this host leads.
+    pub fn leads(&self) -> bool {
+        self.leads.load(Ordering::Relaxed)
+    }
+
+    /// Whether this host watches the store although digests arrive.
+    pub fn is_direct(&self) -> bool {
+        self.lock().feed.is_direct()
+    }
+
+    /// Time for which the leader's news suffice; zero if the store has to be watched.
+    pub fn feed_left(&self) -> Duration {
+        let now = self.now();
+        self.lock().feed.time_left(now)
     }
 
     /// Notes that the store answers again after an outage.
@@ -353,6 +468,15 @@
         inner.fleet.get(server).map_or(1, |entry| entry.slots)
     }
 
+    /// Slots of all servers.
+    pub fn slots_by_tag(&self) -> HashMap<ServerTag, u32> {
+        let inner = self.lock();
+        let entries = inner.fleet.entries();
+        entries
+            .map(|entry| (ServerTag::of(&entry.id), entry.slots))
+            .collect()
+    }
+
     /// Takes the stored assignment; an older revision is left out.
     pub fn set_owners(&self, state: OwnerState, revision: u64) -> bool {
         let now = self.now();
@@ -375,11 +499,21 @@
         self.lock().owner_state.clone()
     }
 
-    /// Notes that a kind was followed through `through`, with its last change at `change`.
-    pub fn note_seen(&self, kind: StoreKind, through: u64, change: u64) {
+    /// Notes how far a kind was followed.
+    pub fn note_seen(&self, kind: StoreKind, span: RevisionSpan) {
         let mut inner = self.lock();
-        inner.seen_through.raise(kind, through);
-        inner.own_marks.raise(kind, change);
+        inner.seen_through.raise(kind, span.through);
+        inner.own_marks.raise(kind, span.newest);
+    }
+
+    /// Notes that an object was seen as of `revision`.
+    pub fn note_revision(&self, kind: StoreKind, revision: u64) {
+        let span = RevisionSpan {
+            from: revision,
+            through: revision,
+            newest: revision,
+        };
+        self.note_seen(kind, span);
     }
 
     /// Newest changes that this host has seen.
@@ -480,6 +614,14 @@
 }
 
 impl StateInner {
+    /// When a change that is learned now may have happened, at the earliest.
+    fn known_at(&self, now: BootTime) -> BootTime {
+        match self.feed.is_direct() {
+            true => now,
+            false => now.back(BLIND_LIMIT.min(now.since(self.current_at))),
+        }
+    }
+
     fn removal_rule(&self, removed: usize, now: BootTime) -> RemovalRule {
         let entries = self.fleet.entries();
         let ready = entries.filter(|entry| entry.phase == ServerPhase::Ready);
--- a/crates/gateway/src/state/store_marks.rs
+++ b/crates/gateway/src/state/store_marks.rs
@@ -17,6 +17,17 @@
     Owners,
 }
 
+/// Revisions that one answer of the store covers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RevisionSpan {
+    /// Where it starts.
+    pub from: u64,
+    /// Through which the kind is known now.
+    pub through: u64,
+    /// Newest change in it; 0 if there is none.
+    pub newest: u64,
+}
+
 /// Newest change seen, by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct StoreMarks {
--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -1,8 +1,8 @@
 //! Puts new configurations in force.
 
 use {
-    super::{KindChange, KindFollower},
-    crate::state::{HostState, StoreKind},
+    super::{CatchUp, KindChange, KindFollower},
+    crate::state::{HostState, RevisionSpan, StoreKind},
     camphorcove_platform::{CONFIG_KIND, CONFIG_NAME, StoredObject, decode_configuration},
     std::sync::Arc,
 };
@@ -41,16 +41,20 @@
 impl KindFollower for ConfigFollower {
     const MARK: StoreKind = StoreKind::Config;
     const KIND: &'static str = CONFIG_KIND;
+    /// Each change holds a whole configuration, of which only the last one counts.
+    const CATCH_UP: CatchUp = CatchUp::List;
 
-    fn take(&mut self, changes: Vec<KindChange>) {
+    fn listed(&mut self, objects: Vec<StoredObject>, span: RevisionSpan) {
+        for object in &objects {
+            self.adopt(object);
+        }
+        self.state.note_seen(Self::MARK, span);
+    }
+
+    fn changed(&mut self, changes: Vec<KindChange>, span: RevisionSpan) {
         let mut newest: Option<StoredObject> = None;
         for change in changes {
             match change {
-                KindChange::Listed(objects) => {
-                    newest = objects
-                        .into_iter()
-                        .find(|object| object.name == CONFIG_NAME);
-                }
                 KindChange::Changed(object) if object.name == CONFIG_NAME => newest = Some(object),
                 KindChange::Changed(_) => {}
                 KindChange::Removed(object) => {
@@ -61,5 +65,6 @@
         if let Some(object) = newest {
             self.adopt(&object);
         }
+        self.state.note_seen(Self::MARK, span);
     }
 }
--- a/crates/gateway/src/watch/fleet_follower.rs
+++ b/crates/gateway/src/watch/fleet_follower.rs
@@ -1,11 +1,14 @@
 //! Follows the entries of servers.
 
 use {
-    super::{KindChange, KindFollower},
-    crate::state::{HostState, LogTopic, StoreKind},
+    super::{CatchUp, KindChange, KindFollower},
+    crate::state::{HostState, LogTopic, RevisionSpan, StoreKind},
     camphorcove_core::{fleet::ServerEntry, ids::ServerId},
     camphorcove_platform::{SERVER_KIND, StoredObject, decode_server},
-    std::sync::Arc,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// Follows all servers.
@@ -31,42 +34,44 @@
             }
         }
     }
-
-    fn apply(&self, put: &mut Vec<ServerEntry>, removed: &mut Vec<ServerId>) {
-        if put.is_empty() && removed.is_empty() {
-            return;
-        }
-        self.state.update_fleet(std::mem::take(put), removed);
-        removed.clear();
-    }
 }
 
 impl KindFollower for FleetFollower {
     const MARK: StoreKind = StoreKind::Fleet;
     const KIND: &'static str = SERVER_KIND;
+    const CATCH_UP: CatchUp = CatchUp::Watch;
 
-    fn take(&mut self, changes: Vec<KindChange>) {
-        let (mut put, mut removed) = (Vec::new(), Vec::new());
+    fn listed(&mut self, objects: Vec<StoredObject>, span: RevisionSpan) {
+        let entries = objects.iter().filter_map(|object| self.decode(object));
+        let entries = entries.collect();
+        self.state.replace_fleet(entries, span);
+    }
+
+    fn changed(&mut self, changes: Vec<KindChange>, span: RevisionSpan) {
+        // Only the last that is told of each server counts.
+        let mut put: BTreeMap<ServerId, ServerEntry> = BTreeMap::new();
+        let mut removed: BTreeSet<ServerId> = BTreeSet::new();
         for change in changes {
             match change {
-                KindChange::Listed(objects) => {
-                    let entries = objects.iter().filter_map(|object| self.decode(object));
-                    self.state.replace_fleet(entries.collect());
-                }
                 KindChange::Changed(object) => {
-                    if !removed.is_empty() {
-                        self.apply(&mut put, &mut removed);
-                    }
-                    put.extend(self.decode(&object));
+                    let Some(entry) = self.decode(&object) else {
+                        continue;
+                    };
+                    removed.remove(&entry.id);
+                    put.insert(entry.id.clone(), entry);
                 }
                 KindChange::Removed(object) => {
-                    if !put.is_empty() {
-                        self.apply(&mut put, &mut removed);
-                    }
-                    removed.extend(object.name.parse().ok());
+                    // A name that is no id was never a server.
+                    let Ok(id) = object.name.parse::<ServerId>() else {
+                        continue;
+                    };
+                    put.remove(&id);
+                    removed.insert(id);
                 }
             }
         }
-        self.apply(&mut put, &mut removed);
+        let put = put.into_values().collect();
+        let removed = removed.into_iter().collect();
+        self.state.change_fleet(put, removed, span.newest);
     }
 }
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -1,11 +1,9 @@
-//! Lists a kind, then watches it; lists again when the history is gone or when other
-//! hosts have seen more.
+//! Follows a kind: through the leader while it sends digests, else by a watch of the
+//! store. The kind is listed first, and again when the history is gone or a watch lags.
 
 use {
-    crate::state::{HostState, StoreKind},
-    camphorcove_platform::{
-        ObjectListing, StoreClient, StoreFault, StoredObject, WatchAnswer, WatchEvent,
-    },
+    crate::state::{HostState, RevisionSpan, StoreKind},
+    camphorcove_platform::{StoreClient, StoreFault, StoredObject, WatchEvent},
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -13,12 +11,15 @@
     tokio::time::sleep,
 };
 
-/// Wait of a watch without changes. Every answer is a paid call, and a connection
-/// that went silent shows by the marks of other hosts.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Wait of a watch without changes. Only a few hosts watch at the same time; should the
+/// connections of all of them go silent, a change is still found within this time.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+
+/// Wait of a watch for changes that the store is known to have.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(500);
 
 /// Time beyond the wait after which a watch counts as lost.
-const WATCH_SLACK: Duration = Duration::from_secs(2);
+const WATCH_SLACK: Duration = Duration::from_secs(1);
 
 /// Longest wait for a list: the store may be some sixty times slower than usual.
 const LIST_LIMIT: Duration = Duration::from_secs(2);
@@ -30,6 +31,9 @@
 /// Time for which a watch may lag behind other hosts before the kind is listed.
 const LAG_LIMIT: Duration = Duration::from_millis(250);
 
+/// Time in which the leader sends again what did not arrive.
+const RESEND_LIMIT: Duration = Duration::from_millis(400);
+
 /// Pause after changes for each host, so that changes in quick succession come with one
 /// paid call, and the calls of all hosts together stay bounded.
 const GATHER_PER_HOST: Duration = Duration::from_millis(12);
@@ -38,57 +42,87 @@
 const GATHER_LEAST: Duration = Duration::from_millis(120);
 const GATHER_MOST: Duration = Duration::from_millis(500);
 
-/// What happened to the objects of a kind.
+/// What happened to an object.
 #[derive(Debug)]
 pub enum KindChange {
-    /// All objects there are.
-    Listed(Vec<StoredObject>),
-    /// One object is new or has changed.
+    /// It is new or has changed.
     Changed(StoredObject),
-    /// One object is gone.
+    /// It is gone.
     Removed(StoredObject),
 }
 
+/// How a host fetches changes that the leader did not send it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CatchUp {
+    /// By a watch from the revision that it knows.
+    Watch,
+    /// By a list; the leader never sends the changes themselves.
+    List,
+}
+
 /// Takes the changes of one kind.
 pub trait KindFollower: Send + 'static {
     /// Kind as the host's marks name it.
     const MARK: StoreKind;
     /// Kind as the store names it.
     const KIND: &'static str;
+    /// How missed changes are fetched.
+    const CATCH_UP: CatchUp;
+
+    /// Takes all objects there are, as of the end of the span.
+    fn listed(&mut self, objects: Vec<StoredObject>, span: RevisionSpan);
 
-    /// Takes changes, in order.
-    fn take(&mut self, changes: Vec<KindChange>);
+    /// Takes all changes within the span, in order.
+    fn changed(&mut self, changes: Vec<KindChange>, span: RevisionSpan);
 }
 
-/// Why a watch ended.
-enum WatchEnd {
+/// Why the kind has to be listed again.
+enum FollowEnd {
     Fault(StoreFault),
     Behind,
 }
 
+/// What a host that hears from the leader has to do.
+enum FeedEnd {
+    CatchUp,
+    Watch,
+}
+
 /// Follows a kind for ever.
 pub async fn follow<F: KindFollower>(state: Arc<HostState>, store: StoreClient, mut follower: F) {
+    loop {
+        list(&state, &store, &mut follower).await;
+        match stay_current(&state, &store, &mut follower).await {
+            FollowEnd::Behind => {
+                log::info!(kind = F::KIND; "other hosts have seen more, listing anew");
+            }
+            FollowEnd::Fault(fault) => {
+                log::info!(kind = F::KIND, reason:% = fault; "watch ended, listing anew");
+            }
+        }
+    }
+}
+
+/// Lists the kind, however long it takes.
+async fn list<F: KindFollower>(state: &HostState, store: &StoreClient, follower: &mut F) {
     let mut pause = PAUSE_FIRST;
     let mut lost = false;
     loop {
-        state.counters.store_calls.fetch_add(1, Ordering::Relaxed);
+        count_call(state);
         match store.list(F::KIND, LIST_LIMIT).await {
             Ok(listing) => {
                 if lost {
                     log::info!(kind = F::KIND, revision = listing.revision; "store regained");
                     state.note_store_returned();
-                    lost = false;
-                }
-                pause = PAUSE_FIRST;
-                let end = watch(&state, &store, &mut follower, listing).await;
-                match end {
-                    WatchEnd::Behind => {
-                        log::info!(kind = F::KIND; "watch is behind other hosts, listing anew");
-                    }
-                    WatchEnd::Fault(fault) => {
-                        log::info!(kind = F::KIND, reason:% = fault; "watch ended, listing anew");
-                    }
                 }
+                let newest = listing.objects.iter().map(|object| object.revision).max();
+                let span = RevisionSpan {
+                    from: state.seen_through(F::MARK),
+                    through: listing.revision,
+                    newest: newest.unwrap_or_default(),
+                };
+                follower.listed(listing.objects, span);
+                return;
             }
             Err(fault) => {
                 if !lost {
@@ -102,58 +136,95 @@
     }
 }
 
-async fn watch<F: KindFollower>(
+async fn stay_current<F: KindFollower>(
     state: &HostState,
     store: &StoreClient,
     follower: &mut F,
-    listing: ObjectListing,
-) -> WatchEnd {
-    let mut revision = listing.revision;
-    let newest = listing.objects.iter().map(|object| object.revision).max();
-    follower.take(vec![KindChange::Listed(listing.objects)]);
-    state.note_seen(F::MARK, revision, newest.unwrap_or_default());
+) -> FollowEnd {
     loop {
-        state.counters.store_calls.fetch_add(1, Ordering::Relaxed);
-        let limit = WATCH_WAIT + WATCH_SLACK;
-        let answer = tokio::select! {
-            answer = store.watch(F::KIND, revision, WATCH_WAIT, limit) => answer,
-            () = overtaken(state, F::MARK) => return WatchEnd::Behind,
+        let wait = match await_feed_end(state, F::MARK, F::CATCH_UP).await {
+            FeedEnd::Watch => WATCH_WAIT,
+            FeedEnd::CatchUp if F::CATCH_UP == CatchUp::List => {
+                // Lists for changes in quick succession are gathered, too.
+                sleep(gather_pause(state) / 2).await;
+                return FollowEnd::Behind;
+            }
+            FeedEnd::CatchUp => CATCH_UP_WAIT,
         };
-        match answer {
-            Ok(WatchAnswer {
-                events,
-                revision: next,
-            }) => {
-                let mut changes = Vec::with_capacity(events.len());
-                let mut newest = 0;
-                for event in events {
-                    changes.push(match event {
-                        WatchEvent::Changed(object) => {
-                            newest = newest.max(object.revision);
-                            KindChange::Changed(object)
-                        }
-                        WatchEvent::Removed(object) => {
-                            newest = newest.max(object.revision);
-                            KindChange::Removed(object)
-                        }
-                    });
-                }
-                let changed = !changes.is_empty();
-                if changed {
-                    follower.take(changes);
-                }
-                revision = next.max(revision);
-                state.note_seen(F::MARK, revision, newest);
-                if changed {
-                    let pause = GATHER_PER_HOST * state.hosts();
-                    sleep(pause.clamp(GATHER_LEAST, GATHER_MOST)).await;
-                }
+        if let Err(end) = watch(state, store, follower, wait).await {
+            return end;
+        }
+    }
+}
+
+/// Waits until the leader's news no longer suffice.
+async fn await_feed_end(state: &HostState, kind: StoreKind, catch_up: CatchUp) -> FeedEnd {
+    let lag = match catch_up {
+        CatchUp::Watch => RESEND_LIMIT,
+        CatchUp::List => Duration::ZERO,
+    };
+    loop {
+        let changed = state.marks_changed.notified();
+        let left = state.feed_left();
+        if left.is_zero() {
+            return FeedEnd::Watch;
+        }
+        if state.is_behind(kind) {
+            sleep(lag).await;
+            if state.is_behind(kind) {
+                return FeedEnd::CatchUp;
             }
-            Err(fault) => return WatchEnd::Fault(fault),
+            continue;
+        }
+        tokio::select! {
+            () = changed => {}
+            () = sleep(left) => {}
         }
     }
 }
 
+/// One watch of the store.
+async fn watch<F: KindFollower>(
+    state: &HostState,
+    store: &StoreClient,
+    follower: &mut F,
+    wait: Duration,
+) -> Result<(), FollowEnd> {
+    count_call(state);
+    let from = state.seen_through(F::MARK);
+    let answer = tokio::select! {
+        answer = store.watch(F::KIND, from, wait, wait + WATCH_SLACK) => answer,
+        () = overtaken(state, F::MARK) => return Err(FollowEnd::Behind),
+    };
+    let answer = answer.map_err(FollowEnd::Fault)?;
+    // The leader's news came first; the changes would be taken out of order.
+    if state.seen_through(F::MARK) != from {
+        return Ok(());
+    }
+    let mut changes = Vec::with_capacity(answer.events.len());
+    let mut newest = 0;
+    for event in answer.events {
+        let (WatchEvent::Changed(object) | WatchEvent::Removed(object)) = &event;
+        newest = newest.max(object.revision);
+        changes.push(match event {
+            WatchEvent::Changed(object) => KindChange::Changed(object),
+            WatchEvent::Removed(object) => KindChange::Removed(object),
+        });
+    }
+    let span = RevisionSpan {
+        from,
+        through: answer.revision,
+        newest,
+    };
+    if changes.is_empty() {
+        state.note_seen(F::MARK, span);
+        return Ok(());
+    }
+    follower.changed(changes, span);
+    sleep(gather_pause(state)).await;
+    Ok(())
+}
+
 /// Completes when other hosts have seen a change that this one still has not.
 async fn overtaken(state: &HostState, kind: StoreKind) {
     loop {
@@ -168,3 +239,15 @@
         changed.await;
     }
 }
+
+/// The leader passes changes on, so it gathers least; hosts without it, most.
+fn gather_pause(state: &HostState) -> Duration {
+    if state.leads() {
+        return GATHER_LEAST;
+    }
+    (GATHER_PER_HOST * state.hosts()).clamp(GATHER_LEAST, GATHER_MOST)
+}
+
+fn count_call(state: &HostState) {
+    state.counters.store_calls.fetch_add(1, Ordering::Relaxed);
+}
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -5,7 +5,7 @@
 mod kind_follower;
 mod owner_reader;
 
-pub use kind_follower::{KindChange, KindFollower, follow};
+pub use kind_follower::{CatchUp, KindChange, KindFollower, follow};
 pub use {
     config_follower::ConfigFollower, fleet_follower::FleetFollower, owner_reader::read_owners,
 };
--- a/crates/gateway/src/watch/owner_reader.rs
+++ b/crates/gateway/src/watch/owner_reader.rs
@@ -14,8 +14,9 @@
     tokio::time::sleep,
 };
 
-/// Time in which a change should arrive from the leader.
-const ARRIVAL_LIMIT: Duration = Duration::from_millis(120);
+/// Time in which a change should arrive from the leader, which sends it again if it is
+/// asked to.
+const ARRIVAL_LIMIT: Duration = Duration::from_millis(250);
 
 /// Pause after a read that failed.
 const READ_PAUSE: Duration = Duration::from_millis(400);
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -25,7 +25,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    support::fixtures::{entry, settings, table},
+    support::fixtures::{entry, first_list, settings, table},
     tokio::{net::UdpSocket, time::sleep},
 };
 
@@ -55,7 +55,7 @@
     settings.peers = socket.local_addr().expect("bound");
     let state = Arc::new(HostState::new(settings));
     state.set_table(table(1));
-    state.replace_fleet(entries);
+    state.replace_fleet(entries, first_list());
     let socket = Arc::new(socket);
     let client = StoreClient::new(store, Duration::from_millis(400));
     let link = PeerLink::new(socket.clone());
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -282,7 +282,7 @@
     let host = host_with(vec![owner.clone()]).await;
     host.state.set_owners(owners_with(&owner), 1);
     owner.phase = ServerPhase::Draining;
-    host.state.update_fleet(vec![owner], &[]);
+    host.state.change_fleet(vec![owner], Vec::new(), 2);
     let text = request("GET", "/key/a", "r1", &key_line(77), "");
 
     let at_first = call(host.address, &text).await;
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -10,7 +10,7 @@
     camphorcove_gateway::{
         conf::GatewaySettings,
         serve::{CallerListener, RequestFlow},
-        state::HostState,
+        state::{HostState, RevisionSpan},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, sync::watch},
@@ -52,6 +52,15 @@
     }
 }
 
+/// Revisions of a list that is the first thing a host sees.
+pub fn first_list() -> RevisionSpan {
+    RevisionSpan {
+        from: 0,
+        through: 1,
+        newest: 1,
+    }
+}
+
 pub fn host_state() -> Arc<HostState> {
     Arc::new(HostState::new(settings(([127, 0, 0, 1], 1).into())))
 }
@@ -149,7 +158,7 @@
 pub async fn host_with(entries: Vec<ServerEntry>) -> TestHost {
     let state = host_state();
     state.set_table(table(1));
-    state.replace_fleet(entries);
+    state.replace_fleet(entries, first_list());
     listen(state).await
 }
 
