Test the leader's feed and the first election, apply the configured header and idle limits

Cause: the limits of a configuration on header bytes, header time and idle time were decoded (the header time not even that) and 64 KiB and 30 s applied instead. Change: a new connection takes the limits that are in force; the buffer stays between 8 and 64 KiB. header_block_beyond_the_configured_limit_is_refused failed before.

--- a/crates/core/src/routing/route_rule.rs
+++ b/crates/core/src/routing/route_rule.rs
@@ -59,6 +59,8 @@
     pub header_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
+    /// Longest time for a header block.
+    pub header_time: Duration,
     /// Longest idle time of a connection.
     pub idle: Duration,
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -32,6 +32,7 @@
     let limits = CallerLimits {
         header_bytes: 1_000,
         body_bytes: 1_000,
+        header_time: Duration::from_secs(5),
         idle: Duration::from_secs(15),
     };
     let service = |name: &str| ServiceRule {
--- a/crates/gateway/src/serve/caller_listener.rs
+++ b/crates/gateway/src/serve/caller_listener.rs
@@ -23,12 +23,15 @@
 /// Fewest caller connections, whatever the descriptors allow.
 const LEAST_CALLERS: usize = 128;
 
-/// Longest time a caller may take for a header block, and be idle between requests.
-/// It lies above every idle limit of a configuration that callers are told.
-const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time for a header block, and between requests, before a configuration is known.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
-/// Largest header block that is read, in bytes.
-const HEAD_BYTES: usize = 64 << 10;
+/// Smallest and largest buffer for a header block, in bytes, whatever is configured: the
+/// parser needs the first, and memory bounds the second.
+const HEAD_BYTES: (usize, usize) = (8 << 10, 64 << 10);
+
+/// Allowance for callers whose clocks and networks delay what they send within the limit.
+const IDLE_SLACK: Duration = Duration::from_millis(500);
 
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -82,6 +85,19 @@
         }
     }
 
+    /// Idle time and header bytes that a new connection may take.
+    fn limits(&self) -> (Duration, usize) {
+        let (least, most) = HEAD_BYTES;
+        match self.state.table() {
+            Some(table) => {
+                let limits = table.limits;
+                let idle = limits.idle.max(limits.header_time) + IDLE_SLACK;
+                (idle, limits.header_bytes.clamp(least, most))
+            }
+            None => (IDLE_LIMIT, most),
+        }
+    }
+
     fn serve(
         &self,
         accepted: Option<(TcpStream, OwnedSemaphorePermit)>,
@@ -95,10 +111,12 @@
             let flow = flow.clone();
             async move { Ok::<_, Infallible>(flow.answer(request).await) }
         });
+        let (idle, head_bytes) = self.limits();
+        // The timer runs between requests as well, so the longer of both limits counts.
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_LIMIT)
-            .max_buf_size(HEAD_BYTES)
+            .header_read_timeout(idle)
+            .max_buf_size(head_bytes)
             .half_close(false)
             .serve_connection(TokioIo::new(CallerStream::new(stream)), service);
         let connection = graceful.watch(connection);
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -5,12 +5,12 @@
 use {
     camphorcove_core::{
         fleet::ServerEntry,
-        ownership::{OwnerState, RangePhase},
+        ownership::{LeaderRecord, OwnerState, RangePhase},
     },
     camphorcove_gateway::{
         leader::{LeaderActor, OwnerStore, Resign, Tick},
         peers::{PeerLink, receive},
-        state::HostState,
+        state::{HostState, StoreKind},
         watch::read_owners,
     },
     camphorcove_platform::StoreClient,
@@ -50,6 +50,15 @@
     let socket = UdpSocket::bind("127.0.0.1:0")
         .await
         .expect("a port is free");
+    leader_host_at(name, store, entries, socket).await
+}
+
+async fn leader_host_at(
+    name: &str,
+    store: SocketAddr,
+    entries: Vec<ServerEntry>,
+    socket: UdpSocket,
+) -> LeaderHost {
     let mut settings = settings(store);
     settings.host = name.parse().expect("valid id");
     settings.peers = socket.local_addr().expect("bound");
@@ -217,3 +226,81 @@
 
     assert_eq!(stored(&store).map(|state| state.term), Some(1));
 }
+
+/// Guards against hosts that start together and take over from each other, each from a
+/// leader of which it has just learned.
+#[tokio::test]
+async fn hosts_that_start_together_keep_the_first_leader() {
+    let (store, address) = StoreStandin::start().await;
+    let server = ScriptedServer::start(vec![accepted()]).await;
+
+    let mut hosts = Vec::new();
+    for number in 0..8 {
+        hosts.push(leader_host(&format!("host-{number}"), address, server.address).await);
+    }
+    until("all know the owners", || {
+        let knows = |host: &LeaderHost| {
+            let owners = host.state.owners();
+            owners.is_some_and(|(state, _)| is_owned(&state))
+        };
+        hosts.iter().all(knows)
+    })
+    .await;
+
+    assert_eq!(stored(&store).map(|state| state.term), Some(1));
+}
+
+/// Guards against a wait for a leader whose process was on this very host and has ended.
+#[tokio::test]
+async fn restarted_leader_leads_on_at_once() {
+    let (store, address) = StoreStandin::start().await;
+    let server = ScriptedServer::start(vec![accepted()]).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let mut state = OwnerState::new("secret".into());
+    state.begin_term(LeaderRecord {
+        host: "host-1".parse().expect("valid id"),
+        nonce: 7,
+        address: socket.local_addr().expect("bound"),
+    });
+    store.put(KIND, "owners", serde_json::to_value(&state).expect("plain"));
+
+    let entries = vec![entry("s-1", "keyed", server.address)];
+    let _host = leader_host_at("host-1", address, entries, socket).await;
+    until("leads", || {
+        stored(&store).is_some_and(|state| state.term == 2)
+    })
+    .await;
+}
+
+/// Guards against servers that only the leader knows: it passes on changes, and sends
+/// again what a host missed.
+#[tokio::test]
+async fn leader_passes_on_servers_and_what_was_missed() {
+    let (store, address) = StoreStandin::start().await;
+    let server = ScriptedServer::start(vec![accepted()]).await;
+    let known = entry("s-1", "keyed", server.address);
+    let first = leader_host("host-1", address, server.address).await;
+    until("first leads", || leader_of(&store).is_some()).await;
+    let joined = |number: u16| entry(&format!("s-{number}"), "plain", server.address);
+    first.state.change_fleet(vec![joined(2)], Vec::new(), 20);
+
+    // The first two hosts watch the store themselves.
+    let mut others = Vec::new();
+    for number in 2..6 {
+        let name = format!("host-{number}");
+        others.push(leader_host_with(&name, address, vec![known.clone()]).await);
+    }
+    let follower = others.pop().expect("a host");
+    until("missed change arrives", || {
+        follower.state.fleet().entries().count() == 2
+    })
+    .await;
+    first.state.change_fleet(vec![joined(3)], Vec::new(), 30);
+    until("new change arrives", || {
+        follower.state.fleet().entries().count() == 3
+    })
+    .await;
+
+    assert!(!follower.state.is_direct());
+    assert_eq!(follower.state.marks().get(StoreKind::Fleet), 30);
+}
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -17,7 +17,11 @@
         TARGET, TIME_LIMIT, entry, host_state, host_with, listen, owners_moving_from, owners_with,
         table,
     },
-    tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{sleep, timeout},
+    },
 };
 
 /// An answer that promises more bytes than it has.
@@ -326,3 +330,41 @@
     assert_eq!((refused.status, served.status), (503, 200));
     assert!(refused.head.contains("retry-after:"));
 }
+
+/// Guards against a limit of the configuration that is read and not applied.
+#[tokio::test]
+async fn header_block_beyond_the_configured_limit_is_refused() {
+    let server = ScriptedServer::start(vec![whole("fine"), whole("fine")]).await;
+    let host = host_with(vec![entry("s-1", "plain", server.address)]).await;
+    let within = format!("X-Long: {}\r\n", "x".repeat(12_000));
+    let beyond = format!("X-Long: {}\r\n", "x".repeat(20_000));
+
+    let served = call(host.address, &request("GET", "/read/a", "r1", &within, "")).await;
+    let refused = call(host.address, &request("GET", "/read/a", "r2", &beyond, "")).await;
+
+    assert_eq!((served.status, refused.status), (200, 431));
+    assert_eq!(server.log().requests.len(), 1);
+}
+
+/// Guards against callers that hold connections for ever, and against a connection that
+/// is closed before its configured idle time is over.
+#[tokio::test]
+async fn idle_connection_ends_after_the_configured_time() {
+    let server = ScriptedServer::start(vec![whole("fine"), whole("fine")]).await;
+    let host = host_with(vec![entry("s-1", "plain", server.address)]).await;
+    let mut quick = table(2);
+    quick.limits.header_time = Duration::from_millis(200);
+    quick.limits.idle = Duration::from_millis(800);
+    host.state.set_table(quick);
+    let text = request("GET", "/read/a", "r1", "", "");
+    let mut stream = TcpStream::connect(host.address).await.expect("listens");
+
+    let first = call_on(&mut stream, &text).await;
+    sleep(Duration::from_millis(640)).await;
+    let second = call_on(&mut stream, &text).await;
+    let mut rest = Vec::new();
+    let closed = timeout(TIME_LIMIT * 2, stream.read_to_end(&mut rest)).await;
+
+    assert_eq!((first.status, second.status), (200, 200));
+    assert!(closed.is_ok(), "still open");
+}
--- a/crates/gateway/tests/store_following.rs
+++ b/crates/gateway/tests/store_following.rs
@@ -4,7 +4,7 @@
 
 use {
     camphorcove_gateway::{
-        state::{HostState, StoreKind, StoreMarks},
+        state::{ChangeLog, FleetUpdate, HostState, StoreKind, StoreMarks},
         watch::{ConfigFollower, FleetFollower, follow},
     },
     camphorcove_platform::StoreClient,
@@ -12,12 +12,13 @@
         entries::{config_entry, route_entry, server_entry},
         store_standin::StoreStandin,
     },
+    rstest::rstest,
     serde_json::{Value, json},
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    support::fixtures::host_state,
+    support::fixtures::{entry, first_list, host_state},
     tokio::time::sleep,
 };
 
@@ -142,3 +143,92 @@
 
     assert!(meanwhile >= 1);
 }
+
+fn watches(store: &StoreStandin) -> usize {
+    let calls = store.calls();
+    calls.iter().filter(|call| call.contains("Watch=")).count()
+}
+
+/// Guards against a paid watch of every host although the leader passes changes on, and
+/// against a host that hears nothing once the leader is gone.
+#[tokio::test]
+async fn host_watches_the_store_only_while_no_digests_arrive() {
+    let (state, store) = following_host().await;
+
+    for _ in 0..10 {
+        state.note_digest(false);
+        sleep(Duration::from_millis(100)).await;
+    }
+    let while_fed = watches(&store);
+    store.put("servers", "s-2", server("ready"));
+    until(|| state.fleet().entries().count() == 2).await;
+
+    assert_eq!(while_fed, 0);
+    assert!(watches(&store) > 0);
+}
+
+/// Guards against news that are lost: the digest names a revision that never came, and
+/// the leader does not send it again.
+#[tokio::test]
+async fn change_that_the_leader_does_not_send_is_read_from_the_store() {
+    let (state, store) = following_host().await;
+    store.put("servers", "s-2", server("ready"));
+    store.put("config", "main", config("0000000c"));
+
+    let mut marks = StoreMarks::default();
+    marks.raise(StoreKind::Fleet, 3);
+    marks.raise(StoreKind::Config, 4);
+    state.set_peer_marks(&marks);
+    let begun = Instant::now();
+    while state.fleet().entries().count() < 2 || version(&state) < 12 {
+        assert!(begun.elapsed() < LEARN_LIMIT, "not learned");
+        state.note_digest(false);
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    // A catch-up ends as soon as the store has told the change.
+    assert!(watches(&store) <= 1, "{:?}", store.calls());
+}
+
+fn update(from: u64, to: u64, removed: &[&str]) -> FleetUpdate {
+    FleetUpdate {
+        from,
+        to,
+        put: Vec::new(),
+        removed: removed.iter().map(|id| id.parse().expect("id")).collect(),
+    }
+}
+
+/// Guards against changes that are taken out of order, twice, or over a gap: a server
+/// that left would come back, or stay for ever.
+#[rstest]
+#[case::continues(update(1, 3, &["s-1"]), true)]
+#[case::overlaps(update(0, 3, &["s-1"]), true)]
+#[case::known(update(0, 1, &["s-1"]), false)]
+#[case::gap(update(2, 3, &["s-1"]), false)]
+fn news_are_taken_only_where_they_continue(#[case] update: FleetUpdate, #[case] taken: bool) {
+    let state = host_state();
+    let address = ([127, 0, 0, 1], 9_000).into();
+    state.replace_fleet(vec![entry("s-1", "plain", address)], first_list());
+
+    let accepted = state.update_fleet(update);
+
+    assert_eq!(accepted, taken);
+    assert_eq!(
+        state.marks().get(StoreKind::Fleet),
+        if taken { 3 } else { 1 }
+    );
+}
+
+/// Guards against a log that leads a host over a gap.
+#[test]
+fn log_of_changes_starts_anew_after_a_gap() {
+    let mut log = ChangeLog::default();
+    log.push(update(1, 3, &[]));
+    log.push(update(3, 5, &[]));
+    let whole = log.since(2).len();
+    log.push(update(7, 9, &[]));
+
+    assert_eq!(whole, 2);
+    assert_eq!((log.since(2).len(), log.since(7).len()), (0, 1));
+}
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -70,6 +70,7 @@
     let limits = CallerLimits {
         header_bytes: 16_384,
         body_bytes: 1 << 20,
+        header_time: Duration::from_secs(5),
         idle: Duration::from_secs(15),
     };
     let service = |name: &str, keyed| ServiceRule {
