Let large hosts watch and lead, give hot keys to fast servers, count hosts before sharing slack

Now the largest hosts watch, small ones try up to 0.5 s later, and a small leader hands on after 8 s to a host twice its size. Its owner's speed is the limit, so it goes to the fastest server if that is 1.3 times as fast.

What a leader knows of hosts is a type of its own (host_table).

--- a/crates/core/src/dispatch/call_window.rs
+++ b/crates/core/src/dispatch/call_window.rs
@@ -15,6 +15,31 @@
 /// Share of the allowance that is used: hosts join and leave while shares change.
 const USED_SHARE: f64 = 0.8;
 
+/// Number of hosts that share an allowance: the most that were counted lately, as a host
+/// that has just left may have spent its part.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HostCount {
+    count: Option<u32>,
+    counted_at: BootTime,
+}
+
+impl HostCount {
+    /// Takes a count; a lower one holds once the last higher one is older than `window`.
+    pub fn note(&mut self, hosts: u32, window: Duration, now: BootTime) {
+        let lower = self.count.is_some_and(|count| hosts < count);
+        if lower && now.since(self.counted_at) < window {
+            return;
+        }
+        self.count = Some(hosts.max(1));
+        self.counted_at = now;
+    }
+
+    /// Hosts, if they have been counted.
+    pub fn known(self) -> Option<u32> {
+        self.count
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Division {
     start: BootTime,
@@ -48,11 +73,14 @@
     }
 
     /// Takes one repeat; `false` if this host's part of the allowance is spent.
-    pub fn take_repeat(&mut self, hosts: u32, now: BootTime) -> bool {
+    ///
+    /// A host that does not know how many share the slack takes no part of it.
+    pub fn take_repeat(&mut self, hosts: Option<u32>, now: BootTime) -> bool {
         self.current(now);
         let requests: u32 = self.divisions.iter().map(|part| part.requests).sum();
         let repeats: u32 = self.divisions.iter().map(|part| part.repeats).sum();
-        let allowed = f64::from(requests) * self.ratio + self.slack / f64::from(hosts.max(1));
+        let part = hosts.map_or(0.0, |hosts| self.slack / f64::from(hosts.max(1)));
+        let allowed = f64::from(requests) * self.ratio + part;
         if f64::from(repeats) + 1.0 > allowed * USED_SHARE {
             return false;
         }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -7,7 +7,7 @@
 
 pub use {
     admission::{Admission, AdmissionRule, comeback},
-    call_window::CallWindow,
+    call_window::{CallWindow, HostCount},
     server_choice::{Candidate, choose_server},
     server_gauge::{AnswerKind, GaugeReading, ServerGauge, ToldLoad},
 };
--- a/crates/core/src/ownership/range_moves.rs
+++ b/crates/core/src/ownership/range_moves.rs
@@ -37,6 +37,13 @@
 /// the middle of a range.
 const HOT_FACTOR: f32 = 8.0;
 
+/// Share of its server's capacity from which on a single key is placed by speed.
+const HOT_KEY_SHARE: f32 = 0.7;
+
+/// Factor by which another server has to be faster for that: a move costs an
+/// interruption, and measured speeds vary.
+const FASTER_FACTOR: f32 = 1.3;
+
 /// Share of the busiest key's load that its neighbours need to move with it.
 const HOT_SHARE: f32 = 0.25;
 
@@ -78,6 +85,7 @@
     }
     let mut draft = MoveDraft::new(records, load, rooms);
     draft.place_orphans();
+    draft.place_hot_key();
     draft.even_out();
     draft.moves
 }
@@ -216,6 +224,61 @@
         });
     }
 
+    /// Gives a key that takes most of its server alone to the fastest server: a key has
+    /// one owner, so the owner's speed bounds what its callers get.
+    fn place_hot_key(&mut self) {
+        let mut hottest: Option<(usize, usize, KeyRange, f32)> = None;
+        for (at, ranges) in self.owned.iter().enumerate() {
+            for (index, range) in ranges.iter().enumerate() {
+                let Some((key, load)) = self.top_key(*range) else {
+                    continue;
+                };
+                let takes_most = load > self.rooms[at].capacity * HOT_KEY_SHARE;
+                if takes_most && hottest.is_none_or(|(.., most)| load > most) {
+                    hottest = Some((at, index, key, load));
+                }
+            }
+        }
+        let Some((from, index, key, _)) = hottest else {
+            return;
+        };
+        let capacity = |at: usize| self.rooms[at].capacity;
+        let fastest = (0..self.rooms.len())
+            .filter(|at| !self.has_hot_key(*at))
+            .max_by(|left, right| capacity(*left).total_cmp(&capacity(*right)));
+        let Some(to) = fastest else {
+            return;
+        };
+        if to != from && capacity(to) >= capacity(from) * FASTER_FACTOR {
+            self.take(from, index, key);
+            self.give(key, to);
+        }
+    }
+
+    fn has_hot_key(&self, at: usize) -> bool {
+        let limit = self.rooms[at].capacity * HOT_KEY_SHARE;
+        let tops = self.owned[at]
+            .iter()
+            .filter_map(|range| self.top_key(*range));
+        self.served[at] || tops.into_iter().any(|(_, load)| load > limit)
+    }
+
+    /// Busiest key of a range.
+    fn top_key(&self, range: KeyRange) -> Option<(KeyRange, f32)> {
+        let loads = self.load.keys(range);
+        let busiest = loads
+            .iter()
+            .enumerate()
+            .max_by(|(_, left), (_, right)| left.total_cmp(right));
+        let (offset, load) = busiest?;
+        let key = range.first + u16::try_from(offset).ok()?;
+        let key = KeyRange {
+            first: key,
+            last: key,
+        };
+        Some((key, *load))
+    }
+
     /// Moves pieces from the busiest servers to the least busy ones, each only as large
     /// as its new owner has room for: a piece does not move on in the same round.
     fn even_out(&mut self) {
@@ -277,12 +340,10 @@
     /// key alone may weigh up to `wanted`.
     fn window(&self, range: KeyRange, limit: f32, wanted: f32) -> Option<(KeyRange, f32)> {
         let loads = self.load.keys(range);
-        let (at, top) = loads
-            .iter()
-            .enumerate()
-            .max_by(|(_, left), (_, right)| left.total_cmp(right))?;
-        let mut weight = *top + self.idle_weight;
-        if weight > wanted || *top < self.idle_weight * HOT_FACTOR {
+        let (key, top) = self.top_key(range)?;
+        let at = usize::from(key.first - range.first);
+        let mut weight = top + self.idle_weight;
+        if weight > wanted || top < self.idle_weight * HOT_FACTOR {
             return None;
         }
         let (mut first, mut last) = (at, at);
@@ -295,7 +356,7 @@
             if weight + pending > limit {
                 break;
             }
-            if loads[high] >= *top * HOT_SHARE {
+            if loads[high] >= top * HOT_SHARE {
                 last = high;
                 weight += std::mem::take(&mut pending);
             }
@@ -307,7 +368,7 @@
             if weight + pending > limit {
                 break;
             }
-            if loads[low] >= *top * HOT_SHARE {
+            if loads[low] >= top * HOT_SHARE {
                 first = low;
                 weight += std::mem::take(&mut pending);
             }
--- a/crates/core/tests/range_moves.rs
+++ b/crates/core/tests/range_moves.rs
@@ -225,3 +225,28 @@
         moves.len()
     );
 }
+
+/// Load: one key gets more than its server can serve. Guards against a hot key that stays
+/// at a slow server, and against one that moves on and on.
+#[test]
+fn hot_key_goes_to_the_fastest_server_and_stays() {
+    let records = even(6);
+    let speeds = [15.0, 25.0, 40.0];
+    let rooms: Vec<ServerRoom> = (0..6)
+        .map(|number| room(number, speeds[usize::from(number) % 3]))
+        .collect();
+    let mut keys: Vec<(u16, u32)> = (0..64).map(|at| (at * 1_024, 1)).collect();
+    keys.push((5_000, 50));
+    let load = load(&keys);
+
+    let first = choose_moves(&records, &load, &rooms);
+    let records = moved(&records, &first);
+    let second = choose_moves(&records, &load, &rooms);
+
+    let target = |moves: &[RangeMove]| {
+        let found = moves.iter().find(|planned| planned.range.contains(5_000));
+        found.map(|planned| planned.target.clone())
+    };
+    assert!([Some(life(2)), Some(life(5))].contains(&target(&first)));
+    assert_eq!(target(&second), None);
+}
--- a/crates/gateway/src/conf/gateway_settings.rs
+++ b/crates/gateway/src/conf/gateway_settings.rs
@@ -41,6 +41,13 @@
     pub repeat_window: Duration,
 }
 
+impl GatewaySettings {
+    /// Processor share in thousandths of a core, as hosts tell it each other.
+    pub fn cpu_permille(&self) -> u16 {
+        (self.cpu_share * 1_000.0).round() as u16
+    }
+}
+
 #[derive(Deserialize)]
 struct SettingsFile {
     host: Spanned<String>,
--- a/crates/gateway/src/leader/candidacy.rs
+++ b/crates/gateway/src/leader/candidacy.rs
@@ -6,15 +6,12 @@
 /// takeover, one grant and this time stay within a lease.
 const DIGEST_LIMIT: Duration = Duration::from_millis(800);
 
-/// Spread of the hosts' tries, so that one of them is usually first.
-const RANK_SPREAD: Duration = Duration::from_millis(400);
+/// Spread of the tries of hosts of the same size, so that one of them is usually first.
+const DRAW_SPREAD: Duration = Duration::from_millis(160);
 
-/// Part of the spread that depends on the host's processor: renewals and reports of a
-/// large fleet keep a small host busy, so larger hosts try first.
-const SIZE_SHARE: f64 = 0.6;
-
-/// Share of a core from which on a host counts as large.
-const LARGE_SHARE: f64 = 0.5;
+/// Time by which the smallest hosts try later: renewals and reports of a large fleet keep
+/// a small host busy, so it leads only where no larger one does.
+const SIZE_SPREAD: Duration = Duration::from_millis(500);
 
 /// Part of that time that has passed when a process starts: a live leader answers the
 /// first reports at once.
@@ -33,23 +30,36 @@
     /// When this host learned that nobody leads.
     vacant_at: Option<BootTime>,
     not_before: BootTime,
-    rank: Duration,
+    cpu_permille: u16,
+    largest: u16,
+    draw: f64,
 }
 
 impl Candidacy {
-    /// Candidacy of a process that starts now, on a host with `cpu_share` of a core;
+    /// Candidacy of a process that starts now, on a host with that share of a core;
     /// `draw` in 0..1 spreads hosts of the same size.
-    pub fn new(now: BootTime, cpu_share: f64, draw: f64) -> Self {
-        let lack = 1.0 - (cpu_share / LARGE_SHARE).clamp(0.0, 1.0);
-        let rank = SIZE_SHARE * lack + (1.0 - SIZE_SHARE) * draw;
+    pub fn new(now: BootTime, cpu_permille: u16, draw: f64) -> Self {
         Self {
             heard_at: now.back(START_HEAD),
             vacant_at: None,
             not_before: now,
-            rank: RANK_SPREAD.mul_f64(rank),
+            cpu_permille,
+            largest: cpu_permille,
+            draw,
         }
     }
 
+    /// Notes the share of the largest host.
+    pub fn note_largest(&mut self, cpu_permille: u16) {
+        self.largest = cpu_permille.max(self.cpu_permille);
+    }
+
+    /// Time by which this host tries later than the first one.
+    fn rank(&self) -> Duration {
+        let size = f64::from(self.cpu_permille) / f64::from(self.largest.max(1));
+        DRAW_SPREAD.mul_f64(self.draw) + SIZE_SPREAD.mul_f64(1.0 - size)
+    }
+
     /// Notes a sign of a leader that reaches the store.
     pub fn heard(&mut self, now: BootTime) {
         self.heard_at = now;
@@ -58,10 +68,13 @@
     /// Whether to try now; `vacant` if nobody can be the leader.
     pub fn is_due(&mut self, vacant: bool, now: BootTime) -> bool {
         let waited = match vacant {
-            true => now.since(*self.vacant_at.get_or_insert(now)) >= self.rank / 2,
+            true => {
+                let since = *self.vacant_at.get_or_insert(now);
+                now.since(since) >= self.rank() / 2
+            }
             false => {
                 self.vacant_at = None;
-                now.since(self.heard_at) >= DIGEST_LIMIT + self.rank
+                now.since(self.heard_at) >= DIGEST_LIMIT + self.rank()
             }
         };
         waited && now >= self.not_before
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         candidacy::Candidacy,
+        host_table::HostTable,
         leader_messages::{
             ConfirmEnded, DigestIn, MissedIn, OwnersIn, OwnersSeen, PlanEvent, ReportIn, Resign,
             Tick, WriteEnded,
@@ -15,7 +16,7 @@
         state::{ChangeLog, FleetUpdate, HostState, ServerTag, StoreKind, StoreMarks},
     },
     camphorcove_core::{
-        ids::{HostId, ServerId, ServiceName},
+        ids::{ServerId, ServiceName},
         ownership::{
             AUTHORITY_ALONE, AUTHORITY_LIMIT, CALL_LIMIT, LeaderPlan, LeaderRecord, MAJORITY_AGE,
             OwnerDelta, OwnerState, PlanAction, PlanInput, PlanWorld, RangeLoad, ServerLife,
@@ -29,7 +30,7 @@
         message::{Context, Message},
     },
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -62,6 +63,15 @@
 /// Digests between two that list the hosts.
 const PEERS_EVERY: u32 = 8;
 
+/// Time of a term after which all hosts have reported to the new leader.
+const COUNT_TIME: Duration = Duration::from_millis(2_000);
+
+/// Time of a term after which a host hands the leadership on to a larger one.
+const SMALL_TERM: Duration = Duration::from_secs(8);
+
+/// Factor by which another host has to be larger for that.
+const LARGER_FACTOR: u16 = 2;
+
 /// Hosts that watch the store besides the leader: all of them rarely lose it together.
 const WATCHERS: usize = 2;
 
@@ -72,30 +82,9 @@
 /// does not wait there.
 const SPARE_SLOTS: u32 = 1;
 
-/// Time after which a host that does not report no longer counts.
-const HOST_LIMIT: Duration = Duration::from_millis(1_500);
-
 /// Owners, from which on silence of half of them may point at this host's own links.
 const SILENCE_MIN: usize = 4;
 
-/// Time for which an answer of a server to another host shows that it lives.
-const ANSWER_AGE: Duration = Duration::from_millis(1_500);
-
-/// One host that reports.
-struct HostTrack {
-    address: SocketAddr,
-    seen_at: BootTime,
-    in_flight: Vec<(ServerTag, u32)>,
-}
-
-/// Speed of a server over all hosts.
-#[derive(Default)]
-struct SpeedTrack {
-    mean: f64,
-    /// When another host last reported a success.
-    answered_others_at: BootTime,
-}
-
 /// What this host is.
 enum Role {
     /// Another host leads, or none.
@@ -120,8 +109,7 @@
     role: Role,
     revision: u64,
     candidacy: Candidacy,
-    hosts: BTreeMap<HostId, HostTrack>,
-    speeds: HashMap<ServerTag, SpeedTrack>,
+    hosts: HostTable,
     /// Where reports go, and the term of that leader.
     leader_at: Option<(SocketAddr, u64)>,
     /// All hosts, as the last digest listed them.
@@ -156,7 +144,7 @@
     /// Actor of a process that starts now.
     pub fn new(state: Arc<HostState>, store: StoreClient, link: PeerLink) -> Self {
         let now = state.now();
-        let candidacy = Candidacy::new(now, state.settings.cpu_share, state.draw());
+        let candidacy = Candidacy::new(now, state.settings.cpu_permille(), state.draw());
         Self {
             owners: OwnerStore::new(state.clone(), store),
             orders: OrderSender::new(state.clone()),
@@ -164,8 +152,7 @@
             role: Role::Follower,
             revision: 0,
             candidacy,
-            hosts: BTreeMap::new(),
-            speeds: HashMap::new(),
+            hosts: HostTable::default(),
             leader_at: None,
             peers: Vec::new(),
             lacks_store: false,
@@ -290,6 +277,7 @@
         let actions = plan.poll(world, now);
         let (owners, silent) = plan.silent_owners(now);
         let superseded = plan.is_superseded();
+        let moving = plan.has_moves();
         for action in actions {
             match action {
                 PlanAction::Write(state) => self.write(actor, *state),
@@ -305,8 +293,13 @@
             self.confirming = true;
             self.confirm(actor, term);
         }
+        let small = self.hosts.largest() >= self.state.settings.cpu_permille() * LARGER_FACTOR;
+        let settled = now.since(self.term_began) >= SMALL_TERM && self.confirm_failures == 0;
         if superseded {
             self.step_down("a server has seen a higher token", now);
+        } else if small && settled && !moving {
+            log::info!(largest = self.hosts.largest(); "a larger host is to lead");
+            self.resign(actor, now);
         } else if owners >= SILENCE_MIN && silent.len() * 2 >= owners {
             self.judge_silence(actor, owners, &silent, now);
         }
@@ -321,10 +314,8 @@
         silent: &[ServerLife],
         now: BootTime,
     ) {
-        let answers_others = |server: &&ServerLife| {
-            let speed = self.speeds.get(&ServerTag::of(&server.id));
-            speed.is_some_and(|speed| now.since(speed.answered_others_at) < ANSWER_AGE)
-        };
+        let answers_others =
+            |server: &&ServerLife| self.hosts.answers_others(ServerTag::of(&server.id), now);
         let alive = silent.iter().filter(answers_others).count();
         if alive * 2 < silent.len() {
             return;
@@ -338,11 +329,9 @@
     fn capacity(&self) -> HashMap<ServerId, f32> {
         let mut capacity = self.state.server_rates();
         for (id, rate) in &mut capacity {
-            if let Some(speed) = self.speeds.get(&ServerTag::of(id))
-                && speed.mean > 0.0
-            {
+            if let Some(mean) = self.hosts.mean_time(ServerTag::of(id)) {
                 let slots = self.state.slots(id);
-                *rate = (f64::from(slots) / speed.mean) as f32;
+                *rate = (f64::from(slots) / mean) as f32;
             }
             *rate = RangeLoad::steady_count(*rate);
         }
@@ -457,6 +446,7 @@
             host,
             nonce: self.state.nonce,
             term,
+            cpu_permille: self.state.settings.cpu_permille(),
             marks: self.state.marks(),
             load,
         };
@@ -527,7 +517,7 @@
     }
 
     fn peer_addresses(&self) -> BTreeSet<SocketAddr> {
-        let reporting = self.hosts.values().map(|track| track.address);
+        let reporting = self.hosts.addresses();
         let mut addresses: BTreeSet<_> = self.peers.iter().copied().chain(reporting).collect();
         addresses.remove(&self.state.settings.peers);
         addresses
@@ -547,28 +537,6 @@
                 plan.count(service, *key, *requests, now);
             }
         }
-        let mut in_flight = Vec::new();
-        for load in report.load.servers {
-            in_flight.push((load.server, load.in_flight));
-            if load.successes == 0 {
-                continue;
-            }
-            let mean = f64::from(load.mean_micros) / 1e6;
-            let speed = self.speeds.entry(load.server).or_default();
-            if report.host != self.state.settings.host {
-                speed.answered_others_at = now;
-            }
-            let weight = 1.0 - 0.9_f64.powf(f64::from(load.successes));
-            speed.mean = match speed.mean {
-                0.0 => mean,
-                old => old + (mean - old) * weight,
-            };
-        }
-        let track = HostTrack {
-            address: from,
-            seen_at: now,
-            in_flight,
-        };
         // A leader does not report: this one has been started anew or has stepped down.
         let predecessor =
             |before: &LeaderRecord| before.host == report.host && before.address == from;
@@ -577,14 +545,14 @@
             self.before = None;
             plan.take(PlanInput::PredecessorEnds(now + CALL_LIMIT), now);
         }
-        self.hosts.insert(report.host, track);
+        let own = report.host == self.state.settings.host;
+        self.hosts.take(&report, from, own, now);
     }
 
     /// Tells the plan whether most hosts report to this leader.
     fn count_majority(&mut self, now: BootTime) {
         let limit = self.report_interval() * 2;
-        let fresh = |track: &&HostTrack| now.since(track.seen_at) < limit;
-        let reporting = self.hosts.values().filter(fresh).count();
+        let reporting = self.hosts.fresh_count(limit, now);
         let base = self.quorum_base;
         let Role::Leader(plan) = &mut self.role else {
             return;
@@ -608,20 +576,13 @@
     }
 
     fn send_digests(&mut self, now: BootTime) {
-        self.hosts
-            .retain(|_, track| now.since(track.seen_at) < HOST_LIMIT);
+        self.hosts.expire(now);
         let Role::Leader(plan) = &self.role else {
             return;
         };
         let term = plan.state().term;
-        let mut totals: BTreeMap<ServerTag, u32> = BTreeMap::new();
-        for track in self.hosts.values() {
-            for (server, in_flight) in &track.in_flight {
-                *totals.entry(*server).or_default() += in_flight;
-            }
-        }
-        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
-        let mut servers: Vec<_> = totals.into_iter().collect();
+        let mut servers: Vec<_> = self.hosts.totals().into_iter().collect();
+        let hosts = self.counted_hosts(now);
         self.state.set_others(hosts, &servers);
         let slots = self.state.slots_by_tag();
         servers.retain(|(server, total)| {
@@ -631,7 +592,7 @@
         let listed = self.digests.is_multiple_of(PEERS_EVERY);
         self.digests = self.digests.wrapping_add(1);
         if listed {
-            self.peers = self.hosts.values().map(|track| track.address).collect();
+            self.peers = self.hosts.addresses().collect();
         }
         let has_store = self.confirm_failures < CONFIRM_FAILURES;
         let watchers = self.watchers(has_store);
@@ -639,6 +600,7 @@
             nonce: self.state.nonce,
             term,
             has_store,
+            largest_cpu: self.hosts.largest(),
             hosts,
             marks: self.marks,
             watchers,
@@ -656,16 +618,18 @@
     /// Hosts that are to watch the store besides this one. Without the store, they take
     /// turns, until one reaches it and takes over.
     fn watchers(&self, has_store: bool) -> Vec<SocketAddr> {
+        let turn = match has_store {
+            true => 0,
+            false => usize::try_from(self.digests / WATCHER_TURN).unwrap_or(0),
+        };
         let own = &self.state.settings.host;
-        let others = self.hosts.iter().filter(|(host, _)| *host != own);
-        let mut others: Vec<SocketAddr> = others.map(|(_, track)| track.address).collect();
-        if !has_store && !others.is_empty() {
-            let turn = usize::try_from(self.digests / WATCHER_TURN).unwrap_or(0);
-            let at = turn * WATCHERS % others.len();
-            others.rotate_left(at);
-        }
-        others.truncate(WATCHERS);
-        others
+        self.hosts.watchers(own, WATCHERS, turn * WATCHERS)
+    }
+
+    /// Hosts that share limits; nothing while a new leader has not heard all of them.
+    fn counted_hosts(&self, now: BootTime) -> Option<u32> {
+        let count = u32::try_from(self.hosts.count()).unwrap_or(u32::MAX);
+        (now.since(self.term_began) >= COUNT_TIME).then_some(count)
     }
 
     /// Becomes the leader after the store has acknowledged it.
@@ -686,8 +650,7 @@
         self.confirmed_at = now;
         self.confirm_failures = 0;
         self.confirming = false;
-        self.hosts.clear();
-        self.speeds.clear();
+        self.hosts = HostTable::default();
         self.marks = self.state.marks();
         self.fleet_sent = self.marks.get(StoreKind::Fleet);
         self.lacks_store = false;
@@ -831,7 +794,7 @@
                 self.confirm_failures = 0;
                 // Hosts only leave the count while the store is there.
                 if self.before.is_none() {
-                    self.quorum_base = self.hosts.len();
+                    self.quorum_base = self.hosts.count();
                 }
                 plan.take(PlanInput::Confirmed(sent_at), now);
             }
@@ -876,6 +839,7 @@
         if !digest.peers.is_empty() {
             self.peers = digest.peers;
         }
+        self.candidacy.note_largest(digest.largest_cpu);
         let watches = digest.watchers.contains(&self.state.settings.peers);
         // Most hosts leave it to the watchers to find out whether the store is back.
         if digest.has_store || !watches {
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -1,6 +1,7 @@
 //! This host as the leader, or as one that may become it.
 
 mod candidacy;
+mod host_table;
 mod leader_actor;
 mod leader_messages;
 mod order_sender;
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -24,6 +24,8 @@
     pub nonce: u64,
     /// Term of the leader that the report is for.
     pub term: u64,
+    /// Its processor share, in thousandths of a core.
+    pub cpu_permille: u16,
     /// Newest changes that it has seen.
     pub marks: StoreMarks,
     /// Its load.
@@ -39,8 +41,10 @@
     pub term: u64,
     /// The leader reaches the store.
     pub has_store: bool,
-    /// Hosts that report.
-    pub hosts: u32,
+    /// Largest processor share of a host, in thousandths of a core.
+    pub largest_cpu: u16,
+    /// Hosts that report, once all had time to.
+    pub hosts: Option<u32>,
     /// Newest changes that any host has seen.
     pub marks: StoreMarks,
     /// Hosts that watch the store besides the leader.
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -11,7 +11,7 @@
     crate::conf::GatewaySettings,
     bincode::{Decode, Encode},
     camphorcove_core::{
-        dispatch::{AnswerKind, CallWindow, GaugeReading, ServerGauge, ToldLoad},
+        dispatch::{AnswerKind, CallWindow, GaugeReading, HostCount, ServerGauge, ToldLoad},
         fleet::{FleetChange, FleetView, LapseGuard, RemovalRule, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName},
         keys::KeyHash,
@@ -120,7 +120,7 @@
     /// Owners that refused a key as not theirs, until when they are not asked.
     pub(super) lapsed: HashMap<ServerId, BootTime>,
     pub(super) random: ChaCha8Rng,
-    hosts: u32,
+    host_count: HostCount,
     others_at: BootTime,
     seen_through: StoreMarks,
     own_marks: StoreMarks,
@@ -191,7 +191,7 @@
                 key_counts: BTreeMap::new(),
                 lapsed: HashMap::new(),
                 random,
-                hosts: HOSTS_AT_START,
+                host_count: HostCount::default(),
                 others_at: BootTime::default(),
                 seen_through: StoreMarks::default(),
                 own_marks: StoreMarks::default(),
@@ -279,7 +279,7 @@
     pub fn take_repeat(&self, service: &ServiceName) -> bool {
         let now = self.now();
         let mut inner = self.lock();
-        let hosts = inner.hosts;
+        let hosts = inner.host_count.known();
         self.window(&mut inner, service).take_repeat(hosts, now)
     }
 
@@ -540,10 +540,13 @@
     }
 
     /// Number of hosts, and the requests of other hosts at each server.
-    pub fn set_others(&self, hosts: u32, totals: &[(ServerTag, u32)]) {
+    pub fn set_others(&self, hosts: Option<u32>, totals: &[(ServerTag, u32)]) {
         let now = self.now();
+        let window = self.settings.repeat_window;
         let mut inner = self.lock();
-        inner.hosts = hosts.max(1);
+        if let Some(hosts) = hosts {
+            inner.host_count.note(hosts, window, now);
+        }
         inner.others_at = now;
         let totals: HashMap<ServerTag, u32> = totals.iter().copied().collect();
         for (id, gauge) in &mut inner.gauges {
@@ -566,7 +569,7 @@
 
     /// Hosts that share limits.
     pub fn hosts(&self) -> u32 {
-        self.lock().hosts
+        self.lock().host_count.known().unwrap_or(HOSTS_AT_START)
     }
 
     /// What is to be reported to the leader since the last call.
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -22,6 +22,9 @@
 /// Target of the routes.
 pub const TARGET: Duration = Duration::from_millis(400);
 
+/// Hosts that share limits.
+const HOSTS: u32 = 10;
+
 /// A running host.
 pub struct TestHost {
     /// Shared state.
@@ -160,6 +163,7 @@
     let state = host_state();
     state.set_table(table(1));
     state.replace_fleet(entries, first_list());
+    state.set_others(Some(HOSTS), &[]);
     listen(state).await
 }
 
