Take an order answered by a server without keys for the end of the owner

Servers had crashed and their addresses belonged to another service, whose servers take an order for a request without an id: 400, not run. The plan counted that as a sign of life, so the keys waited until the entries of the lost servers lapsed, two seconds later. Ruled out: a malformed order (the same order got 200 elsewhere); a server that drains. Change: that answer means another server, as 421 does, and another server at its address ends an owner at once: addresses are used again only after the end. Both new tests (address_of_a_server_without_keys_has_no_owner, owner_at_whose_address_...) failed before.

--- a/crates/core/src/ownership/leader_plan.rs
+++ b/crates/core/src/ownership/leader_plan.rs
@@ -189,6 +189,9 @@
     loads: BTreeMap<ServiceName, RangeLoad>,
     /// Last answer of each server, and when it was first asked since.
     heard: HashMap<ServerLife, ServerHeard>,
+    /// Servers at whose address another one answers: addresses are used again only after
+    /// the end of their last server.
+    ended: HashSet<ServerLife>,
     fleet_size: usize,
     fleet_grew_at: BootTime,
     superseded: bool,
@@ -236,6 +239,7 @@
             handovers: HashMap::new(),
             loads: BTreeMap::new(),
             heard: HashMap::new(),
+            ended: HashSet::new(),
             fleet_size: 0,
             fleet_grew_at: now,
             superseded: false,
@@ -300,7 +304,16 @@
         heard.is_some_and(|heard| heard.is_silent(now))
     }
 
-    fn note_answer(&mut self, server: &ServerLife, answered: bool, now: BootTime) {
+    /// Notes what the result of an order tells of its server.
+    fn note_result(&mut self, server: &ServerLife, failure: Option<OrderFailure>, now: BootTime) {
+        let answered = match failure {
+            Some(OrderFailure::NotSent | OrderFailure::Unanswered) => false,
+            Some(OrderFailure::OtherServer) => {
+                self.ended.insert(server.clone());
+                true
+            }
+            Some(OrderFailure::Superseded | OrderFailure::Rejected) | None => true,
+        };
         let heard = self.heard.entry(server.clone()).or_insert(ServerHeard {
             answered_at: now,
             failed: false,
@@ -311,6 +324,11 @@
         heard.failed = !answered;
     }
 
+    /// Whether the incarnation of a server is over for certain.
+    fn is_over(&self, fleet: &FleetView, life: &ServerLife) -> bool {
+        self.ended.contains(life) || life_ended(fleet, life)
+    }
+
     /// Counts requests for a key.
     pub fn count(&mut self, service: &ServiceName, key: u16, requests: u32, now: BootTime) {
         self.loads
@@ -376,11 +394,7 @@
         if result == Err(OrderFailure::Superseded) && live_keys(&self.state).contains(&key) {
             self.superseded = true;
         }
-        let answered = !matches!(
-            result,
-            Err(OrderFailure::NotSent | OrderFailure::Unanswered)
-        );
-        self.note_answer(server, answered, now);
+        self.note_result(server, result.err(), now);
         if let Some(track) = self.clears.get_mut(&key) {
             track.in_flight = false;
             match result {
@@ -408,11 +422,7 @@
         result: Result<Option<String>, OrderFailure>,
         now: BootTime,
     ) {
-        let answered = !matches!(
-            result,
-            Err(OrderFailure::NotSent | OrderFailure::Unanswered)
-        );
-        self.note_answer(server, answered, now);
+        self.note_result(server, result.as_ref().err().copied(), now);
         let Some(track) = self.clears.get_mut(&key) else {
             return;
         };
@@ -461,7 +471,7 @@
                 if !is_unchanged(self.pending.as_ref(), service, record) {
                     continue;
                 }
-                if life_ended(world.fleet, owner) {
+                if self.ended.contains(owner) || life_ended(world.fleet, owner) {
                     continue;
                 }
                 // A silent server is not asked again: each order could prolong its lease.
@@ -602,7 +612,7 @@
                 incarnation: entry.incarnation,
                 address: entry.address,
             };
-            if self.is_silent(&life, now) {
+            if self.is_silent(&life, now) || self.ended.contains(&life) {
                 continue;
             }
             let known = world.capacity.get(&entry.id).copied();
@@ -664,7 +674,7 @@
             let released = track.is_some_and(|track| track.step == ClearStep::Done);
             let expired =
                 !raising && !renewing && now > self.bounds.end(service, owner, record.range);
-            if !(released || expired || life_ended(world.fleet, owner)) {
+            if !(released || expired || self.is_over(world.fleet, owner)) {
                 continue;
             }
             let handover = track.and_then(|track| track.handover.clone());
@@ -698,7 +708,7 @@
     ) {
         for record in &mut owners.ranges {
             if let RangePhase::Owned { owner, .. } = &record.phase
-                && life_ended(world.fleet, owner)
+                && self.is_over(world.fleet, owner)
             {
                 record.phase = RangePhase::Free;
             }
--- a/crates/core/tests/leader_plan.rs
+++ b/crates/core/tests/leader_plan.rs
@@ -98,10 +98,10 @@
         self.plan.poll(world, self.now)
     }
 
-    /// Ends an order as its server does.
+    /// Ends an order as its server does; a write is acknowledged.
     fn end(&mut self, action: &PlanAction, failure: Option<OrderFailure>) {
         let input = match action.clone() {
-            PlanAction::Write(_) => return,
+            PlanAction::Write(_) => PlanInput::WriteAcked(self.now),
             PlanAction::Grant {
                 service,
                 server,
@@ -145,9 +145,6 @@
             for action in self.poll() {
                 match &action {
                     PlanAction::Write(state) if wanted(state) => found = true,
-                    PlanAction::Write(_) => {
-                        self.plan.take(PlanInput::WriteAcked(self.now), self.now);
-                    }
                     PlanAction::Grant { server, .. } if server == silent => {
                         self.end(&action, Some(OrderFailure::Unanswered));
                     }
@@ -199,3 +196,31 @@
     let to_silent = |action: &&PlanAction| matches!(action, PlanAction::Grant { server, .. } if *server == silent);
     assert_eq!(later.iter().find(to_silent), None);
 }
+
+/// Guards against the finding of incident inc-8def: servers of another service answered
+/// at the addresses of lost owners, so these counted as alive until their entries lapsed,
+/// and their keys stayed without an owner for two seconds.
+#[test]
+fn owner_at_whose_address_another_server_answers_is_replaced_at_once() {
+    let state = owned_by(&[(0, 65_535, 0, 7)]);
+    let mut run = PlanRun::new(state, &[0, 1]);
+    let lost = life(0);
+
+    let renewals = run.poll();
+    for action in &renewals {
+        run.end(action, Some(OrderFailure::OtherServer));
+    }
+    let next = run.poll();
+
+    let written = next.iter().find_map(|action| match action {
+        PlanAction::Write(state) => Some(state),
+        _ => None,
+    });
+    let owner = written.and_then(|state| owner_of(state, 0));
+    assert_eq!(owner, Some(life(1).id));
+    assert!(
+        !next
+            .iter()
+            .any(|action| matches!(action, PlanAction::Grant { server, .. } if *server == lost))
+    );
+}
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -42,6 +42,13 @@
     )]
 }
 
+/// Answer of a server that owns no keys, to which an order is a request without an id.
+fn no_owner() -> Vec<Step> {
+    vec![Step::Send(
+        "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".into(),
+    )]
+}
+
 async fn leader_host(name: &str, store: SocketAddr, server: SocketAddr) -> LeaderHost {
     leader_host_with(name, store, vec![entry("s-1", "keyed", server)]).await
 }
@@ -304,3 +311,28 @@
     assert!(!follower.state.is_direct());
     assert_eq!(follower.state.marks().get(StoreKind::Fleet), 30);
 }
+
+/// Guards against the finding of incident inc-8def: the address of a lost owner belongs to
+/// a server of another service, whose answers kept the owner in place.
+#[tokio::test]
+async fn address_of_a_server_without_keys_has_no_owner() {
+    let (store, address) = StoreStandin::start().await;
+    let other = ScriptedServer::start(vec![no_owner()]).await;
+    let server = ScriptedServer::start(vec![accepted()]).await;
+    let lost = entry("s-1", "keyed", other.address);
+    let alive = entry("s-2", "keyed", server.address);
+
+    let _host = leader_host_with("host-1", address, vec![lost, alive]).await;
+
+    let owned_by_live = |state: &OwnerState| {
+        let mut ranges = state.services.values().flat_map(|owners| &owners.ranges);
+        ranges.all(|record| match &record.phase {
+            RangePhase::Owned { owner, .. } => owner.id.as_str() == "s-2",
+            RangePhase::Moving { .. } | RangePhase::Free => false,
+        })
+    };
+    until("keys have moved", || {
+        stored(&store).is_some_and(|state| is_owned(&state) && owned_by_live(&state))
+    })
+    .await;
+}
