--- a/crates/core/tests/leader_plan.rs
+++ b/crates/core/tests/leader_plan.rs
@@ -202,13 +202,14 @@
 /// and their keys stayed without an owner for two seconds.
 #[test]
 fn owner_at_whose_address_another_server_answers_is_replaced_at_once() {
-    let state = owned_by(&[(0, 65_535, 0, 7)]);
+    let state = owned_by(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
     let mut run = PlanRun::new(state, &[0, 1]);
     let lost = life(0);
 
     let renewals = run.poll();
     for action in &renewals {
-        run.end(action, Some(OrderFailure::OtherServer));
+        let to_lost = matches!(action, PlanAction::Grant { server, .. } if *server == lost);
+        run.end(action, to_lost.then_some(OrderFailure::OtherServer));
     }
     let next = run.poll();
 
