Gather the leader's rounds, and let the largest hosts try first without the store

Each round compared every range with every range of the pending write, chose moves over all keys while a key had no owner, and could write. Its mailbox overflowed 1,824 times, its digests came late, and 21 terms began in 25 s as every host took over from the last leader. Ruled out: rejected or oversized datagrams (none logged), links (the new leaders were fast ones).

Change: answers are gathered for 10 ms, the next assignment is worked out at most every 20 ms, keys without an owner are placed at most every 100 ms, ranges are found by position.

--- a/crates/core/src/ownership/leader_plan.rs
+++ b/crates/core/src/ownership/leader_plan.rs
@@ -42,6 +42,14 @@
 /// Interval at which load is evened out: long enough to see the effect of a move.
 const BALANCE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which keys without an owner are placed: answers of servers come in quick
+/// succession, and each choice looks at all keys.
+const ORPHAN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval at which the next assignment is worked out; it gathers the steps of many
+/// moves into one write.
+const DRAFT_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Longest wait for the answer to a release, which comes when running work has ended.
 /// A lost answer is found by asking again.
 const RELEASE_LIMIT: Duration = Duration::from_millis(1_200);
@@ -183,6 +191,10 @@
     confirmed_at: BootTime,
     majority_at: BootTime,
     balanced_at: BootTime,
+    /// When moves were last chosen.
+    chosen_at: BootTime,
+    /// When the next assignment was last worked out.
+    drafted_at: BootTime,
     grants: HashMap<RangeKey, GrantTrack>,
     clears: HashMap<RangeKey, ClearTrack>,
     handovers: HashMap<RangeKey, String>,
@@ -234,6 +246,8 @@
             confirmed_at: now,
             majority_at: BootTime::default(),
             balanced_at: now,
+            chosen_at: BootTime::default(),
+            drafted_at: BootTime::default(),
             grants: HashMap::new(),
             clears: HashMap::new(),
             handovers: HashMap::new(),
@@ -452,6 +466,7 @@
         self.renew(world, now, &mut actions);
         self.clear(now, &mut actions);
         if self.pending.is_none()
+            && now.since(self.drafted_at) >= DRAFT_INTERVAL
             && let Some(draft) = self.draft(world, now)
         {
             self.pending = Some(draft.clone());
@@ -562,6 +577,8 @@
     /// Next assignment, if it differs.
     fn draft(&mut self, world: PlanWorld<'_>, now: BootTime) -> Option<OwnerState> {
         let mut draft = self.state.clone();
+        let mut chosen = false;
+        self.drafted_at = now;
         self.note_fleet(world, now);
         for service in world.services {
             let owners = draft
@@ -570,9 +587,12 @@
                 .or_insert_with(|| ServiceOwners::new(1));
             let rooms = self.rooms(world, service, owners, now);
             self.settle_moves(world, service, owners, &rooms, now);
-            self.start_moves(world, service, owners, &rooms, now);
+            chosen |= self.start_moves(world, service, owners, &rooms, now);
             owners.merge();
         }
+        if chosen {
+            self.chosen_at = now;
+        }
         if self.balance_due(now) {
             self.balanced_at = now;
         }
@@ -665,16 +685,16 @@
             else {
                 continue;
             };
-            let renewing = self.grants.iter().any(|((name, range, _), track)| {
-                track.in_flight && name == service && range.overlaps(record.range)
-            });
             let key = (service.clone(), record.range, *token);
             let track = self.clears.get(&key);
             let raising = track.is_some_and(|track| track.in_flight && track.granting);
             let released = track.is_some_and(|track| track.step == ClearStep::Done);
-            let expired =
-                !raising && !renewing && now > self.bounds.end(service, owner, record.range);
-            if !(released || expired || self.is_over(world.fleet, owner)) {
+            let expired = || {
+                !raising
+                    && now > self.bounds.end(service, owner, record.range)
+                    && !self.is_renewing(service, record.range)
+            };
+            if !(released || self.is_over(world.fleet, owner) || expired()) {
                 continue;
             }
             let handover = track.and_then(|track| track.handover.clone());
@@ -697,7 +717,15 @@
         }
     }
 
-    /// Marks ranges as moving whose owner leaves, is silent or is too busy.
+    /// Whether a renewal of keys of the range may still arrive.
+    fn is_renewing(&self, service: &ServiceName, range: KeyRange) -> bool {
+        self.grants.iter().any(|((name, granted, _), track)| {
+            track.in_flight && name == service && granted.overlaps(range)
+        })
+    }
+
+    /// Marks ranges as moving whose owner leaves, is silent or is too busy; `true` if
+    /// moves were chosen.
     fn start_moves(
         &mut self,
         world: PlanWorld<'_>,
@@ -705,7 +733,7 @@
         owners: &mut ServiceOwners,
         rooms: &[ServerRoom],
         now: BootTime,
-    ) {
+    ) -> bool {
         for record in &mut owners.ranges {
             if let RangePhase::Owned { owner, .. } = &record.phase
                 && self.is_over(world.fleet, owner)
@@ -718,14 +746,19 @@
             RangePhase::Owned { owner, .. } => !rooms.iter().any(|room| room.life == *owner),
             RangePhase::Moving { .. } => false,
         });
-        if !self.is_fleet_settled(owners, now) || !(orphaned || self.balance_due(now)) {
-            return;
+        let due = match orphaned {
+            true => now.since(self.chosen_at) >= ORPHAN_INTERVAL,
+            false => self.balance_due(now),
+        };
+        if !due || !self.is_fleet_settled(owners, now) {
+            return false;
         }
         let empty = RangeLoad::new(now);
         let load = self.loads.get(service).unwrap_or(&empty);
         for planned in choose_moves(&owners.ranges, load, rooms) {
             Self::start_move(owners, planned.range, &planned.target);
         }
+        true
     }
 
     fn start_move(owners: &mut ServiceOwners, range: KeyRange, target: &ServerLife) {
@@ -773,9 +806,8 @@
     };
     // Splits and merges do not matter, only whether all keys stay with this phase.
     owners
-        .ranges
+        .overlapping(record.range)
         .iter()
-        .filter(|other| other.range.overlaps(record.range))
         .all(|other| other.phase == record.phase)
 }
 
--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -138,6 +138,17 @@
         token
     }
 
+    /// Records that have keys of `range`.
+    pub fn overlapping(&self, range: KeyRange) -> &[RangeRecord] {
+        let start = self
+            .ranges
+            .partition_point(|record| record.range.last < range.first);
+        let end = self
+            .ranges
+            .partition_point(|record| record.range.first <= range.last);
+        &self.ranges[start..end]
+    }
+
     /// Splits ranges so that `range` is made of whole records, and returns their positions.
     pub fn isolate(&mut self, range: KeyRange) -> std::ops::Range<usize> {
         self.cut_before(range.first);
--- a/crates/core/tests/leader_plan.rs
+++ b/crates/core/tests/leader_plan.rs
@@ -10,7 +10,10 @@
         },
         time::BootTime,
     },
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::{HashMap, VecDeque},
+        time::Duration,
+    },
 };
 
 const START: BootTime = BootTime::from_millis(100_000);
@@ -87,7 +90,11 @@
     }
 
     fn poll(&mut self) -> Vec<PlanAction> {
-        self.now += STEP;
+        self.poll_after(STEP)
+    }
+
+    fn poll_after(&mut self, span: Duration) -> Vec<PlanAction> {
+        self.now += span;
         self.plan.take(PlanInput::Confirmed(self.now), self.now);
         let capacity: HashMap<ServerId, f32> = HashMap::new();
         let world = PlanWorld {
@@ -225,3 +232,35 @@
             .any(|action| matches!(action, PlanAction::Grant { server, .. } if *server == lost))
     );
 }
+
+/// Guards against the finding of flotte-gw-grown, trouble-1: the leader worked out the
+/// assignment anew for each answer of hundreds of servers, had no processor time left for
+/// its digests, and every host took over from the last leader.
+#[test]
+fn steps_of_moves_are_gathered_into_one_write() {
+    let owners: Vec<(u16, u16, u16, u64)> = (0..32)
+        .map(|at| (at * 2_048, at * 2_048 + 2_047, at, u64::from(at)))
+        .collect();
+    let servers: Vec<u16> = (16..48).collect();
+    let mut run = PlanRun::new(owned_by(&owners), &servers);
+    let mut writes = 0;
+
+    let mut open: VecDeque<PlanAction> = run.poll().into();
+    for _ in 0..100 {
+        for action in run.poll_after(Duration::from_millis(1)) {
+            match action {
+                PlanAction::Write(_) => {
+                    writes += 1;
+                    run.end(&action, None);
+                }
+                action => open.push_back(action),
+            }
+        }
+        // One server answers in each millisecond.
+        if let Some(action) = open.pop_front() {
+            run.end(&action, None);
+        }
+    }
+
+    assert!(writes <= 5, "{writes} writes within 100 ms");
+}
--- a/crates/gateway/src/leader/host_table.rs
+++ b/crates/gateway/src/leader/host_table.rs
@@ -21,6 +21,7 @@
 const SPEED_MEMORY: f64 = 0.9;
 
 /// One host that reports.
+#[derive(Debug)]
 struct HostTrack {
     address: SocketAddr,
     seen_at: BootTime,
@@ -29,7 +30,7 @@
 }
 
 /// Speed of a server over all hosts.
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct SpeedTrack {
     mean: f64,
     /// When another host last reported a success.
@@ -37,8 +38,8 @@
 }
 
 /// Hosts that report, and the speed of servers as they see it.
-#[derive(Default)]
-pub(super) struct HostTable {
+#[derive(Debug, Default)]
+pub struct HostTable {
     hosts: BTreeMap<HostId, HostTrack>,
     speeds: HashMap<ServerTag, SpeedTrack>,
 }
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -35,10 +35,15 @@
         sync::Arc,
         time::Duration,
     },
+    tokio::time::sleep,
 };
 
 /// Interval of the leader's work: a change of owner takes a few of them.
-const LEADER_TICK: Duration = Duration::from_millis(50);
+const LEADER_TICK: Duration = Duration::from_millis(25);
+
+/// Time in which answers of servers are gathered while ranges move: a round of the plan
+/// looks at all ranges, and answers come by the hundred.
+const MOVE_GATHER: Duration = Duration::from_millis(10);
 
 /// Interval of the other hosts' work.
 const FOLLOWER_TICK: Duration = Duration::from_millis(125);
@@ -123,6 +128,8 @@
     /// Changes of the assignment that this leader sent.
     owner_log: ChangeLog<OwnerChange>,
     digests: u32,
+    /// Number of the last digest at which this leader had the store.
+    store_lost_at: u32,
     confirm_failures: u32,
     confirming: bool,
     /// Hosts of which most have to report, as of the last word from the store.
@@ -137,6 +144,8 @@
     marks: StoreMarks,
     reported_at: BootTime,
     confirmed_at: BootTime,
+    /// A round of the plan before the next tick is under way.
+    hastened: bool,
     stopping: bool,
 }
 
@@ -160,6 +169,7 @@
             fleet_sent: 0,
             owner_log: ChangeLog::default(),
             digests: 0,
+            store_lost_at: 0,
             confirm_failures: 0,
             confirming: false,
             quorum_base: 0,
@@ -170,6 +180,7 @@
             marks: StoreMarks::default(),
             reported_at: now,
             confirmed_at: now,
+            hastened: false,
             stopping: false,
             state,
         }
@@ -617,11 +628,13 @@
 
     /// Hosts that are to watch the store besides this one. Without the store, they take
     /// turns, until one reaches it and takes over.
-    fn watchers(&self, has_store: bool) -> Vec<SocketAddr> {
-        let turn = match has_store {
-            true => 0,
-            false => usize::try_from(self.digests / WATCHER_TURN).unwrap_or(0),
-        };
+    fn watchers(&mut self, has_store: bool) -> Vec<SocketAddr> {
+        if has_store {
+            self.store_lost_at = self.digests;
+        }
+        // The largest hosts, which watch anyway, are the first to try.
+        let turn = self.digests.wrapping_sub(self.store_lost_at) / WATCHER_TURN;
+        let turn = usize::try_from(turn).unwrap_or(0);
         let own = &self.state.settings.host;
         self.hosts.watchers(own, WATCHERS, turn * WATCHERS)
     }
@@ -896,13 +909,34 @@
         }
         plan.take(event.input, now);
         // Renewals wait for the next tick, which saves a round of the plan for each.
-        if plan.has_moves() {
+        if plan.has_moves() && !self.hastened {
+            self.hastened = true;
             let actor = context.actor_ref().clone();
-            self.lead(&actor, now);
+            tokio::spawn(async move {
+                sleep(MOVE_GATHER).await;
+                if let Err(error) = actor.tell(Hasten).await {
+                    log::error!(reason:% = error; "leader actor is gone");
+                }
+            });
         }
     }
 }
 
+/// Work on moves before the next tick.
+#[derive(Debug)]
+struct Hasten;
+
+impl Message<Hasten> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Hasten, context: &mut Context<Self, Self::Reply>) {
+        self.hastened = false;
+        let now = self.state.now();
+        let actor = context.actor_ref().clone();
+        self.lead(&actor, now);
+    }
+}
+
 impl Message<WriteEnded> for LeaderActor {
     type Reply = ();
 
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -8,6 +8,8 @@
 mod owner_store;
 
 pub use {
+    candidacy::Candidacy,
+    host_table::HostTable,
     leader_actor::LeaderActor,
     leader_messages::{DigestIn, MissedIn, OwnersIn, OwnersSeen, ReportIn, Resign, Tick},
     owner_store::OwnerStore,
