--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -867,7 +867,7 @@
         self.state.set_others(digest.hosts, &digest.servers);
         let behind = |kind| self.state.is_behind(kind);
         if !watches && (behind(StoreKind::Fleet) || behind(StoreKind::Owners)) {
-            let message = PeerMessage::Missed(self.state.marks());
+            let message = PeerMessage::Missed(self.state.all_seen());
             self.link.send(&self.state, from, &message);
         }
     }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -521,6 +521,16 @@
         self.lock().own_marks
     }
 
+    /// Revisions through which this host has followed the store.
+    pub fn all_seen(&self) -> StoreMarks {
+        self.lock().seen_through
+    }
+
+    /// Newest change of a kind that other hosts have seen.
+    pub fn peer_mark(&self, kind: StoreKind) -> u64 {
+        self.lock().peer_marks.get(kind)
+    }
+
     /// Takes the newest changes that other hosts have seen.
     pub fn set_peer_marks(&self, marks: &StoreMarks) {
         let mut inner = self.lock();
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -3,7 +3,9 @@
 
 use {
     crate::state::{HostState, RevisionSpan, StoreKind},
-    camphorcove_platform::{StoreClient, StoreFault, StoredObject, WatchEvent},
+    camphorcove_platform::{
+        ObjectListing, ReadAge, StoreClient, StoreFault, StoredObject, WatchEvent,
+    },
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -79,7 +81,10 @@
 /// Why the kind has to be listed again.
 enum FollowEnd {
     Fault(StoreFault),
+    /// The host's own watch lags.
     Behind,
+    /// The leader has named a newer revision.
+    Newer,
 }
 
 /// What a host that hears from the leader has to do.
@@ -90,12 +95,15 @@
 
 /// Follows a kind for ever.
 pub async fn follow<F: KindFollower>(state: Arc<HostState>, store: StoreClient, mut follower: F) {
+    let mut age = ReadAge::Current;
     loop {
-        list(&state, &store, &mut follower).await;
+        list(&state, &store, &mut follower, age).await;
+        age = ReadAge::Current;
         match stay_current(&state, &store, &mut follower).await {
             FollowEnd::Behind => {
                 log::info!(kind = F::KIND; "other hosts have seen more, listing anew");
             }
+            FollowEnd::Newer => age = ReadAge::Stale,
             FollowEnd::Fault(fault) => {
                 log::info!(kind = F::KIND, reason:% = fault; "watch ended, listing anew");
             }
@@ -104,12 +112,24 @@
 }
 
 /// Lists the kind, however long it takes.
-async fn list<F: KindFollower>(state: &HostState, store: &StoreClient, follower: &mut F) {
+///
+/// Old data are tried only where a revision is known that they must reach; they do not
+/// go back, as the newest version of each object counts.
+async fn list<F: KindFollower>(
+    state: &HostState,
+    store: &StoreClient,
+    follower: &mut F,
+    mut age: ReadAge,
+) {
     let mut pause = PAUSE_FIRST;
     let mut lost = false;
     loop {
         count_call(state);
-        match store.list(F::KIND, LIST_LIMIT).await {
+        match store.list(F::KIND, age, LIST_LIMIT).await {
+            Ok(listing) if age == ReadAge::Stale && !reaches(state, F::MARK, &listing) => {
+                log::debug!(kind = F::KIND, revision = listing.revision; "stale list is too old");
+                age = ReadAge::Current;
+            }
             Ok(listing) => {
                 if lost {
                     log::info!(kind = F::KIND, revision = listing.revision; "store regained");
@@ -125,6 +145,7 @@
                 return;
             }
             Err(fault) => {
+                age = ReadAge::Current;
                 if !lost {
                     log::warn!(kind = F::KIND, reason:% = fault; "store lost");
                     lost = true;
@@ -136,6 +157,12 @@
     }
 }
 
+/// Whether a list has the newest change that other hosts have seen.
+fn reaches(state: &HostState, kind: StoreKind, listing: &ObjectListing) -> bool {
+    let newest = listing.objects.iter().map(|object| object.revision).max();
+    newest.unwrap_or_default() >= state.peer_mark(kind)
+}
+
 async fn stay_current<F: KindFollower>(
     state: &HostState,
     store: &StoreClient,
@@ -147,7 +174,7 @@
             FeedEnd::CatchUp if F::CATCH_UP == CatchUp::List => {
                 // Lists for changes in quick succession are gathered, too.
                 sleep(gather_pause(state) / 2).await;
-                return FollowEnd::Behind;
+                return FollowEnd::Newer;
             }
             FeedEnd::CatchUp => CATCH_UP_WAIT,
         };
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -29,8 +29,8 @@
     tokio::time::{sleep, timeout},
 };
 
-/// Hosts of a run.
-const HOSTS: usize = 3;
+/// Hosts of a run: the leader, two that watch the store, and two that hear from the leader.
+const HOSTS: usize = 5;
 
 /// Keyed servers, and others, at the start.
 const KEYED: usize = 3;
