Split the leader's actor by concern

News between hosts, message handlers and the takeover have files of their own. Behaviour is unchanged; overlapping ranges are found by one function.

--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -140,13 +140,17 @@
 
     /// Records that have keys of `range`.
     pub fn overlapping(&self, range: KeyRange) -> &[RangeRecord] {
+        &self.ranges[self.positions(range)]
+    }
+
+    fn positions(&self, range: KeyRange) -> std::ops::Range<usize> {
         let start = self
             .ranges
             .partition_point(|record| record.range.last < range.first);
         let end = self
             .ranges
             .partition_point(|record| record.range.first <= range.last);
-        &self.ranges[start..end]
+        start..end
     }
 
     /// Splits ranges so that `range` is made of whole records, and returns their positions.
@@ -155,13 +159,7 @@
         if let Some(after) = range.last.checked_add(1) {
             self.cut_before(after);
         }
-        let start = self
-            .ranges
-            .partition_point(|record| record.range.last < range.first);
-        let end = self
-            .ranges
-            .partition_point(|record| record.range.first <= range.last);
-        start..end
+        self.positions(range)
     }
 
     fn cut_before(&mut self, key: u16) {
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -3,9 +3,12 @@
 mod candidacy;
 mod host_table;
 mod leader_actor;
+mod leader_handlers;
 mod leader_messages;
+mod leader_news;
 mod order_sender;
 mod owner_store;
+mod takeover;
 
 pub use {
     candidacy::Candidacy,
