--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod body_budget;
 mod change_log;
+mod fleet_news;
 mod fleet_update;
 mod host_state;
 mod log_gate;
