--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -15,7 +15,7 @@
     },
     camphorcove_platform::StoreClient,
     camphorcove_platform_standin::{
-        scripted_server::{ScriptedServer, Step},
+        scripted_server::{ScriptedServer, Step, order_not_taken},
         store_standin::StoreStandin,
     },
     kameo::actor::{ActorRef, Spawn},
@@ -42,13 +42,6 @@
     )]
 }
 
-/// Answer of a server that owns no keys, to which an order is a request without an id.
-fn no_owner() -> Vec<Step> {
-    vec![Step::Send(
-        "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".into(),
-    )]
-}
-
 async fn leader_host(name: &str, store: SocketAddr, server: SocketAddr) -> LeaderHost {
     leader_host_with(name, store, vec![entry("s-1", "keyed", server)]).await
 }
@@ -317,7 +310,7 @@
 #[tokio::test]
 async fn address_of_a_server_without_keys_has_no_owner() {
     let (store, address) = StoreStandin::start().await;
-    let other = ScriptedServer::start(vec![no_owner()]).await;
+    let other = ScriptedServer::start(vec![order_not_taken()]).await;
     let server = ScriptedServer::start(vec![accepted()]).await;
     let lost = entry("s-1", "keyed", other.address);
     let alive = entry("s-2", "keyed", server.address);
