--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -39,6 +39,11 @@
             &counters.store_calls,
         ),
         ("orders_total", "Orders to servers.", &counters.orders),
+        (
+            "configs_rejected_total",
+            "Configurations that could not be decoded.",
+            &counters.configs_rejected,
+        ),
     ];
     for (name, help, value) in rows {
         let counter = IntCounter::new(format!("camphorcove_{name}"), help)?;
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -60,6 +60,8 @@
     pub store_calls: AtomicU64,
     /// Grant and release orders sent to servers.
     pub orders: AtomicU64,
+    /// Configurations that could not be decoded.
+    pub configs_rejected: AtomicU64,
 }
 
 /// Short hash of a server id for datagrams. If two ids collide, only the load figures of the
--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -4,7 +4,7 @@
     super::{CatchUp, KindChange, KindFollower},
     crate::state::{HostState, RevisionSpan, StoreKind},
     camphorcove_platform::{CONFIG_KIND, CONFIG_NAME, StoredObject, decode_configuration},
-    std::sync::Arc,
+    std::sync::{Arc, atomic::Ordering},
 };
 
 /// Applies changes of the operator's configuration.
@@ -32,6 +32,8 @@
                 }
             }
             Err(fault) => {
+                let counters = &self.state.counters;
+                counters.configs_rejected.fetch_add(1, Ordering::Relaxed);
                 log::error!(revision, reason:% = fault; "configuration rejected, keeping the current one");
             }
         }
