Start each host's traffic split at a point of its own

Cause: every host began a split with the part of the largest weight, and again after each configuration. 60 hosts with 2 requests each gave a 70:30 split 50:50. Ruled out: a random choice for each request, which misses the weights over a few hundred requests of one host. Change: a phase drawn at the start of the process. The new test fails with the phase fixed at zero (share 0.5 against 0.7, 1.0 against 0.9).

--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -81,3 +81,31 @@
     let share = counts.get("one").copied().unwrap_or(0);
     assert!(share.abs_diff(expected_share) <= 1, "{counts:?}");
 }
+
+/// Guards against shares over many hosts that differ from the weights because every host starts
+/// with the same part: 60 hosts with 2 requests each sent every part of a 70:30 split half of
+/// the requests.
+#[rstest]
+#[case(&[("one", 70), ("two", 30)], 2, 0.7)]
+#[case(&[("one", 90), ("two", 10)], 5, 0.9)]
+#[case(&[("one", 5), ("two", 4_000_000)], 3, 0.0)]
+fn split_keeps_its_weights_over_many_hosts(
+    #[case] parts: &[(&str, u32)],
+    #[case] requests_per_host: u32,
+    #[case] expected_share: f64,
+) {
+    const HOSTS: u32 = 60;
+    let rule = rule("r", "/a/", parts);
+    let mut ones = 0_u32;
+
+    for host in 0..HOSTS {
+        let phase = f64::from(host) / f64::from(HOSTS);
+        let mut round_robin = WeightedRoundRobin::with_phase(phase);
+        for _ in 0..requests_per_host {
+            ones += u32::from(round_robin.next(&rule).as_str() == "one");
+        }
+    }
+
+    let share = f64::from(ones) / f64::from(HOSTS * requests_per_host);
+    assert!((share - expected_share).abs() <= 0.05, "{share}");
+}
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -172,7 +172,8 @@
     pub fn new(settings: GatewaySettings) -> Self {
         let mut random: ChaCha8Rng = rand::make_rng();
         let nonce = rand::RngExt::random(&mut random);
-        let random = ChaCha8Rng::from_rng(&mut random);
+        let mut random = ChaCha8Rng::from_rng(&mut random);
+        let round_robin = WeightedRoundRobin::with_phase(rand::RngExt::random(&mut random));
         let body_budget = Arc::new(BodyBudget::new(settings.memory_mb));
         Self {
             settings,
@@ -186,7 +187,7 @@
             is_leader: AtomicBool::new(false),
             inner: Mutex::new(StateInner {
                 table: None,
-                round_robin: WeightedRoundRobin::default(),
+                round_robin,
                 fleet: Arc::default(),
                 outage_guard: OutageGuard::default(),
                 fleet_log: ChangeLog::default(),
