Bound bytes without end, and keep late second answers apart

Could happen here, shown by tests that fail with the fix undone: - A request that a server refused was sent to it again on the same connection, with the same id; a late second refusal then answered the second attempt, and the caller was told "not run" though the server ran it. Such an attempt now gets a new connection. - Answers to orders carry no id: a late second answer to a grant was taken for the answer to a release, after which the next owner would get the keys. Could not happen, now held by tests: a head without end in four forms (bounded at 64 KiB instead of 400), a late second response with another id.

--- a/crates/gateway/src/forward/connection_pool.rs
+++ b/crates/gateway/src/forward/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to backend servers.
 
 use {
+    super::server_call::CallTarget,
     crate::state::HostState,
     bytes::Bytes,
     camphorcove_core::{fleet::ServerEntry, ids::ServerId, time::BootTime},
@@ -31,6 +32,9 @@
 /// Idle timeout assumed for a server that does not announce one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Receive buffer of a connection, in bytes; it limits the size of a response's headers.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Number of connections that a host may always open to a server, whatever its share.
 const MIN_CONNECTIONS: u32 = 2;
 
@@ -106,23 +110,20 @@
         }
     }
 
-    /// Takes an idle connection or opens a new one; `max_connections` is the number of
-    /// connections that the server accepts from all hosts together.
-    pub async fn acquire(
-        &self,
-        entry: &ServerEntry,
-        max_connections: u32,
-    ) -> Result<PooledConnection, PoolError> {
+    /// Takes an idle connection, unless the request was sent to the server before, or opens a new
+    /// one.
+    pub async fn acquire(&self, target: CallTarget<'_>) -> Result<PooledConnection, PoolError> {
+        let entry = target.entry;
         let key = ConnectionKey {
             server: entry.id.clone(),
             incarnation: entry.incarnation,
             address: entry.address,
         };
-        let open_count = match self.take_idle(&key) {
+        let open_count = match self.take_idle(&key, !target.sent_before) {
             Ok(pooled) => return Ok(pooled),
             Err(open_count) => open_count,
         };
-        let host_share = (max_connections / self.state.hosts().max(1)).max(MIN_CONNECTIONS);
+        let host_share = (target.max_connections / self.state.hosts().max(1)).max(MIN_CONNECTIONS);
         if open_count.load(Ordering::Relaxed) >= host_share {
             return FullSnafu.fail();
         }
@@ -189,7 +190,13 @@
         });
     }
 
-    fn take_idle(&self, key: &ConnectionKey) -> Result<PooledConnection, Arc<AtomicU32>> {
+    /// Takes an idle connection if `may_reuse` allows it; otherwise returns the counter of the
+    /// server's open connections.
+    fn take_idle(
+        &self,
+        key: &ConnectionKey,
+        may_reuse: bool,
+    ) -> Result<PooledConnection, Arc<AtomicU32>> {
         let now = self.state.now();
         let mut by_server = self.lock();
         let server_connections = by_server.entry(key.clone()).or_default();
@@ -200,7 +207,7 @@
         let ready_index = server_connections
             .idle
             .iter()
-            .rposition(|idle| idle.sender.is_ready());
+            .rposition(|idle| may_reuse && idle.sender.is_ready());
         match ready_index {
             Some(index) => Ok(PooledConnection {
                 sender: server_connections.idle.remove(index).sender,
@@ -225,7 +232,9 @@
     stream
         .set_nodelay(true)
         .map_err(|error| error.to_string())?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(RECEIVE_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
     tokio::spawn(async move {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -6,6 +6,6 @@
 
 pub use {
     connection_pool::{ConnectionPool, PoolError},
-    response_body::ResponseBody,
-    server_call::{AttemptTimeout, CallOutcome, CallRequest, send_call},
+    response_body::{BodyError, ResponseBody},
+    server_call::{AttemptTimeout, CallOutcome, CallRequest, CallTarget, send_call},
 };
--- a/crates/gateway/src/forward/response_body.rs
+++ b/crates/gateway/src/forward/response_body.rs
@@ -6,12 +6,29 @@
     camphorcove_core::dispatch::RequestOutcome,
     http_body::{Body, Frame, SizeHint},
     hyper::body::Incoming,
+    snafu::{ResultExt, Snafu},
     std::{
+        future::Future,
         pin::Pin,
         task::{Context, Poll},
     },
+    tokio::time::Sleep,
 };
 
+/// Why a streamed body ends before it is complete.
+#[derive(Debug, Snafu)]
+pub enum BodyError {
+    /// The server's connection ended or sent bytes that are no body.
+    #[snafu(display("server's answer broke off: {source}"))]
+    BrokenOff {
+        /// Error of the server's connection.
+        source: hyper::Error,
+    },
+    /// The caller's deadline passed.
+    #[snafu(display("server's answer did not end before the caller's deadline"))]
+    TimedOut,
+}
+
 /// A response body that is fully buffered, or streamed while it arrives from the server.
 #[derive(Debug, Default)]
 pub enum ResponseBody {
@@ -31,18 +48,34 @@
     pub buffered: Bytes,
     /// The part that has not been read from the server yet.
     pub remaining: Incoming,
+    /// Ends the body when the caller's deadline passes, as a server in trouble may send bytes
+    /// without end.
+    pub deadline: Pin<Box<Sleep>>,
     /// Counts the request as running on the server until the body has ended.
     pub permit: Option<ServerPermit>,
 }
 
+impl StreamedBody {
+    fn poll_remaining(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(TimedOutSnafu.fail()));
+        }
+        let polled = Pin::new(&mut self.remaining).poll_frame(cx);
+        polled.map(|frame| frame.map(|frame| frame.context(BrokenOffSnafu)))
+    }
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Empty => Poll::Ready(None),
             Self::Buffered(bytes) => {
@@ -58,7 +91,7 @@
                     let buffered = std::mem::take(&mut body.buffered);
                     return Poll::Ready(Some(Ok(Frame::data(buffered))));
                 }
-                let polled = Pin::new(&mut body.remaining).poll_frame(cx);
+                let polled = body.poll_remaining(cx);
                 let outcome = match &polled {
                     Poll::Ready(None) => RequestOutcome::Success,
                     Poll::Ready(Some(Err(_))) => RequestOutcome::Failure,
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -15,7 +15,7 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     std::{sync::Arc, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Responses shorter than this are read completely before they are forwarded: if one is
@@ -43,6 +43,20 @@
     pub id: HeaderValue,
     /// When the caller's deadline or the route's time limit passes, whichever is first.
     pub expires_at: BootTime,
+    /// When the caller stops waiting; a response that has begun may go on until then.
+    pub caller_leaves_at: BootTime,
+}
+
+/// Server that an attempt is sent to.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTarget<'a> {
+    /// Registration entry of the server.
+    pub entry: &'a ServerEntry,
+    /// Number of connections that the server accepts from all hosts together.
+    pub max_connections: u32,
+    /// Whether this request was sent to the server before. A late second response to that
+    /// attempt has the same id, so the connection must not have carried it.
+    pub sent_before: bool,
 }
 
 /// How an attempt ended.
@@ -77,13 +91,13 @@
 /// the request's deadline.
 pub async fn send_call(
     pool: &Arc<ConnectionPool>,
-    entry: &ServerEntry,
-    max_connections: u32,
+    target: CallTarget<'_>,
     permit: ServerPermit,
     call: &CallRequest,
     attempt_timeout: Option<AttemptTimeout<'_>>,
 ) -> CallOutcome {
-    let mut pooled = match pool.acquire(entry, max_connections).await {
+    let entry = target.entry;
+    let mut pooled = match pool.acquire(target).await {
         Ok(pooled) => pooled,
         Err(PoolError::Full) => {
             permit.end(RequestOutcome::Abandoned, None);
@@ -138,7 +152,7 @@
         }
     };
     match result {
-        Ok(received) => complete_call(pool, pooled, permit, received),
+        Ok(received) => complete_call(pool, pooled, permit, received, call.caller_leaves_at),
         Err(ExchangeFailure::NotSent(reason)) => {
             permit.end(RequestOutcome::Abandoned, None);
             CallOutcome::NotSent(reason)
@@ -244,6 +258,7 @@
     pooled: PooledConnection,
     permit: ServerPermit,
     received: ServerResponse,
+    caller_leaves_at: BootTime,
 ) -> CallOutcome {
     let ServerResponse {
         head,
@@ -268,6 +283,7 @@
         ReadBody::Partial(buffered, remaining) => ResponseBody::Streamed(Box::new(StreamedBody {
             buffered,
             remaining,
+            deadline: Box::pin(sleep(caller_leaves_at.since(BootClock.now()))),
             permit: Some(permit),
         })),
     };
--- a/crates/gateway/src/leader/order_sender.rs
+++ b/crates/gateway/src/leader/order_sender.rs
@@ -5,9 +5,10 @@
     crate::state::{HostState, LogTopic},
     camphorcove_core::{
         ids::ServerId,
-        ownership::{KeyRange, ORDER_TIMEOUT, OrderFailure, PlanAction, PlanInput},
+        ownership::{GrantPurpose, KeyRange, ORDER_TIMEOUT, OrderFailure, PlanAction, PlanInput},
         time::BootTime,
     },
+    camphorcove_net::http::ConnectionUse,
     camphorcove_platform::{GrantOrder, ReleaseOrder, ServerOrders},
     kameo::actor::ActorRef,
     std::{
@@ -62,6 +63,7 @@
                 token_offset,
                 lease,
                 handover,
+                purpose,
             } => {
                 let order = GrantOrder {
                     server: server.clone(),
@@ -70,9 +72,15 @@
                     lease,
                     handover,
                 };
+                // A renewal that only seems to be answered is repeated soon. After a raise that
+                // only seems to be answered, the release could overtake it.
+                let connection_use = match purpose {
+                    GrantPurpose::Lease => ConnectionUse::Reused,
+                    GrantPurpose::RaiseToken => ConnectionUse::New,
+                };
                 let result = self
                     .orders
-                    .grant(&order, left(ORDER_TIMEOUT))
+                    .grant(&order, left(ORDER_TIMEOUT), connection_use)
                     .await
                     .map(|_| ());
                 self.log_failure("grant", &order.server.id, range, token, result.err());
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -8,7 +8,8 @@
     },
     crate::{
         forward::{
-            AttemptTimeout, CallOutcome, CallRequest, ConnectionPool, ResponseBody, send_call,
+            AttemptTimeout, CallOutcome, CallRequest, CallTarget, ConnectionPool, ResponseBody,
+            send_call,
         },
         state::{BodyReservation, HostState, LogTopic, PickQuery, PickRefusal, ServerPick},
     },
@@ -22,7 +23,7 @@
     },
     camphorcove_net::http::PipelinedHead,
     camphorcove_platform::{RequestHead, decode_request},
-    http::{HeaderValue, Request, Response, StatusCode, header, request::Parts},
+    http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header},
     http_body_util::{BodyExt, Empty},
     hyper::body::{Body, Incoming},
     std::{
@@ -234,7 +235,15 @@
             self.state.count_key(&service, key);
         }
         Ok(RoutedRequest {
-            call: call_request(parts, body, id, expires_at),
+            call: CallRequest {
+                method: parts.method,
+                target: parts.uri,
+                headers: forwarded_headers(parts.headers),
+                body,
+                id,
+                expires_at,
+                caller_leaves_at: started + deadline,
+            },
             rule,
             max_connections: config.map_or(1, |service| service.connections),
             service,
@@ -333,14 +342,12 @@
                         may_retry: &may_retry,
                     });
             let pool = &self.pool;
-            let sending = send_call(
-                pool,
-                &entry,
-                routed.max_connections,
-                permit,
-                &routed.call,
-                attempt_timeout,
-            );
+            let target = CallTarget {
+                entry: &entry,
+                max_connections: routed.max_connections,
+                sent_before: history.tried.contains(&entry.id),
+            };
+            let sending = send_call(pool, target, permit, &routed.call, attempt_timeout);
             let outcome = sending.await;
             if let Some(response) = self
                 .evaluate_outcome(&routed, &mut history, entry, outcome)
@@ -598,19 +605,11 @@
     id.and_then(|id| id.to_str().ok()).unwrap_or("")
 }
 
-fn call_request(parts: Parts, body: Bytes, id: HeaderValue, expires_at: BootTime) -> CallRequest {
-    let mut headers = parts.headers;
+fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     strip_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
-    CallRequest {
-        method: parts.method,
-        target: parts.uri,
-        headers,
-        body,
-        id,
-        expires_at,
-    }
+    headers
 }
 
 fn forward_response(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     http::{HeaderValue, Request, Response, header::HOST},
-    http_body_util::{BodyExt, Full},
+    http_body_util::{BodyExt, Full, Limited},
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     snafu::Snafu,
@@ -22,6 +22,22 @@
 /// Default maximum of idle connections per address; further ones are closed after use.
 const IDLE_LIMIT: usize = 8;
 
+/// Default limit of a response body, in bytes: several times the largest object of the store.
+const RESPONSE_LIMIT: usize = 8 << 20;
+
+/// Receive buffer of a connection, in bytes; it limits the size of a response's headers.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
+/// Whether an exchange may use a connection that has carried others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// An idle connection is reused if there is one.
+    Reused,
+    /// A new connection is opened and closed afterwards, so that the response cannot be a late
+    /// one to an earlier request.
+    New,
+}
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Why an exchange failed.
@@ -48,6 +64,7 @@
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
     idle_limit: usize,
     connect_limit: Option<Duration>,
+    response_limit: usize,
     abortive_close: bool,
 }
 
@@ -64,6 +81,7 @@
             idle: Arc::default(),
             idle_limit,
             connect_limit: None,
+            response_limit: RESPONSE_LIMIT,
             abortive_close: false,
         }
     }
@@ -75,6 +93,12 @@
         self
     }
 
+    /// Limits the size of a response body, in bytes; a longer one counts as no response.
+    pub fn with_response_limit(mut self, bytes: usize) -> Self {
+        self.response_limit = bytes;
+        self
+    }
+
     /// Resets connections on close, so that the kernel discards the unsent bytes of a
     /// cancelled request instead of delivering them later.
     pub fn with_abortive_close(mut self) -> Self {
@@ -90,19 +114,37 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         timeout: Duration,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        self.exchange_on(address, request, timeout, ConnectionUse::Reused)
+            .await
+    }
+
+    /// Like [`exchange`](Self::exchange), on a connection of this kind.
+    pub async fn exchange_on(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+        connection_use: ConnectionUse,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let deadline = Instant::now() + timeout;
-        let mut sender = self.connection(address, deadline).await?;
+        let mut sender = match connection_use {
+            ConnectionUse::Reused => self.connection(address, deadline).await?,
+            ConnectionUse::New => self.open_connection(address, deadline).await?,
+        };
         // On an overloaded host the deadline may have passed by now. The request is not
         // sent then, as its caller no longer waits for it.
         if Instant::now() >= deadline {
             return not_sent("timed out before sending");
         }
         let request = with_host_header(request, address);
-        let reply = timeout_at(deadline, send_and_receive(&mut sender, request))
+        let receiving = send_and_receive(&mut sender, request, self.response_limit);
+        let reply = timeout_at(deadline, receiving)
             .await
             .unwrap_or_else(|_| no_reply("timed out"))?;
-        self.store_idle(address, sender);
+        if connection_use == ConnectionUse::Reused {
+            self.store_idle(address, sender);
+        }
         Ok(reply)
     }
 
@@ -126,6 +168,14 @@
                 Err(_) => return not_sent("timed out waiting for a connection"),
             }
         }
+        self.open_connection(address, deadline).await
+    }
+
+    async fn open_connection(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<Sender, ExchangeError> {
         let connect_deadline = self.connect_limit.map(|limit| Instant::now() + limit);
         let deadline =
             connect_deadline.map_or(deadline, |connect_deadline| connect_deadline.min(deadline));
@@ -175,7 +225,9 @@
             .set_zero_linger()
             .or_else(|error| not_sent(error.to_string()))?;
     }
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(RECEIVE_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .or_else(|error| not_sent(error.to_string()))?;
     tokio::spawn(async move {
@@ -189,6 +241,7 @@
 async fn send_and_receive(
     sender: &mut Sender,
     request: Request<Full<Bytes>>,
+    response_limit: usize,
 ) -> Result<Response<Bytes>, ExchangeError> {
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
@@ -203,12 +256,15 @@
             };
         }
     };
-    read_body(response).await
+    read_body(response, response_limit).await
 }
 
-async fn read_body(response: Response<Incoming>) -> Result<Response<Bytes>, ExchangeError> {
+async fn read_body(
+    response: Response<Incoming>,
+    limit: usize,
+) -> Result<Response<Bytes>, ExchangeError> {
     let (parts, body) = response.into_parts();
-    let body = body
+    let body = Limited::new(body, limit)
         .collect()
         .await
         .or_else(|error| no_reply(error.to_string()))?;
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -10,5 +10,5 @@
 pub use {
     caller_stream::{CallerStream, ReadAhead},
     framing_guard::{FramingGuard, PipelinedHead},
-    http_client::{ExchangeError, HttpClient},
+    http_client::{ConnectionUse, ExchangeError, HttpClient},
 };
