Bring configurations to every host while the store turns many away

The leader's digests said at 3.54 s that it lacked the store; the next two hosts were asked at 5.54 s; b-2 saw the version at 5.72 s and led at 5.92 s. The last host had it at 12.2 s. Ruled out: lost datagrams and slow hosts (the revision was known to nobody). Change: a host reports that the store is out of its reach, and does not stay a watcher; while the leader lacks the store, eight hosts watch and take turns after three digests; the leader's own failed calls count, not only its confirmations; the leader sends small configurations, and again on request, so that hosts that the store turns away get them too and fewer read the store.

A new connection after a refusal is taken for requests that run at most once only.

--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -137,8 +137,6 @@
         lease: Duration,
         /// State that the previous owner handed over.
         handover: Option<String>,
-        /// Why the grant is sent.
-        purpose: GrantPurpose,
     },
     /// Ask the owner to release a range.
     Release {
@@ -157,15 +155,6 @@
     },
 }
 
-/// Why a grant is sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum GrantPurpose {
-    /// The server is to hold the range.
-    Lease,
-    /// The range is to be revoked: a higher token makes the server refuse earlier grants.
-    RaiseToken,
-}
-
 /// Lease renewal of one owned range.
 #[derive(Clone, Debug, Default)]
 struct GrantProgress {
@@ -568,7 +557,6 @@
                     token_offset: 0,
                     lease: LEASE_DURATION,
                     handover: self.handovers.get(&range_id).cloned(),
-                    purpose: GrantPurpose::Lease,
                 });
             }
         }
@@ -620,7 +608,6 @@
                             token_offset,
                             lease: LEASE_DURATION,
                             handover: None,
-                            purpose: GrantPurpose::RaiseToken,
                         }
                     }
                     _ => PlanAction::Release {
--- a/crates/gateway/src/forward/connection_pool.rs
+++ b/crates/gateway/src/forward/connection_pool.rs
@@ -110,8 +110,7 @@
         }
     }
 
-    /// Takes an idle connection, unless the request was sent to the server before, or opens a new
-    /// one.
+    /// Takes an idle connection or opens a new one.
     pub async fn acquire(&self, target: CallTarget<'_>) -> Result<PooledConnection, PoolError> {
         let entry = target.entry;
         let key = ConnectionKey {
@@ -119,7 +118,7 @@
             incarnation: entry.incarnation,
             address: entry.address,
         };
-        let open_count = match self.take_idle(&key, !target.sent_before) {
+        let open_count = match self.take_idle(&key, !target.needs_new_connection) {
             Ok(pooled) => return Ok(pooled),
             Err(open_count) => open_count,
         };
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -54,9 +54,10 @@
     pub entry: &'a ServerEntry,
     /// Number of connections that the server accepts from all hosts together.
     pub max_connections: u32,
-    /// Whether this request was sent to the server before. A late second response to that
-    /// attempt has the same id, so the connection must not have carried it.
-    pub sent_before: bool,
+    /// Whether the connection must not have carried another request. A late second response to
+    /// an earlier attempt at this server has the id of the request, so that it could make the
+    /// caller believe that the request has not run.
+    pub needs_new_connection: bool,
 }
 
 /// How an attempt ended.
--- a/crates/gateway/src/leader/host_table.rs
+++ b/crates/gateway/src/leader/host_table.rs
@@ -18,6 +18,9 @@
 /// is alive.
 const ANSWER_MAX_AGE: Duration = Duration::from_millis(1_500);
 
+/// Time for which a host that lacked the store is not chosen to watch it.
+const STORE_LOSS_MEMORY: Duration = Duration::from_secs(4);
+
 /// Weight that the moving average of the request time keeps for each new success.
 const MEAN_RETENTION: f64 = 0.9;
 
@@ -27,6 +30,8 @@
     address: SocketAddr,
     reported_at: BootTime,
     cpu_permille: u16,
+    /// When the host last reported that it lacks the store.
+    lacked_store_at: Option<BootTime>,
     in_flight: Vec<(ServerHash, u32)>,
 }
 
@@ -65,10 +70,18 @@
                 old => old + (mean - old) * weight,
             };
         }
+        let lacked_store_at = match report.lacks_store {
+            true => Some(now),
+            false => {
+                let known = self.hosts.get(&report.host);
+                known.and_then(|record| record.lacked_store_at)
+            }
+        };
         let record = HostRecord {
             address: from,
             reported_at: now,
             cpu_permille: report.cpu_permille,
+            lacked_store_at,
             in_flight,
         };
         self.hosts.insert(report.host.clone(), record);
@@ -114,11 +127,22 @@
     }
 
     /// Addresses of the next `count` hosts after the first `skipped`, ordered by descending
-    /// CPU share and without `own`. Wraps around at the end.
-    pub fn watchers(&self, own: &HostId, count: usize, skipped: usize) -> Vec<SocketAddr> {
+    /// CPU share and without `own`; hosts that lacked the store recently come last. Wraps around
+    /// at the end.
+    pub fn watchers(
+        &self,
+        own: &HostId,
+        count: usize,
+        skipped: usize,
+        now: BootTime,
+    ) -> Vec<SocketAddr> {
         let others = self.hosts.iter().filter(|(host, _)| *host != own);
         let mut others: Vec<&HostRecord> = others.map(|(_, record)| record).collect();
-        others.sort_by_key(|record| Reverse(record.cpu_permille));
+        let lacked_store = |record: &HostRecord| {
+            let at = record.lacked_store_at;
+            at.is_some_and(|at| now.since(at) < STORE_LOSS_MEMORY)
+        };
+        others.sort_by_key(|record| (lacked_store(record), Reverse(record.cpu_permille)));
         if !others.is_empty() {
             let at = skipped % others.len();
             others.rotate_left(at);
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -93,6 +93,8 @@
     pub(super) leader_without_store: Option<u64>,
     /// Revision of the last fleet update that this leader sent.
     pub(super) fleet_revision_sent: u64,
+    /// Revision of the last configuration that this leader sent.
+    pub(super) config_revision_sent: u64,
     /// Recent changes of the assignment that this leader sent.
     pub(super) owner_log: ChangeLog<OwnerChange>,
     /// Counts the digests of this process; wraps around.
@@ -144,6 +146,7 @@
             may_replace_leader: false,
             leader_without_store: None,
             fleet_revision_sent: 0,
+            config_revision_sent: 0,
             owner_log: ChangeLog::default(),
             digests_sent: 0,
             digests_at_store_loss: 0,
@@ -180,6 +183,7 @@
         }
         if is_leader {
             self.send_fleet_updates();
+            self.send_config_copy();
         }
         match is_leader {
             true => LEADER_TICK,
@@ -453,6 +457,7 @@
         self.hosts = HostTable::default();
         self.revisions = self.state.revisions();
         self.fleet_revision_sent = self.revisions.get(StoreKind::Fleet);
+        self.config_revision_sent = self.revisions.get(StoreKind::Config);
         self.may_replace_leader = false;
         self.state.set_is_leader(true);
         self.role = Role::Leader(Box::new(OwnershipPlanner::new(state, predecessor_end, now)));
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -165,7 +165,10 @@
         self.state.record_digest(watches);
         self.state.set_remote_load(digest.hosts, &digest.servers);
         let behind = |kind| self.state.is_behind(kind);
-        if !watches && (behind(StoreKind::Fleet) || behind(StoreKind::Owners)) {
+        let is_behind = [StoreKind::Config, StoreKind::Fleet, StoreKind::Owners]
+            .into_iter()
+            .any(behind);
+        if !watches && is_behind {
             let message = PeerMessage::ResendRequest(self.state.followed_revisions());
             self.link.send(&self.state, from, &message);
         }
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -4,7 +4,7 @@
     super::leader_actor::{CONFIRM_FAILURES, LeaderActor, Role},
     crate::{
         peers::{Digest, OwnerChange, PeerMessage, Report},
-        state::{FleetUpdate, SeenRevisions, StoreKind},
+        state::{ConfigCopy, FleetUpdate, SeenRevisions, StoreKind},
     },
     camphorcove_core::{
         ownership::{
@@ -35,9 +35,14 @@
 /// store at the same time.
 const WATCHER_COUNT: usize = 2;
 
+/// Hosts that watch the store while the leader does not reach it. The store may turn away many
+/// hosts, so it takes several to find one that reaches it at once; not all hosts watch, since
+/// the store may be down for all.
+const WATCHER_COUNT_WITHOUT_STORE: usize = 8;
+
 /// Digests after which other hosts become the watchers, while the leader does not reach
 /// the store.
-const DIGESTS_PER_WATCHER_TURN: u32 = 8;
+const DIGESTS_PER_WATCHER_TURN: u32 = 3;
 
 /// Most free slots with which a server is listed in a digest. A server with more free slots
 /// does not make requests wait.
@@ -65,6 +70,7 @@
             nonce: self.state.nonce,
             term,
             cpu_permille: self.state.settings.cpu_permille(),
+            lacks_store: self.state.lacks_store(),
             revisions: self.state.revisions(),
             load,
         };
@@ -122,12 +128,28 @@
         }
     }
 
+    /// Sends a new configuration to all hosts, so that they need not read it from the store. One
+    /// that does not fit into a datagram is not sent; the hosts read it then.
+    pub(super) fn send_config_copy(&mut self) {
+        if let Some(copy) = self.state.config_copy_after(self.config_revision_sent) {
+            self.config_revision_sent = copy.revision;
+            let message = PeerMessage::Config(ConfigCopy::clone(&copy));
+            self.link
+                .send_all(&self.state, &self.peer_addresses(), &message);
+        }
+    }
+
     /// Resends the changes after `revisions` to a host that missed them.
     pub(super) fn resend_missed(&self, revisions: &SeenRevisions, to: SocketAddr) {
         for update in self.state.fleet_updates(revisions.get(StoreKind::Fleet)) {
             let message = PeerMessage::Fleet(FleetUpdate::clone(&update));
             self.link.send(&self.state, to, &message);
         }
+        let config_revision = revisions.get(StoreKind::Config);
+        if let Some(copy) = self.state.config_copy_after(config_revision) {
+            let message = PeerMessage::Config(ConfigCopy::clone(&copy));
+            self.link.send(&self.state, to, &message);
+        }
         for change in self.owner_log.since(revisions.get(StoreKind::Owners)) {
             let message = PeerMessage::Owners(OwnerChange::clone(&change));
             self.link.send(&self.state, to, &message);
@@ -217,8 +239,8 @@
         if lists_peers {
             self.peers = self.hosts.addresses().collect();
         }
-        let has_store = self.confirm_failures < CONFIRM_FAILURES;
-        let watchers = self.watchers(has_store);
+        let has_store = self.confirm_failures < CONFIRM_FAILURES && !self.state.lacks_store();
+        let watchers = self.watchers(has_store, now);
         let digest = Digest {
             nonce: self.state.nonce,
             term,
@@ -240,17 +262,18 @@
 
     /// Hosts that are to watch the store besides this one. While this host does not reach
     /// the store, the watchers rotate until one of them reaches it and takes over.
-    pub(super) fn watchers(&mut self, has_store: bool) -> Vec<SocketAddr> {
+    pub(super) fn watchers(&mut self, has_store: bool, now: BootTime) -> Vec<SocketAddr> {
+        let own = &self.state.settings.host;
         if has_store {
             self.digests_at_store_loss = self.digests_sent;
+            return self.hosts.watchers(own, WATCHER_COUNT, 0, now);
         }
         // The rotation starts with the largest hosts, which are the regular watchers.
         let turn =
             self.digests_sent.wrapping_sub(self.digests_at_store_loss) / DIGESTS_PER_WATCHER_TURN;
         let turn = usize::try_from(turn).unwrap_or(0);
-        let own = &self.state.settings.host;
-        self.hosts
-            .watchers(own, WATCHER_COUNT, turn * WATCHER_COUNT)
+        let count = WATCHER_COUNT_WITHOUT_STORE;
+        self.hosts.watchers(own, count, turn * count, now)
     }
 
     /// Number of hosts that share limits; `None` until all hosts had time to report to a
--- a/crates/gateway/src/leader/order_sender.rs
+++ b/crates/gateway/src/leader/order_sender.rs
@@ -5,7 +5,7 @@
     crate::state::{HostState, LogTopic},
     camphorcove_core::{
         ids::ServerId,
-        ownership::{GrantPurpose, KeyRange, ORDER_TIMEOUT, OrderFailure, PlanAction, PlanInput},
+        ownership::{KeyRange, ORDER_TIMEOUT, OrderFailure, PlanAction, PlanInput},
         time::BootTime,
     },
     camphorcove_net::http::ConnectionUse,
@@ -63,7 +63,6 @@
                 token_offset,
                 lease,
                 handover,
-                purpose,
             } => {
                 let order = GrantOrder {
                     server: server.clone(),
@@ -72,15 +71,9 @@
                     lease,
                     handover,
                 };
-                // A renewal that only seems to be answered is repeated soon. After a raise that
-                // only seems to be answered, the release could overtake it.
-                let connection_use = match purpose {
-                    GrantPurpose::Lease => ConnectionUse::Reused,
-                    GrantPurpose::RaiseToken => ConnectionUse::New,
-                };
                 let result = self
                     .orders
-                    .grant(&order, left(ORDER_TIMEOUT), connection_use)
+                    .grant(&order, left(ORDER_TIMEOUT), ConnectionUse::Reused)
                     .await
                     .map(|_| ());
                 self.log_failure("grant", &order.server.id, range, token, result.err());
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -5,7 +5,9 @@
 //! this system read.
 
 use {
-    crate::state::{FleetUpdate, LoadReport, RevisionedChange, SeenRevisions, ServerHash},
+    crate::state::{
+        ConfigCopy, FleetUpdate, LoadReport, RevisionedChange, SeenRevisions, ServerHash,
+    },
     bincode::{Decode, Encode, config},
     camphorcove_core::{ids::HostId, ownership::OwnerDelta},
     hmac::{Hmac, KeyInit, Mac},
@@ -27,6 +29,8 @@
     pub term: u64,
     /// CPU share of the host, in thousandths of a core.
     pub cpu_permille: u16,
+    /// Whether the store is out of the host's reach; only a host that calls it can tell.
+    pub lacks_store: bool,
     /// Revisions of the newest changes that the host has seen.
     pub revisions: SeenRevisions,
     /// Load at the servers as the host measures it.
@@ -90,6 +94,8 @@
     Owners(OwnerChange),
     /// From the leader: changes of server entries.
     Fleet(FleetUpdate),
+    /// From the leader: the newest configuration.
+    Config(ConfigCopy),
     /// To the leader: request for changes after these revisions, which the host knows.
     ResendRequest(SeenRevisions),
 }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -7,6 +7,7 @@
             DigestReceived, LeaderActor, OwnerChangeReceived, ReportReceived, ResendRequested,
         },
         state::{FleetUpdate, HostState, LogTopic},
+        watch::apply_config_copy,
     },
     kameo::actor::ActorRef,
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
@@ -105,6 +106,10 @@
                 apply_fleet_update(&state, update);
                 true
             }
+            PeerMessage::Config(copy) => {
+                apply_config_copy(&state, copy);
+                true
+            }
             PeerMessage::ResendRequest(revisions) => leader
                 .tell(ResendRequested { revisions, from })
                 .try_send()
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -345,7 +345,8 @@
             let target = CallTarget {
                 entry: &entry,
                 max_connections: routed.max_connections,
-                sent_before: history.tried.contains(&entry.id),
+                needs_new_connection: routed.rule.retry == RetryPolicy::AtMostOnce
+                    && history.tried.contains(&entry.id),
             };
             let sending = send_call(pool, target, permit, &routed.call, attempt_timeout);
             let outcome = sending.await;
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -146,6 +146,23 @@
         self.lock().feed.time_left(now)
     }
 
+    /// Records that the store has answered a call of this host.
+    pub fn record_store_success(&self) {
+        self.lock().store_contact.record_success();
+    }
+
+    /// Records that a call of this host to the store has failed.
+    pub fn record_store_failure(&self) {
+        let now = self.now();
+        self.lock().store_contact.record_failure(now);
+    }
+
+    /// Whether the store is out of this host's reach, as far as its last calls tell.
+    pub fn lacks_store(&self) -> bool {
+        let now = self.now();
+        self.lock().store_contact.is_lost(now)
+    }
+
     /// Records that the store answers again after an outage.
     pub fn record_store_recovery(&self) {
         let now = self.now();
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -5,7 +5,8 @@
 
 use {
     super::{
-        BodyBudget, ChangeLog, FleetUpdate, LogRateLimiter, LogTopic, SeenRevisions, StoreFeed,
+        BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, SeenRevisions,
+        StoreContact, StoreFeed,
     },
     crate::conf::GatewaySettings,
     bincode::{Decode, Encode},
@@ -102,6 +103,8 @@
 pub(super) struct StateInner {
     /// Configuration in force.
     pub(super) table: Option<Arc<RouteTable>>,
+    /// The same configuration as the operator wrote it, for other hosts.
+    pub(super) config_copy: Option<Arc<ConfigCopy>>,
     pub(super) round_robin: WeightedRoundRobin,
     pub(super) fleet: Arc<FleetView>,
     pub(super) outage_guard: OutageGuard,
@@ -111,6 +114,8 @@
     pub(super) fleet_log_end: u64,
     /// Whether changes come from the leader or from this host's own watch.
     pub(super) feed: StoreFeed,
+    /// Whether this host's own calls to the store succeed.
+    pub(super) store_contact: StoreContact,
     /// When a digest last showed that this host had missed no fleet update.
     pub(super) last_in_sync_at: BootTime,
     /// The server entries have been listed at least once.
@@ -187,12 +192,14 @@
             is_leader: AtomicBool::new(false),
             inner: Mutex::new(StateInner {
                 table: None,
+                config_copy: None,
                 round_robin,
                 fleet: Arc::default(),
                 outage_guard: OutageGuard::default(),
                 fleet_log: ChangeLog::default(),
                 fleet_log_end: 0,
                 feed: StoreFeed::new(BootClock.now()),
+                store_contact: StoreContact::default(),
                 last_in_sync_at: BootTime::default(),
                 fleet_listed: false,
                 gauges: HashMap::new(),
@@ -278,6 +285,17 @@
         newer
     }
 
+    /// Keeps a copy of the configuration in force.
+    pub fn set_config_copy(&self, copy: ConfigCopy) {
+        self.lock().config_copy = Some(Arc::new(copy));
+    }
+
+    /// Copy of the configuration in force, if it is newer than `revision`.
+    pub fn config_copy_after(&self, revision: u64) -> Option<Arc<ConfigCopy>> {
+        let copy = self.lock().config_copy.clone();
+        copy.filter(|copy| copy.revision > revision)
+    }
+
     /// Selects the service for a request by weighted round robin, and counts the request.
     pub fn route_request(&self, rule: &RouteRule) -> ServiceName {
         let now = self.now();
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -2,21 +2,25 @@
 
 mod body_budget;
 mod change_log;
+mod config_copy;
 mod fleet_tracking;
 mod fleet_update;
 mod host_state;
 mod log_rate_limiter;
 mod seen_revisions;
 mod server_pick;
+mod store_contact;
 mod store_feed;
 
 pub use {
     body_budget::{BodyBudget, BodyReservation},
     change_log::{ChangeLog, RevisionedChange},
+    config_copy::ConfigCopy,
     fleet_update::FleetUpdate,
     host_state::{HostCounters, HostState, LoadReport, ServerHash, ServerLoad},
     log_rate_limiter::{LogRateLimiter, LogTopic},
     seen_revisions::{RevisionSpan, SeenRevisions, StoreKind},
     server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
+    store_contact::StoreContact,
     store_feed::StoreFeed,
 };
--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{CatchUp, KindChange, KindFollower},
-    crate::state::{HostState, RevisionSpan, StoreKind},
+    crate::state::{ConfigCopy, HostState, RevisionSpan, StoreKind},
     camphorcove_platform::{CONFIG_KIND, CONFIG_NAME, StoredObject, decode_configuration},
+    serde_json::Value,
     std::sync::{Arc, atomic::Ordering},
 };
 
@@ -22,20 +23,49 @@
         if object.name != CONFIG_NAME {
             return;
         }
-        let revision = object.revision;
-        match decode_configuration(&object.content) {
-            Ok(table) => {
-                let version = table.version;
-                let routes = table.route_count();
-                if self.state.set_table(table) {
-                    log::info!(version:% = version, revision, routes; "configuration in force");
-                }
-            }
-            Err(fault) => {
-                let counters = &self.state.counters;
-                counters.configs_rejected.fetch_add(1, Ordering::Relaxed);
-                log::error!(revision, reason:% = fault; "configuration rejected, keeping the current one");
+        if apply_configuration(&self.state, object.revision, &object.content) {
+            self.state.set_config_copy(ConfigCopy {
+                revision: object.revision,
+                text: object.content.to_string(),
+            });
+        }
+    }
+}
+
+/// Applies a copy of the configuration that the leader sent.
+pub fn apply_config_copy(state: &HostState, copy: ConfigCopy) {
+    if state.seen_through(StoreKind::Config) >= copy.revision {
+        return;
+    }
+    let content: Value = match serde_json::from_str(&copy.text) {
+        Ok(content) => content,
+        Err(error) => {
+            log::error!(revision = copy.revision, reason:% = error; "copy of the configuration cannot be read");
+            return;
+        }
+    };
+    apply_configuration(state, copy.revision, &content);
+    state.record_revision(StoreKind::Config, copy.revision);
+    state.set_config_copy(copy);
+}
+
+/// Puts a configuration in force if it is valid and newer; returns whether it is.
+fn apply_configuration(state: &HostState, revision: u64, content: &Value) -> bool {
+    match decode_configuration(content) {
+        Ok(table) => {
+            let version = table.version;
+            let routes = table.route_count();
+            let newer = state.set_table(table);
+            if newer {
+                log::info!(version:% = version, revision, routes; "configuration in force");
             }
+            newer
+        }
+        Err(fault) => {
+            let counters = &state.counters;
+            counters.configs_rejected.fetch_add(1, Ordering::Relaxed);
+            log::error!(revision, reason:% = fault; "configuration rejected, keeping the current one");
+            false
         }
     }
 }
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -32,6 +32,9 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Longest pause after a failed list call of a host to which the leader sends changes.
+const MAX_RETRY_DELAY_WITH_FEED: Duration = Duration::from_secs(2);
+
 /// Time for which a watch may lag behind other hosts before the kind is listed again.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(250);
 
@@ -60,7 +63,7 @@
 pub enum CatchUp {
     /// By a watch from the last revision that it knows.
     Watch,
-    /// By a list. For kinds of which the leader announces only revisions.
+    /// By a list. For kinds of which only the newest version matters.
     List,
 }
 
@@ -90,6 +93,15 @@
     Newer,
 }
 
+/// Why the kind is listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListPurpose {
+    /// Nothing is known yet.
+    First,
+    /// Changes may have been missed.
+    CatchUp,
+}
+
 /// How to read the store when the leader's messages no longer suffice.
 enum StoreRead {
     /// Read the changes that the leader did not send.
@@ -101,9 +113,11 @@
 /// Follows one kind of store objects; never returns.
 pub async fn follow<F: KindFollower>(state: Arc<HostState>, store: StoreClient, mut follower: F) {
     let mut consistency = ReadConsistency::Current;
+    let mut purpose = ListPurpose::First;
     loop {
-        list(&state, &store, &mut follower, consistency).await;
+        list(&state, &store, &mut follower, consistency, purpose).await;
         consistency = ReadConsistency::Current;
+        purpose = ListPurpose::CatchUp;
         match follow_changes(&state, &store, &mut follower).await {
             RelistReason::Behind => {
                 log::info!(kind = F::KIND_NAME; "watch lags behind other hosts, listing again");
@@ -116,7 +130,7 @@
     }
 }
 
-/// Lists the kind, and retries until that succeeds.
+/// Lists the kind, and retries until that succeeds or the leader has sent what was missed.
 ///
 /// A stale read is tried only where a revision is known that it has to include. If it lacks that
 /// revision, it is repeated as a current read. Stale data cannot replace newer data, as older
@@ -126,6 +140,7 @@
     store: &StoreClient,
     follower: &mut F,
     mut consistency: ReadConsistency,
+    purpose: ListPurpose,
 ) {
     let mut pause = MIN_RETRY_DELAY;
     let mut store_unavailable = false;
@@ -140,6 +155,7 @@
                 consistency = ReadConsistency::Current;
             }
             Ok(listing) => {
+                state.record_store_success();
                 if store_unavailable {
                     log::info!(kind = F::KIND_NAME, revision = listing.revision; "store available again");
                     state.record_store_recovery();
@@ -155,12 +171,21 @@
             }
             Err(fault) => {
                 consistency = ReadConsistency::Current;
+                state.record_store_failure();
                 if !store_unavailable {
                     log::warn!(kind = F::KIND_NAME, reason:% = fault; "store unavailable, retrying");
                     store_unavailable = true;
                 }
                 sleep(pause.mul_f64(0.5 + state.random_fraction())).await;
-                pause = (pause * 2).min(MAX_RETRY_DELAY);
+                let has_feed = !state.feed_time_left().is_zero();
+                if has_feed && purpose == ListPurpose::CatchUp && !state.is_behind(F::STORE_KIND) {
+                    return;
+                }
+                let longest = match has_feed {
+                    true => MAX_RETRY_DELAY_WITH_FEED,
+                    false => MAX_RETRY_DELAY,
+                };
+                pause = (pause * 2).min(longest);
             }
         }
     }
@@ -179,7 +204,7 @@
     follower: &mut F,
 ) -> RelistReason {
     loop {
-        let wait = match wait_until_read_needed(state, F::STORE_KIND, F::CATCH_UP).await {
+        let wait = match wait_until_read_needed(state, F::STORE_KIND).await {
             StoreRead::Watch => WATCH_WAIT,
             StoreRead::CatchUp if F::CATCH_UP == CatchUp::List => {
                 // The pause lets one list cover several changes in quick succession.
@@ -195,15 +220,7 @@
 }
 
 /// Waits until the leader's messages no longer suffice.
-async fn wait_until_read_needed(
-    state: &HostState,
-    kind: StoreKind,
-    catch_up: CatchUp,
-) -> StoreRead {
-    let resend_time = match catch_up {
-        CatchUp::Watch => RESEND_TIMEOUT,
-        CatchUp::List => Duration::ZERO,
-    };
+async fn wait_until_read_needed(state: &HostState, kind: StoreKind) -> StoreRead {
     loop {
         let changed = state.revisions_changed.notified();
         let left = state.feed_time_left();
@@ -211,7 +228,7 @@
             return StoreRead::Watch;
         }
         if state.is_behind(kind) {
-            sleep(resend_time).await;
+            sleep(RESEND_TIMEOUT).await;
             if state.is_behind(kind) {
                 return StoreRead::CatchUp;
             }
@@ -238,6 +255,7 @@
         () = wait_until_lagging(state, F::STORE_KIND) => return Err(RelistReason::Behind),
     };
     let response = response.map_err(RelistReason::Fault)?;
+    state.record_store_success();
     // An update from the leader arrived first. These changes would be applied out of order.
     if state.seen_through(F::STORE_KIND) != from {
         return Ok(());
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -7,5 +7,7 @@
 
 pub use kind_follower::{CatchUp, KindChange, KindFollower, follow};
 pub use {
-    config_follower::ConfigFollower, fleet_follower::FleetFollower, owner_reader::read_owners,
+    config_follower::{ConfigFollower, apply_config_copy},
+    fleet_follower::FleetFollower,
+    owner_reader::read_owners,
 };
--- a/crates/gateway/tests/candidacy.rs
+++ b/crates/gateway/tests/candidacy.rs
@@ -43,6 +43,7 @@
         nonce: u64::from(number),
         term: 1,
         cpu_permille,
+        lacks_store: false,
         revisions: SeenRevisions::default(),
         load: LoadReport::default(),
     }
@@ -81,9 +82,34 @@
     }
     let own = "host-2".parse().expect("valid id");
 
-    let first = hosts.watchers(&own, 2, 0);
-    let second = hosts.watchers(&own, 2, 2);
+    let first = hosts.watchers(&own, 2, 0, START);
+    let second = hosts.watchers(&own, 2, 2, START);
 
     assert_eq!(first, [address(5), address(4)]);
     assert_eq!(second, [address(1), address(3)]);
 }
+
+/// A host that the store turns away must not stay a watcher: the leader and both watchers were
+/// turned away at once, and no host learned of a configuration for 3 s.
+#[test]
+fn host_that_lacks_the_store_does_not_watch_it() {
+    let mut hosts = HostTable::default();
+    for (number, cpu) in [(1, 500), (2, 500), (3, 500), (4, 75)] {
+        hosts.record_report(&report(number, cpu), address(number), false, START);
+    }
+    let own = "host-1".parse().expect("valid id");
+    let lacking = Report {
+        lacks_store: true,
+        ..report(2, 500)
+    };
+
+    hosts.record_report(&lacking, address(2), false, START);
+    let then = hosts.watchers(&own, 2, 0, START);
+    hosts.record_report(&report(2, 500), address(2), false, START);
+    let just_after = hosts.watchers(&own, 2, 0, START + Duration::from_secs(1));
+    let later = hosts.watchers(&own, 2, 0, START + Duration::from_secs(5));
+
+    assert_eq!(then, [address(3), address(4)]);
+    assert_eq!(just_after, [address(3), address(4)]);
+    assert_eq!(later, [address(2), address(3)]);
+}
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -10,11 +10,12 @@
     camphorcove_gateway::{
         leader::{DigestReceived, LeaderActor, OwnerStore, Resign, Tick},
         peers::{Digest, PeerLink, receive},
-        state::{HostState, SeenRevisions, StoreKind},
-        watch::read_owners,
+        state::{HostState, RevisionSpan, SeenRevisions, StoreKind},
+        watch::{ConfigFollower, KindChange, KindFollower, read_owners},
     },
-    camphorcove_platform::StoreClient,
+    camphorcove_platform::{StoreClient, StoredObject},
     camphorcove_platform_standin::{
+        entries::{config_entry, route_entry},
         scripted_server::{ScriptedServer, Step, order_refused},
         store_standin::StoreStandin,
     },
@@ -382,3 +383,85 @@
     let id = "s-1".parse().expect("valid id");
     assert_eq!(fleet.get(&id).map(|entry| entry.phase), Some(phase));
 }
+
+fn configuration(version: &str) -> StoredObject {
+    StoredObject {
+        name: "main".into(),
+        revision: 70,
+        content: config_entry(version, &[route_entry("read", "safe", "plain")]),
+    }
+}
+
+/// A host that the store turns away must get a new configuration from the leader, also if the
+/// first datagram is lost: 68 hosts kept an old configuration for 9 s and called the store
+/// three times a second.
+#[rstest]
+#[case::sent_at_once(false)]
+#[case::sent_again(true)]
+#[tokio::test]
+async fn configuration_reaches_hosts_without_the_store(#[case] joins_later: bool) {
+    let (store, address) = StoreStandin::start().await;
+    let server = ScriptedServer::start(vec![accepted()]).await;
+    let leader = leader_host("host-1", address, server.address).await;
+    until("leads", || leader_of(&store).is_some()).await;
+    let version = |host: &LeaderHost| host.state.table().map(|table| table.version.0);
+    // These two watch the store, so that the third host depends on the leader.
+    let _second = leader_host("host-2", address, server.address).await;
+    let _third = leader_host("host-3", address, server.address).await;
+    sleep(Duration::from_millis(400)).await;
+    let mut follower = ConfigFollower::new(leader.state.clone());
+    let span = RevisionSpan {
+        from: 0,
+        through: 70,
+        newest: 70,
+    };
+    let change = vec![KindChange::Changed(configuration("0000000c"))];
+
+    let host = match joins_later {
+        true => {
+            follower.apply_changes(change, span);
+            sleep(Duration::from_millis(200)).await;
+            leader_host("host-4", address, server.address).await
+        }
+        false => {
+            let host = leader_host("host-4", address, server.address).await;
+            sleep(Duration::from_millis(400)).await;
+            follower.apply_changes(change, span);
+            host
+        }
+    };
+
+    until("in force", || version(&host) == Some(12)).await;
+    let listed = store.calls();
+    assert!(!listed.iter().any(|call| call.contains("/objects/config")));
+}
+
+/// Hosts without a way to the store must find one that has it within about a second: the leader and
+/// both watchers were turned away by the store, and the next two hosts were asked after 3 s.
+#[tokio::test]
+async fn many_hosts_watch_when_the_leader_loses_the_store() {
+    let (store, address) = StoreStandin::start().await;
+    let server = ScriptedServer::start(vec![accepted()]).await;
+    let leader = leader_host("host-0", address, server.address).await;
+    until("leads", || leader_of(&store).is_some()).await;
+    let mut others = Vec::new();
+    for number in 1..12 {
+        let name = format!("host-{number}");
+        others.push(leader_host(&name, address, server.address).await);
+    }
+    let watching = || {
+        let watching = others.iter().filter(|host| host.state.watches_store());
+        watching.count()
+    };
+    until("two watch", || watching() == 2).await;
+    let lost_at = Instant::now();
+
+    let mut most = 0;
+    while lost_at.elapsed() < Duration::from_millis(1_000) {
+        leader.state.record_store_failure();
+        most = most.max(watching());
+        sleep(Duration::from_millis(10)).await;
+    }
+
+    assert!(most >= 8, "{most}");
+}
