Keep hosts running after malformed messages and panics

Could happen here: a datagram with a valid tag and a huge length (a host of another version is enough) made the decoder reserve any amount; it panicked with "capacity overflow", and the only task that receives datagrams was gone for good. The decoder now has a limit of 1 MiB. The new test fails without it. Likewise any panic in a handler ended the leader actor: the host then neither led nor followed. The tasks that follow the store, receive datagrams, answer probes and drive the leader start again when they panic or end, with a log line; every panic is logged with its place. Could not happen, now held by property tests: malformed configurations, server entries, headers, changed datagrams. Also held: five forms of long answers that break off, uploads half sent and idle connections at a planned stop.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,7 +4,7 @@
     camphorcove_gateway::{
         conf::{GatewaySettings, read_settings},
         error::{GatewayError, StartSnafu},
-        node::run_host,
+        node::{log_panics, run_host},
     },
     camphorcove_net::log::{LogSetup, LogTarget, start},
     clap::Parser,
@@ -48,6 +48,7 @@
         return Ok(());
     }
     start_log(&settings, args.log_level)?;
+    log_panics();
     // A host runs on one core at a time, so more threads would only take turns on it.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/gateway/src/metrics/probe_listener.rs
+++ b/crates/gateway/src/metrics/probe_listener.rs
@@ -23,7 +23,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves the readiness check and the metrics page on one listener; never returns.
-pub async fn serve_probes(state: Arc<HostState>, listener: TcpListener) {
+pub async fn serve_probes(state: Arc<HostState>, listener: Arc<TcpListener>) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
--- a/crates/gateway/src/node/run_host.rs
+++ b/crates/gateway/src/node/run_host.rs
@@ -1,6 +1,7 @@
 //! Runs a host from its start until its stop.
 
 use {
+    super::supervise,
     crate::{
         conf::GatewaySettings,
         error::{GatewayError, ListenSnafu, StartSnafu},
@@ -51,25 +52,18 @@
 
     let link = PeerLink::new(socket.clone());
     let leader = LeaderActor::spawn(LeaderActor::new(state.clone(), store.clone(), link));
-    tokio::spawn(follow(
-        state.clone(),
-        store.clone(),
-        ConfigFollower::new(state.clone()),
-    ));
-    tokio::spawn(follow(
-        state.clone(),
-        store.clone(),
-        FleetFollower::new(state.clone()),
-    ));
-    tokio::spawn(read_owners(
-        state.clone(),
-        OwnerStore::new(state.clone(), store),
-        leader.clone(),
-    ));
-    tokio::spawn(receive(state.clone(), socket, leader.clone()));
-    tokio::spawn(serve_probes(state.clone(), readiness));
-    tokio::spawn(serve_probes(state.clone(), metrics));
-    tokio::spawn(run_leader_ticks(leader.clone()));
+    start_followers(&state, &store, &leader);
+    for listener in [readiness, metrics].map(Arc::new) {
+        let state = state.clone();
+        let serve = move || serve_probes(state.clone(), listener.clone());
+        tokio::spawn(supervise("probes", serve));
+    }
+    let receiver = (state.clone(), leader.clone());
+    let receive = move || receive(receiver.0.clone(), socket.clone(), receiver.1.clone());
+    tokio::spawn(supervise("datagrams", receive));
+    let ticked = leader.clone();
+    let tick = move || run_leader_ticks(ticked.clone());
+    tokio::spawn(supervise("leader ticks", tick));
 
     let (stop, stopped) = watch::channel(false);
     let handler = Arc::new(RequestHandler::new(state.clone()));
@@ -93,6 +87,26 @@
     Ok(())
 }
 
+/// Starts the tasks that follow the objects in the store.
+fn start_followers(state: &Arc<HostState>, store: &StoreClient, leader: &ActorRef<LeaderActor>) {
+    let context = (state.clone(), store.clone());
+    tokio::spawn(supervise("configuration", move || {
+        let (state, store) = context.clone();
+        follow(state.clone(), store, ConfigFollower::new(state))
+    }));
+    let context = (state.clone(), store.clone());
+    tokio::spawn(supervise("server entries", move || {
+        let (state, store) = context.clone();
+        follow(state.clone(), store, FleetFollower::new(state))
+    }));
+    let context = (state.clone(), store.clone(), leader.clone());
+    tokio::spawn(supervise("assignment", move || {
+        let (state, store, leader) = context.clone();
+        let owners = OwnerStore::new(state.clone(), store);
+        read_owners(state, owners, leader)
+    }));
+}
+
 /// Checks the settings file and logs the result. Changes take effect only at the next start,
 /// as the settings are listener addresses and limits of the machine.
 fn reload(file: &std::path::Path, state: &HostState) {
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -18,6 +18,10 @@
 /// Length of the authentication tag: 128 bits suffice against guessing.
 const MAC_BYTES: usize = 16;
 
+/// Memory that a decoded message may take, in bytes: several times the largest datagram. A length
+/// in a malformed message could otherwise make the decoder reserve any amount.
+const MESSAGE_MEMORY: usize = 1 << 20;
+
 /// Report of a host to the leader.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Report {
@@ -115,7 +119,8 @@
     let mut mac = mac(secret);
     mac.update(body);
     mac.verify_truncated_left(tag).ok()?;
-    let (message, _) = bincode::decode_from_slice(body, config::standard()).ok()?;
+    let limited = config::standard().with_limit::<MESSAGE_MEMORY>();
+    let (message, _) = bincode::decode_from_slice(body, limited).ok()?;
     Some(message)
 }
 
--- /dev/null
+++ b/crates/gateway/tests/malformed_input.rs
@@ -0,0 +1,224 @@
+//! Malformed messages and unexpected errors, which must not end a process or a task.
+
+mod support;
+
+use {
+    camphorcove_gateway::{
+        leader::{LeaderActor, Tick},
+        node::supervise,
+        peers::{PeerLink, PeerMessage, open_message, seal_message},
+        state::{ConfigCopy, FleetUpdate},
+        watch::apply_config_copy,
+    },
+    camphorcove_platform::{
+        StoreClient, decode_configuration, decode_request, decode_response, decode_server,
+    },
+    hmac::{Hmac, KeyInit, Mac},
+    http::{HeaderMap, HeaderName, HeaderValue},
+    kameo::{
+        actor::Spawn,
+        message::{Context, Message},
+    },
+    proptest::{collection::vec, prelude::*},
+    serde_json::Value,
+    sha2::Sha256,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+    support::fixtures::{host_state, table},
+    tokio::{net::UdpSocket, time::timeout},
+};
+
+const SECRET: &[u8] = b"secret";
+
+/// Names of headers that are decoded.
+const HEADERS: [&str; 7] = [
+    "x-request-id",
+    "x-deadline-ms",
+    "x-shard-key",
+    "x-upstream-load",
+    "x-not-executed",
+    "keep-alive",
+    "connection",
+];
+
+/// A datagram with a valid authentication tag around any bytes, as a host of another version may
+/// send it.
+fn sealed(body: &[u8]) -> Vec<u8> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(SECRET).expect("any key length");
+    mac.update(body);
+    let mut bytes = mac.finalize().into_bytes()[..16].to_vec();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+fn update_message() -> PeerMessage {
+    PeerMessage::Fleet(FleetUpdate {
+        from: 1,
+        to: 2,
+        put: Vec::new(),
+        removed: vec!["s-1".parse().expect("valid id")],
+    })
+}
+
+/// Any JSON with the field names of the platform, so that decoding gets far.
+fn any_json() -> impl Strategy<Value = Value> {
+    let names = prop::sample::select(vec![
+        "Version",
+        "Routes",
+        "Services",
+        "Limits",
+        "Name",
+        "Host",
+        "PathPrefix",
+        "Kind",
+        "TimeoutS",
+        "TargetLatencyS",
+        "MaxAttempts",
+        "Service",
+        "TrafficSplit",
+        "Weight",
+        "MaxConnections",
+        "MaxHeaderBytes",
+        "MaxBodyBytes",
+        "IdleTimeoutS",
+        "Address",
+        "Zone",
+        "Slots",
+        "State",
+        "WarmupLeftS",
+        "born",
+    ]);
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        prop::sample::select(vec!["safe", "ready", "0000000c", "/a/", "10.0.0.1:80", ""])
+            .prop_map(Value::from),
+        ".{0,8}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(4, 64, 12, move |inner| {
+        prop_oneof![
+            vec(inner.clone(), 0..4).prop_map(Value::from),
+            vec((names.clone(), inner), 0..12).prop_map(|fields| {
+                let fields = fields.into_iter();
+                Value::Object(
+                    fields
+                        .map(|(name, value)| (name.to_owned(), value))
+                        .collect(),
+                )
+            }),
+        ]
+    })
+}
+
+proptest! {
+    /// Guards against a datagram that panics or reserves any amount of memory.
+    #[test]
+    fn malformed_datagram_is_rejected_or_decoded(body in vec(any::<u8>(), 0..200)) {
+        let _ = open_message(SECRET, &sealed(&body));
+        prop_assert!(open_message(SECRET, &body).is_none());
+    }
+
+    /// Guards against a changed datagram that is taken for an authentic one.
+    #[test]
+    fn changed_datagram_is_rejected(at in any::<prop::sample::Index>(), flip in 1_u8..) {
+        let mut bytes = seal_message(SECRET, &update_message());
+        let at = at.index(bytes.len());
+        bytes[at] ^= flip;
+        prop_assert!(open_message(SECRET, &bytes).is_none());
+    }
+
+    /// Guards against an object in the store that panics a host.
+    #[test]
+    fn malformed_object_is_rejected_or_decoded(content in any_json()) {
+        let _ = decode_configuration(&content);
+        let _ = decode_server("i-1", &content);
+    }
+
+    /// Guards against headers of a caller or server that panic a host.
+    #[test]
+    fn malformed_headers_are_decoded(values in vec(vec(0x20_u8..=0x7e, 0..30), HEADERS.len())) {
+        let mut headers = HeaderMap::new();
+        for (name, value) in HEADERS.iter().zip(values) {
+            let value = HeaderValue::from_bytes(&value).expect("visible characters");
+            headers.insert(HeaderName::from_static(name), value);
+        }
+        let _ = decode_request(&headers);
+        let _ = decode_response(&headers);
+    }
+}
+
+/// Guards against a length in a datagram for which the decoder reserves memory.
+#[test]
+fn datagram_with_a_huge_length_is_rejected() {
+    // Variant `Fleet`, two revisions, then the number of entries as a 64-bit integer.
+    let mut body = vec![3, 1, 2, 253];
+    body.extend_from_slice(&(u64::MAX / 4).to_le_bytes());
+
+    assert!(open_message(SECRET, &sealed(&body)).is_none());
+}
+
+/// Guards against a copy of a configuration that is unreadable, invalid or older than the one in
+/// force, and that replaces it.
+#[test]
+fn malformed_copy_of_a_configuration_changes_nothing() {
+    let state = host_state();
+    state.set_table(table(7));
+
+    for (revision, text) in [(3, "{"), (4, "{}"), (5, "[1]"), (6, "")] {
+        let text = text.into();
+        apply_config_copy(&state, ConfigCopy { revision, text });
+    }
+
+    assert_eq!(state.table().map(|table| table.version.0), Some(7));
+}
+
+/// Guards against a task that ends for good with its first panic.
+#[tokio::test]
+async fn task_that_panics_starts_again() {
+    let starts = Arc::new(AtomicU32::new(0));
+    let counted = starts.clone();
+    let task = move || {
+        let number = counted.fetch_add(1, Ordering::Relaxed);
+        async move { assert!(number > 0, "fails the first time") }
+    };
+
+    let supervised = timeout(Duration::from_millis(500), supervise("test", task)).await;
+
+    assert!(supervised.is_err(), "supervision goes on");
+    assert!(starts.load(Ordering::Relaxed) >= 2);
+}
+
+/// A message whose handler panics.
+struct Failing;
+
+impl Message<Failing> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Failing, _: &mut Context<Self, Self::Reply>) {
+        panic!("fails on purpose");
+    }
+}
+
+/// Guards against a host that neither leads nor follows after a panic in one message.
+#[tokio::test]
+async fn leader_actor_goes_on_after_a_panic() {
+    let state = host_state();
+    let store = StoreClient::new(state.settings.store, Duration::from_millis(100));
+    let socket = UdpSocket::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let link = PeerLink::new(Arc::new(socket));
+    let actor = LeaderActor::spawn(LeaderActor::new(state, store, link));
+
+    actor.tell(Failing).await.expect("delivered");
+    let ticked = actor.ask(Tick).await;
+
+    assert!(ticked.is_ok());
+}
--- a/crates/gateway/tests/pipelining.rs
+++ b/crates/gateway/tests/pipelining.rs
@@ -194,3 +194,41 @@
     assert!(running <= 9, "{running}");
     assert!(answered.is_sorted() && answered.len() >= running);
 }
+
+/// Guards against a planned stop that cuts off a request whose body is still arriving.
+#[tokio::test]
+async fn stop_answers_a_request_whose_body_is_half_sent() {
+    let server = slow_server().await;
+    let host = start_host(&server).await;
+    let text = request("POST", "/write/a", "r1", "", &"x".repeat(10_000));
+    let (first, rest) = text.split_at(6_000);
+    let mut stream = send(&host, &[first.to_owned()]).await;
+
+    sleep(WORK_TIME / 3).await;
+    host.state.begin_stop();
+    host.stop.send_replace(true);
+    sleep(WORK_TIME / 3).await;
+    stream.write_all(rest.as_bytes()).await.expect("sent");
+    let responses = read_responses(&mut stream, 1).await;
+
+    assert_eq!(outcomes(&responses), [(200, "r1")]);
+}
+
+/// Guards against a connection that is idle when the stop begins and on which a request arrives
+/// just then: it is answered, and the connection closes behind it.
+#[tokio::test]
+async fn request_on_an_idle_connection_is_answered_after_the_stop_has_begun() {
+    let server = slow_server().await;
+    let host = start_host(&server).await;
+    let mut stream = send(&host, &[]).await;
+
+    sleep(WORK_TIME / 3).await;
+    host.state.begin_stop();
+    host.stop.send_replace(true);
+    let text = request("GET", "/read/a", "r1", "", "");
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    let responses = read_responses(&mut stream, 1).await;
+
+    assert_eq!(outcomes(&responses), [(200, "r1")]);
+    assert!(responses[0].head.contains("connection: close"));
+}
--- a/crates/gateway/tests/server_faults.rs
+++ b/crates/gateway/tests/server_faults.rs
@@ -126,3 +126,29 @@
     assert_eq!(first.body, "first");
     assert_eq!((second.status, second.body.as_str()), (200, "second"));
 }
+
+/// Guards against an answer that breaks off behind the part that is buffered and that reaches the
+/// caller as a complete success.
+#[rstest]
+#[case::shorter_than_its_length("Content-Length: 400000\r\n", "", Step::Close)]
+#[case::reset_within_its_length("Content-Length: 400000\r\n", "", Step::Reset)]
+#[case::chunks_without_an_end("Transfer-Encoding: chunked\r\n", "30d40\r\n", Step::Close)]
+#[case::reset_before_the_last_chunk("Transfer-Encoding: chunked\r\n", "30d40\r\n", Step::Reset)]
+#[case::reset_without_a_length("", "", Step::Reset)]
+#[tokio::test]
+async fn long_answer_that_breaks_off_is_incomplete(
+    #[case] lines: &str,
+    #[case] framing: &str,
+    #[case] end: Step,
+) {
+    // 200,000 bytes, more than is buffered before an answer is forwarded.
+    let body = format!("{framing}{}", "0123456789".repeat(20_000));
+    let mut steps = response("200 OK", true, lines, &body);
+    steps.extend([Step::Wait(Duration::from_millis(50)), end]);
+    let server = ScriptedServer::start(vec![steps]).await;
+    let host = start_host_with(vec![entry("s-1", "plain", server.address)]).await;
+
+    let read = call(host.address, &request("GET", "/read/a", "r1", "", "")).await;
+
+    assert!(read.status != 200 || !read.complete, "{}", read.body.len());
+}
