Send a keyed lookup to its owner again when the answer is lost

Change: an idempotent keyed request that is silent for longer than usual is sent to the owner again within the retry budget, unless requests queue there.

--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -82,6 +82,8 @@
 pub struct AttemptTimeout<'a> {
     /// How long to wait for the response.
     pub duration: Duration,
+    /// What the silence tells about the server.
+    pub outcome: RequestOutcome,
     /// Returns whether a retry is allowed and, if so, counts it against the retry budget.
     pub may_retry: &'a (dyn Fn() -> bool + Sync),
 }
@@ -130,7 +132,7 @@
                 match timeout(attempt_timeout.duration, &mut exchange).await {
                     Ok(result) => Some(result),
                     Err(_) if (attempt_timeout.may_retry)() => {
-                        permit.end(RequestOutcome::Unresponsive, None);
+                        permit.end(attempt_timeout.outcome, None);
                         return CallOutcome::AbandonedForRetry;
                     }
                     Err(_) => None,
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -15,7 +15,7 @@
     },
     bytes::{Bytes, BytesMut},
     camphorcove_core::{
-        dispatch::AdmissionRule,
+        dispatch::{AdmissionRule, RequestOutcome},
         fleet::ServerEntry,
         ids::{ServerId, ServiceName},
         routing::{RetryPolicy, RouteRule, RouteTable},
@@ -334,11 +334,21 @@
             }
             let sent = history.sent + 1;
             // While the host stops, no attempt is abandoned for a retry.
-            let may_retry = || !self.state.is_stopping() && self.may_retry(&routed, sent);
+            // The owner of a key is tried again only if it has free slots: otherwise the request
+            // waits there, and another one would only make the queue longer.
+            let may_retry = || {
+                let queues = routed.key.is_some() && self.has_queue(&entry.id);
+                !self.state.is_stopping() && !queues && self.may_retry(&routed, sent)
+            };
             let attempt_timeout =
                 self.attempt_timeout(&routed, &entry)
                     .map(|duration| AttemptTimeout {
                         duration,
+                        // The owner of a key gets the retry, so it is not to be avoided.
+                        outcome: match routed.key {
+                            Some(_) => RequestOutcome::Abandoned,
+                            None => RequestOutcome::Unresponsive,
+                        },
                         may_retry: &may_retry,
                     });
             let pool = &self.pool;
@@ -462,11 +472,17 @@
             && self.state.try_retry(&routed.service)
     }
 
-    /// Time without a response after which another server is tried; `None` if the request may
-    /// run only once or only on its key's owner, or while the host stops.
+    /// Whether requests wait at the server for a free slot, as far as this host knows.
+    fn has_queue(&self, server: &ServerId) -> bool {
+        let reading = self.state.load_reading(server);
+        reading.is_some_and(|reading| reading.backlog > reading.slots)
+    }
+
+    /// Time without a response after which another server is tried, or the owner of the key again,
+    /// as its response may be lost; `None` if the request may run only once, or while the host
+    /// stops.
     fn attempt_timeout(&self, routed: &RoutedRequest, entry: &ServerEntry) -> Option<Duration> {
-        let single = routed.rule.retry == RetryPolicy::AtMostOnce || routed.key.is_some();
-        if single || self.state.is_stopping() {
+        if routed.rule.retry == RetryPolicy::AtMostOnce || self.state.is_stopping() {
             return None;
         }
         let expected = self.state.expected_time(&entry.id);
--- a/crates/gateway/tests/server_faults.rs
+++ b/crates/gateway/tests/server_faults.rs
@@ -4,12 +4,12 @@
 
 use {
     camphorcove_platform_standin::{
-        caller::{call, request},
+        caller::{call, key_header, request},
         scripted_server::{ScriptedServer, Step, complete_response, not_run, response},
     },
     rstest::rstest,
     std::time::{Duration, Instant},
-    support::fixtures::{TIME_LIMIT, entry, start_host_with},
+    support::fixtures::{TIME_LIMIT, entry, owners_with, start_host_with},
     tokio::time::{sleep, timeout},
 };
 
@@ -152,3 +152,20 @@
 
     assert!(read.status != 200 || !read.complete, "{}", read.body.len());
 }
+
+/// Guards against a keyed request that waits for a lost response until its deadline: only the owner
+/// can run it, so it is sent there again.
+#[tokio::test]
+async fn keyed_request_is_sent_again_when_its_response_is_lost() {
+    let silent = vec![Step::Wait(TIME_LIMIT * 4)];
+    let server = ScriptedServer::start(vec![silent, complete_response("fine")]).await;
+    let owner = entry("s-1", "keyed", server.address);
+    let host = start_host_with(vec![owner.clone()]).await;
+    host.state.set_owners(owners_with(&owner), 1);
+    let text = request("GET", "/key/a", "r1", &key_header(77), "");
+
+    let read = call(host.address, &text).await;
+
+    assert_eq!((read.status, read.body.as_str()), (200, "fine"));
+    assert_eq!(server.log().interrupted_responses, 1);
+}
