--- a/crates/net/src/config/archive.rs
+++ b/crates/net/src/config/archive.rs
@@ -12,6 +12,10 @@
     ObjectKey::new(format!("audit/{stream}/{number}"))
 }
 
+/// Limit for the memory that decoding a record may allocate, in bytes: a length in a damaged record
+/// could otherwise make the decoder reserve any amount.
+const DECODED_BYTES_MAX: usize = 16 << 20;
+
 /// Encodes a record as JSON, so that the archive can be read without this program.
 pub fn encode_record(record: &AuditRecord) -> Bytes {
     serde_json::to_vec(record)
@@ -24,7 +28,8 @@
     if let Ok(record) = serde_json::from_slice(value) {
         return Some(record);
     }
-    let decoded = bincode::decode_from_slice(value, bincode::config::standard());
+    let config = bincode::config::standard().with_limit::<DECODED_BYTES_MAX>();
+    let decoded = bincode::decode_from_slice(value, config);
     let (record, length) = decoded.ok()?;
     (length == value.len()).then_some(record)
 }
--- a/crates/net/tests/audit_reader.rs
+++ b/crates/net/tests/audit_reader.rs
@@ -277,3 +277,22 @@
         "{refused:?}"
     );
 }
+
+/// Guards against a damaged record whose length makes the reader reserve any amount of memory.
+#[tokio::test]
+async fn record_with_a_huge_length_is_reported_as_damaged() {
+    let repo = repo_with_versions(3).await;
+    let reader = AuditReader::new(repo.store().clone());
+    for zeros in 0..60 {
+        // Fields of zero, then 253 and a 64-bit integer, as bincode encodes a length.
+        let mut damaged = vec![0; zeros];
+        damaged.push(253);
+        damaged.extend_from_slice(&u64::MAX.to_le_bytes());
+        repo.store()
+            .overwrite(archive_key("config", 2).as_str(), damaged);
+
+        let report = reader.verify("config", &[]).await;
+
+        assert!(matches!(report, Err(RepoError::Damaged { .. })));
+    }
+}
