--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -23,17 +23,8 @@
         time::BootTime,
     },
     camphorcove_platform::StoreClient,
-    futures_util::FutureExt,
-    kameo::{
-        Actor, Reply,
-        actor::ActorRef,
-        error::Infallible,
-        message::BoxMessage,
-        reply::{BoxReplySender, ReplyError},
-    },
-    std::{
-        collections::HashMap, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration,
-    },
+    kameo::{Reply, actor::ActorRef},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Tick interval of the leader. A change of owner takes a few ticks, so it is short.
@@ -136,34 +127,6 @@
     pub(super) stopping: bool,
 }
 
-impl Actor for LeaderActor {
-    type Args = Self;
-    type Error = Infallible;
-
-    async fn on_start(actor: Self, _: ActorRef<Self>) -> Result<Self, Infallible> {
-        Ok(actor)
-    }
-
-    /// Catches a panic in a handler: by default, it would end the actor, and with it the part of
-    /// the host that leads and follows.
-    async fn on_message(
-        &mut self,
-        message: BoxMessage<Self>,
-        actor: ActorRef<Self>,
-        reply: Option<BoxReplySender>,
-        stop: &mut bool,
-    ) -> Result<(), Box<dyn ReplyError>> {
-        let handling = message.handle_dyn(self, actor, reply, stop);
-        match AssertUnwindSafe(handling).catch_unwind().await {
-            Ok(handled) => handled,
-            Err(_) => {
-                self.recover_from_panic();
-                Ok(())
-            }
-        }
-    }
-}
-
 impl LeaderActor {
     /// Creates the actor as a follower.
     pub fn new(state: Arc<HostState>, store: StoreClient, link: PeerLink) -> Self {
@@ -202,16 +165,6 @@
         }
     }
 
-    /// Gives up the leadership, as a plan may be half done, and goes on as a follower. Another
-    /// host takes over from what the store holds.
-    fn recover_from_panic(&mut self) {
-        log::error!("leader actor panicked, continuing as a follower");
-        let now = self.state.now();
-        self.step_down("a panic", now);
-        self.confirming = false;
-        self.early_round_pending = false;
-    }
-
     /// Does the periodic work; returns the pause until the next tick.
     pub(super) fn tick(&mut self, actor: &ActorRef<Self>) -> Duration {
         let now = self.state.now();
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -11,6 +11,7 @@
 mod leader_reports;
 mod order_sender;
 mod owner_store;
+mod panic_guard;
 mod takeover;
 
 pub use {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod caller_listener;
 mod connection_headers;
 mod refusal;
+mod request_attempts;
 mod request_handler;
 mod request_pipeline;
 
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -1,4 +1,4 @@
-//! Routes a request, forwards it to servers and answers the caller.
+//! Reads and routes a request, and answers its caller; `request_attempts` forwards it to servers.
 
 use {
     super::{
@@ -7,17 +7,12 @@
         strip_connection_headers,
     },
     crate::{
-        forward::{
-            AttemptTimeout, CallOutcome, CallRequest, CallTarget, ConnectionPool, ResponseBody,
-            send_call,
-        },
-        state::{BodyReservation, HostState, LogTopic, PickQuery, PickRefusal, ServerPick},
+        forward::{CallRequest, ConnectionPool, ResponseBody},
+        state::{BodyReservation, HostState, LogTopic},
     },
     bytes::{Bytes, BytesMut},
     camphorcove_core::{
-        dispatch::{AdmissionRule, RequestOutcome},
-        fleet::ServerEntry,
-        ids::{ServerId, ServiceName},
+        ids::ServiceName,
         routing::{RetryPolicy, RouteRule, RouteTable},
         time::BootTime,
     },
@@ -36,69 +31,31 @@
 /// Deadline of a request that states none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
-/// Longest total time that a request waits for its key to change owner; a move usually takes
-/// less.
-const MAX_OWNER_WAIT: Duration = Duration::from_millis(500);
-
-/// Longest wait for an ownership update after a server refused a key that it does not own:
-/// the leader sends each change to all hosts immediately.
-const OWNER_UPDATE_WAIT: Duration = Duration::from_millis(60);
-
-/// No attempt is started with less time than this before the request's deadline.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
-
-/// Number of attempts that failed before anything was sent, after which the host gives up.
-const MAX_UNSENT_ATTEMPTS: u32 = 4;
-
 /// `Retry-After` value while no configuration is known.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(700);
 
-/// Time without a response, as a multiple of the server's expected response time, after which
-/// an idempotent request is retried on another server.
-const ATTEMPT_TIMEOUT_FACTOR: f64 = 4.0;
-
-/// Lower bound of that time, as a multiple of the route's target latency.
-const ATTEMPT_TIMEOUT_SHARE: f64 = 1.25;
-
 /// Largest request body that is buffered, whatever the configuration allows.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// Answers callers' requests, with a response of a server or an error of this host.
 pub struct RequestHandler {
-    state: Arc<HostState>,
-    pool: Arc<ConnectionPool>,
+    pub(super) state: Arc<HostState>,
+    pub(super) pool: Arc<ConnectionPool>,
 }
 
 /// A request whose body has been read and whose service has been chosen.
-struct RoutedRequest {
-    call: CallRequest,
-    rule: Arc<RouteRule>,
-    service: ServiceName,
-    max_connections: u32,
+pub(super) struct RoutedRequest {
+    pub(super) call: CallRequest,
+    pub(super) rule: Arc<RouteRule>,
+    pub(super) service: ServiceName,
+    pub(super) max_connections: u32,
     /// Only set for keyed services.
-    key: Option<u16>,
-    started: BootTime,
+    pub(super) key: Option<u16>,
+    pub(super) started: BootTime,
     /// Keeps the body counted against the memory budget until the request has ended.
     _body: BodyReservation,
 }
 
-/// Attempts made so far for a request.
-#[derive(Default)]
-struct AttemptHistory {
-    /// Servers to which earlier attempts were made.
-    tried: Vec<ServerId>,
-    sent: u32,
-    unsent: u32,
-    /// At least one attempt may have run on a server.
-    may_have_run: bool,
-    /// The next attempt has already been counted against the retry budget.
-    retry_counted: bool,
-    /// Total time spent waiting for the key to change owner.
-    waited: Duration,
-    /// Response of the last attempt that ended with a server error.
-    last: Option<Response<ResponseBody>>,
-}
-
 impl RequestHandler {
     /// Creates the handler of a host, with an empty connection pool.
     pub fn new(state: Arc<HostState>) -> Self {
@@ -280,270 +237,6 @@
         Ok((bytes.freeze(), reservation))
     }
 
-    /// Tries servers until one answers or no further attempt is allowed.
-    async fn forward_with_retries(
-        self: &Arc<Self>,
-        routed: RoutedRequest,
-    ) -> Response<ResponseBody> {
-        let mut history = AttemptHistory::default();
-        loop {
-            let time_left = routed.call.expires_at.since(self.state.now());
-            if time_left < MIN_ATTEMPT_TIME {
-                return self.give_up(&routed, history, Refusal::TooLate, None);
-            }
-            let query = PickQuery {
-                service: &routed.service,
-                key: routed.key,
-                tried: &history.tried,
-                rule: AdmissionRule {
-                    target_latency: routed.rule.target_latency,
-                    time_left,
-                },
-            };
-            let pick = self.state.pick_server(query);
-            let (entry, permit) = match pick {
-                ServerPick::Send(entry, permit) => (entry, permit),
-                ServerPick::Unowned(wait) => {
-                    if !self.await_owner(&mut history, wait.min(time_left)).await {
-                        let retry_after = Some(self.retry_after());
-                        return self.give_up(&routed, history, Refusal::Unavailable, retry_after);
-                    }
-                    continue;
-                }
-                ServerPick::Refuse(reason, retry_after) => {
-                    let refusal = match reason {
-                        PickRefusal::NoKey => Refusal::Malformed,
-                        PickRefusal::Overloaded => Refusal::Overloaded,
-                        PickRefusal::TooLate => Refusal::TooLate,
-                        PickRefusal::NoServer
-                        | PickRefusal::OwnerUnresponsive
-                        | PickRefusal::NoOwner => Refusal::Unavailable,
-                    };
-                    return self.give_up(&routed, history, refusal, Some(retry_after));
-                }
-            };
-            if history.sent > 0 {
-                let allowed = std::mem::take(&mut history.retry_counted)
-                    || self.may_retry(&routed, history.sent);
-                if !allowed {
-                    drop(permit);
-                    let retry_after = Some(self.retry_after());
-                    return self.give_up(&routed, history, Refusal::Overloaded, retry_after);
-                }
-                self.record_retry(&routed, &entry);
-            }
-            let sent = history.sent + 1;
-            // While the host stops, no attempt is abandoned for a retry.
-            // The owner of a key is tried again only if it has free slots: otherwise the request
-            // waits there, and another one would only make the queue longer.
-            let may_retry = || {
-                let queues = routed.key.is_some() && self.has_queue(&entry.id);
-                !self.state.is_stopping() && !queues && self.may_retry(&routed, sent)
-            };
-            let attempt_timeout =
-                self.attempt_timeout(&routed, &entry)
-                    .map(|duration| AttemptTimeout {
-                        duration,
-                        // The owner of a key gets the retry, so it is not to be avoided.
-                        outcome: match routed.key {
-                            Some(_) => RequestOutcome::Abandoned,
-                            None => RequestOutcome::Unresponsive,
-                        },
-                        may_retry: &may_retry,
-                    });
-            let pool = &self.pool;
-            let target = CallTarget {
-                entry: &entry,
-                max_connections: routed.max_connections,
-                needs_new_connection: routed.rule.retry == RetryPolicy::AtMostOnce
-                    && history.tried.contains(&entry.id),
-            };
-            let sending = send_call(pool, target, permit, &routed.call, attempt_timeout);
-            let outcome = sending.await;
-            if let Some(response) = self
-                .evaluate_outcome(&routed, &mut history, entry, outcome)
-                .await
-            {
-                return response;
-            }
-        }
-    }
-
-    /// Evaluates an attempt: the final response, or `None` if another attempt may follow.
-    async fn evaluate_outcome(
-        &self,
-        routed: &RoutedRequest,
-        history: &mut AttemptHistory,
-        entry: ServerEntry,
-        outcome: CallOutcome,
-    ) -> Option<Response<ResponseBody>> {
-        let idempotent = routed.rule.retry == RetryPolicy::Idempotent;
-        match outcome {
-            CallOutcome::Answered(response) => {
-                let failed = response.status().is_server_error();
-                history.sent += 1;
-                history.may_have_run = true;
-                if !failed || !idempotent {
-                    self.state.counters.answered.fetch_add(1, Ordering::Relaxed);
-                    return Some(forward_response(response));
-                }
-                self.log_failed_attempt(routed, &entry, "failure answered");
-                history.last = Some(response);
-            }
-            CallOutcome::NotRun(status) => {
-                history.sent += 1;
-                self.log_failed_attempt(routed, &entry, "request refused by server");
-                if status == StatusCode::MISDIRECTED_REQUEST && routed.key.is_some() {
-                    let time_left = routed.call.expires_at.since(self.state.now());
-                    if !self
-                        .await_owner(history, OWNER_UPDATE_WAIT.min(time_left))
-                        .await
-                    {
-                        self.state.record_not_owner(&entry.id);
-                    }
-                }
-            }
-            CallOutcome::NotSent(reason) => {
-                history.unsent += 1;
-                self.log_failed_attempt(routed, &entry, &reason);
-                if history.unsent >= MAX_UNSENT_ATTEMPTS {
-                    let retry_after = Some(self.retry_after());
-                    return Some(self.give_up(
-                        routed,
-                        std::mem::take(history),
-                        Refusal::Unavailable,
-                        retry_after,
-                    ));
-                }
-            }
-            CallOutcome::Unknown(reason) => {
-                history.sent += 1;
-                history.may_have_run = true;
-                self.log_failed_attempt(routed, &entry, &reason);
-                if !idempotent {
-                    return Some(self.give_up(
-                        routed,
-                        std::mem::take(history),
-                        Refusal::AnswerLost,
-                        None,
-                    ));
-                }
-            }
-            CallOutcome::AbandonedForRetry => {
-                history.sent += 1;
-                history.may_have_run = true;
-                history.retry_counted = true;
-                self.log_failed_attempt(routed, &entry, "silent for longer than usual");
-            }
-            CallOutcome::TimedOut => {
-                history.sent += 1;
-                history.may_have_run = true;
-                self.log_failed_attempt(routed, &entry, "no answer in time");
-                return Some(self.give_up(
-                    routed,
-                    std::mem::take(history),
-                    Refusal::TimedOut,
-                    None,
-                ));
-            }
-        }
-        history.tried.push(entry.id);
-        None
-    }
-
-    /// Waits for an ownership change; `false` if none came within the time that is left or the
-    /// request has used up `MAX_OWNER_WAIT`.
-    async fn await_owner(&self, history: &mut AttemptHistory, time_left: Duration) -> bool {
-        let rest = MAX_OWNER_WAIT.saturating_sub(history.waited).min(time_left);
-        if rest.is_zero() {
-            return false;
-        }
-        let wait_started = self.state.now();
-        let changed = timeout(rest, self.state.owners_changed.notified()).await;
-        history.waited += self.state.now().since(wait_started);
-        changed.is_ok()
-    }
-
-    /// Whether a retry after `sent` attempts is allowed; if so, counts it against the retry
-    /// budget.
-    fn may_retry(&self, routed: &RoutedRequest, sent: u32) -> bool {
-        sent < routed.rule.attempts
-            && routed.call.expires_at.since(self.state.now()) >= MIN_ATTEMPT_TIME
-            && self.state.try_retry(&routed.service)
-    }
-
-    /// Whether requests wait at the server for a free slot, as far as this host knows.
-    fn has_queue(&self, server: &ServerId) -> bool {
-        let reading = self.state.load_reading(server);
-        reading.is_some_and(|reading| reading.backlog > reading.slots)
-    }
-
-    /// Time without a response after which another server is tried, or the owner of the key again,
-    /// as its response may be lost; `None` if the request may run only once, or while the host
-    /// stops.
-    fn attempt_timeout(&self, routed: &RoutedRequest, entry: &ServerEntry) -> Option<Duration> {
-        if routed.rule.retry == RetryPolicy::AtMostOnce || self.state.is_stopping() {
-            return None;
-        }
-        let expected = self.state.expected_time(&entry.id);
-        let shortest = routed.rule.target_latency.mul_f64(ATTEMPT_TIMEOUT_SHARE);
-        Some(expected.mul_f64(ATTEMPT_TIMEOUT_FACTOR).max(shortest))
-    }
-
-    fn retry_after(&self) -> Duration {
-        camphorcove_core::dispatch::retry_after(None, self.state.random_fraction())
-    }
-
-    /// Ends the request without a successful response: forwards the last server error if there
-    /// is one, otherwise logs and counts the refusal.
-    fn give_up(
-        &self,
-        routed: &RoutedRequest,
-        history: AttemptHistory,
-        refusal: Refusal,
-        retry_after: Option<Duration>,
-    ) -> Response<ResponseBody> {
-        if let Some(response) = history.last {
-            self.state.counters.answered.fetch_add(1, Ordering::Relaxed);
-            return forward_response(response);
-        }
-        // The caller is told "not run" only if no attempt can have run.
-        let refusal = match (history.may_have_run, refusal) {
-            (true, Refusal::TimedOut | Refusal::TooLate) => Refusal::TimedOut,
-            (true, _) => Refusal::AnswerLost,
-            (false, refusal) => refusal,
-        };
-        let retry_after = match refusal.status() {
-            StatusCode::SERVICE_UNAVAILABLE => {
-                Some(retry_after.unwrap_or_else(|| self.retry_after()))
-            }
-            _ => None,
-        };
-        let head = RequestHead {
-            id: Some(routed.call.id.clone()),
-            ..RequestHead::default()
-        };
-        if let Some(left_out) = self.state.may_log(log_topic(refusal)) {
-            let waited = self.state.now().since(routed.started).as_millis();
-            log::info!(
-                request = request_id(&head),
-                route = routed.rule.name.as_str(),
-                service = routed.service.as_str(),
-                key:? = routed.key,
-                refusal:? = refusal,
-                sent = history.sent,
-                unsent = history.unsent,
-                last_server = history.tried.last().map_or("", |id| id.as_str()),
-                waited_ms:% = waited,
-                comeback_ms:? = retry_after.map(|duration| duration.as_millis()),
-                left_out;
-                "request ended without a server's answer"
-            );
-        }
-        self.count_refusal(refusal);
-        refusal_response(refusal, retry_after)
-    }
-
     /// Logs and counts a refusal outside of the attempts and builds its response.
     fn refuse_request(
         &self,
@@ -565,7 +258,7 @@
         refusal_response(refusal, retry_after)
     }
 
-    fn count_refusal(&self, refusal: Refusal) {
+    pub(super) fn count_refusal(&self, refusal: Refusal) {
         let counters = &self.state.counters;
         let counter = match refusal {
             Refusal::AnswerLost | Refusal::TimedOut => &counters.failed,
@@ -573,34 +266,6 @@
         };
         counter.fetch_add(1, Ordering::Relaxed);
     }
-
-    fn record_retry(&self, routed: &RoutedRequest, entry: &ServerEntry) {
-        self.state.counters.retries.fetch_add(1, Ordering::Relaxed);
-        if let Some(left_out) = self.state.may_log(LogTopic::Retry) {
-            log::info!(
-                request = routed.call.id.to_str().unwrap_or("?"),
-                service = routed.service.as_str(),
-                server = entry.id.as_str(),
-                left_out;
-                "request retried"
-            );
-        }
-    }
-
-    fn log_failed_attempt(&self, routed: &RoutedRequest, entry: &ServerEntry, reason: &str) {
-        if let Some(left_out) = self.state.may_log(LogTopic::Server) {
-            let reading = self.state.load_reading(&entry.id);
-            log::info!(
-                request = routed.call.id.to_str().unwrap_or("?"),
-                service = routed.service.as_str(),
-                server = entry.id.as_str(),
-                reason,
-                reading:? = reading,
-                left_out;
-                "attempt failed"
-            );
-        }
-    }
 }
 
 /// Route that the `Host` header and the path select.
@@ -610,14 +275,14 @@
     table.find(host, request.uri().path())
 }
 
-fn log_topic(refusal: Refusal) -> LogTopic {
+pub(super) fn log_topic(refusal: Refusal) -> LogTopic {
     match refusal {
         Refusal::AnswerLost | Refusal::TimedOut => LogTopic::Failure,
         _ => LogTopic::Refusal,
     }
 }
 
-fn request_id(head: &RequestHead) -> &str {
+pub(super) fn request_id(head: &RequestHead) -> &str {
     let id = head.id.as_ref();
     id.and_then(|id| id.to_str().ok()).unwrap_or("")
 }
@@ -628,8 +293,3 @@
     headers.remove(header::EXPECT);
     headers
 }
-
-fn forward_response(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
-    strip_connection_headers(response.headers_mut());
-    response
-}
