--- a/crates/net/src/http/caller_stream.rs
+++ b/crates/net/src/http/caller_stream.rs
@@ -123,6 +123,7 @@
 
     /// Reads this connection ahead of hyper.
     pub fn read_ahead(&self) -> ReadAhead {
+        lock(&self.inbound).guard.keep_heads();
         ReadAhead {
             inbound: self.inbound.clone(),
         }
--- a/crates/net/src/http/framing_guard.rs
+++ b/crates/net/src/http/framing_guard.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub struct FramingGuard {
     state: GuardState,
+    /// Whether heads behind unanswered requests are kept.
+    keeps_heads: bool,
     /// Number of complete heads so far.
     head_count: u64,
     /// Number of requests that have been answered.
@@ -73,8 +75,13 @@
 }
 
 impl FramingGuard {
-    /// Sets how many requests have been answered. Heads that arrive while one is unanswered
-    /// are kept.
+    /// Keeps the heads that arrive while a request is unanswered, for
+    /// [`take_pipelined`](Self::take_pipelined).
+    pub fn keep_heads(&mut self) {
+        self.keeps_heads = true;
+    }
+
+    /// Sets how many requests have been answered.
     pub fn set_answered(&mut self, answered: u64) {
         self.answered = answered;
     }
@@ -135,7 +142,8 @@
             return;
         }
         if !self.request_line_seen && self.line_length == 0 {
-            self.kept_head = self.has_unanswered().then(Vec::new);
+            let kept = self.keeps_heads && self.has_unanswered();
+            self.kept_head = kept.then(Vec::new);
         }
         match &mut self.kept_head {
             Some(head) if head.len() < PIPELINED_HEAD_LIMIT => head.push(byte),
