Give hosts of the soak ports that nobody else takes

Traced from the kept logs: port 33243 stood in the settings files of two hosts, and the log of host-2 is empty: it could not listen and ended. The harness bound a free port, closed it and handed it on, and the system gave it out again. Change: ports below the system's range for outgoing connections, each used once a process. A port that another process takes in between is still possible.

--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -17,12 +17,12 @@
     std::{
         collections::HashSet,
         fs,
-        net::{SocketAddr, TcpListener},
+        net::{SocketAddr, TcpListener, UdpSocket},
         path::PathBuf,
         process::{Child, Command, Stdio},
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -46,6 +46,16 @@
 /// Longest time for which a caller waits for a response.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// First port for hosts, and the number of ports: below the range of outgoing connections.
+const FIRST_PORT: u16 = 12_000;
+const PORT_COUNT: u32 = 18_000;
+
+/// Distance between the first ports of test processes with consecutive ids.
+const PORTS_PER_PROCESS: u32 = 97;
+
+/// Number of ports that this process has tried.
+static PORTS_TAKEN: AtomicU32 = AtomicU32::new(0);
+
 /// A host process whose connections to the store go through a proxy.
 struct SoakHost {
     settings: PathBuf,
@@ -297,9 +307,20 @@
         .expect("the program starts")
 }
 
+/// Ports that no other host of this process gets and that no outgoing connection takes, as they
+/// lie below the range from which the system chooses. Ports from that range were handed out twice.
 fn free_ports() -> [SocketAddr; 4] {
-    let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port is free"));
-    listeners.map(|listener| listener.local_addr().expect("bound"))
+    [(); 4].map(|()| {
+        loop {
+            let offset = PORTS_TAKEN.fetch_add(1, Ordering::Relaxed);
+            let start = std::process::id() * PORTS_PER_PROCESS + offset;
+            let port = FIRST_PORT + u16::try_from(start % PORT_COUNT).expect("below the limit");
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+                return address;
+            }
+        }
+    })
 }
 
 fn config() -> serde_json::Value {
