Log and count the limits that servers name

No line and no counter told whether a server had named a limit, so the hypotheses about LIMIT could not be told apart. No request is treated differently.

--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -1,6 +1,6 @@
 //! This host's estimate of the load, speed and failure rate of one server.
 
-use {crate::time::BootTime, std::time::Duration};
+use {super::RequestRate, crate::time::BootTime, std::time::Duration};
 
 /// Service time assumed before the first measurement.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(150);
@@ -71,6 +71,8 @@
     next_avoid_time: Duration,
     /// When the server has warmed up.
     warmed_up_at: BootTime,
+    /// Requests a second that the server takes from all hosts together, if it limits them.
+    limit: Option<RequestRate>,
     /// Successes since the last call of `take_period`, and their total service time in seconds.
     period: (u32, f64),
 }
@@ -107,10 +109,21 @@
             avoid_until: BootTime::default(),
             next_avoid_time: INITIAL_AVOID_TIME,
             warmed_up_at: now + warmup,
+            limit: None,
             period: (0, 0.0),
         }
     }
 
+    /// Limit that the server has named, if any.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit
+    }
+
+    /// Records the limit in an answer of the server; `None` if the answer named none.
+    pub fn record_limit(&mut self, limit: Option<RequestRate>) {
+        self.limit = limit;
+    }
+
     /// Records that a request was sent to the server.
     pub fn record_sent(&mut self) {
         self.own_in_flight += 1;
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -268,6 +268,7 @@
         response,
         body,
     } = received;
+    permit.record_limit(head.limit);
     let status = response.status();
     let not_run = head.not_run || status == StatusCode::MISDIRECTED_REQUEST;
     let outcome = match status {
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -27,6 +27,11 @@
             "Requests that failed after they were sent.",
             &counters.failed,
         ),
+        (
+            "limited_total",
+            "Requests sent to servers that limit the rate of requests.",
+            &counters.limited,
+        ),
         ("repeated_total", "Repeats sent.", &counters.retries),
         (
             "connections_total",
@@ -59,6 +64,11 @@
             version,
         ),
         ("leader_term", "Term of the leader.", term),
+        (
+            "limited_servers",
+            "Servers that limit the rate of requests.",
+            state.limited_servers() as u64,
+        ),
     ];
     for (name, help, value) in gauges {
         let gauge = IntGauge::new(format!("camphorcove_{name}"), help)?;
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -12,7 +12,8 @@
     bincode::{Decode, Encode},
     camphorcove_core::{
         dispatch::{
-            GaugeReading, HostCount, ReportedLoad, RequestOutcome, RetryWindow, ServerGauge,
+            GaugeReading, HostCount, ReportedLoad, RequestOutcome, RequestRate, RetryWindow,
+            ServerGauge,
         },
         fleet::{FleetView, OutageGuard},
         ids::{ServerId, ServiceName},
@@ -53,6 +54,8 @@
     pub refused: AtomicU64,
     /// Requests that failed after being sent to a server.
     pub failed: AtomicU64,
+    /// Requests sent to servers that limit the rate of requests.
+    pub limited: AtomicU64,
     /// Retries sent to servers.
     pub retries: AtomicU64,
     /// Connections opened to servers.
@@ -468,4 +471,30 @@
             gauge.record_reported_load(load, now);
         }
     }
+
+    /// Records the limit that a server names in an answer, or that it names none.
+    pub fn record_limit(&self, server: &ServerId, limit: Option<RequestRate>) {
+        let mut inner = self.lock();
+        let Some(gauge) = inner.gauges.get_mut(server) else {
+            return;
+        };
+        let known = gauge.limit();
+        gauge.record_limit(limit);
+        match limit {
+            Some(limit) if known != Some(limit) => {
+                log::info!(server = server.as_str(), limit:% = limit; "server limits the rate of requests");
+            }
+            None if known.is_some() => {
+                log::info!(server = server.as_str(); "server no longer limits the rate of requests");
+            }
+            _ => {}
+        }
+    }
+
+    /// Number of servers that limit the rate of requests.
+    pub fn limited_servers(&self) -> usize {
+        let inner = self.lock();
+        let limited = |gauge: &&ServerGauge| gauge.limit().is_some();
+        inner.gauges.values().filter(limited).count()
+    }
 }
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -5,14 +5,17 @@
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, Candidate, GaugeReading, ReportedLoad, RequestOutcome,
-            choose_server, retry_after,
+            RequestRate, ServerGauge, choose_server, retry_after,
         },
         fleet::{ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName},
         ownership::OwnerLookup,
         time::BootTime,
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
 };
 
 /// Time after which a leaving server gets no more keyed requests, even if its keys have no
@@ -78,6 +81,11 @@
 }
 
 impl ServerPermit {
+    /// Records the limit in the server's answer; `None` if the answer names none.
+    pub fn record_limit(&self, limit: Option<RequestRate>) {
+        self.state.record_limit(&self.server, limit);
+    }
+
     /// Records how the request ended.
     pub fn end(mut self, outcome: RequestOutcome, load: Option<ReportedLoad>) {
         self.finish(outcome, load);
@@ -167,7 +175,7 @@
             let jitter = rand::RngExt::random(&mut inner.random);
             return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
         }
-        gauge.record_sent();
+        self.record_sent(gauge);
         drop(inner);
         self.permit(entry, now)
     }
@@ -225,11 +233,18 @@
         }
         let entry = entries[at].clone();
         if let Some(gauge) = inner.gauges.get_mut(&entry.id) {
-            gauge.record_sent();
+            self.record_sent(gauge);
         }
         self.permit(entry, now)
     }
 
+    fn record_sent(&self, gauge: &mut ServerGauge) {
+        gauge.record_sent();
+        if gauge.limit().is_some() {
+            self.counters.limited.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     fn permit(self: &Arc<Self>, entry: ServerEntry, started: BootTime) -> ServerPick {
         let permit = ServerPermit {
             state: self.clone(),
