Show by failing tests that hosts exceed the limit that a server names

Servers of the tests name a limit and count what reaches them; six hosts with a leader share them. The hosts of the leadership tests move to the support folder, since these tests need them too.

--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -4,85 +4,39 @@
 
 use {
     camphorcove_core::{
-        fleet::{ServerEntry, ServerPhase},
+        fleet::ServerPhase,
         ownership::{LeaderRecord, OwnerState, RangePhase},
     },
     camphorcove_gateway::{
-        leader::{DigestReceived, LeaderActor, OwnerStore, Resign, Tick},
-        peers::{Digest, PeerLink, receive},
-        state::{HostState, RevisionSpan, SeenRevisions, StoreKind},
-        watch::{ConfigFollower, KindChange, KindFollower, read_owners},
+        leader::{DigestReceived, Resign},
+        peers::Digest,
+        state::{RevisionSpan, SeenRevisions, StoreKind},
+        watch::{ConfigFollower, KindChange, KindFollower},
     },
-    camphorcove_platform::{StoreClient, StoredObject},
+    camphorcove_platform::StoredObject,
     camphorcove_platform_standin::{
         entries::{config_entry, route_entry},
         scripted_server::{ScriptedServer, Step, order_refused},
         store_standin::StoreStandin,
     },
-    kameo::actor::{ActorRef, Spawn},
     rstest::rstest,
     serde::Deserialize,
-    std::{
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
+    std::time::{Duration, Instant},
+    support::{
+        fixtures::entry,
+        leader_hosts::{LeaderHost, leader_host, leader_host_at, leader_host_with},
     },
-    support::fixtures::{entry, first_listing_span, settings, table},
     tokio::{net::UdpSocket, time::sleep},
 };
 
 const KIND: &str = "camphorcove";
 
-struct LeaderHost {
-    state: Arc<HostState>,
-    actor: ActorRef<LeaderActor>,
-}
-
 fn accepted() -> Vec<Step> {
     vec![Step::Send(
         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".into(),
     )]
 }
 
-async fn leader_host(name: &str, store: SocketAddr, server: SocketAddr) -> LeaderHost {
-    leader_host_with(name, store, vec![entry("s-1", "keyed", server)]).await
-}
-
-async fn leader_host_with(name: &str, store: SocketAddr, entries: Vec<ServerEntry>) -> LeaderHost {
-    let socket = UdpSocket::bind("127.0.0.1:0")
-        .await
-        .expect("a port is free");
-    leader_host_at(name, store, entries, socket).await
-}
-
-async fn leader_host_at(
-    name: &str,
-    store: SocketAddr,
-    entries: Vec<ServerEntry>,
-    socket: UdpSocket,
-) -> LeaderHost {
-    let mut settings = settings(store);
-    settings.host = name.parse().expect("valid id");
-    settings.peers = socket.local_addr().expect("bound");
-    let state = Arc::new(HostState::new(settings));
-    state.set_table(table(1));
-    state.replace_fleet(entries, first_listing_span());
-    let socket = Arc::new(socket);
-    let client = StoreClient::new(store, Duration::from_millis(400));
-    let link = PeerLink::new(socket.clone());
-    let actor = LeaderActor::spawn(LeaderActor::new(state.clone(), client.clone(), link));
-    tokio::spawn(receive(state.clone(), socket, actor.clone()));
-    let owners = OwnerStore::new(state.clone(), client);
-    tokio::spawn(read_owners(state.clone(), owners, actor.clone()));
-    let ticking_actor = actor.clone();
-    tokio::spawn(async move {
-        while let Ok(next) = ticking_actor.ask(Tick).await {
-            sleep(next.0).await;
-        }
-    });
-    LeaderHost { state, actor }
-}
-
 fn stored(store: &StoreStandin) -> Option<OwnerState> {
     OwnerState::deserialize(store.spec(KIND, "owners")?).ok()
 }
--- /dev/null
+++ b/crates/gateway/tests/server_limits.rs
@@ -0,0 +1,204 @@
+//! Servers that limit the rate of requests from all hosts together.
+
+mod support;
+
+use {
+    camphorcove_core::{
+        ids::ServerId,
+        ownership::{KeyRange, RangePhase},
+    },
+    camphorcove_platform_standin::{
+        caller::{CallerResponse, call, key_header, request},
+        owning_server::{OwnershipLedger, OwningServer},
+        store_standin::StoreStandin,
+    },
+    std::time::{Duration, Instant},
+    support::{
+        fixtures::{TestHost, entry, start_listener},
+        leader_hosts::leader_host_with,
+    },
+    tokio::{task::JoinSet, time::sleep},
+};
+
+/// Number of hosts that share a server.
+const HOSTS: usize = 6;
+
+/// Requests a second that the limited server takes.
+const LIMIT: f64 = 10.0;
+
+/// Time from the first answer with a limit until the limit binds.
+const NOTICE_TIME: Duration = Duration::from_secs(3);
+
+/// Time for which callers send after the limit binds.
+const LOAD_TIME: Duration = Duration::from_secs(5);
+
+/// Pause between two requests of the callers of one host.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time until a request is refused that no server may take.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
+/// Hosts that share servers of the plain and the keyed service.
+struct LimitedRegion {
+    hosts: Vec<TestHost>,
+    servers: Vec<OwningServer>,
+    ledger: OwnershipLedger,
+}
+
+/// A response and the time until it came.
+struct TimedResponse {
+    response: CallerResponse,
+    took: Duration,
+}
+
+async fn start_region(service: &str, servers: usize) -> LimitedRegion {
+    let (_, store) = StoreStandin::start().await;
+    let ledger = OwnershipLedger::default();
+    let mut region = LimitedRegion {
+        hosts: Vec::new(),
+        servers: Vec::new(),
+        ledger: ledger.clone(),
+    };
+    let mut entries = Vec::new();
+    for number in 0..servers {
+        let server = OwningServer::start(&format!("s-{number}"), &ledger).await;
+        entries.push(entry(&server.id, service, server.address));
+        region.servers.push(server);
+    }
+    for number in 0..HOSTS {
+        let host = leader_host_with(&format!("host-{number}"), store, entries.clone()).await;
+        region.hosts.push(start_listener(host.state).await);
+    }
+    region
+}
+
+impl LimitedRegion {
+    /// Waits until all hosts know the owners of all keys.
+    async fn wait_until_owned(&self) {
+        let limit = Instant::now() + Duration::from_secs(10);
+        for host in &self.hosts {
+            for key in [0, 65_535] {
+                let text = request("GET", "/key/a", "settle", &key_header(key), "");
+                while call(host.address, &text).await.status != 200 {
+                    assert!(Instant::now() < limit, "never owned");
+                    sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+
+    /// Owner of a key, as the first host knows it.
+    fn owner(&self, key: u16) -> ServerId {
+        let (owners, _) = self.hosts[0].state.owners().expect("owners are known");
+        let service = "keyed".parse().expect("valid name");
+        let records = &owners.services[&service];
+        let range = KeyRange {
+            first: key,
+            last: key,
+        };
+        match &records.overlapping(range)[0].phase {
+            RangePhase::Owned { owner, .. } => owner.id.clone(),
+            phase => panic!("key {key} is {phase:?}"),
+        }
+    }
+
+    /// Sends requests to all hosts at a steady rate for `time`, each with the key that `key`
+    /// returns for its number, and returns the responses.
+    async fn send_load(
+        &self,
+        path: &str,
+        key: fn(u64) -> u64,
+        time: Duration,
+    ) -> Vec<(u64, TimedResponse)> {
+        let mut calls = JoinSet::new();
+        let end = Instant::now() + time;
+        let mut number = 0;
+        while Instant::now() < end {
+            for host in &self.hosts {
+                number += 1;
+                let (address, key) = (host.address, key(number));
+                let text = request("GET", path, &format!("r-{number}"), &key_header(key), "");
+                calls.spawn(async move {
+                    let started = Instant::now();
+                    let response = call(address, &text).await;
+                    let took = started.elapsed();
+                    (key, TimedResponse { response, took })
+                });
+            }
+            sleep(REQUEST_INTERVAL).await;
+        }
+        calls.join_all().await
+    }
+}
+
+/// Guards against hosts that together send a server of a service without keys more requests than
+/// it takes, and against refusing what another server can take.
+#[tokio::test]
+async fn limited_server_gets_no_more_than_its_limit_and_the_rest_goes_to_others() {
+    let region = start_region("plain", 2).await;
+    region.ledger.set_limit("s-0", Some(LIMIT));
+    let noticed = region.send_load("/read/a", |_| 0, NOTICE_TIME).await;
+    let from = Instant::now();
+
+    let responses = region.send_load("/read/a", |_| 0, LOAD_TIME).await;
+
+    let (most, allowed) = region.ledger.busiest_span("s-0", from);
+    assert!(most as f64 <= allowed, "{most} requests, {allowed} allowed");
+    assert!(region.ledger.limited_arrivals("s-0") > 0);
+    for (_, timed) in noticed.iter().chain(&responses) {
+        assert_eq!(timed.response.status, 200, "{}", timed.response.body);
+    }
+}
+
+/// Guards against hosts that together send the owner of keys more requests than it takes, against
+/// callers who wait for a refusal or are not told when to come back, and against callers of other
+/// owners who pay for it.
+#[tokio::test]
+async fn limited_owner_gets_no_more_than_its_limit_and_other_owners_serve_on() {
+    let region = start_region("keyed", 2).await;
+    region.wait_until_owned().await;
+    let limited = region.owner(0);
+    assert_ne!(region.owner(65_535), limited);
+    // A few keys get all requests, so that the owner cannot be relieved by a move of other keys.
+    let key = |number: u64| match number % 3 {
+        0 => 65_535,
+        _ => 0,
+    };
+    region.ledger.set_limit(limited.as_str(), Some(LIMIT));
+    region.send_load("/key/a", key, NOTICE_TIME).await;
+    let from = Instant::now();
+
+    let responses = region.send_load("/key/a", key, LOAD_TIME).await;
+
+    let (most, allowed) = region.ledger.busiest_span(limited.as_str(), from);
+    assert!(most as f64 <= allowed, "{most} requests, {allowed} allowed");
+    let served = |key: u64| {
+        let served =
+            |(at, timed): &&(u64, TimedResponse)| *at == key && timed.response.status == 200;
+        responses.iter().filter(served).count() as f64
+    };
+    let sent = |key: u64| responses.iter().filter(|(at, _)| *at == key).count() as f64;
+    assert!(
+        served(0) >= LIMIT * LOAD_TIME.as_secs_f64() * 0.5,
+        "{} served",
+        served(0)
+    );
+    assert_eq!(served(65_535), sent(65_535));
+    for (key, timed) in &responses {
+        if timed.response.status == 200 {
+            continue;
+        }
+        assert_eq!(
+            (*key, timed.response.status),
+            (0, 503),
+            "{}",
+            timed.response.body
+        );
+        assert!(
+            timed.response.head.contains("retry-after: "),
+            "{}",
+            timed.response.head
+        );
+        assert!(timed.took < REFUSAL_TIME, "{:?}", timed.took);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -0,0 +1,70 @@
+//! Hosts in the test process that elect a leader and grant keys, over a store and sockets.
+
+use {
+    super::fixtures::{entry, first_listing_span, settings, table},
+    camphorcove_core::fleet::ServerEntry,
+    camphorcove_gateway::{
+        leader::{LeaderActor, OwnerStore, Tick},
+        peers::{PeerLink, receive},
+        state::HostState,
+        watch::read_owners,
+    },
+    camphorcove_platform::StoreClient,
+    kameo::actor::{ActorRef, Spawn},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::UdpSocket, time::sleep},
+};
+
+/// A host without a listener for callers.
+pub struct LeaderHost {
+    /// State that the actor updates.
+    pub state: Arc<HostState>,
+    /// Actor that elects, runs and follows the leader.
+    pub actor: ActorRef<LeaderActor>,
+}
+
+/// Starts a host that knows one server of the keyed service.
+pub async fn leader_host(name: &str, store: SocketAddr, server: SocketAddr) -> LeaderHost {
+    leader_host_with(name, store, vec![entry("s-1", "keyed", server)]).await
+}
+
+/// Starts a host that knows these servers.
+pub async fn leader_host_with(
+    name: &str,
+    store: SocketAddr,
+    entries: Vec<ServerEntry>,
+) -> LeaderHost {
+    let socket = UdpSocket::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    leader_host_at(name, store, entries, socket).await
+}
+
+/// Starts a host that knows these servers and talks to other hosts over `socket`.
+pub async fn leader_host_at(
+    name: &str,
+    store: SocketAddr,
+    entries: Vec<ServerEntry>,
+    socket: UdpSocket,
+) -> LeaderHost {
+    let mut settings = settings(store);
+    settings.host = name.parse().expect("valid id");
+    settings.peers = socket.local_addr().expect("bound");
+    let state = Arc::new(HostState::new(settings));
+    state.set_table(table(1));
+    state.replace_fleet(entries, first_listing_span());
+    let socket = Arc::new(socket);
+    let client = StoreClient::new(store, Duration::from_millis(400));
+    let link = PeerLink::new(socket.clone());
+    let actor = LeaderActor::spawn(LeaderActor::new(state.clone(), client.clone(), link));
+    tokio::spawn(receive(state.clone(), socket, actor.clone()));
+    let owners = OwnerStore::new(state.clone(), client);
+    tokio::spawn(read_owners(state.clone(), owners, actor.clone()));
+    let ticking_actor = actor.clone();
+    tokio::spawn(async move {
+        while let Ok(next) = ticking_actor.ask(Tick).await {
+            sleep(next.0).await;
+        }
+    });
+    LeaderHost { state, actor }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,4 +2,5 @@
 #![allow(dead_code)]
 
 pub mod fixtures;
+pub mod leader_hosts;
 pub mod soak_region;
