Keep the limit that a server names, over all hosts together

Cause: nothing read the limit; the only signals that steered requests were speed and queues. Class: a limit on a shared resource that no one keeps for the whole fleet.

Ruled out: a fixed part of the limit for each host (74 hosts send one server less than one request each in 4 s, so no part is small enough); each host for itself (the sum is over the limit); a token asked from the leader for each request (a round trip and a message for each).

Change: hosts report the requests that they have for a limited server, and the leader answers with the share of them that may pass, limit / requests of all hosts, corrected by what was sent. A host lets that share through, whatever its size. Without a leader, the limit is divided evenly. A request that may not pass goes to another server, or is refused at once; Retry-After is the time that the server needs for the requests that are refused within a second. The digests tell hosts that the server has not told.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -65,6 +65,11 @@
     let wait = reading.map_or(0.4, |reading| {
         (reading.expected - reading.service_time).max(0.0) * 0.5
     });
+    bounded_retry_after(wait, spread)
+}
+
+/// Retry-after time of about `wait` seconds within the bounds.
+pub(super) fn bounded_retry_after(wait: f64, spread: f64) -> Duration {
     let (shortest, longest) = RETRY_AFTER_BOUNDS;
     let wait = wait.clamp(shortest, longest) * (0.75 + 0.75 * spread);
     Duration::from_secs_f64(wait)
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -1,15 +1,21 @@
 //! Dispatch of requests: choice of a server, admission control and the retry limit.
 
 mod admission;
+mod limit_control;
+mod limit_gate;
 mod request_rate;
 mod retry_window;
 mod server_choice;
 mod server_gauge;
 
+use admission::bounded_retry_after;
+
 pub use {
     admission::{Admission, AdmissionRule, retry_after},
+    limit_control::LimitControl,
+    limit_gate::{AdmittedShare, LimitGate, LimitedRequests},
     request_rate::{RateError, RequestRate},
     retry_window::{HostCount, RetryWindow},
     server_choice::{Candidate, choose_server},
-    server_gauge::{GaugeReading, ReportedLoad, RequestOutcome, ServerGauge},
+    server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
 };
--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -1,6 +1,11 @@
 //! This host's estimate of the load, speed and failure rate of one server.
 
-use {super::RequestRate, crate::time::BootTime, std::time::Duration};
+use {
+    super::{LimitGate, RequestRate},
+    crate::time::BootTime,
+    bincode::{Decode, Encode},
+    std::time::Duration,
+};
 
 /// Service time assumed before the first measurement.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(150);
@@ -49,6 +54,18 @@
     Abandoned,
 }
 
+/// What a host has learned from a server's answers about its limit since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub enum NamedLimit {
+    /// No answer has come.
+    #[default]
+    Unknown,
+    /// The last answer named no limit, unlike earlier ones.
+    Lifted,
+    /// The last answer named this limit.
+    Named(RequestRate),
+}
+
 /// Estimates the load, speed and failure share of one server.
 #[derive(Clone, Debug)]
 pub struct ServerGauge {
@@ -71,8 +88,10 @@
     next_avoid_time: Duration,
     /// When the server has warmed up.
     warmed_up_at: BootTime,
-    /// Requests a second that the server takes from all hosts together, if it limits them.
-    limit: Option<RequestRate>,
+    /// This host's part of the limit that the server names, if it does.
+    limit_gate: Option<LimitGate>,
+    /// What answers told about the limit since the last report.
+    named_limit: NamedLimit,
     /// Successes since the last call of `take_period`, and their total service time in seconds.
     period: (u32, f64),
 }
@@ -109,19 +128,49 @@
             avoid_until: BootTime::default(),
             next_avoid_time: INITIAL_AVOID_TIME,
             warmed_up_at: now + warmup,
-            limit: None,
+            limit_gate: None,
+            named_limit: NamedLimit::Unknown,
             period: (0, 0.0),
         }
     }
 
-    /// Limit that the server has named, if any.
-    pub fn limit(&self) -> Option<RequestRate> {
-        self.limit
+    /// This host's part of the limit that the server names, if it does.
+    pub fn limit_gate(&self) -> Option<&LimitGate> {
+        self.limit_gate.as_ref()
+    }
+
+    /// The same, for a request that asks to pass or a share that is set.
+    pub fn limit_gate_mut(&mut self) -> Option<&mut LimitGate> {
+        self.limit_gate.as_mut()
+    }
+
+    /// Sets the gate for a limit that another host has learned of, or removes it.
+    pub fn set_limit_gate(&mut self, gate: Option<LimitGate>) {
+        self.limit_gate = gate;
+    }
+
+    /// Records the limit in an answer of the server; `None` if the answer named none. `phase` is a
+    /// random number in 0..1.
+    pub fn record_limit(&mut self, limit: Option<RequestRate>, phase: f64, now: BootTime) {
+        match limit {
+            Some(limit) => {
+                let gate = self
+                    .limit_gate
+                    .get_or_insert_with(|| LimitGate::new(limit, phase, now));
+                gate.record_named(limit, now);
+                self.named_limit = NamedLimit::Named(limit);
+            }
+            None => {
+                if self.limit_gate.take().is_some() {
+                    self.named_limit = NamedLimit::Lifted;
+                }
+            }
+        }
     }
 
-    /// Records the limit in an answer of the server; `None` if the answer named none.
-    pub fn record_limit(&mut self, limit: Option<RequestRate>) {
-        self.limit = limit;
+    /// Returns what answers told about the limit since the last call.
+    pub fn take_named_limit(&mut self) -> NamedLimit {
+        std::mem::take(&mut self.named_limit)
     }
 
     /// Records that a request was sent to the server.
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -6,6 +6,7 @@
         host_table::HostTable,
         leader_handlers::Announce,
         leader_messages::{ConfirmEnded, WriteEnded},
+        limit_table::LimitTable,
         order_sender::OrderSender,
         owner_store::OwnerStore,
         takeover::take_over,
@@ -81,6 +82,8 @@
     pub(super) revision: u64,
     pub(super) candidacy: Candidacy,
     pub(super) hosts: HostTable,
+    /// Limits that servers have named to any host.
+    pub(super) limits: LimitTable,
     /// Sender and term of the latest digest.
     pub(super) last_digest_sender: Option<(SocketAddr, u64)>,
     /// Addresses of all hosts, from the last digest that listed them.
@@ -140,6 +143,7 @@
             revision: 0,
             candidacy,
             hosts: HostTable::default(),
+            limits: LimitTable::default(),
             last_digest_sender: None,
             peers: Vec::new(),
             may_replace_leader: false,
@@ -454,6 +458,7 @@
         self.confirm_failures = 0;
         self.confirming = false;
         self.hosts = HostTable::default();
+        self.limits = LimitTable::new(self.state.shared_limits(), now);
         self.revisions = self.state.revisions();
         self.fleet_revision_sent = self.revisions.get(StoreKind::Fleet);
         self.config_revision_sent = self.revisions.get(StoreKind::Config);
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -164,6 +164,7 @@
         self.leader_without_store = (!digest.has_store).then_some(digest.nonce);
         self.state.record_digest(watches);
         self.state.set_remote_load(digest.hosts, &digest.servers);
+        self.state.set_shared_limits(&digest.limits);
         let behind = |kind| self.state.is_behind(kind);
         let is_behind = [StoreKind::Config, StoreKind::Fleet, StoreKind::Owners]
             .into_iter()
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -183,6 +183,9 @@
         let is_predecessor = |predecessor: &LeaderRecord| {
             predecessor.host == report.host && predecessor.address == from
         };
+        for limit in &report.load.limits {
+            self.limits.record_report(limit, now);
+        }
         if self.predecessor.as_ref().is_some_and(is_predecessor) {
             log::info!(host = report.host.as_str(); "previous leader has stopped acting");
             self.predecessor = None;
@@ -228,6 +231,8 @@
         let term = planner.state().term;
         let mut servers: Vec<_> = self.hosts.in_flight_totals().into_iter().collect();
         let hosts = self.complete_host_count(now);
+        let limits = self.limits.update(now);
+        self.state.set_shared_limits(&limits);
         self.state.set_remote_load(hosts, &servers);
         let slots = self.state.slots_by_hash();
         servers.retain(|(server, total)| {
@@ -250,6 +255,7 @@
             revisions: self.revisions,
             watchers,
             servers,
+            limits,
             peers: match lists_peers {
                 true => self.peers.clone(),
                 false => Vec::new(),
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod leader_handlers;
 mod leader_messages;
 mod leader_reports;
+mod limit_table;
 mod order_sender;
 mod owner_store;
 mod panic_guard;
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -7,6 +7,7 @@
 use {
     crate::state::{
         ConfigCopy, FleetUpdate, LoadReport, RevisionedChange, SeenRevisions, ServerHash,
+        SharedLimit,
     },
     bincode::{Decode, Encode, config},
     camphorcove_core::{ids::HostId, ownership::OwnerDelta},
@@ -61,6 +62,8 @@
     pub watchers: Vec<SocketAddr>,
     /// Requests in flight over all hosts, for each server with few free slots.
     pub servers: Vec<(ServerHash, u32)>,
+    /// Servers that limit the rate of requests, and what all hosts may send them.
+    pub limits: Vec<SharedLimit>,
     /// Addresses of all hosts, to which a later leader announces itself; empty in most
     /// digests.
     pub peers: Vec<SocketAddr>,
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -23,6 +23,8 @@
     Unavailable,
     /// Not run: the servers, the retry budget or the memory for bodies are exhausted.
     Overloaded,
+    /// Not run: the servers limit the rate of requests.
+    Limited,
     /// Not run: the remaining time is too short.
     TooLate,
     /// May have run: the server's response was lost or is invalid.
@@ -38,9 +40,11 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NoConfiguration | Self::Unavailable | Self::Overloaded | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Unavailable
+            | Self::Overloaded
+            | Self::Limited
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -56,6 +60,7 @@
         Refusal::NoConfiguration => "not run: no configuration yet",
         Refusal::Unavailable => "not run: no server available",
         Refusal::Overloaded => "not run: overloaded",
+        Refusal::Limited => "not run: the server limits the rate of requests",
         Refusal::TooLate => "not run: too little time left",
         Refusal::AnswerLost => "the request may have run: its answer was lost",
         Refusal::TimedOut => "the request may have run: no answer in time",
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -98,6 +98,7 @@
                     let refusal = match reason {
                         PickRefusal::NoKey => Refusal::Malformed,
                         PickRefusal::Overloaded => Refusal::Overloaded,
+                        PickRefusal::Limited => Refusal::Limited,
                         PickRefusal::TooLate => Refusal::TooLate,
                         PickRefusal::NoServer
                         | PickRefusal::OwnerUnresponsive
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -12,8 +12,8 @@
     bincode::{Decode, Encode},
     camphorcove_core::{
         dispatch::{
-            GaugeReading, HostCount, ReportedLoad, RequestOutcome, RequestRate, RetryWindow,
-            ServerGauge,
+            GaugeReading, HostCount, LimitGate, LimitedRequests, NamedLimit, ReportedLoad,
+            RequestOutcome, RetryWindow, ServerGauge,
         },
         fleet::{FleetView, OutageGuard},
         ids::{ServerId, ServiceName},
@@ -38,7 +38,7 @@
 };
 
 /// Number of hosts assumed to share limits until the leader has counted them.
-const ASSUMED_HOST_COUNT: u32 = 10;
+pub(super) const ASSUMED_HOST_COUNT: u32 = 10;
 
 /// Age at which the load of other hosts is discarded: two reports are missing then.
 const REMOTE_LOAD_MAX_AGE: Duration = Duration::from_millis(1_000);
@@ -94,11 +94,24 @@
     pub mean_micros: u32,
 }
 
+/// Requests of one host for a limited server, and what its answers told about the limit.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct LimitReport {
+    /// The limited server.
+    pub server: ServerHash,
+    /// What answers told since the last report.
+    pub named: NamedLimit,
+    /// Requests since the last report.
+    pub requests: LimitedRequests,
+}
+
 /// Load that a host reports to the leader.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct LoadReport {
     /// Loads of the servers that had requests.
     pub servers: Vec<ServerLoad>,
+    /// Servers that limit the rate of requests, or have just ceased to.
+    pub limits: Vec<LimitReport>,
     /// Number of requests per service and key since the last report.
     pub keys: Vec<(ServiceName, Vec<(u16, u32)>)>,
 }
@@ -433,7 +446,9 @@
     pub fn take_load_report(&self) -> LoadReport {
         let mut inner = self.lock();
         let mut servers = Vec::new();
+        let mut limits = Vec::new();
         for (id, gauge) in &mut inner.gauges {
+            limits.extend(limit_report(id, gauge));
             let (successes, mean) = gauge.take_period();
             let in_flight = gauge.publish_in_flight();
             if successes == 0 && in_flight == 0 {
@@ -450,7 +465,11 @@
             .into_iter()
             .map(|(service, keys)| (service, keys.into_iter().collect()))
             .collect();
-        LoadReport { servers, keys }
+        LoadReport {
+            servers,
+            limits,
+            keys,
+        }
     }
 
     /// Records the result of a request in the server's gauge.
@@ -471,30 +490,19 @@
             gauge.record_reported_load(load, now);
         }
     }
+}
 
-    /// Records the limit that a server names in an answer, or that it names none.
-    pub fn record_limit(&self, server: &ServerId, limit: Option<RequestRate>) {
-        let mut inner = self.lock();
-        let Some(gauge) = inner.gauges.get_mut(server) else {
-            return;
-        };
-        let known = gauge.limit();
-        gauge.record_limit(limit);
-        match limit {
-            Some(limit) if known != Some(limit) => {
-                log::info!(server = server.as_str(), limit:% = limit; "server limits the rate of requests");
-            }
-            None if known.is_some() => {
-                log::info!(server = server.as_str(); "server no longer limits the rate of requests");
-            }
-            _ => {}
-        }
-    }
-
-    /// Number of servers that limit the rate of requests.
-    pub fn limited_servers(&self) -> usize {
-        let inner = self.lock();
-        let limited = |gauge: &&ServerGauge| gauge.limit().is_some();
-        inner.gauges.values().filter(limited).count()
-    }
+/// Report about a server's limit, if there is anything to report.
+fn limit_report(server: &ServerId, gauge: &mut ServerGauge) -> Option<LimitReport> {
+    let named = gauge.take_named_limit();
+    let requests = gauge
+        .limit_gate_mut()
+        .map(LimitGate::take_requests)
+        .unwrap_or_default();
+    let is_empty = named == NamedLimit::Unknown && requests == LimitedRequests::default();
+    (!is_empty).then(|| LimitReport {
+        server: ServerHash::of(server),
+        named,
+        requests,
+    })
 }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod fleet_tracking;
 mod fleet_update;
 mod host_state;
+mod limit_tracking;
 mod log_rate_limiter;
 mod seen_revisions;
 mod server_pick;
@@ -17,7 +18,8 @@
     change_log::{ChangeLog, RevisionedChange},
     config_copy::ConfigCopy,
     fleet_update::FleetUpdate,
-    host_state::{HostCounters, HostState, LoadReport, ServerHash, ServerLoad},
+    host_state::{HostCounters, HostState, LimitReport, LoadReport, ServerHash, ServerLoad},
+    limit_tracking::SharedLimit,
     log_rate_limiter::{LogRateLimiter, LogTopic},
     seen_revisions::{RevisionSpan, SeenRevisions, StoreKind},
     server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -1,11 +1,14 @@
 //! Selects the server for one attempt of a request.
 
 use {
-    super::{HostState, host_state::StateInner},
+    super::{
+        HostState,
+        host_state::{ASSUMED_HOST_COUNT, StateInner},
+    },
     camphorcove_core::{
         dispatch::{
-            Admission, AdmissionRule, Candidate, GaugeReading, ReportedLoad, RequestOutcome,
-            RequestRate, ServerGauge, choose_server, retry_after,
+            Admission, AdmissionRule, Candidate, GaugeReading, LimitGate, ReportedLoad,
+            RequestOutcome, RequestRate, ServerGauge, choose_server, retry_after,
         },
         fleet::{ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName},
@@ -50,6 +53,8 @@
     NoServer,
     /// The service's servers are overloaded.
     Overloaded,
+    /// The servers that could take the request limit the rate of requests.
+    Limited,
     /// The expected time exceeds the time left until the deadline.
     TooLate,
     /// The server that owns the key does not respond.
@@ -115,6 +120,11 @@
         same_incarnation && leaving.is_none_or(|since| now.since(since) < LEAVING_SERVER_GRACE)
     }
 
+    fn refuse_limited(&mut self, gate: &LimitGate) -> ServerPick {
+        let jitter = rand::RngExt::random(&mut self.random);
+        ServerPick::Refuse(PickRefusal::Limited, gate.retry_after(jitter))
+    }
+
     fn refuse_unowned(&mut self) -> ServerPick {
         let jitter = rand::RngExt::random(&mut self.random);
         ServerPick::Refuse(PickRefusal::NoOwner, retry_after(None, jitter))
@@ -161,6 +171,7 @@
         if !inner.may_send_to(&entry, now) || not_owner_until.is_some_and(|until| now < *until) {
             return inner.refuse_unowned();
         }
+        let hosts = inner.host_count.value().unwrap_or(ASSUMED_HOST_COUNT);
         let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
             return inner.refuse_unowned();
         };
@@ -175,6 +186,12 @@
             let jitter = rand::RngExt::random(&mut inner.random);
             return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
         }
+        if let Some(gate) = gauge.limit_gate_mut()
+            && !gate.admit(hosts, now)
+        {
+            let gate = gate.clone();
+            return inner.refuse_limited(&gate);
+        }
         self.record_sent(gauge);
         drop(inner);
         self.permit(entry, now)
@@ -216,31 +233,44 @@
             });
             entries.push(entry);
         }
-        let Some(at) = choose_server(&candidates, query.rule.target_latency, &mut inner.random)
-        else {
-            let jitter = rand::RngExt::random(&mut inner.random);
-            return ServerPick::Refuse(PickRefusal::NoServer, retry_after(None, jitter));
-        };
-        let reading: GaugeReading = candidates[at].reading;
-        let refusal = match query.rule.decide(reading) {
-            Admission::Send => None,
-            Admission::Overloaded => Some(PickRefusal::Overloaded),
-            Admission::TooLate => Some(PickRefusal::TooLate),
-        };
-        if let Some(refusal) = refusal {
-            let jitter = rand::RngExt::random(&mut inner.random);
-            return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
+        let hosts = inner.host_count.value().unwrap_or(ASSUMED_HOST_COUNT);
+        let mut closed_gate: Option<LimitGate> = None;
+        let target = query.rule.target_latency;
+        while let Some(at) = choose_server(&candidates, target, &mut inner.random) {
+            let reading: GaugeReading = candidates[at].reading;
+            let refusal = match query.rule.decide(reading) {
+                Admission::Send => None,
+                Admission::Overloaded => Some(PickRefusal::Overloaded),
+                Admission::TooLate => Some(PickRefusal::TooLate),
+            };
+            if let Some(refusal) = refusal {
+                let jitter = rand::RngExt::random(&mut inner.random);
+                return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
+            }
+            let entry = entries[at].clone();
+            if let Some(gauge) = inner.gauges.get_mut(&entry.id) {
+                if let Some(gate) = gauge.limit_gate_mut()
+                    && !gate.admit(hosts, now)
+                {
+                    closed_gate = Some(gate.clone());
+                    candidates.swap_remove(at);
+                    entries.swap_remove(at);
+                    continue;
+                }
+                self.record_sent(gauge);
+            }
+            return self.permit(entry, now);
         }
-        let entry = entries[at].clone();
-        if let Some(gauge) = inner.gauges.get_mut(&entry.id) {
-            self.record_sent(gauge);
+        if let Some(gate) = closed_gate {
+            return inner.refuse_limited(&gate);
         }
-        self.permit(entry, now)
+        let jitter = rand::RngExt::random(&mut inner.random);
+        ServerPick::Refuse(PickRefusal::NoServer, retry_after(None, jitter))
     }
 
     fn record_sent(&self, gauge: &mut ServerGauge) {
         gauge.record_sent();
-        if gauge.limit().is_some() {
+        if gauge.limit_gate().is_some() {
             self.counters.limited.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -300,6 +300,7 @@
         revisions: SeenRevisions::default(),
         watchers: Vec::new(),
         servers: Vec::new(),
+        limits: Vec::new(),
         peers: Vec::new(),
     }
 }
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -32,8 +32,8 @@
 /// Time for which callers send after the limit binds.
 const LOAD_TIME: Duration = Duration::from_secs(5);
 
-/// Pause between two requests of the callers of one host.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two requests, which go to the hosts in turn.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Longest time until a request is refused that no server may take.
 const REFUSAL_TIME: Duration = Duration::from_millis(100);
@@ -107,9 +107,9 @@
     async fn send_load(
         &self,
         path: &str,
-        key: fn(u64) -> u64,
+        key: fn(u64) -> Option<u64>,
         time: Duration,
-    ) -> Vec<(u64, TimedResponse)> {
+    ) -> Vec<(Option<u64>, TimedResponse)> {
         let mut calls = JoinSet::new();
         let end = Instant::now() + time;
         let mut number = 0;
@@ -117,15 +117,16 @@
             for host in &self.hosts {
                 number += 1;
                 let (address, key) = (host.address, key(number));
-                let text = request("GET", path, &format!("r-{number}"), &key_header(key), "");
+                let extra = key.map(key_header).unwrap_or_default();
+                let text = request("GET", path, &format!("r-{number}"), &extra, "");
                 calls.spawn(async move {
                     let started = Instant::now();
                     let response = call(address, &text).await;
                     let took = started.elapsed();
                     (key, TimedResponse { response, took })
                 });
+                sleep(REQUEST_INTERVAL).await;
             }
-            sleep(REQUEST_INTERVAL).await;
         }
         calls.join_all().await
     }
@@ -137,10 +138,10 @@
 async fn limited_server_gets_no_more_than_its_limit_and_the_rest_goes_to_others() {
     let region = start_region("plain", 2).await;
     region.ledger.set_limit("s-0", Some(LIMIT));
-    let noticed = region.send_load("/read/a", |_| 0, NOTICE_TIME).await;
+    let noticed = region.send_load("/read/a", |_| None, NOTICE_TIME).await;
     let from = Instant::now();
 
-    let responses = region.send_load("/read/a", |_| 0, LOAD_TIME).await;
+    let responses = region.send_load("/read/a", |_| None, LOAD_TIME).await;
 
     let (most, allowed) = region.ledger.busiest_span("s-0", from);
     assert!(most as f64 <= allowed, "{most} requests, {allowed} allowed");
@@ -161,8 +162,8 @@
     assert_ne!(region.owner(65_535), limited);
     // A few keys get all requests, so that the owner cannot be relieved by a move of other keys.
     let key = |number: u64| match number % 3 {
-        0 => 65_535,
-        _ => 0,
+        0 => Some(65_535),
+        _ => Some(0),
     };
     region.ledger.set_limit(limited.as_str(), Some(LIMIT));
     region.send_load("/key/a", key, NOTICE_TIME).await;
@@ -173,11 +174,12 @@
     let (most, allowed) = region.ledger.busiest_span(limited.as_str(), from);
     assert!(most as f64 <= allowed, "{most} requests, {allowed} allowed");
     let served = |key: u64| {
-        let served =
-            |(at, timed): &&(u64, TimedResponse)| *at == key && timed.response.status == 200;
+        let served = |(at, timed): &&(Option<u64>, TimedResponse)| {
+            *at == Some(key) && timed.response.status == 200
+        };
         responses.iter().filter(served).count() as f64
     };
-    let sent = |key: u64| responses.iter().filter(|(at, _)| *at == key).count() as f64;
+    let sent = |key: u64| responses.iter().filter(|(at, _)| *at == Some(key)).count() as f64;
     assert!(
         served(0) >= LIMIT * LOAD_TIME.as_secs_f64() * 0.5,
         "{} served",
@@ -190,7 +192,7 @@
         }
         assert_eq!(
             (*key, timed.response.status),
-            (0, 503),
+            (Some(0), 503),
             "{}",
             timed.response.body
         );
