Place keys by the limits that servers name

The placement takes a server's capacity from its slots and its measured speed; a server that takes half of that still counted as fast. Class: two decisions that use different figures for the same capacity.

Change: the capacity of a server is at most the limit that it names, so its keys move to others within the usual rounds of balancing, and stay where they are when the others are full as well.

--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -339,6 +339,9 @@
                 let slots = self.state.slots(id);
                 *rate = (f64::from(slots) / mean) as f32;
             }
+            if let Some(limit) = self.limits.limit(ServerHash::of(id)) {
+                *rate = rate.min(limit.per_second() as f32);
+            }
             *rate = RangeLoad::steady_count(*rate);
         }
         capacity
--- a/crates/gateway/src/leader/limit_table.rs
+++ b/crates/gateway/src/leader/limit_table.rs
@@ -3,7 +3,7 @@
 use {
     crate::state::{LimitReport, ServerHash, SharedLimit},
     camphorcove_core::{
-        dispatch::{AdmittedShare, LimitControl, NamedLimit},
+        dispatch::{AdmittedShare, LimitControl, NamedLimit, RequestRate},
         time::BootTime,
     },
     std::collections::BTreeMap,
@@ -61,4 +61,9 @@
         }
         limits
     }
+
+    /// Limit of a server, if it has one.
+    pub fn limit(&self, server: ServerHash) -> Option<RequestRate> {
+        self.controls.get(&server).map(LimitControl::limit)
+    }
 }
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -204,3 +204,21 @@
         assert!(timed.took < REFUSAL_TIME, "{:?}", timed.took);
     }
 }
+
+/// Guards against callers who are refused because a limited owner keeps keys that another server
+/// could take.
+#[tokio::test]
+async fn keys_of_a_limited_owner_move_to_servers_that_can_take_them() {
+    let region = start_region("keyed", 2).await;
+    region.wait_until_owned().await;
+    let limited = region.owner(30_000);
+    let key = |number: u64| Some(number * 7_919 % 65_536);
+    region.ledger.set_limit(limited.as_str(), Some(LIMIT));
+    region.send_load("/key/a", key, NOTICE_TIME).await;
+
+    let responses = region.send_load("/key/a", key, LOAD_TIME).await;
+
+    let served = |(_, timed): &&(Option<u64>, TimedResponse)| timed.response.status == 200;
+    let served = responses.iter().filter(served).count() as f64 / responses.len() as f64;
+    assert!(served >= 0.95, "{served} of the requests served");
+}
