Let servers of the soak limit the rate of requests

A random server names a limit of 10 requests/s between the faults. After the last fault, limited servers must get no more than they take over all hosts. Requests for the service without keys no longer carry a key: its servers refused them all as not theirs, so the soak never ran a plain request. The faults of a seed stay as they were.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -31,7 +31,7 @@
 }
 
 /// Guards against two owners of a key, at-most-once requests that run twice, requests that ran
-/// although they were refused as not run, wrong responses, a planned stop that fails, and keys
+/// although they were refused as not run, more requests than a server takes, wrong responses, a planned stop that fails, and keys
 /// that remain without an owner.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_random_faults() {
@@ -45,9 +45,10 @@
 
         for _ in 0..FAULTS_PER_SEED {
             region.inject_fault().await;
+            region.change_limits();
             sleep(Duration::from_millis(400)).await;
         }
-        sleep(Duration::from_secs(4)).await;
+        region.check_limits().await;
         let served = region.wait_until_served(RECOVERY_LIMIT).await;
         let violations = region.finish().await;
 
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -24,7 +24,7 @@
             Arc, Mutex,
             atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::time::{sleep, timeout},
 };
@@ -37,6 +37,16 @@
 const KEYED_SERVERS: usize = 3;
 const PLAIN_SERVERS: usize = 2;
 
+/// Requests a second that a limited server takes: less than the callers send to it.
+const SERVER_LIMIT: f64 = 10.0;
+
+/// Time after the last fault from which limits bind: until hosts run, know the limits and have a
+/// leader.
+const LIMIT_NOTICE_TIME: Duration = Duration::from_millis(4_500);
+
+/// Time for which requests to limited servers are counted.
+const LIMIT_CHECK_TIME: Duration = Duration::from_millis(4_500);
+
 /// Number of callers that send requests continuously.
 const CALLERS: usize = 4;
 
@@ -82,6 +92,8 @@
 /// Hosts, store, servers and callers of one run.
 pub struct SoakRegion {
     random: ChaCha8Rng,
+    /// Decides about limits apart from the other faults, whose sequence a seed keeps.
+    limit_random: ChaCha8Rng,
     hosts: Vec<SoakHost>,
     store: StoreStandin,
     ownership_ledger: OwnershipLedger,
@@ -97,6 +109,7 @@
         store.put("config", "main", config());
         let mut region = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
+            limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
             hosts: Vec::new(),
             store,
             ownership_ledger: OwnershipLedger::default(),
@@ -189,6 +202,28 @@
         }
     }
 
+    /// Makes a random server limit the rate of requests, or lifts its limit, or neither.
+    pub fn change_limits(&mut self) {
+        let server = self.limit_random.random_range(0..self.servers.len());
+        let id = &self.servers[server].0.id;
+        match self.limit_random.random_range(0..6) {
+            0 | 1 => self.ownership_ledger.set_limit(id, Some(SERVER_LIMIT)),
+            2 => self.ownership_ledger.set_limit(id, None),
+            _ => {}
+        }
+    }
+
+    /// Checks that limited servers get no more requests than they take, and then lifts the limits.
+    pub async fn check_limits(&self) {
+        sleep(LIMIT_NOTICE_TIME).await;
+        let from = Instant::now();
+        sleep(LIMIT_CHECK_TIME).await;
+        self.ownership_ledger.check_limits(from);
+        for (server, _) in &self.servers {
+            self.ownership_ledger.set_limit(&server.id, None);
+        }
+    }
+
     /// Disturbs the connection of one host to the store for `duration`: resets connections, or
     /// drops all bytes from the store, or drops all bytes in both directions.
     fn disturb_store_connection(&mut self, host: usize, duration: Duration) {
@@ -350,14 +385,15 @@
 async fn send_next(number: u64, hosts: &[SocketAddr], caller_ledger: &Arc<Mutex<CallerLedger>>) {
     let id = format!("c-{number}");
     let key = number.wrapping_mul(7_919) % 65_536;
-    let extra = key_header(key);
-    let (method, path, at_most_once) = match number % 4 {
-        0 => ("GET", "/read/a", false),
-        1 => ("POST", "/write/a", true),
-        2 => ("GET", "/key/a", false),
-        _ => ("POST", "/claim/a", true),
+    let key = key_header(key);
+    // Only keyed services get keys; a server of another service would refuse the request.
+    let (method, path, extra, at_most_once) = match number % 4 {
+        0 => ("GET", "/read/a", "", false),
+        1 => ("POST", "/write/a", "", true),
+        2 => ("GET", "/key/a", key.as_str(), false),
+        _ => ("POST", "/claim/a", key.as_str(), true),
     };
-    let text = request(method, path, &id, &extra, "");
+    let text = request(method, path, &id, extra, "");
     if at_most_once {
         caller_ledger
             .lock()
