Keep limits when a new leader does not list them

Cause: a limit that the leader's digest did not list was over at once for hosts to which the server had not named it itself. A leader that has just started lists none, as it knows none yet. Class: absence in the first message of a new sender taken for a removal.

Change: a limit lasts 1 s after it was last named or listed, and the first report to a leader of a new term contains the limits that the host knows. limits_outlive_the_leader_that_listed_them did not hold before: the second digest removed the limit.

--- a/crates/core/src/dispatch/limit_gate.rs
+++ b/crates/core/src/dispatch/limit_gate.rs
@@ -15,8 +15,8 @@
 /// Time for which a host relies on a share: a change of leader takes less.
 const SHARE_MAX_AGE: Duration = Duration::from_millis(1_500);
 
-/// Time for which a limit that the server named to this host holds although the leader does not
-/// list it: two reports and two digests.
+/// Time for which a limit holds that neither an answer names nor the leader lists: within it, a new
+/// leader has learned the limits from the reports of all hosts.
 const UNLISTED_TIME: Duration = Duration::from_millis(1_000);
 
 /// Share of the requests for a server that may be sent to it.
@@ -62,8 +62,8 @@
 #[derive(Clone, Debug)]
 pub struct LimitGate {
     limit: RequestRate,
-    /// When the server last named the limit to this host.
-    named_at: Option<BootTime>,
+    /// When the server last named the limit to this host, or the leader listed it.
+    known_at: BootTime,
     share: AdmittedShare,
     /// When the leader last set the share.
     shared_at: BootTime,
@@ -82,7 +82,7 @@
     pub fn new(limit: RequestRate, phase: f64, now: BootTime) -> Self {
         Self {
             limit,
-            named_at: None,
+            known_at: now,
             share: AdmittedShare::ALL,
             shared_at: now,
             credit: phase,
@@ -104,7 +104,7 @@
     /// Records that the server has named the limit to this host.
     pub fn record_named(&mut self, limit: RequestRate, now: BootTime) {
         self.limit = limit;
-        self.named_at = Some(now);
+        self.known_at = now;
     }
 
     /// Sets the limit and the share that the leader lists.
@@ -112,13 +112,12 @@
         self.limit = limit;
         self.share = share;
         self.shared_at = now;
+        self.known_at = now;
     }
 
-    /// Whether a limit that the leader does not list is over: the server has not named it to
-    /// this host lately.
+    /// Whether a limit that the leader does not list is over.
     pub fn is_over(&self, now: BootTime) -> bool {
-        self.named_at
-            .is_none_or(|named_at| now.since(named_at) >= UNLISTED_TIME)
+        now.since(self.known_at) >= UNLISTED_TIME
     }
 
     /// Asks for a request to pass. Without a recent share, the limit is divided evenly among
--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -64,6 +64,8 @@
     Lifted,
     /// The last answer named this limit.
     Named(RequestRate),
+    /// No answer has come; the host knows this limit from before.
+    Held(RequestRate),
 }
 
 /// Estimates the load, speed and failure share of one server.
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -120,6 +120,8 @@
     pub(super) announced: Option<(Arc<OwnerState>, u64)>,
     /// Newest revisions that any host has reported to this leader.
     pub(super) revisions: SeenRevisions,
+    /// Term of the leader to which the last report was sent.
+    pub(super) reported_term: Option<u64>,
     /// When the last report was sent.
     pub(super) reported_at: BootTime,
     /// When the last check of the leadership was started.
@@ -161,6 +163,7 @@
             term_started_at: now,
             announced: None,
             revisions: SeenRevisions::default(),
+            reported_term: None,
             reported_at: now,
             confirm_started_at: now,
             early_round_pending: false,
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -4,7 +4,7 @@
     super::leader_actor::{CONFIRM_FAILURES, LeaderActor, Role},
     crate::{
         peers::{Digest, OwnerChange, PeerMessage, Report},
-        state::{ConfigCopy, FleetUpdate, SeenRevisions, StoreKind},
+        state::{ConfigCopy, FleetUpdate, ReportScope, SeenRevisions, StoreKind},
     },
     camphorcove_core::{
         ownership::{
@@ -58,13 +58,17 @@
     /// Reports the load of this host to the leader. The leader records its own report, checks
     /// its majority and sends a digest.
     pub(super) fn send_report(&mut self, now: BootTime) {
-        let load = self.state.take_load_report();
         let host = self.state.settings.host.clone();
         let leader = self.leader_address();
         let term = match &self.role {
             Role::Leader(planner) => planner.state().term,
             Role::Follower | Role::Candidate => leader.map_or(0, |(_, term)| term),
         };
+        let scope = match self.reported_term.replace(term) == Some(term) {
+            true => ReportScope::Changes,
+            false => ReportScope::NewLeader,
+        };
+        let load = self.state.take_load_report(scope);
         let report = Report {
             host,
             nonce: self.state.nonce,
--- a/crates/gateway/src/leader/limit_table.rs
+++ b/crates/gateway/src/leader/limit_table.rs
@@ -41,6 +41,11 @@
                     .or_insert_with(|| LimitControl::new(limit, AdmittedShare::ALL, now));
                 control.set_limit(limit);
             }
+            NamedLimit::Held(limit) => {
+                self.controls
+                    .entry(report.server)
+                    .or_insert_with(|| LimitControl::new(limit, AdmittedShare::ALL, now));
+            }
             NamedLimit::Unknown => {}
         }
         if let Some(control) = self.controls.get_mut(&report.server) {
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -105,6 +105,15 @@
     pub requests: LimitedRequests,
 }
 
+/// What a report has to contain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportScope {
+    /// What has changed since the last report.
+    Changes,
+    /// Also limits that the host has learned of earlier, as the leader is new.
+    NewLeader,
+}
+
 /// Load that a host reports to the leader.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct LoadReport {
@@ -443,12 +452,12 @@
     }
 
     /// Returns the load since the last call, for the report to the leader.
-    pub fn take_load_report(&self) -> LoadReport {
+    pub fn take_load_report(&self, scope: ReportScope) -> LoadReport {
         let mut inner = self.lock();
         let mut servers = Vec::new();
         let mut limits = Vec::new();
         for (id, gauge) in &mut inner.gauges {
-            limits.extend(limit_report(id, gauge));
+            limits.extend(limit_report(id, gauge, scope));
             let (successes, mean) = gauge.take_period();
             let in_flight = gauge.publish_in_flight();
             if successes == 0 && in_flight == 0 {
@@ -493,8 +502,16 @@
 }
 
 /// Report about a server's limit, if there is anything to report.
-fn limit_report(server: &ServerId, gauge: &mut ServerGauge) -> Option<LimitReport> {
-    let named = gauge.take_named_limit();
+fn limit_report(
+    server: &ServerId,
+    gauge: &mut ServerGauge,
+    scope: ReportScope,
+) -> Option<LimitReport> {
+    let known = gauge.limit_gate().map(LimitGate::limit);
+    let named = match (gauge.take_named_limit(), scope, known) {
+        (NamedLimit::Unknown, ReportScope::NewLeader, Some(limit)) => NamedLimit::Held(limit),
+        (named, _, _) => named,
+    };
     let requests = gauge
         .limit_gate_mut()
         .map(LimitGate::take_requests)
--- a/crates/gateway/src/state/limit_tracking.rs
+++ b/crates/gateway/src/state/limit_tracking.rs
@@ -35,8 +35,8 @@
         log_limit_change(server, known, limit);
     }
 
-    /// Sets the limits and shares that the leader lists. A limit that it does not list is over,
-    /// unless the server has just named it to this host.
+    /// Sets the limits and shares that the leader lists. A limit that it does not list is over
+    /// after some time.
     pub fn set_shared_limits(&self, limits: &[SharedLimit]) {
         let now = self.now();
         let limits: HashMap<ServerHash, &SharedLimit> =
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -18,7 +18,9 @@
     change_log::{ChangeLog, RevisionedChange},
     config_copy::ConfigCopy,
     fleet_update::FleetUpdate,
-    host_state::{HostCounters, HostState, LimitReport, LoadReport, ServerHash, ServerLoad},
+    host_state::{
+        HostCounters, HostState, LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad,
+    },
     limit_tracking::SharedLimit,
     log_rate_limiter::{LogRateLimiter, LogTopic},
     seen_revisions::{RevisionSpan, SeenRevisions, StoreKind},
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -4,9 +4,11 @@
 
 use {
     camphorcove_core::{
+        dispatch::{AdmittedShare, NamedLimit, RequestRate},
         ids::ServerId,
         ownership::{KeyRange, RangePhase},
     },
+    camphorcove_gateway::state::{ReportScope, ServerHash, SharedLimit},
     camphorcove_platform_standin::{
         caller::{CallerResponse, call, key_header, request},
         owning_server::{OwnershipLedger, OwningServer},
@@ -14,7 +16,7 @@
     },
     std::time::{Duration, Instant},
     support::{
-        fixtures::{TestHost, entry, start_listener},
+        fixtures::{TestHost, entry, first_listing_span, host_state, start_listener},
         leader_hosts::leader_host_with,
     },
     tokio::{task::JoinSet, time::sleep},
@@ -222,3 +224,29 @@
     let served = responses.iter().filter(served).count() as f64 / responses.len() as f64;
     assert!(served >= 0.95, "{served} of the requests served");
 }
+
+/// Guards against hosts that forget limits with a leader that has just started: it learns them from
+/// the hosts' reports.
+#[tokio::test]
+async fn limits_outlive_the_leader_that_listed_them() {
+    let state = host_state();
+    let server = entry("s-1", "plain", ([127, 0, 0, 1], 9_000).into());
+    state.replace_fleet(vec![server.clone()], first_listing_span());
+    let limit = SharedLimit {
+        server: ServerHash::of(&server.id),
+        limit: RequestRate::from_per_second(1.0),
+        share: AdmittedShare::from_fraction(0.1),
+    };
+    state.set_shared_limits(std::slice::from_ref(&limit));
+
+    state.set_shared_limits(&[]);
+    let report = state.take_load_report(ReportScope::NewLeader);
+
+    assert_eq!(state.shared_limits(), std::slice::from_ref(&limit));
+    let reported: Vec<_> = report
+        .limits
+        .iter()
+        .map(|report| (report.server, report.named))
+        .collect();
+    assert_eq!(reported, [(limit.server, NamedLimit::Held(limit.limit))]);
+}
