--- /dev/null
+++ b/crates/gateway/tests/lost_writes.rs
@@ -0,0 +1,307 @@
+//! A store that comes back from a backup: its last writes are lost and their revisions are given out
+//! again.
+
+mod support;
+
+use {
+    camphorcove_core::{
+        fleet::ServerPhase,
+        ownership::{OwnerState, RangePhase},
+    },
+    camphorcove_gateway::{
+        state::HostState,
+        watch::{ConfigFollower, FleetFollower, follow},
+    },
+    camphorcove_platform::StoreClient,
+    camphorcove_platform_standin::{
+        entries::{config_entry, route_entry, server_entry},
+        owning_server::{OwnershipLedger, OwningServer},
+        store_standin::StoreStandin,
+    },
+    serde::Deserialize,
+    serde_json::Value,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    support::{
+        fixtures::{entry, host_state},
+        leader_hosts::{LeaderHost, leader_host_with},
+    },
+    tokio::time::sleep,
+};
+
+/// Time within which a configuration has to be in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+
+/// Most calls of one host to the store in the two seconds after its return: a few for each kind.
+const MAX_CALLS: usize = 20;
+
+/// Time for which the store is away.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for a condition.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+fn config(version: u32) -> Value {
+    config_entry(
+        &format!("{version:08x}"),
+        &[route_entry("a", "safe", "plain")],
+    )
+}
+
+fn server(state: &str, born: u64) -> Value {
+    server_entry("plain", ([127, 0, 0, 1], 9_000).into(), state, born)
+}
+
+async fn following_host() -> (Arc<HostState>, StoreStandin) {
+    let (store, address) = StoreStandin::start().await;
+    store.put("config", "main", config(1));
+    for id in ["s-1", "s-2", "s-3"] {
+        store.put("servers", id, server("ready", 5));
+    }
+    let state = host_state();
+    let client = StoreClient::new(address, Duration::from_millis(400));
+    let follower = ConfigFollower::new(state.clone());
+    tokio::spawn(follow(state.clone(), client.clone(), follower));
+    let follower = FleetFollower::new(state.clone());
+    tokio::spawn(follow(state.clone(), client, follower));
+    until("listed", || {
+        version(&state) == 1 && servers(&state) == ["s-1", "s-2", "s-3"]
+    })
+    .await;
+    (state, store)
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) -> Duration {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < WAIT_LIMIT, "never {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+    started.elapsed()
+}
+
+fn version(state: &HostState) -> u64 {
+    state.table().map_or(0, |table| table.version.0)
+}
+
+/// Ids of the servers that get new requests.
+fn servers(state: &HostState) -> Vec<String> {
+    state.expire_fleet();
+    let fleet = state.fleet();
+    let ready = fleet
+        .entries()
+        .filter(|entry| entry.phase == ServerPhase::Ready);
+    ready.map(|entry| entry.id.to_string()).collect()
+}
+
+/// Writes as servers do that renew their entries, so that revisions rise.
+fn raise_revision(store: &StoreStandin, writes: u32) {
+    for _ in 0..writes {
+        store.put("other", "object", Value::Null);
+    }
+}
+
+/// Guards against a configuration that is in force late or not at all because its revision is lower
+/// than one that was lost, against an older one that comes back, and against hosts that call the
+/// store without pause.
+#[tokio::test]
+async fn configuration_written_after_lost_writes_is_in_force_with_few_calls() {
+    let (state, store) = following_host().await;
+    let backup = store.back_up();
+    store.put("config", "main", config(2));
+    raise_revision(&store, 50);
+    store.put("config", "main", config(3));
+    until("in force", || version(&state) == 3).await;
+
+    store.restore(backup);
+    let calls = store.calls().len();
+    sleep(Duration::from_millis(300)).await;
+    let after_loss = version(&state);
+    store.put("config", "main", config(4));
+    let took = until("in force", || version(&state) == 4).await;
+    sleep(APPLY_LIMIT.saturating_sub(took)).await;
+
+    assert_eq!(after_loss, 3);
+    assert!(took < APPLY_LIMIT, "{took:?}");
+    let calls = store.calls().len() - calls;
+    assert!(calls <= MAX_CALLS, "{calls} calls");
+}
+
+/// Guards against entries of the backup that were outdated when the writes were lost: a server that
+/// drains or has left gets requests again, or an earlier start of a server takes the place of its
+/// present one.
+#[tokio::test]
+async fn servers_that_left_are_not_used_again_after_lost_writes() {
+    let (state, store) = following_host().await;
+    let backup = store.back_up();
+    store.put("servers", "s-1", server("draining", 5));
+    store.put("servers", "s-2", server("draining", 5));
+    until("drained", || servers(&state) == ["s-3"]).await;
+    store.remove("servers", "s-2");
+    store.put("servers", "s-3", server("ready", 6));
+    let started = |state: &HostState| {
+        let fleet = state.fleet();
+        fleet
+            .get(&"s-3".parse().expect("valid id"))
+            .map(|entry| entry.incarnation)
+    };
+    until("restarted", || started(&state) == Some(6)).await;
+    let left = |state: &HostState| {
+        state
+            .fleet()
+            .get(&"s-2".parse().expect("valid id"))
+            .is_none()
+    };
+    until("left", || left(&state)).await;
+
+    store.restore(backup);
+    // Servers that live write their entries again; the entry of one that left only expires.
+    store.put("servers", "s-4", server("ready", 7));
+    until("joined", || servers(&state).contains(&"s-4".to_owned())).await;
+
+    assert_eq!(servers(&state), ["s-3", "s-4"]);
+    assert_eq!(started(&state), Some(6));
+}
+
+fn stored(store: &StoreStandin) -> Option<OwnerState> {
+    OwnerState::deserialize(store.spec("camphorcove", "owners")?).ok()
+}
+
+/// Owner of each range that has one.
+fn owners_of(state: &OwnerState) -> BTreeMap<u16, String> {
+    let mut owners = BTreeMap::new();
+    for record in state.services.values().flat_map(|owners| &owners.ranges) {
+        if let RangePhase::Owned { owner, .. } = &record.phase {
+            owners.insert(record.range.first, owner.id.to_string());
+        }
+    }
+    owners
+}
+
+fn next_token(state: &OwnerState) -> u64 {
+    let tokens = state.services.values().map(|owners| owners.next_token);
+    tokens.max().unwrap_or_default()
+}
+
+fn is_owned(state: &OwnerState) -> bool {
+    let mut records = state.services.values().flat_map(|owners| &owners.ranges);
+    !state.services.is_empty()
+        && records.all(|record| matches!(record.phase, RangePhase::Owned { .. }))
+}
+
+async fn owning_servers(count: usize) -> (OwnershipLedger, Vec<OwningServer>) {
+    let ledger = OwnershipLedger::default();
+    let mut servers = Vec::new();
+    for number in 0..count {
+        servers.push(OwningServer::start(&format!("s-{number}"), &ledger).await);
+    }
+    (ledger, servers)
+}
+
+async fn start_hosts(store: SocketAddr, servers: &[OwningServer]) -> Vec<LeaderHost> {
+    let entries: Vec<_> = servers
+        .iter()
+        .map(|server| entry(&server.id, "keyed", server.address))
+        .collect();
+    let mut hosts = Vec::new();
+    for number in 0..3 {
+        hosts.push(leader_host_with(&format!("host-{number}"), store, entries.clone()).await);
+    }
+    hosts
+}
+
+/// Moves keys, so that the assignment is written several times: the owner of the first key turns
+/// out to be busy.
+async fn move_keys(hosts: &[LeaderHost], store: &StoreStandin) {
+    let before = stored(store).expect("an assignment");
+    let service = "keyed".parse().expect("valid name");
+    let started = Instant::now();
+    while stored(store).is_none_or(|state| next_token(&state) <= next_token(&before)) {
+        assert!(started.elapsed() < WAIT_LIMIT, "no key moved");
+        for host in hosts {
+            for key in 0..200 {
+                host.state.count_key(&service, key);
+            }
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    until("owned", || {
+        stored(store).is_some_and(|state| is_owned(&state))
+    })
+    .await;
+}
+
+/// Guards against a leader that gives up the only complete copy of the assignment: keys change
+/// owners as of the backup, with tokens that servers have seen, and no leader can act any more.
+#[tokio::test]
+async fn leader_writes_the_assignment_again_after_lost_writes() {
+    let (store, address) = StoreStandin::start().await;
+    let (ledger, servers) = owning_servers(3).await;
+    let hosts = start_hosts(address, &servers).await;
+    until("owned", || {
+        stored(&store).is_some_and(|state| is_owned(&state))
+    })
+    .await;
+    sleep(Duration::from_millis(500)).await;
+    let backup = store.back_up();
+    move_keys(&hosts, &store).await;
+    let known = stored(&store).expect("an assignment");
+
+    store.set_down(true);
+    sleep(OUTAGE).await;
+    store.restore(backup);
+    store.set_down(false);
+    until("written again", || {
+        stored(&store).is_some_and(|state| owners_of(&state) == owners_of(&known))
+    })
+    .await;
+    sleep(Duration::from_secs(4)).await;
+
+    let state = stored(&store).expect("an assignment");
+    assert!(next_token(&state) >= next_token(&known));
+    assert!(
+        state.term <= known.term + 1,
+        "{} terms",
+        state.term - known.term
+    );
+    assert_eq!(ledger.violations(), Vec::<String>::new());
+    let leaders = hosts.iter().filter(|host| host.state.is_leader()).count();
+    assert_eq!(leaders, 1);
+}
+
+/// Guards against a successor that takes the backup for the whole truth: hosts that have just started
+/// know nothing of the lost writes, and servers hold leases with tokens that were lost.
+#[tokio::test]
+async fn successor_after_lost_writes_waits_for_leases_and_uses_higher_tokens() {
+    let (store, address) = StoreStandin::start().await;
+    let (ledger, servers) = owning_servers(3).await;
+    let hosts = start_hosts(address, &servers).await;
+    until("owned", || {
+        stored(&store).is_some_and(|state| is_owned(&state))
+    })
+    .await;
+    sleep(Duration::from_millis(500)).await;
+    let backup = store.back_up();
+    move_keys(&hosts, &store).await;
+    let known = stored(&store).expect("an assignment");
+    for host in &hosts {
+        host.actor.kill();
+    }
+
+    store.restore(backup);
+    let _successors = start_hosts(address, &servers).await;
+    until("owned", || {
+        stored(&store)
+            .is_some_and(|state| is_owned(&state) && next_token(&state) > next_token(&known))
+    })
+    .await;
+    sleep(Duration::from_secs(2)).await;
+
+    assert_eq!(ledger.violations(), Vec::<String>::new());
+    let state = stored(&store).expect("an assignment");
+    assert!(is_owned(&state));
+}
