Order the store's versions by its epoch before its revision

What callers and the platform saw: after the store came back without its last writes, ten hosts called it 23,000 to 28,000 times in 20 s, and a configuration written then could be late.

Revisions were taken for a clock that never goes back. A list with lower revisions than a host knew changed nothing, the next watch from the higher one got 410 at once, and so on without a pause; copies of the configuration and updates of servers were ignored until revisions had passed the lost ones. Class: a counter compared across two histories.

Change: a version is the epoch that the store names in its answers and the revision, in this order, in all that hosts keep, compare and send to each other. For 20 s after a loss no stale reads are used, as they may return what was lost. Entries missing then may return, as after an outage. A list right after a list waits, whatever the cause. The loss is logged, and the metric store_epoch shows it.

Ruled out: taking lower revisions for a loss without the epoch, as a revision may have passed the lost one before a host reads again.

The wire format between hosts changes; the versions are written with two numbers.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -3,6 +3,7 @@
 mod fencing_token;
 mod names;
 mod numbers;
+mod store_version;
 
 pub use {
     fencing_token::{FencingToken, TokenError},
@@ -10,4 +11,5 @@
         HostId, NameError, RegionName, RequestId, ServerId, ServiceName, ZoneName, check_name,
     },
     numbers::{ConfigVersion, Epoch, ObjectVersion, ShardId},
+    store_version::StoreVersion,
 };
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -16,7 +16,7 @@
         state::{ChangeLog, HostState, SeenRevisions, ServerHash, StoreKind},
     },
     camphorcove_core::{
-        ids::{ServerId, ServiceName},
+        ids::{ServerId, ServiceName, StoreVersion},
         ownership::{
             LeaderRecord, OwnerState, OwnershipPlanner, PlanAction, PlanContext, RangeLoad,
             ServerInstance,
@@ -78,8 +78,8 @@
     pub(super) orders: OrderSender,
     pub(super) link: PeerLink,
     pub(super) role: Role,
-    /// Revision of the stored assignment, which the leader's next write replaces.
-    pub(super) revision: u64,
+    /// Version of the stored assignment, which the leader's next write replaces.
+    pub(super) version: StoreVersion,
     pub(super) candidacy: Candidacy,
     pub(super) hosts: HostTable,
     /// Limits that servers have named to any host.
@@ -93,10 +93,10 @@
     pub(super) may_replace_leader: bool,
     /// Nonce of the leader process whose last digest said that it does not reach the store.
     pub(super) leader_without_store: Option<u64>,
-    /// Revision of the last fleet update that this leader sent.
-    pub(super) fleet_revision_sent: u64,
-    /// Revision of the last configuration that this leader sent.
-    pub(super) config_revision_sent: u64,
+    /// Version of the last fleet update that this leader sent.
+    pub(super) fleet_version_sent: StoreVersion,
+    /// Version of the last configuration that this leader sent.
+    pub(super) config_version_sent: StoreVersion,
     /// Recent changes of the assignment that this leader sent.
     pub(super) owner_log: ChangeLog<OwnerChange>,
     /// Counts the digests of this process; wraps around.
@@ -115,9 +115,9 @@
     /// Highest term read from the store.
     pub(super) seen_term: u64,
     pub(super) term_started_at: BootTime,
-    /// Assignment and revision that all hosts were last told; at first, those known to this
+    /// Assignment and version that all hosts were last told; at first, those known to this
     /// host before it became the leader.
-    pub(super) announced: Option<(Arc<OwnerState>, u64)>,
+    pub(super) announced: Option<(Arc<OwnerState>, StoreVersion)>,
     /// Newest revisions that any host has reported to this leader.
     pub(super) revisions: SeenRevisions,
     /// Term of the leader to which the last report was sent.
@@ -142,7 +142,7 @@
             orders: OrderSender::new(state.clone()),
             link,
             role: Role::Follower,
-            revision: 0,
+            version: StoreVersion::default(),
             candidacy,
             hosts: HostTable::default(),
             limits: LimitTable::default(),
@@ -150,8 +150,8 @@
             peers: Vec::new(),
             may_replace_leader: false,
             leader_without_store: None,
-            fleet_revision_sent: 0,
-            config_revision_sent: 0,
+            fleet_version_sent: StoreVersion::default(),
+            config_version_sent: StoreVersion::default(),
             owner_log: ChangeLog::default(),
             digests_sent: 0,
             digests_at_store_loss: 0,
@@ -353,11 +353,11 @@
     /// Writes the assignment to the store in a task of its own.
     pub(super) fn write(&self, actor: &ActorRef<Self>, state: OwnerState) {
         let owners = self.owners.clone();
-        let revision = self.revision;
+        let version = self.version;
         let actor = actor.clone();
-        log::info!(term = state.term, change = state.change, revision; "writing new assignment");
+        log::info!(term = state.term, change = state.change, revision:% = version; "writing new assignment");
         tokio::spawn(async move {
-            let (sent_at, outcome) = owners.write(&state, revision).await;
+            let (sent_at, outcome) = owners.write(&state, version).await;
             let ended = WriteEnded {
                 term: state.term,
                 sent_at,
@@ -431,13 +431,13 @@
         let mut state = planner.state().clone();
         state.leader = None;
         state.change += 1;
-        let revision = self.revision;
+        let version = self.version;
         self.step_down("resigned", now);
         self.candidacy.record_resignation(now);
         let owners = self.owners.clone();
         let actor = actor.clone();
         tokio::spawn(async move {
-            let (_, outcome) = owners.write(&state, revision).await;
+            let (_, outcome) = owners.write(&state, version).await;
             log::info!(term = state.term, outcome:? = outcome; "write of the resignation ended");
             if let Err(error) = actor.tell(Announce).await {
                 log::error!(reason:% = error; "leader actor is gone");
@@ -449,7 +449,7 @@
     pub(super) fn begin_term(
         &mut self,
         state: OwnerState,
-        revision: u64,
+        version: StoreVersion,
         predecessor: Option<LeaderRecord>,
         predecessor_end: BootTime,
     ) {
@@ -458,16 +458,16 @@
         self.quorum_base = self.peers.len();
         self.predecessor = predecessor;
         self.term_started_at = now;
-        log::info!(term = state.term, revision; "this host is now the leader");
-        self.revision = revision;
+        log::info!(term = state.term, revision:% = version; "this host is now the leader");
+        self.version = version;
         self.confirm_started_at = now;
         self.confirm_failures = 0;
         self.confirming = false;
         self.hosts = HostTable::default();
         self.limits = LimitTable::new(self.state.shared_limits(), now);
         self.revisions = self.state.revisions();
-        self.fleet_revision_sent = self.revisions.get(StoreKind::Fleet);
-        self.config_revision_sent = self.revisions.get(StoreKind::Config);
+        self.fleet_version_sent = self.revisions.get(StoreKind::Fleet);
+        self.config_version_sent = self.revisions.get(StoreKind::Config);
         self.may_replace_leader = false;
         self.state.set_is_leader(true);
         self.role = Role::Leader(Box::new(OwnershipPlanner::new(state, predecessor_end, now)));
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -60,16 +60,16 @@
     async fn handle(&mut self, message: OwnerChangeReceived, _: &mut Context<Self, Self::Reply>) {
         let now = self.state.now();
         let OwnerChangeReceived(change) = message;
-        let Some((known, revision)) = self.state.owners() else {
+        let Some((known, version)) = self.state.owners() else {
             return;
         };
-        // A host with another revision skips the change. The digests show it the newest
+        // A host with another version skips the change. The digests show it the newest
         // revision, and it reads the store.
-        if revision != change.from {
+        if version != change.from {
             return;
         }
         let Some(state) = change.delta.apply(&known) else {
-            log::warn!(from = change.from, to = change.to; "cannot apply change of the assignment");
+            log::warn!(from:% = change.from, to:% = change.to; "cannot apply change of the assignment");
             return;
         };
         if self.state.set_owners(state, change.to) {
@@ -252,8 +252,8 @@
             return;
         }
         match ended.outcome {
-            WriteOutcome::Written { revision } => {
-                self.revision = revision;
+            WriteOutcome::Written { version } => {
+                self.version = version;
                 planner.handle_input(PlanInput::WriteAcked(ended.sent_at), now);
                 self.announce();
             }
@@ -278,7 +278,7 @@
         if ended.other_leader {
             self.candidacy.record_leader_contact(now);
         }
-        let Some((state, revision)) = ended.won else {
+        let Some((state, version)) = ended.won else {
             return;
         };
         let predecessor_end = match &ended.predecessor {
@@ -291,7 +291,7 @@
             1 => BootTime::default(),
             _ => predecessor_end + ORDER_TIMEOUT,
         };
-        self.begin_term(state, revision, ended.predecessor, predecessor_end);
+        self.begin_term(state, version, ended.predecessor, predecessor_end);
         let actor = context.actor_ref().clone();
         self.run_leader_round(&actor, now);
     }
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -104,16 +104,16 @@
 
     /// Sends to all hosts what has changed in the assignment since the last call.
     pub(super) fn announce(&mut self) {
-        let Some((owners, revision)) = self.state.owners() else {
+        let Some((owners, version)) = self.state.owners() else {
             return;
         };
-        let last_announced = self.announced.replace((owners.clone(), revision));
+        let last_announced = self.announced.replace((owners.clone(), version));
         let Some((old, from)) = last_announced else {
             return;
         };
         let change = OwnerChange {
             from,
-            to: revision,
+            to: version,
             delta: OwnerDelta::between(&old, &owners),
         };
         self.owner_log.push(change.clone());
@@ -124,8 +124,8 @@
 
     /// Sends new fleet updates to all hosts.
     pub(super) fn send_fleet_updates(&mut self) {
-        for update in self.state.fleet_updates(self.fleet_revision_sent) {
-            self.fleet_revision_sent = update.to;
+        for update in self.state.fleet_updates(self.fleet_version_sent) {
+            self.fleet_version_sent = update.to;
             let message = PeerMessage::Fleet(FleetUpdate::clone(&update));
             self.link
                 .send_all(&self.state, &self.peer_addresses(), &message);
@@ -135,8 +135,8 @@
     /// Sends a new configuration to all hosts, so that they need not read it from the store. One
     /// that does not fit into a datagram is not sent; the hosts read it then.
     pub(super) fn send_config_copy(&mut self) {
-        if let Some(copy) = self.state.config_copy_after(self.config_revision_sent) {
-            self.config_revision_sent = copy.revision;
+        if let Some(copy) = self.state.config_copy_after(self.config_version_sent) {
+            self.config_version_sent = copy.version;
             let message = PeerMessage::Config(ConfigCopy::clone(&copy));
             self.link
                 .send_all(&self.state, &self.peer_addresses(), &message);
@@ -149,8 +149,8 @@
             let message = PeerMessage::Fleet(FleetUpdate::clone(&update));
             self.link.send(&self.state, to, &message);
         }
-        let config_revision = revisions.get(StoreKind::Config);
-        if let Some(copy) = self.state.config_copy_after(config_revision) {
+        let config_version = revisions.get(StoreKind::Config);
+        if let Some(copy) = self.state.config_copy_after(config_version) {
             let message = PeerMessage::Config(ConfigCopy::clone(&copy));
             self.link.send(&self.state, to, &message);
         }
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::state::{HostState, StoreKind},
-    camphorcove_core::{ownership::OwnerState, time::BootTime},
+    camphorcove_core::{ids::StoreVersion, ownership::OwnerState, time::BootTime},
     camphorcove_platform::{OWNER_KIND, OWNER_NAME, StoreClient, StoreError, StoredObject},
     serde::Deserialize,
     std::{
@@ -23,8 +23,8 @@
 pub enum WriteOutcome {
     /// The store holds what was written.
     Written {
-        /// Revision of the stored object.
-        revision: u64,
+        /// Version of the stored object.
+        version: StoreVersion,
     },
     /// Another host has changed the object.
     Lost,
@@ -45,35 +45,38 @@
         Self { state, store }
     }
 
-    /// Reads the assignment and its revision, and updates the host state.
-    pub async fn read(&self) -> Result<Option<(OwnerState, u64)>, StoreError> {
+    /// Reads the assignment and its version, and updates the host state.
+    pub async fn read(&self) -> Result<Option<(OwnerState, StoreVersion)>, StoreError> {
         self.count_call();
-        let found = self
-            .store
-            .get(OWNER_KIND, OWNER_NAME, STORE_TIMEOUT)
-            .await?;
-        let Some(object) = found else {
-            return Ok(None);
+        let found = self.store.get(OWNER_KIND, OWNER_NAME, STORE_TIMEOUT).await;
+        let object = match found {
+            Ok(object) => object,
+            Err(StoreError::Missing { .. }) => return Ok(None),
+            Err(fault) => return Err(fault),
         };
-        let revision = object.revision;
+        let version = object.version;
         let state = decode(&object)?;
-        self.update_host_state(&state, revision);
-        Ok(Some((state, revision)))
+        self.update_host_state(&state, version);
+        Ok(Some((state, version)))
     }
 
-    /// Replaces the assignment at `revision`, or creates it if that is 0. Retries the write
+    /// Replaces the assignment at `version`, or creates it if that is before the first change. Retries the write
     /// until its outcome is certain, and returns when the last attempt was sent.
     ///
     /// An attempt without an answer may take effect later. Only a later attempt that succeeds
     /// or finds another revision rules that out.
-    pub async fn write(&self, state: &OwnerState, revision: u64) -> (BootTime, WriteOutcome) {
+    pub async fn write(
+        &self,
+        state: &OwnerState,
+        version: StoreVersion,
+    ) -> (BootTime, WriteOutcome) {
         let content = serde_json::to_value(state)
             .unwrap_or_else(|error| unreachable!("the assignment holds plain values: {error}"));
         let mut may_take_effect = false;
         loop {
             self.count_call();
             let sent_at = self.state.now();
-            let written = match revision {
+            let written = match version.revision {
                 0 => {
                     let create = self
                         .store
@@ -89,9 +92,9 @@
             };
             match written {
                 Ok(object) => {
-                    self.update_host_state(state, object.revision);
-                    let revision = object.revision;
-                    return (sent_at, WriteOutcome::Written { revision });
+                    let version = object.version;
+                    self.update_host_state(state, version);
+                    return (sent_at, WriteOutcome::Written { version });
                 }
                 Err(StoreError::Conflict { current }) => {
                     return (sent_at, self.resolve_conflict(state, current).await);
@@ -117,23 +120,23 @@
     ) -> WriteOutcome {
         let found = match current
             .as_deref()
-            .map(|object| (decode(object), object.revision))
+            .map(|object| (decode(object), object.version))
         {
-            Some((Ok(found), revision)) => {
-                self.update_host_state(&found, revision);
-                Some((found, revision))
+            Some((Ok(found), version)) => {
+                self.update_host_state(&found, version);
+                Some((found, version))
             }
             _ => self.read().await.ok().flatten(),
         };
         match found {
-            Some((found, revision)) if found == *state => WriteOutcome::Written { revision },
+            Some((found, version)) if found == *state => WriteOutcome::Written { version },
             _ => WriteOutcome::Lost,
         }
     }
 
-    fn update_host_state(&self, state: &OwnerState, revision: u64) {
-        self.state.set_owners(state.clone(), revision);
-        self.state.record_revision(StoreKind::Owners, revision);
+    fn update_host_state(&self, state: &OwnerState, version: StoreVersion) {
+        self.state.set_owners(state.clone(), version);
+        self.state.record_revision(StoreKind::Owners, version);
     }
 
     fn count_call(&self) {
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -2,14 +2,17 @@
 
 use {
     super::owner_store::{OwnerStore, WriteOutcome},
-    camphorcove_core::ownership::{LeaderRecord, OwnerState},
+    camphorcove_core::{
+        ids::StoreVersion,
+        ownership::{LeaderRecord, OwnerState},
+    },
 };
 
 /// Result of a takeover attempt.
 #[derive(Debug)]
 pub(super) struct TakeoverEnded {
-    /// Written assignment and its revision, if this host is the leader now.
-    pub won: Option<(OwnerState, u64)>,
+    /// Written assignment and its version, if this host is the leader now.
+    pub won: Option<(OwnerState, StoreVersion)>,
     /// The previous leader, if it may still act.
     pub predecessor: Option<LeaderRecord>,
     /// Whether the attempt failed because of another leader.
@@ -38,9 +41,9 @@
             return failed(false);
         }
     };
-    let (mut state, revision) = match stored {
-        Some((state, revision)) => (state, revision),
-        None => (OwnerState::new(secret), 0),
+    let (mut state, version) = match stored {
+        Some((state, version)) => (state, version),
+        None => (OwnerState::new(secret), StoreVersion::default()),
     };
     // Gives a leader that this host did not know of time to send its first digest.
     let unknown = known_term.is_none_or(|known| state.term > known);
@@ -55,9 +58,9 @@
         return failed(true);
     }
     let predecessor = state.begin_term(record);
-    match owners.write(&state, revision).await {
-        (_, WriteOutcome::Written { revision }) => TakeoverEnded {
-            won: Some((state, revision)),
+    match owners.write(&state, version).await {
+        (_, WriteOutcome::Written { version }) => TakeoverEnded {
+            won: Some((state, version)),
             predecessor,
             other_leader: false,
         },
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -64,6 +64,11 @@
             version,
         ),
         ("leader_term", "Term of the leader.", term),
+        (
+            "store_epoch",
+            "Rises when the store has lost writes.",
+            state.store_epoch(),
+        ),
         (
             "limited_servers",
             "Servers that limit the rate of requests.",
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -10,7 +10,10 @@
         SharedLimit,
     },
     bincode::{Decode, Encode, config},
-    camphorcove_core::{ids::HostId, ownership::OwnerDelta},
+    camphorcove_core::{
+        ids::{HostId, StoreVersion},
+        ownership::OwnerDelta,
+    },
     hmac::{Hmac, KeyInit, Mac},
     sha2::Sha256,
     std::net::SocketAddr,
@@ -72,20 +75,20 @@
 /// Change of the assignment.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct OwnerChange {
-    /// Revision to which the change applies.
-    pub from: u64,
-    /// Revision after the change.
-    pub to: u64,
+    /// Version to which the change applies.
+    pub from: StoreVersion,
+    /// Version after the change.
+    pub to: StoreVersion,
     /// Difference between the two assignments.
     pub delta: OwnerDelta,
 }
 
 impl RevisionedChange for OwnerChange {
-    fn start_revision(&self) -> u64 {
+    fn start_version(&self) -> StoreVersion {
         self.from
     }
 
-    fn end_revision(&self) -> u64 {
+    fn end_version(&self) -> StoreVersion {
         self.to
     }
 }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -128,6 +128,6 @@
     }
     let (from, to) = (update.from, update.to);
     if !state.update_fleet(update) {
-        log::debug!(from, to; "fleet update ignored: already known, or changes before it are missing");
+        log::debug!(from:% = from, to:% = to; "fleet update ignored: already known, or changes before it are missing");
     }
 }
--- a/crates/gateway/src/state/change_log.rs
+++ b/crates/gateway/src/state/change_log.rs
@@ -1,6 +1,9 @@
 //! Keeps recent changes by revision, so that they can be sent again.
 
-use std::{collections::VecDeque, sync::Arc};
+use {
+    camphorcove_core::ids::StoreVersion,
+    std::{collections::VecDeque, sync::Arc},
+};
 
 /// Number of changes kept for hosts that missed a datagram. It covers a few seconds of the
 /// fastest rolling replacement of servers.
@@ -8,10 +11,10 @@
 
 /// A change from one revision to a later one.
 pub trait RevisionedChange {
-    /// Revision to which the change applies.
-    fn start_revision(&self) -> u64;
-    /// Revision after the change.
-    fn end_revision(&self) -> u64;
+    /// Version to which the change applies.
+    fn start_version(&self) -> StoreVersion;
+    /// Version after the change.
+    fn end_version(&self) -> StoreVersion;
 }
 
 /// Recent consecutive changes, oldest first.
@@ -32,8 +35,8 @@
     /// Adds a change. If it does not continue the last one, older changes are dropped.
     pub fn push(&mut self, change: C) {
         let continues = self.changes.back().is_some_and(|last| {
-            change.start_revision() <= last.end_revision()
-                && last.end_revision() < change.end_revision()
+            change.start_version() <= last.end_version()
+                && last.end_version() < change.end_version()
         });
         if !continues {
             self.changes.clear();
@@ -44,15 +47,15 @@
         self.changes.push_back(Arc::new(change));
     }
 
-    /// All changes after `revision`, or none if the log does not reach back that far.
-    pub fn since(&self, revision: u64) -> Vec<Arc<C>> {
+    /// All changes after `version`, or none if the log does not reach back that far.
+    pub fn since(&self, version: StoreVersion) -> Vec<Arc<C>> {
         let newer = self
             .changes
             .iter()
-            .filter(|change| change.end_revision() > revision);
+            .filter(|change| change.end_version() > version);
         let newer: Vec<_> = newer.cloned().collect();
         match newer.first() {
-            Some(first) if first.start_revision() <= revision => newer,
+            Some(first) if first.start_version() <= version => newer,
             _ => Vec::new(),
         }
     }
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -7,7 +7,7 @@
     camphorcove_core::{
         dispatch::ServerGauge,
         fleet::{FleetChange, FleetView, RemovalRule, ServerEntry, ServerPhase},
-        ids::ServerId,
+        ids::{ServerId, StoreVersion},
         time::BootTime,
     },
     std::{
@@ -20,9 +20,17 @@
 /// the time for which a leaving server is still used, it stays below 2 s.
 const MAX_BACKDATE: Duration = Duration::from_millis(700);
 
+/// Age that data of a stale read may have: several times the usual few seconds.
+const STALE_READ_MAX_AGE: Duration = Duration::from_secs(20);
+
 impl HostState {
     /// Applies changes of server entries from this host's own watch, up to revision `to`.
-    pub fn apply_watched_changes(&self, put: Vec<ServerEntry>, removed: Vec<ServerId>, to: u64) {
+    pub fn apply_watched_changes(
+        &self,
+        put: Vec<ServerEntry>,
+        removed: Vec<ServerId>,
+        to: StoreVersion,
+    ) {
         let from = self.lock().fleet_log_end;
         self.update_fleet(FleetUpdate {
             from,
@@ -38,6 +46,7 @@
     /// `false` for it.
     pub fn update_fleet(&self, update: FleetUpdate) -> bool {
         let now = self.now();
+        self.record_store_epoch(update.to);
         let mut inner = self.lock();
         let through = inner.seen_through.get(StoreKind::Fleet);
         if through < update.from || through >= update.to {
@@ -81,7 +90,7 @@
         inner.seen_through.advance(StoreKind::Fleet, span.through);
         inner.own_revisions.advance(StoreKind::Fleet, to);
         let from = inner.fleet_log_end;
-        if from == 0 {
+        if from == StoreVersion::default() {
             // The first list does not show earlier removals, so no update leads to it.
             inner.fleet_log_end = span.through;
         } else if to > from {
@@ -95,13 +104,13 @@
         }
     }
 
-    /// Updates after `revision`, or none if the log does not reach back that far.
-    pub fn fleet_updates(&self, revision: u64) -> Vec<Arc<FleetUpdate>> {
-        self.lock().fleet_log.since(revision)
+    /// Updates after `version`, or none if the log does not reach back that far.
+    pub fn fleet_updates(&self, version: StoreVersion) -> Vec<Arc<FleetUpdate>> {
+        self.lock().fleet_log.since(version)
     }
 
     /// Revision through which this host knows all changes of a kind.
-    pub fn seen_through(&self, kind: StoreKind) -> u64 {
+    pub fn seen_through(&self, kind: StoreKind) -> StoreVersion {
         self.lock().seen_through.get(kind)
     }
 
@@ -163,6 +172,34 @@
         self.lock().store_contact.is_lost(now)
     }
 
+    /// Records a version of the store; a later epoch than before means that it has lost writes, which
+    /// servers and operators write again.
+    pub fn record_store_epoch(&self, version: StoreVersion) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let known = inner.store_epoch.replace(version.epoch);
+        if known.is_none_or(|known| known >= version.epoch) {
+            inner.store_epoch = known.max(Some(version.epoch));
+            return;
+        }
+        inner.lost_writes_at = Some(now);
+        inner.outage_guard.record_store_recovery(now);
+        let revisions = inner.own_revisions;
+        log::warn!(epoch:? = known, now_at:% = version, seen:? = revisions; "store has lost writes");
+    }
+
+    /// Epoch of the store, as far as this host knows.
+    pub fn store_epoch(&self) -> u64 {
+        self.lock().store_epoch.unwrap_or_default()
+    }
+
+    /// Whether a stale read of the store may return changes that the store has lost.
+    pub fn has_lost_writes_recently(&self) -> bool {
+        let now = self.now();
+        let lost_at = self.lock().lost_writes_at;
+        lost_at.is_some_and(|lost_at| now.since(lost_at) < STALE_READ_MAX_AGE)
+    }
+
     /// Records that the store answers again after an outage.
     pub fn record_store_recovery(&self) {
         let now = self.now();
@@ -189,12 +226,12 @@
         inner.own_revisions.advance(kind, span.newest);
     }
 
-    /// Records that an object was seen at `revision`, for a kind that has only one object.
-    pub fn record_revision(&self, kind: StoreKind, revision: u64) {
+    /// Records that an object was seen at `version`, for a kind that has only one object.
+    pub fn record_revision(&self, kind: StoreKind, version: StoreVersion) {
         let span = RevisionSpan {
-            from: revision,
-            through: revision,
-            newest: revision,
+            from: version,
+            through: version,
+            newest: version,
         };
         self.record_seen(kind, span);
     }
@@ -210,7 +247,7 @@
     }
 
     /// Revision of the newest change of a kind that other hosts have seen.
-    pub fn peer_revision(&self, kind: StoreKind) -> u64 {
+    pub fn peer_revision(&self, kind: StoreKind) -> StoreVersion {
         self.lock().peer_revisions.get(kind)
     }
 
@@ -227,7 +264,7 @@
     }
 
     /// Revision of the newest change of a kind that other hosts have seen and this one has not.
-    pub fn missing_revision(&self, kind: StoreKind) -> Option<u64> {
+    pub fn missing_revision(&self, kind: StoreKind) -> Option<StoreVersion> {
         let inner = self.lock();
         let newest = inner.peer_revisions.get(kind);
         (inner.seen_through.get(kind) < newest).then_some(newest)
--- a/crates/gateway/src/state/fleet_update.rs
+++ b/crates/gateway/src/state/fleet_update.rs
@@ -3,16 +3,19 @@
 use {
     super::RevisionedChange,
     bincode::{Decode, Encode},
-    camphorcove_core::{fleet::ServerEntry, ids::ServerId},
+    camphorcove_core::{
+        fleet::ServerEntry,
+        ids::{ServerId, StoreVersion},
+    },
 };
 
-/// All changes of server entries between two revisions of the store.
+/// All changes of server entries between two versions of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct FleetUpdate {
-    /// Revision to which the update applies.
-    pub from: u64,
-    /// Revision after the update.
-    pub to: u64,
+    /// Version to which the update applies.
+    pub from: StoreVersion,
+    /// Version after the update.
+    pub to: StoreVersion,
     /// Entries that are new or have changed.
     pub put: Vec<ServerEntry>,
     /// Servers whose entries were removed.
@@ -20,11 +23,11 @@
 }
 
 impl RevisionedChange for FleetUpdate {
-    fn start_revision(&self) -> u64 {
+    fn start_version(&self) -> StoreVersion {
         self.from
     }
 
-    fn end_revision(&self) -> u64 {
+    fn end_version(&self) -> StoreVersion {
         self.to
     }
 }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -16,7 +16,7 @@
             RequestOutcome, RetryWindow, ServerGauge,
         },
         fleet::{FleetView, OutageGuard},
-        ids::{ServerId, ServiceName},
+        ids::{ServerId, ServiceName, StoreVersion},
         keys::KeyHash,
         ownership::{OwnerMap, OwnerState},
         routing::{RouteRule, RouteTable, WeightedRoundRobin},
@@ -135,12 +135,16 @@
     pub(super) outage_guard: OutageGuard,
     /// Recent fleet updates, for hosts that missed one.
     pub(super) fleet_log: ChangeLog<FleetUpdate>,
-    /// Revision at which `fleet_log` ends and the next fleet update starts.
-    pub(super) fleet_log_end: u64,
+    /// Version at which `fleet_log` ends and the next fleet update starts.
+    pub(super) fleet_log_end: StoreVersion,
     /// Whether changes come from the leader or from this host's own watch.
     pub(super) feed: StoreFeed,
     /// Whether this host's own calls to the store succeed.
     pub(super) store_contact: StoreContact,
+    /// Latest epoch of the store that this host has seen.
+    pub(super) store_epoch: Option<u64>,
+    /// When this host last noticed that the store has lost writes.
+    pub(super) lost_writes_at: Option<BootTime>,
     /// When a digest last showed that this host had missed no fleet update.
     pub(super) last_in_sync_at: BootTime,
     /// The server entries have been listed at least once.
@@ -148,8 +152,8 @@
     pub(super) gauges: HashMap<ServerId, ServerGauge>,
     pub(super) retry_windows: HashMap<ServiceName, RetryWindow>,
     pub(super) owners: OwnerMap,
-    /// Latest known assignment and its revision.
-    pub(super) owner_state: Option<(Arc<OwnerState>, u64)>,
+    /// Latest known assignment and its version.
+    pub(super) owner_state: Option<(Arc<OwnerState>, StoreVersion)>,
     /// Requests per service and key since the last report.
     pub(super) key_counts: BTreeMap<ServiceName, BTreeMap<u16, u32>>,
     /// Servers that refused a key as not their own, and until when they get no keyed request.
@@ -222,9 +226,11 @@
                 fleet: Arc::default(),
                 outage_guard: OutageGuard::default(),
                 fleet_log: ChangeLog::default(),
-                fleet_log_end: 0,
+                fleet_log_end: StoreVersion::default(),
                 feed: StoreFeed::new(BootClock.now()),
                 store_contact: StoreContact::default(),
+                store_epoch: None,
+                lost_writes_at: None,
                 last_in_sync_at: BootTime::default(),
                 fleet_listed: false,
                 gauges: HashMap::new(),
@@ -315,10 +321,10 @@
         self.lock().config_copy = Some(Arc::new(copy));
     }
 
-    /// Copy of the configuration in force, if it is newer than `revision`.
-    pub fn config_copy_after(&self, revision: u64) -> Option<Arc<ConfigCopy>> {
+    /// Copy of the configuration in force, if it is newer than `version`.
+    pub fn config_copy_after(&self, version: StoreVersion) -> Option<Arc<ConfigCopy>> {
         let copy = self.lock().config_copy.clone();
-        copy.filter(|copy| copy.revision > revision)
+        copy.filter(|copy| copy.version > version)
     }
 
     /// Selects the service for a request by weighted round robin, and counts the request.
@@ -396,25 +402,25 @@
             .collect()
     }
 
-    /// Adopts an assignment if its revision is newer; returns whether it is.
-    pub fn set_owners(&self, state: OwnerState, revision: u64) -> bool {
+    /// Adopts an assignment if its version is newer; returns whether it is.
+    pub fn set_owners(&self, state: OwnerState, version: StoreVersion) -> bool {
         let now = self.now();
         let mut inner = self.lock();
         let known = inner.owner_state.as_ref().map(|(_, known)| *known);
-        if known.is_some_and(|known| known >= revision) {
+        if known.is_some_and(|known| known >= version) {
             return false;
         }
         let state = Arc::new(state);
         inner.owners.update(state.clone(), now);
         inner.not_owner_until.clear();
-        inner.owner_state = Some((state, revision));
+        inner.owner_state = Some((state, version));
         drop(inner);
         self.owners_changed.notify_waiters();
         true
     }
 
-    /// Latest known assignment and its revision.
-    pub fn owners(&self) -> Option<(Arc<OwnerState>, u64)> {
+    /// Latest known assignment and its version.
+    pub fn owners(&self) -> Option<(Arc<OwnerState>, StoreVersion)> {
         self.lock().owner_state.clone()
     }
 
--- a/crates/gateway/src/state/seen_revisions.rs
+++ b/crates/gateway/src/state/seen_revisions.rs
@@ -4,7 +4,10 @@
 //! each other the newest revision that they have seen of each kind of object. A host that is
 //! behind reads the kind again.
 
-use bincode::{Decode, Encode};
+use {
+    bincode::{Decode, Encode},
+    camphorcove_core::ids::StoreVersion,
+};
 
 /// Kinds of store objects that a host follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,24 +24,24 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RevisionSpan {
     /// Revision after which the range starts.
-    pub from: u64,
+    pub from: StoreVersion,
     /// Last revision of the range: all changes up to it are known.
-    pub through: u64,
+    pub through: StoreVersion,
     /// Revision of the newest change in the range; 0 if there is none.
-    pub newest: u64,
+    pub newest: StoreVersion,
 }
 
 /// One revision for each kind of object.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct SeenRevisions {
-    config: u64,
-    fleet: u64,
-    owners: u64,
+    config: StoreVersion,
+    fleet: StoreVersion,
+    owners: StoreVersion,
 }
 
 impl SeenRevisions {
     /// Revision of a kind; 0 if none was seen.
-    pub fn get(&self, kind: StoreKind) -> u64 {
+    pub fn get(&self, kind: StoreKind) -> StoreVersion {
         match kind {
             StoreKind::Config => self.config,
             StoreKind::Fleet => self.fleet,
@@ -47,13 +50,13 @@
     }
 
     /// Raises the revision of a kind; an older one is ignored.
-    pub fn advance(&mut self, kind: StoreKind, revision: u64) {
+    pub fn advance(&mut self, kind: StoreKind, version: StoreVersion) {
         let current = match kind {
             StoreKind::Config => &mut self.config,
             StoreKind::Fleet => &mut self.fleet,
             StoreKind::Owners => &mut self.owners,
         };
-        *current = revision.max(*current);
+        *current = version.max(*current);
     }
 
     /// Raises each revision to that of `other` where that is newer.
--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -3,6 +3,7 @@
 use {
     super::{CatchUp, KindChange, KindFollower},
     crate::state::{ConfigCopy, HostState, RevisionSpan, StoreKind},
+    camphorcove_core::ids::StoreVersion,
     camphorcove_platform::{CONFIG_KIND, CONFIG_NAME, StoredObject, decode_configuration},
     serde_json::Value,
     std::sync::{Arc, atomic::Ordering},
@@ -23,9 +24,9 @@
         if object.name != CONFIG_NAME {
             return;
         }
-        if apply_configuration(&self.state, object.revision, &object.content) {
+        if apply_configuration(&self.state, object.version, &object.content) {
             self.state.set_config_copy(ConfigCopy {
-                revision: object.revision,
+                version: object.version,
                 text: object.content.to_string(),
             });
         }
@@ -34,37 +35,37 @@
 
 /// Applies a copy of the configuration that the leader sent.
 pub fn apply_config_copy(state: &HostState, copy: ConfigCopy) {
-    if state.seen_through(StoreKind::Config) >= copy.revision {
+    if state.seen_through(StoreKind::Config) >= copy.version {
         return;
     }
     let content: Value = match serde_json::from_str(&copy.text) {
         Ok(content) => content,
         Err(error) => {
-            log::error!(revision = copy.revision, reason:% = error; "copy of the configuration cannot be read");
+            log::error!(revision:% = copy.version, reason:% = error; "copy of the configuration cannot be read");
             return;
         }
     };
-    apply_configuration(state, copy.revision, &content);
-    state.record_revision(StoreKind::Config, copy.revision);
+    state.record_store_epoch(copy.version);
+    apply_configuration(state, copy.version, &content);
+    state.record_revision(StoreKind::Config, copy.version);
     state.set_config_copy(copy);
 }
 
-/// Puts a configuration in force if it is valid and newer; returns whether it is.
-fn apply_configuration(state: &HostState, revision: u64, content: &Value) -> bool {
+/// Puts a configuration in force if it is valid and newer; returns whether it is in force now.
+fn apply_configuration(state: &HostState, stored_at: StoreVersion, content: &Value) -> bool {
     match decode_configuration(content) {
         Ok(table) => {
             let version = table.version;
             let routes = table.route_count();
-            let newer = state.set_table(table);
-            if newer {
-                log::info!(version:% = version, revision, routes; "configuration in force");
+            if state.set_table(table) {
+                log::info!(version:% = version, revision:% = stored_at, routes; "configuration in force");
             }
-            newer
+            state.table().is_some_and(|table| table.version == version)
         }
         Err(fault) => {
             let counters = &state.counters;
             counters.configs_rejected.fetch_add(1, Ordering::Relaxed);
-            log::error!(revision, reason:% = fault; "configuration rejected, keeping the current one");
+            log::error!(revision:% = stored_at, reason:% = fault; "configuration rejected, keeping the current one");
             false
         }
     }
--- a/crates/gateway/src/watch/fleet_follower.rs
+++ b/crates/gateway/src/watch/fleet_follower.rs
@@ -27,8 +27,8 @@
             Ok(entry) => Some(entry),
             Err(fault) => {
                 if let Some(left_out) = self.state.may_log(LogTopic::Entry) {
-                    let revision = object.revision;
-                    log::warn!(revision, left_out, reason:% = fault; "ignoring server entry that cannot be decoded");
+                    let revision = object.version;
+                    log::warn!(revision:% = revision, left_out, reason:% = fault; "ignoring server entry that cannot be decoded");
                 }
                 None
             }
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::state::{HostState, RevisionSpan, StoreKind},
+    camphorcove_core::ids::StoreVersion,
     camphorcove_platform::{
         ObjectListing, ReadConsistency, StoreClient, StoreError, StoredObject, WatchEvent,
     },
@@ -35,6 +36,9 @@
 /// Longest pause after a failed list call of a host to which the leader sends changes.
 const MAX_RETRY_DELAY_WITH_FEED: Duration = Duration::from_secs(2);
 
+/// Time after a list within which the next one waits, as the store may fail each watch.
+const MIN_LIST_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time for which a watch may lag behind other hosts before the kind is listed again.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(250);
 
@@ -115,7 +119,12 @@
     let mut consistency = ReadConsistency::Current;
     let mut purpose = ListPurpose::First;
     loop {
+        // A stale read may return changes that the store has lost meanwhile.
+        if state.has_lost_writes_recently() {
+            consistency = ReadConsistency::Current;
+        }
         list(&state, &store, &mut follower, consistency, purpose).await;
+        let listed_at = state.now();
         consistency = ReadConsistency::Current;
         purpose = ListPurpose::CatchUp;
         match follow_changes(&state, &store, &mut follower).await {
@@ -125,6 +134,9 @@
             RelistReason::Newer => consistency = ReadConsistency::Stale,
             RelistReason::Fault(fault) => {
                 log::info!(kind = F::KIND_NAME, reason:% = fault; "watch failed, listing again");
+                if state.now().since(listed_at) < MIN_LIST_INTERVAL {
+                    sleep(MIN_RETRY_DELAY.mul_f64(0.5 + state.random_fraction())).await;
+                }
             }
         }
     }
@@ -151,19 +163,20 @@
                 if consistency == ReadConsistency::Stale
                     && !includes_known_changes(state, F::STORE_KIND, &listing) =>
             {
-                log::debug!(kind = F::KIND_NAME, revision = listing.revision; "stale list lacks known changes, reading a current one");
+                log::debug!(kind = F::KIND_NAME, revision:% = listing.version; "stale list lacks known changes, reading a current one");
                 consistency = ReadConsistency::Current;
             }
             Ok(listing) => {
                 state.record_store_success();
+                state.record_store_epoch(listing.version);
                 if store_unavailable {
-                    log::info!(kind = F::KIND_NAME, revision = listing.revision; "store available again");
+                    log::info!(kind = F::KIND_NAME, revision:% = listing.version; "store available again");
                     state.record_store_recovery();
                 }
-                let newest = listing.objects.iter().map(|object| object.revision).max();
+                let newest = listing.objects.iter().map(|object| object.version).max();
                 let span = RevisionSpan {
                     from: state.seen_through(F::STORE_KIND),
-                    through: listing.revision,
+                    through: listing.version,
                     newest: newest.unwrap_or_default(),
                 };
                 follower.apply_list(listing.objects, span);
@@ -193,7 +206,7 @@
 
 /// Whether a list includes the newest change that other hosts have seen.
 fn includes_known_changes(state: &HostState, kind: StoreKind, listing: &ObjectListing) -> bool {
-    let newest = listing.objects.iter().map(|object| object.revision).max();
+    let newest = listing.objects.iter().map(|object| object.version).max();
     newest.unwrap_or_default() >= state.peer_revision(kind)
 }
 
@@ -262,10 +275,10 @@
         return Ok(());
     }
     let mut changes = Vec::with_capacity(response.events.len());
-    let mut newest = 0;
+    let mut newest = StoreVersion::default();
     for event in response.events {
         let (WatchEvent::Changed(object) | WatchEvent::Removed(object)) = &event;
-        newest = newest.max(object.revision);
+        newest = newest.max(object.version);
         changes.push(match event {
             WatchEvent::Changed(object) => KindChange::Changed(object),
             WatchEvent::Removed(object) => KindChange::Removed(object),
@@ -273,7 +286,7 @@
     }
     let span = RevisionSpan {
         from,
-        through: response.revision,
+        through: response.version,
         newest,
     };
     if changes.is_empty() {
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -23,7 +23,7 @@
     serde::Deserialize,
     std::time::{Duration, Instant},
     support::{
-        fixtures::entry,
+        fixtures::{entry, version as at},
         leader_hosts::{LeaderHost, leader_host, leader_host_at, leader_host_with},
     },
     tokio::{net::UdpSocket, time::sleep},
@@ -240,7 +240,7 @@
     let joined = |number: u16| entry(&format!("s-{number}"), "plain", server.address);
     first
         .state
-        .apply_watched_changes(vec![joined(2)], Vec::new(), 20);
+        .apply_watched_changes(vec![joined(2)], Vec::new(), at(20));
 
     // The leader names two hosts as watchers of the store; the last host is not one of them.
     let mut others = Vec::new();
@@ -255,14 +255,14 @@
     .await;
     first
         .state
-        .apply_watched_changes(vec![joined(3)], Vec::new(), 30);
+        .apply_watched_changes(vec![joined(3)], Vec::new(), at(30));
     until("new change arrives", || {
         follower.state.fleet().entries().count() == 3
     })
     .await;
 
     assert!(!follower.state.watches_store());
-    assert_eq!(follower.state.revisions().get(StoreKind::Fleet), 30);
+    assert_eq!(follower.state.revisions().get(StoreKind::Fleet), at(30));
 }
 
 /// A lost owner must lose its keys even if its address now belongs to a server of another service.
@@ -332,7 +332,7 @@
     }
 
     let removed = vec!["s-1".parse().expect("valid id")];
-    host.state.apply_watched_changes(Vec::new(), removed, 5);
+    host.state.apply_watched_changes(Vec::new(), removed, at(5));
 
     let fleet = host.state.fleet();
     let id = "s-1".parse().expect("valid id");
@@ -342,7 +342,7 @@
 fn configuration(version: &str) -> StoredObject {
     StoredObject {
         name: "main".into(),
-        revision: 70,
+        version: at(70),
         content: config_entry(version, &[route_entry("read", "safe", "plain")]),
     }
 }
@@ -366,9 +366,9 @@
     sleep(Duration::from_millis(400)).await;
     let mut follower = ConfigFollower::new(leader.state.clone());
     let span = RevisionSpan {
-        from: 0,
-        through: 70,
-        newest: 70,
+        from: at(0),
+        through: at(70),
+        newest: at(70),
     };
     let change = vec![KindChange::Changed(configuration("0000000c"))];
 
--- a/crates/gateway/tests/malformed_input.rs
+++ b/crates/gateway/tests/malformed_input.rs
@@ -25,7 +25,7 @@
         },
         time::Duration,
     },
-    support::fixtures::{host_state, table},
+    support::fixtures::{host_state, table, version},
     tokio::{net::UdpSocket, time::timeout},
 };
 
@@ -43,8 +43,8 @@
 
 fn update_message() -> PeerMessage {
     PeerMessage::Fleet(FleetUpdate {
-        from: 1,
-        to: 2,
+        from: version(1),
+        to: version(2),
         put: Vec::new(),
         removed: vec!["s-1".parse().expect("valid id")],
     })
@@ -72,8 +72,8 @@
 /// Guards against a length in a datagram for which the decoder reserves memory.
 #[test]
 fn datagram_with_a_huge_length_is_rejected() {
-    // Variant `Fleet`, two revisions, then the number of entries as a 64-bit integer.
-    let mut body = vec![3, 1, 2, 253];
+    // Variant `Fleet`, two versions of an epoch and a revision, then the number of entries as a 64-bit integer.
+    let mut body = vec![3, 0, 1, 0, 2, 253];
     body.extend_from_slice(&(u64::MAX / 4).to_le_bytes());
 
     assert!(open_message(SECRET, &sealed(&body)).is_none());
@@ -88,7 +88,13 @@
 
     for (revision, text) in [(3, "{"), (4, "{}"), (5, "[1]"), (6, "")] {
         let text = text.into();
-        apply_config_copy(&state, ConfigCopy { revision, text });
+        apply_config_copy(
+            &state,
+            ConfigCopy {
+                version: version(revision),
+                text,
+            },
+        );
     }
 
     assert_eq!(state.table().map(|table| table.version.0), Some(7));
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -15,7 +15,7 @@
     std::time::{Duration, Instant},
     support::fixtures::{
         TARGET_LATENCY, TIME_LIMIT, entry, host_state, owners_moving_from, owners_with,
-        start_host_with, start_listener, table,
+        start_host_with, start_listener, table, version,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -233,11 +233,12 @@
     let server = ScriptedServer::start(vec![complete_response("fine")]).await;
     let owner = entry("s-1", "keyed", server.address);
     let host = start_host_with(vec![owner.clone()]).await;
-    host.state.set_owners(owners_moving_from(&owner), 1);
+    host.state
+        .set_owners(owners_moving_from(&owner), version(1));
     let state = host.state.clone();
     tokio::spawn(async move {
         sleep(Duration::from_millis(30)).await;
-        state.set_owners(owners_with(&owner), 2);
+        state.set_owners(owners_with(&owner), version(2));
     });
 
     let text = request("GET", "/key/a", "r1", &key_header(77), "");
@@ -261,8 +262,11 @@
     let owner = entry("s-1", "keyed", server.address);
     let host = start_host_with(vec![owner.clone()]).await;
     match moving {
-        Some(true) => drop(host.state.set_owners(owners_moving_from(&owner), 1)),
-        Some(false) => drop(host.state.set_owners(owners_with(&owner), 1)),
+        Some(true) => drop(
+            host.state
+                .set_owners(owners_moving_from(&owner), version(1)),
+        ),
+        Some(false) => drop(host.state.set_owners(owners_with(&owner), version(1))),
         None => {}
     }
     sleep(Duration::from_millis(age_ms)).await;
@@ -289,9 +293,10 @@
     let server = ScriptedServer::start(vec![complete_response("fine")]).await;
     let mut owner = entry("s-1", "keyed", server.address);
     let host = start_host_with(vec![owner.clone()]).await;
-    host.state.set_owners(owners_with(&owner), 1);
+    host.state.set_owners(owners_with(&owner), version(1));
     owner.phase = ServerPhase::Draining;
-    host.state.apply_watched_changes(vec![owner], Vec::new(), 2);
+    host.state
+        .apply_watched_changes(vec![owner], Vec::new(), version(2));
     let text = request("GET", "/key/a", "r1", &key_header(77), "");
 
     let at_first = call(host.address, &text).await;
--- a/crates/gateway/tests/server_faults.rs
+++ b/crates/gateway/tests/server_faults.rs
@@ -9,7 +9,7 @@
     },
     rstest::rstest,
     std::time::{Duration, Instant},
-    support::fixtures::{TIME_LIMIT, entry, owners_with, start_host_with},
+    support::fixtures::{TIME_LIMIT, entry, owners_with, start_host_with, version},
     tokio::time::{sleep, timeout},
 };
 
@@ -161,7 +161,7 @@
     let server = ScriptedServer::start(vec![silent, complete_response("fine")]).await;
     let owner = entry("s-1", "keyed", server.address);
     let host = start_host_with(vec![owner.clone()]).await;
-    host.state.set_owners(owners_with(&owner), 1);
+    host.state.set_owners(owners_with(&owner), version(1));
     let text = request("GET", "/key/a", "r1", &key_header(77), "");
 
     let read = call(host.address, &text).await;
--- a/crates/gateway/tests/store_following.rs
+++ b/crates/gateway/tests/store_following.rs
@@ -18,7 +18,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    support::fixtures::{entry, first_listing_span, host_state},
+    support::fixtures::{entry, first_listing_span, host_state, version as at},
     tokio::time::sleep,
 };
 
@@ -120,7 +120,7 @@
     let before = version(&state);
 
     let mut revisions = SeenRevisions::default();
-    revisions.advance(StoreKind::Config, 1_000);
+    revisions.advance(StoreKind::Config, at(1_000));
     state.set_peer_revisions(&revisions);
     until(|| version(&state) == 12).await;
 
@@ -175,8 +175,8 @@
     store.put("config", "main", config("0000000c"));
 
     let mut revisions = SeenRevisions::default();
-    revisions.advance(StoreKind::Fleet, 3);
-    revisions.advance(StoreKind::Config, 4);
+    revisions.advance(StoreKind::Fleet, at(3));
+    revisions.advance(StoreKind::Config, at(4));
     state.set_peer_revisions(&revisions);
     let begun = Instant::now();
     while state.fleet().entries().count() < 2 || version(&state) < 12 {
@@ -195,11 +195,11 @@
 #[tokio::test]
 async fn series_of_changes_that_arrive_in_time_needs_no_read() {
     let (state, store) = following_host().await;
-    let first = state.seen_through(StoreKind::Fleet);
+    let first = state.seen_through(StoreKind::Fleet).revision;
 
     for revision in first..first + 12 {
         let mut revisions = SeenRevisions::default();
-        revisions.advance(StoreKind::Fleet, revision + 1);
+        revisions.advance(StoreKind::Fleet, at(revision + 1));
         state.set_peer_revisions(&revisions);
         state.record_digest(false);
         sleep(Duration::from_millis(100)).await;
@@ -211,8 +211,8 @@
 
 fn update(from: u64, to: u64, removed: &[&str]) -> FleetUpdate {
     FleetUpdate {
-        from,
-        to,
+        from: at(from),
+        to: at(to),
         put: Vec::new(),
         removed: removed.iter().map(|id| id.parse().expect("id")).collect(),
     }
@@ -238,7 +238,7 @@
     assert_eq!(accepted, applied);
     assert_eq!(
         state.revisions().get(StoreKind::Fleet),
-        if applied { 3 } else { 1 }
+        at(if applied { 3 } else { 1 })
     );
 }
 
@@ -248,9 +248,9 @@
     let mut log = ChangeLog::default();
     log.push(update(1, 3, &[]));
     log.push(update(3, 5, &[]));
-    let whole = log.since(2).len();
+    let whole = log.since(at(2)).len();
     log.push(update(7, 9, &[]));
 
     assert_eq!(whole, 2);
-    assert_eq!((log.since(2).len(), log.since(7).len()), (0, 1));
+    assert_eq!((log.since(at(2)).len(), log.since(at(7)).len()), (0, 1));
 }
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -3,7 +3,7 @@
 use {
     camphorcove_core::{
         fleet::{ServerEntry, ServerPhase},
-        ids::ConfigVersion,
+        ids::{ConfigVersion, StoreVersion},
         ownership::{KeyRange, OwnerState, RangePhase, RangeRecord, ServerInstance, ServiceOwners},
         routing::{CallerLimits, RetryPolicy, RouteRule, RouteTable, ServiceRule, SplitPart},
     },
@@ -58,12 +58,17 @@
 /// Revisions of the first listing that a host receives.
 pub fn first_listing_span() -> RevisionSpan {
     RevisionSpan {
-        from: 0,
-        through: 1,
-        newest: 1,
+        from: version(0),
+        through: version(1),
+        newest: version(1),
     }
 }
 
+/// Version of a store that has never lost writes.
+pub fn version(revision: u64) -> StoreVersion {
+    StoreVersion::new(0, revision)
+}
+
 pub fn host_state() -> Arc<HostState> {
     Arc::new(HostState::new(settings(([127, 0, 0, 1], 1).into())))
 }
