Let the leader write the assignment again that the store has lost

The leader, which had kept its leases through the outage, took the earlier assignment for the write of another host and stepped down, and with it went the only complete copy. Its successor began with the copy of the backup. Hosts adopted it as well, since its version was newer. Class: a conflict taken for a competitor, where the other side had forgotten.

Change: a read or a conflict that shows a later epoch with an earlier assignment means that the store has lost writes. A leader that has authority at that moment writes its own assignment over it, under the same condition as always, and goes on renewing leases. Without authority it steps down, as a successor may have granted keys. Hosts keep an assignment that is newer than the stored one, and leave it to the leader to write it.

Ruled out: writing it without a condition, as a successor may have written meanwhile.

--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Whether this assignment was written after `other`.
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        (self.term, self.change) > (other.term, other.change)
+    }
+
     /// Starts the next term with `leader`; returns the previous leader.
     ///
     /// Moving ranges get new tokens, because the previous leader may have used all
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -82,6 +82,8 @@
     WriteAcked(BootTime),
     /// The pending write did not change the stored assignment.
     WriteNotApplied,
+    /// The store has lost the acknowledged assignment and holds an earlier one.
+    WritesLost,
     /// The store confirmed this host as the leader; holds the time at which the call was sent.
     Confirmed(BootTime),
     /// A majority of hosts has reported to this leader recently.
@@ -194,6 +196,8 @@
     state: OwnerState,
     /// Assignment of the write whose answer is awaited.
     pending: Option<OwnerState>,
+    /// The store has lost the acknowledged assignment, which has to be written again.
+    must_write_again: bool,
     lease_bounds: LeaseBounds,
     started_at: BootTime,
     /// Latest time at which the store is known to have named this leader.
@@ -255,6 +259,7 @@
         Self {
             state,
             pending: None,
+            must_write_again: false,
             lease_bounds: LeaseBounds::new(predecessor_end),
             started_at: now,
             confirmed_at: now,
@@ -390,6 +395,10 @@
         match input {
             PlanInput::WriteAcked(sent_at) => self.commit_pending(sent_at),
             PlanInput::WriteNotApplied => self.pending = None,
+            PlanInput::WritesLost => {
+                self.pending = None;
+                self.must_write_again = true;
+            }
             PlanInput::Confirmed(sent_at) => self.confirmed_at = self.confirmed_at.max(sent_at),
             PlanInput::MajorityReports => self.majority_reported_at = now,
             PlanInput::PredecessorEnds(end) => self.lease_bounds.limit_predecessor(end),
@@ -416,6 +425,7 @@
         };
         self.confirmed_at = self.confirmed_at.max(sent_at);
         self.state = state;
+        self.must_write_again = false;
         let current_ids = current_range_ids(&self.state);
         self.grants
             .retain(|range_id, progress| progress.in_flight || current_ids.contains(range_id));
@@ -652,7 +662,7 @@
         if self.balance_due(now) {
             self.balanced_at = now;
         }
-        if next_state == self.state {
+        if next_state == self.state && !self.must_write_again {
             return None;
         }
         next_state.change += 1;
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -5,7 +5,7 @@
         candidacy::Candidacy,
         host_table::HostTable,
         leader_handlers::Announce,
-        leader_messages::{ConfirmEnded, WriteEnded},
+        leader_messages::{ConfirmEnded, ConfirmOutcome, WriteEnded},
         limit_table::LimitTable,
         order_sender::OrderSender,
         owner_store::OwnerStore,
@@ -18,8 +18,8 @@
     camphorcove_core::{
         ids::{ServerId, ServiceName, StoreVersion},
         ownership::{
-            LeaderRecord, OwnerState, OwnershipPlanner, PlanAction, PlanContext, RangeLoad,
-            ServerInstance,
+            LeaderRecord, OwnerState, OwnershipPlanner, PlanAction, PlanContext, PlanInput,
+            RangeLoad, ServerInstance,
         },
         time::BootTime,
     },
@@ -360,6 +360,7 @@
             let (sent_at, outcome) = owners.write(&state, version).await;
             let ended = WriteEnded {
                 term: state.term,
+                replaced: version,
                 sent_at,
                 outcome,
             };
@@ -374,22 +375,32 @@
         let owners = self.owners.clone();
         let state = self.state.clone();
         let actor = actor.clone();
+        let known = self.version;
         tokio::spawn(async move {
             let sent_at = state.now();
-            let confirmed = match owners.read().await {
+            let outcome = match owners.read().await {
                 Ok(stored) => {
-                    let leader = stored.and_then(|(stored, _)| Some((stored.leader?, stored.term)));
-                    let ours = |(leader, at): (LeaderRecord, u64)| {
-                        leader.nonce == state.nonce && at == term
+                    let is_later = |stored: &OwnerState| stored.term > term;
+                    let is_ours = |stored: &OwnerState| {
+                        let leader = stored.leader.as_ref();
+                        stored.term == term
+                            && leader.is_some_and(|leader| leader.nonce == state.nonce)
                     };
-                    leader.is_some_and(ours).then_some(sent_at)
+                    match &stored.state {
+                        Some(later) if is_later(later) => ConfirmOutcome::Unconfirmed,
+                        _ if stored.version.epoch > known.epoch => {
+                            ConfirmOutcome::WritesLost(stored.version)
+                        }
+                        Some(ours) if is_ours(ours) => ConfirmOutcome::Confirmed(sent_at),
+                        _ => ConfirmOutcome::Unconfirmed,
+                    }
                 }
                 Err(fault) => {
                     log::warn!(term, reason:% = fault; "cannot confirm leadership: read of the assignment failed");
-                    None
+                    ConfirmOutcome::Unconfirmed
                 }
             };
-            if let Err(error) = actor.tell(ConfirmEnded { term, confirmed }).await {
+            if let Err(error) = actor.tell(ConfirmEnded { term, outcome }).await {
                 log::error!(reason:% = error; "leader actor is gone");
             }
         });
@@ -412,6 +423,22 @@
         self.seen_term = self.seen_term.max(owners.term);
     }
 
+    /// Writes the assignment again, after the store has lost it and holds the earlier version
+    /// `stored`. Without authority, a successor may have granted keys meanwhile.
+    pub(super) fn write_again(&mut self, stored: StoreVersion, now: BootTime) {
+        let Role::Leader(planner) = &mut self.role else {
+            return;
+        };
+        if !planner.has_authority(now) {
+            self.step_down("the store has lost writes", now);
+            return;
+        }
+        let (lost, term) = (self.version, planner.state().term);
+        log::warn!(term, lost:% = lost, stored:% = stored; "store has lost the assignment, writing it again");
+        self.version = stored;
+        planner.handle_input(PlanInput::WritesLost, now);
+    }
+
     /// Becomes a follower, without a write to the store.
     pub(super) fn step_down(&mut self, reason: &str, now: BootTime) {
         if let Role::Leader(planner) = &self.role {
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -4,8 +4,8 @@
     super::{
         leader_actor::{CONFIRM_FAILURES, LeaderActor, NextTick, Role},
         leader_messages::{
-            ConfirmEnded, DigestReceived, OwnerChangeReceived, OwnersRead, PlanEvent,
-            ReportReceived, ResendRequested, Resign, Tick, WriteEnded,
+            ConfirmEnded, ConfirmOutcome, DigestReceived, OwnerChangeReceived, OwnersRead,
+            PlanEvent, ReportReceived, ResendRequested, Resign, Tick, WriteEnded,
         },
         owner_store::WriteOutcome,
         takeover::TakeoverEnded,
@@ -91,9 +91,9 @@
         if planner.state().term != ended.term {
             return;
         }
-        let confirmed = ended.confirmed.is_some();
-        match ended.confirmed {
-            Some(sent_at) => {
+        let reached_store = !matches!(ended.outcome, ConfirmOutcome::Unconfirmed);
+        match ended.outcome {
+            ConfirmOutcome::Confirmed(sent_at) => {
                 if self.confirm_failures >= CONFIRM_FAILURES {
                     self.state.record_store_recovery();
                 }
@@ -104,12 +104,16 @@
                 }
                 planner.handle_input(PlanInput::Confirmed(sent_at), now);
             }
-            None => self.confirm_failures += 1,
+            ConfirmOutcome::Unconfirmed => self.confirm_failures += 1,
+            ConfirmOutcome::WritesLost(stored) => {
+                self.confirm_failures = 0;
+                self.write_again(stored, now);
+            }
         }
         self.update_role(now);
         // A successor needs the store to take over. A stopping host therefore stays leader
         // until the store has answered or its process ends.
-        if self.stopping && confirmed {
+        if self.stopping && reached_store {
             let actor = context.actor_ref().clone();
             self.resign(&actor, now);
         }
@@ -248,7 +252,8 @@
         let Role::Leader(planner) = &mut self.role else {
             return;
         };
-        if planner.state().term != ended.term {
+        // The store has lost writes after this one was sent, and the planner has been told.
+        if planner.state().term != ended.term || self.version != ended.replaced {
             return;
         }
         match ended.outcome {
@@ -257,6 +262,7 @@
                 planner.handle_input(PlanInput::WriteAcked(ended.sent_at), now);
                 self.announce();
             }
+            WriteOutcome::WritesLost { stored } => self.write_again(stored, now),
             WriteOutcome::NotDone => planner.handle_input(PlanInput::WriteNotApplied, now),
             WriteOutcome::Lost => {
                 self.step_down("another host changed the assignment", now);
--- a/crates/gateway/src/leader/leader_messages.rs
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -6,7 +6,7 @@
         peers::{Digest, OwnerChange, Report},
         state::SeenRevisions,
     },
-    camphorcove_core::{ownership::PlanInput, time::BootTime},
+    camphorcove_core::{ids::StoreVersion, ownership::PlanInput, time::BootTime},
     std::net::SocketAddr,
 };
 
@@ -58,8 +58,19 @@
 pub(super) struct ConfirmEnded {
     /// Term for which the check was made.
     pub term: u64,
-    /// When the read was sent, if the stored leader is this process in this term.
-    pub confirmed: Option<BootTime>,
+    /// What the read showed.
+    pub outcome: ConfirmOutcome,
+}
+
+/// What a read of the store shows about the leadership of this process.
+#[derive(Debug)]
+pub(super) enum ConfirmOutcome {
+    /// The stored leader is this process; holds the time at which the read was sent.
+    Confirmed(BootTime),
+    /// Another process leads, or the read failed.
+    Unconfirmed,
+    /// The store has lost writes and holds an earlier assignment, of this version.
+    WritesLost(StoreVersion),
 }
 
 /// An order to a server ended.
@@ -76,6 +87,8 @@
 pub(super) struct WriteEnded {
     /// Term in the written assignment.
     pub term: u64,
+    /// Version that the write was to replace.
+    pub replaced: StoreVersion,
     /// When the last attempt was sent.
     pub sent_at: BootTime,
     /// Whether the store holds the assignment now.
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -28,10 +28,24 @@
     },
     /// Another host has changed the object.
     Lost,
+    /// The store has lost the assignment that was to be replaced.
+    WritesLost {
+        /// Version of the earlier object that the store holds, or before the first change.
+        stored: StoreVersion,
+    },
     /// Nothing was written, and no earlier attempt can take effect.
     NotDone,
 }
 
+/// Assignment in the store.
+#[derive(Debug)]
+pub struct StoredOwners {
+    /// The assignment; `None` if the store has none.
+    pub state: Option<OwnerState>,
+    /// Version of its object; before the first change if there is none.
+    pub version: StoreVersion,
+}
+
 /// Reads and writes the assignment in the platform's store.
 #[derive(Clone)]
 pub struct OwnerStore {
@@ -46,18 +60,32 @@
     }
 
     /// Reads the assignment and its version, and updates the host state.
-    pub async fn read(&self) -> Result<Option<(OwnerState, StoreVersion)>, StoreError> {
+    pub async fn read(&self) -> Result<StoredOwners, StoreError> {
         self.count_call();
         let found = self.store.get(OWNER_KIND, OWNER_NAME, STORE_TIMEOUT).await;
         let object = match found {
             Ok(object) => object,
-            Err(StoreError::Missing { .. }) => return Ok(None),
+            Err(StoreError::Missing { epoch }) => {
+                return Ok(StoredOwners {
+                    state: None,
+                    version: StoreVersion::new(epoch, 0),
+                });
+            }
             Err(fault) => return Err(fault),
         };
         let version = object.version;
         let state = decode(&object)?;
         self.update_host_state(&state, version);
-        Ok(Some((state, version)))
+        Ok(StoredOwners {
+            state: Some(state),
+            version,
+        })
+    }
+
+    /// Latest assignment that the host knows, and the epoch of the store that it is from.
+    pub fn known(&self) -> Option<(Arc<OwnerState>, u64)> {
+        let (state, version) = self.state.owners()?;
+        Some((state, version.epoch))
     }
 
     /// Replaces the assignment at `version`, or creates it if that is before the first change. Retries the write
@@ -97,7 +125,14 @@
                     return (sent_at, WriteOutcome::Written { version });
                 }
                 Err(StoreError::Conflict { current }) => {
-                    return (sent_at, self.resolve_conflict(state, current).await);
+                    return (
+                        sent_at,
+                        self.resolve_conflict(state, version, current).await,
+                    );
+                }
+                Err(StoreError::Missing { epoch }) => {
+                    let stored = StoreVersion::new(epoch, 0);
+                    return (sent_at, WriteOutcome::WritesLost { stored });
                 }
                 Err(StoreError::NotDone { reason }) if !may_take_effect => {
                     log::warn!(term = state.term, reason = reason.as_str(); "assignment not written");
@@ -116,6 +151,7 @@
     async fn resolve_conflict(
         &self,
         state: &OwnerState,
+        replaced: StoreVersion,
         current: Option<Box<StoredObject>>,
     ) -> WriteOutcome {
         let found = match current
@@ -126,16 +162,25 @@
                 self.update_host_state(&found, version);
                 Some((found, version))
             }
-            _ => self.read().await.ok().flatten(),
+            _ => {
+                let stored = self.read().await.ok();
+                stored.and_then(|stored| Some((stored.state?, stored.version)))
+            }
         };
         match found {
             Some((found, version)) if found == *state => WriteOutcome::Written { version },
+            Some((found, stored))
+                if stored.epoch > replaced.epoch && state.is_newer_than(&found) =>
+            {
+                WriteOutcome::WritesLost { stored }
+            }
             _ => WriteOutcome::Lost,
         }
     }
 
     fn update_host_state(&self, state: &OwnerState, version: StoreVersion) {
         self.state.set_owners(state.clone(), version);
+        self.state.record_store_epoch(version);
         self.state.record_revision(StoreKind::Owners, version);
     }
 
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -41,10 +41,15 @@
             return failed(false);
         }
     };
-    let (mut state, version) = match stored {
-        Some((state, version)) => (state, version),
-        None => (OwnerState::new(secret), StoreVersion::default()),
-    };
+    let version = stored.version;
+    let mut state = stored.state.unwrap_or_else(|| OwnerState::new(secret));
+    // The store has lost writes. The leader, if it lives, writes its assignment again.
+    if owners
+        .known()
+        .is_some_and(|(known, _)| known.is_newer_than(&state))
+    {
+        return failed(true);
+    }
     // Gives a leader that this host did not know of time to send its first digest.
     let unknown = known_term.is_none_or(|known| state.term > known);
     let same_host =
@@ -64,7 +69,7 @@
             predecessor,
             other_leader: false,
         },
-        (_, WriteOutcome::Lost) => failed(true),
+        (_, WriteOutcome::Lost | WriteOutcome::WritesLost { .. }) => failed(true),
         (_, WriteOutcome::NotDone) => failed(false),
     }
 }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -402,12 +402,17 @@
             .collect()
     }
 
-    /// Adopts an assignment if its version is newer; returns whether it is.
+    /// Adopts an assignment if its version is newer, unless it is an earlier one that the store holds
+    /// again after it has lost writes; returns whether it was adopted.
     pub fn set_owners(&self, state: OwnerState, version: StoreVersion) -> bool {
         let now = self.now();
         let mut inner = self.lock();
         let known = inner.owner_state.as_ref().map(|(_, known)| *known);
-        if known.is_some_and(|known| known >= version) {
+        let knows_newer =
+            |(known, _): &(Arc<OwnerState>, StoreVersion)| known.is_newer_than(&state);
+        if known.is_some_and(|known| known >= version)
+            || inner.owner_state.as_ref().is_some_and(knows_newer)
+        {
             return false;
         }
         let state = Arc::new(state);
