Do not take a backup of the assignment for the whole truth

What callers and servers saw: tokens below those that servers had seen, keys renewed at an owner of nine seconds ago beside the present one (OWNER), and leaders that stepped down every 1.4 s.

A successor took the stored assignment as complete, and nothing in it told that it was not. Class: state read back without a mark of the history that it belongs to.

Change: the assignment names the epoch that it was written in. A successor that reads one of an earlier epoch knows that writes may be missing. It skips 2^20 tokens and 1,024 terms, more than a lost history can have used. If its host remembers a later assignment, from the leader's datagrams, it begins with that one, and renews leases as soon as most hosts have reported that they remember no later one. If one does, or nothing is remembered, all keys are taken from their owners, no order is sent, and no key gets an owner until every lease of an earlier leader has ended. A living leader, then hosts that remember, go first. The number of hosts is kept with the assignment, so that a host that has just started knows what a majority is; it waited 15.4 s before.

Ruled out: releasing all keys at all servers, as a grant of an earlier leader may be carried out after it; raising tokens by grants at the owners named, which would make two holders of what was lost.

--- a/crates/core/src/ownership/lease_bounds.rs
+++ b/crates/core/src/ownership/lease_bounds.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Time by which all leases granted by earlier leaders have ended.
+    pub fn inherited_end(&self) -> BootTime {
+        self.inherited_end
+    }
+
     /// Lowers the bound for leases of the previous leader, which sends no orders after `end`.
     pub fn limit_predecessor(&mut self, end: BootTime) {
         self.inherited_end = self
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -26,7 +26,9 @@
     owner_state::{
         LeaderRecord, OwnerState, RangePhase, RangeRecord, ServerInstance, ServiceOwners,
     },
-    ownership_planner::{OrderFailure, OwnershipPlanner, PlanAction, PlanContext, PlanInput},
+    ownership_planner::{
+        OrderFailure, OwnerDoubt, OwnershipPlanner, PlanAction, PlanContext, PlanInput,
+    },
     range_load::RangeLoad,
     range_moves::{AssignableServer, RangeMove, choose_moves},
 };
--- a/crates/core/src/ownership/owner_delta.rs
+++ b/crates/core/src/ownership/owner_delta.rs
@@ -10,9 +10,11 @@
 /// The changes that turn one assignment into the next.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct OwnerDelta {
+    epoch: Option<u64>,
     term: u64,
     change: u64,
     leader: Option<LeaderRecord>,
+    hosts: u32,
     services: Vec<ServiceDelta>,
     /// Hash of the resulting assignment, without its secret.
     checksum: u64,
@@ -49,9 +51,11 @@
             });
         }
         Self {
+            epoch: new.epoch,
             term: new.term,
             change: new.change,
             leader: new.leader.clone(),
+            hosts: new.hosts,
             services,
             checksum: checksum(new),
         }
@@ -60,9 +64,11 @@
     /// Applies the changes to `old`; `None` if the result differs from the sender's assignment.
     pub fn apply(&self, old: &OwnerState) -> Option<OwnerState> {
         let mut state = old.clone();
+        state.epoch = self.epoch;
         state.term = self.term;
         state.change = self.change;
         state.leader.clone_from(&self.leader);
+        state.hosts = self.hosts;
         for delta in &self.services {
             let owners = state
                 .services
@@ -81,7 +87,14 @@
 }
 
 fn checksum(state: &OwnerState) -> u64 {
-    let hashed_fields = (&state.term, &state.change, &state.leader, &state.services);
+    let hashed_fields = (
+        state.epoch,
+        state.term,
+        state.change,
+        &state.leader,
+        state.hosts,
+        &state.services,
+    );
     let bytes = bincode::encode_to_vec(hashed_fields, config::standard())
         .unwrap_or_else(|error| unreachable!("assignments contain only encodable values: {error}"));
     xxh3_64(&bytes)
--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -8,6 +8,13 @@
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
+/// Fencing tokens that are skipped when the store has lost writes: far more than are used in the
+/// time that a backup is old.
+const TOKENS_PER_EPOCH: u64 = 1 << 20;
+
+/// Terms that are skipped by a leader who does not know the lost writes.
+const TERMS_PER_EPOCH: u64 = 1 << 10;
+
 /// One run of a server process: a restart under the same id is another instance.
 #[derive(
     Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
@@ -76,12 +83,19 @@
 /// Content of the store object that holds the assignment; all hosts watch it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub struct OwnerState {
+    /// Epoch of the store in which the assignment was written; `None` if a version of the program
+    /// wrote it that did not know epochs.
+    #[serde(default)]
+    pub epoch: Option<u64>,
     /// Term of the leader; increases with each takeover.
     pub term: u64,
     /// Number of the write; shows whether a write whose answer was lost took effect.
     pub change: u64,
     /// Current leader; `None` before the first takeover and after a leader has resigned.
     pub leader: Option<LeaderRecord>,
+    /// Number of hosts that reported to the leader at the last write; 0 if unknown.
+    #[serde(default)]
+    pub hosts: u32,
     /// Key that authenticates messages between hosts, as hexadecimal digits.
     pub secret: String,
     /// Ownership records by service.
@@ -92,9 +106,11 @@
     /// Initial state: no leader and no services.
     pub fn new(secret: String) -> Self {
         Self {
+            epoch: None,
             term: 0,
             change: 0,
             leader: None,
+            hosts: 0,
             secret,
             services: BTreeMap::new(),
         }
@@ -102,7 +118,52 @@
 
     /// Whether this assignment was written after `other`.
     pub fn is_newer_than(&self, other: &Self) -> bool {
-        (self.term, self.change) > (other.term, other.change)
+        (self.epoch, self.term, self.change) > (other.epoch, other.term, other.change)
+    }
+
+    /// First fencing token of a service that has no ownership records yet. Records of the service
+    /// may have been lost with their tokens.
+    pub fn first_token(&self) -> u64 {
+        1 + self.epoch.unwrap_or_default() * TOKENS_PER_EPOCH
+    }
+
+    /// Moves the assignment on to `epoch`, without change if it is from that epoch. Tokens go on
+    /// above those that may have been lost.
+    pub fn enter_epoch(&mut self, epoch: u64) {
+        if self.lacks_writes(epoch) {
+            for owners in self.services.values_mut() {
+                owners.next_token += TOKENS_PER_EPOCH;
+            }
+        }
+        self.epoch = Some(epoch);
+    }
+
+    /// Whether the store may have lost writes that followed this one, as it is in `epoch` now.
+    pub fn lacks_writes(&self, epoch: u64) -> bool {
+        self.epoch.is_some_and(|written| written != epoch)
+    }
+
+    /// Skips terms whose leaders the store may have forgotten.
+    pub fn skip_lost_terms(&mut self) {
+        self.term += TERMS_PER_EPOCH;
+    }
+
+    /// Takes all keys from their owners, each with its owner as the next one, since another server may
+    /// hold them by a write that was lost.
+    pub fn withdraw_all(&mut self) {
+        for owners in self.services.values_mut() {
+            for record in &mut owners.ranges {
+                if let RangePhase::Owned { owner, .. } = &record.phase {
+                    let token = owners.next_token;
+                    owners.next_token += TOKENS_PER_MOVE;
+                    record.phase = RangePhase::Moving {
+                        owner: owner.clone(),
+                        token,
+                        target: Some(owner.clone()),
+                    };
+                }
+            }
+        }
     }
 
     /// Starts the next term with `leader`; returns the previous leader.
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -82,12 +82,19 @@
     WriteAcked(BootTime),
     /// The pending write did not change the stored assignment.
     WriteNotApplied,
-    /// The store has lost the acknowledged assignment and holds an earlier one.
-    WritesLost,
+    /// The store has lost the acknowledged assignment and holds an earlier one; holds the store's
+    /// epoch.
+    WritesLost(u64),
     /// The store confirmed this host as the leader; holds the time at which the call was sent.
     Confirmed(BootTime),
     /// A majority of hosts has reported to this leader recently.
     MajorityReports,
+    /// Number of hosts of which a majority has to report.
+    Hosts(u32),
+    /// A majority of hosts remembers no later assignment than this leader.
+    AssignmentVerified,
+    /// Another host remembers a later assignment than this leader.
+    AssignmentLacksWrites,
     /// The previous leader sends no orders after this time.
     PredecessorEnds(BootTime),
     /// A grant was answered or failed.
@@ -196,8 +203,15 @@
     state: OwnerState,
     /// Assignment of the write whose answer is awaited.
     pending: Option<OwnerState>,
-    /// The store has lost the acknowledged assignment, which has to be written again.
-    must_write_again: bool,
+    /// Epoch in which the acknowledged assignment has to be written again, as the store has lost it.
+    lost_in: Option<u64>,
+    /// Number of hosts of which a majority has to report, for the next write.
+    hosts: u32,
+    /// Whether servers that the assignment does not name may hold keys, until all leases of earlier
+    /// leaders have ended.
+    doubt: Option<OwnerDoubt>,
+    /// All keys have to be taken from their owners by the next write.
+    must_withdraw: bool,
     lease_bounds: LeaseBounds,
     started_at: BootTime,
     /// Latest time at which the store is known to have named this leader.
@@ -233,6 +247,15 @@
     failed: bool,
 }
 
+/// Why the assignment may not name all owners, after the store has lost writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnerDoubt {
+    /// It is what the leader's host remembers; other hosts may remember a later one.
+    Unverified,
+    /// It lacks writes, and all keys have been taken from the owners that it names.
+    Withdrawn,
+}
+
 /// Fleet and configuration that the planner works from.
 #[derive(Clone, Copy, Debug)]
 pub struct PlanContext<'a> {
@@ -257,9 +280,12 @@
     /// Earlier leaders may renew grants until `predecessor_end`.
     pub fn new(state: OwnerState, predecessor_end: BootTime, now: BootTime) -> Self {
         Self {
+            hosts: state.hosts,
             state,
             pending: None,
-            must_write_again: false,
+            lost_in: None,
+            doubt: None,
+            must_withdraw: false,
             lease_bounds: LeaseBounds::new(predecessor_end),
             started_at: now,
             confirmed_at: now,
@@ -279,6 +305,19 @@
         }
     }
 
+    /// Creates the planner for an assignment that may lack the last writes of earlier leaders.
+    pub fn after_lost_writes(
+        state: OwnerState,
+        doubt: OwnerDoubt,
+        predecessor_end: BootTime,
+        now: BootTime,
+    ) -> Self {
+        Self {
+            doubt: Some(doubt),
+            ..Self::new(state, predecessor_end, now)
+        }
+    }
+
     /// Assignment that the store has acknowledged.
     pub fn state(&self) -> &OwnerState {
         &self.state
@@ -376,6 +415,22 @@
         self.ended_instances.contains(instance) || instance_ended(fleet, instance)
     }
 
+    /// Whether servers that the assignment does not name may still hold keys. Once they cannot, keys
+    /// whose owners were never verified are taken from them, as those may have lost them.
+    fn has_unknown_owners(&mut self, now: BootTime) -> bool {
+        let waits = now <= self.lease_bounds.inherited_end();
+        match self.doubt {
+            Some(OwnerDoubt::Unverified) if !waits => self.withdraw(),
+            None | Some(_) => {}
+        }
+        self.doubt.is_some() && waits
+    }
+
+    fn withdraw(&mut self) {
+        self.doubt = Some(OwnerDoubt::Withdrawn);
+        self.must_withdraw = true;
+    }
+
     /// Adds requests for a key to the load of its range.
     pub fn record_requests(
         &mut self,
@@ -395,12 +450,20 @@
         match input {
             PlanInput::WriteAcked(sent_at) => self.commit_pending(sent_at),
             PlanInput::WriteNotApplied => self.pending = None,
-            PlanInput::WritesLost => {
+            PlanInput::WritesLost(epoch) => {
                 self.pending = None;
-                self.must_write_again = true;
+                self.lost_in = Some(epoch);
             }
             PlanInput::Confirmed(sent_at) => self.confirmed_at = self.confirmed_at.max(sent_at),
             PlanInput::MajorityReports => self.majority_reported_at = now,
+            PlanInput::Hosts(hosts) => self.hosts = hosts,
+            PlanInput::AssignmentVerified if self.doubt == Some(OwnerDoubt::Unverified) => {
+                self.doubt = None;
+            }
+            PlanInput::AssignmentLacksWrites if self.doubt == Some(OwnerDoubt::Unverified) => {
+                self.withdraw();
+            }
+            PlanInput::AssignmentVerified | PlanInput::AssignmentLacksWrites => {}
             PlanInput::PredecessorEnds(end) => self.lease_bounds.limit_predecessor(end),
             PlanInput::GrantDone {
                 service,
@@ -425,7 +488,8 @@
         };
         self.confirmed_at = self.confirmed_at.max(sent_at);
         self.state = state;
-        self.must_write_again = false;
+        self.lost_in = None;
+        self.must_withdraw = false;
         let current_ids = current_range_ids(&self.state);
         self.grants
             .retain(|range_id, progress| progress.in_flight || current_ids.contains(range_id));
@@ -513,6 +577,18 @@
         if !self.has_authority(now) || self.superseded {
             return actions;
         }
+        // Even the grant that raises a token would give keys to a second server.
+        let has_unknown_owners = self.has_unknown_owners(now);
+        if self.must_withdraw && self.pending.is_none() {
+            let mut next_state = self.state.clone();
+            next_state.withdraw_all();
+            next_state.change += 1;
+            self.pending = Some(next_state.clone());
+            actions.push(PlanAction::Write(Box::new(next_state)));
+        }
+        if has_unknown_owners || self.must_withdraw {
+            return actions;
+        }
         self.renew(plan_context, now, &mut actions);
         self.revoke(now, &mut actions);
         if self.pending.is_none()
@@ -643,6 +719,10 @@
         now: BootTime,
     ) -> Option<OwnerState> {
         let mut next_state = self.state.clone();
+        if let Some(epoch) = self.lost_in {
+            next_state.enter_epoch(epoch);
+        }
+        let first_token = next_state.first_token();
         let mut moves_chosen = false;
         self.planned_at = now;
         self.track_fleet_size(plan_context, now);
@@ -650,7 +730,7 @@
             let owners = next_state
                 .services
                 .entry(service.clone())
-                .or_insert_with(|| ServiceOwners::new(1));
+                .or_insert_with(|| ServiceOwners::new(first_token));
             let assignable = self.assignable_servers(plan_context, service, owners, now);
             self.complete_moves(plan_context, service, owners, &assignable, now);
             moves_chosen |= self.start_moves(plan_context, service, owners, &assignable, now);
@@ -662,10 +742,11 @@
         if self.balance_due(now) {
             self.balanced_at = now;
         }
-        if next_state == self.state && !self.must_write_again {
+        if next_state == self.state {
             return None;
         }
         next_state.change += 1;
+        next_state.hosts = self.hosts;
         Some(next_state)
     }
 
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -9,7 +9,7 @@
         limit_table::LimitTable,
         order_sender::OrderSender,
         owner_store::OwnerStore,
-        takeover::take_over,
+        takeover::{KnownLeadership, take_over},
     },
     crate::{
         peers::{OwnerChange, PeerLink},
@@ -18,8 +18,8 @@
     camphorcove_core::{
         ids::{ServerId, ServiceName, StoreVersion},
         ownership::{
-            LeaderRecord, OwnerState, OwnershipPlanner, PlanAction, PlanContext, PlanInput,
-            RangeLoad, ServerInstance,
+            LeaderRecord, OwnerDoubt, OwnerState, OwnershipPlanner, PlanAction, PlanContext,
+            PlanInput, RangeLoad, ServerInstance,
         },
         time::BootTime,
     },
@@ -64,6 +64,17 @@
     Leader(Box<OwnershipPlanner>),
 }
 
+/// What is known of the leader before this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Predecessor {
+    /// It has stopped acting as leader.
+    Ended,
+    /// It may act still.
+    Known(LeaderRecord),
+    /// A leader whose takeover the store has lost may act still.
+    Unknown,
+}
+
 /// Pause until the next [`Tick`].
 #[derive(Debug, Reply)]
 pub struct NextTick(pub Duration);
@@ -84,6 +95,9 @@
     pub(super) hosts: HostTable,
     /// Limits that servers have named to any host.
     pub(super) limits: LimitTable,
+    /// Version of the remembered assignment that this leader began with after the store had lost writes,
+    /// until most hosts have shown that they remember no later one.
+    pub(super) unverified: Option<StoreVersion>,
     /// Sender and term of the latest digest.
     pub(super) last_digest_sender: Option<(SocketAddr, u64)>,
     /// Addresses of all hosts, from the last digest that listed them.
@@ -91,6 +105,8 @@
     /// The leader does not reach the store and has named this host as a watcher, so this
     /// host may take over although the leader is alive.
     pub(super) may_replace_leader: bool,
+    /// Epoch in which this host has left it to others to write a lost assignment again.
+    pub(super) deferred_epoch: Option<u64>,
     /// Nonce of the leader process whose last digest said that it does not reach the store.
     pub(super) leader_without_store: Option<u64>,
     /// Version of the last fleet update that this leader sent.
@@ -111,7 +127,7 @@
     /// unreachable.
     pub(super) quorum_base: usize,
     /// The previous leader, until it is known to have stopped acting as leader.
-    pub(super) predecessor: Option<LeaderRecord>,
+    pub(super) predecessor: Predecessor,
     /// Highest term read from the store.
     pub(super) seen_term: u64,
     pub(super) term_started_at: BootTime,
@@ -146,9 +162,11 @@
             candidacy,
             hosts: HostTable::default(),
             limits: LimitTable::default(),
+            unverified: None,
             last_digest_sender: None,
             peers: Vec::new(),
             may_replace_leader: false,
+            deferred_epoch: None,
             leader_without_store: None,
             fleet_version_sent: StoreVersion::default(),
             config_version_sent: StoreVersion::default(),
@@ -158,7 +176,7 @@
             confirm_failures: 0,
             confirming: false,
             quorum_base: 0,
-            predecessor: None,
+            predecessor: Predecessor::Ended,
             seen_term: 0,
             term_started_at: now,
             announced: None,
@@ -227,8 +245,13 @@
         self.candidacy.record_attempt(now);
         self.role = Role::Candidate;
         self.announced.clone_from(&stored);
-        let known = stored.map(|(owners, _)| owners.term);
-        log::info!(term:? = known, vacant; "no active leader, trying to take over");
+        let known_term = stored.map(|(owners, _)| owners.term);
+        let known = KnownLeadership {
+            term: known_term,
+            leader_lives: self.may_replace_leader,
+            deferred_epoch: self.deferred_epoch,
+        };
+        log::info!(term:? = known_term, vacant; "no active leader, trying to take over");
         let owners = self.owners.clone();
         let record = LeaderRecord {
             host: self.state.settings.host.clone(),
@@ -436,7 +459,7 @@
         let (lost, term) = (self.version, planner.state().term);
         log::warn!(term, lost:% = lost, stored:% = stored; "store has lost the assignment, writing it again");
         self.version = stored;
-        planner.handle_input(PlanInput::WritesLost, now);
+        planner.handle_input(PlanInput::WritesLost(stored.epoch), now);
     }
 
     /// Becomes a follower, without a write to the store.
@@ -456,6 +479,7 @@
             return;
         };
         let mut state = planner.state().clone();
+        state.enter_epoch(self.version.epoch);
         state.leader = None;
         state.change += 1;
         let version = self.version;
@@ -475,17 +499,31 @@
     /// Becomes the leader after the store has acknowledged the takeover.
     pub(super) fn begin_term(
         &mut self,
-        state: OwnerState,
-        version: StoreVersion,
-        predecessor: Option<LeaderRecord>,
+        (state, version): (OwnerState, StoreVersion),
+        predecessor: Predecessor,
+        doubt: Option<OwnerDoubt>,
         predecessor_end: BootTime,
     ) {
         let now = self.state.now();
-        // The last digest of the previous leader lists the hosts.
-        self.quorum_base = self.peers.len();
+        // The last digest of the previous leader lists the hosts; a host that got none has just
+        // started.
+        self.quorum_base = match self.peers.len() {
+            0 => usize::try_from(state.hosts).unwrap_or(0),
+            listed => listed,
+        };
+        let planner = match doubt {
+            Some(doubt) => OwnershipPlanner::after_lost_writes(state, doubt, predecessor_end, now),
+            None => OwnershipPlanner::new(state, predecessor_end, now),
+        };
+        // The last version that this host knew before it wrote the takeover.
+        let remembered = self.announced.as_ref().map(|(_, version)| *version);
+        self.unverified = match doubt {
+            Some(OwnerDoubt::Unverified) => remembered,
+            Some(OwnerDoubt::Withdrawn) | None => None,
+        };
         self.predecessor = predecessor;
         self.term_started_at = now;
-        log::info!(term = state.term, revision:% = version; "this host is now the leader");
+        log::info!(term = planner.state().term, revision:% = version; "this host is now the leader");
         self.version = version;
         self.confirm_started_at = now;
         self.confirm_failures = 0;
@@ -497,7 +535,7 @@
         self.config_version_sent = self.revisions.get(StoreKind::Config);
         self.may_replace_leader = false;
         self.state.set_is_leader(true);
-        self.role = Role::Leader(Box::new(OwnershipPlanner::new(state, predecessor_end, now)));
+        self.role = Role::Leader(Box::new(planner));
         self.announce();
         self.send_digests(now);
     }
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        leader_actor::{CONFIRM_FAILURES, LeaderActor, NextTick, Role},
+        leader_actor::{CONFIRM_FAILURES, LeaderActor, NextTick, Predecessor, Role},
         leader_messages::{
             ConfirmEnded, ConfirmOutcome, DigestReceived, OwnerChangeReceived, OwnersRead,
             PlanEvent, ReportReceived, ResendRequested, Resign, Tick, WriteEnded,
@@ -99,8 +99,10 @@
                 }
                 self.confirm_failures = 0;
                 // The base changes only while the store is reachable.
-                if self.predecessor.is_none() {
+                if self.predecessor == Predecessor::Ended {
                     self.quorum_base = self.hosts.count();
+                    let hosts = u32::try_from(self.quorum_base).unwrap_or(u32::MAX);
+                    planner.handle_input(PlanInput::Hosts(hosts), now);
                 }
                 planner.handle_input(PlanInput::Confirmed(sent_at), now);
             }
@@ -284,20 +286,26 @@
         if ended.other_leader {
             self.candidacy.record_leader_contact(now);
         }
+        self.deferred_epoch = ended.deferred_epoch.or(self.deferred_epoch);
         let Some((state, version)) = ended.won else {
             return;
         };
         let predecessor_end = match &ended.predecessor {
             // The earlier process on this host has ended and can renew no lease.
-            Some(predecessor) if self.is_own_record(predecessor) => now,
-            Some(_) => now + with_drift(AUTHORITY_LIMIT),
-            None => now,
+            Predecessor::Known(predecessor) if self.is_own_record(predecessor) => now,
+            Predecessor::Known(_) | Predecessor::Unknown => now + with_drift(AUTHORITY_LIMIT),
+            Predecessor::Ended => now,
         };
         let predecessor_end = match state.term {
             1 => BootTime::default(),
             _ => predecessor_end + ORDER_TIMEOUT,
         };
-        self.begin_term(state, version, ended.predecessor, predecessor_end);
+        self.begin_term(
+            (state, version),
+            ended.predecessor,
+            ended.doubt,
+            predecessor_end,
+        );
         let actor = context.actor_ref().clone();
         self.run_leader_round(&actor, now);
     }
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -1,15 +1,16 @@
 //! Reports to the leader, its digests, and the changes that it sends to all hosts.
 
 use {
-    super::leader_actor::{CONFIRM_FAILURES, LeaderActor, Role},
+    super::leader_actor::{CONFIRM_FAILURES, LeaderActor, Predecessor, Role},
     crate::{
         peers::{Digest, OwnerChange, PeerMessage, Report},
         state::{ConfigCopy, FleetUpdate, ReportScope, SeenRevisions, StoreKind},
     },
     camphorcove_core::{
+        ids::StoreVersion,
         ownership::{
-            AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, LeaderRecord,
-            MAJORITY_REPORT_MAX_AGE, ORDER_TIMEOUT, OwnerDelta, PlanInput,
+            AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, MAJORITY_REPORT_MAX_AGE,
+            ORDER_TIMEOUT, OwnerDelta, PlanInput,
         },
         time::BootTime,
     },
@@ -76,6 +77,7 @@
             cpu_permille: self.state.settings.cpu_permille(),
             lacks_store: self.state.lacks_store(),
             revisions: self.state.revisions(),
+            remembered_owners: self.state.remembered_owners(),
             load,
         };
         if matches!(self.role, Role::Leader(_)) {
@@ -184,15 +186,29 @@
             }
         }
         // A leader sends no reports, so the previous one has stepped down or restarted.
-        let is_predecessor = |predecessor: &LeaderRecord| {
-            predecessor.host == report.host && predecessor.address == from
+        let is_predecessor = match &self.predecessor {
+            Predecessor::Known(record) => record.host == report.host && record.address == from,
+            Predecessor::Unknown | Predecessor::Ended => false,
         };
+        let is_later = |remembered: StoreVersion| {
+            [
+                report.revisions.get(StoreKind::Owners),
+                report.remembered_owners,
+            ]
+            .iter()
+            .any(|version| version.epoch == remembered.epoch && *version > remembered)
+        };
+        if self.unverified.is_some_and(is_later) {
+            self.unverified = None;
+            log::warn!(host = report.host.as_str(); "host remembers a later assignment, taking all keys from their owners");
+            planner.handle_input(PlanInput::AssignmentLacksWrites, now);
+        }
         for limit in &report.load.limits {
             self.limits.record_report(limit, now);
         }
-        if self.predecessor.as_ref().is_some_and(is_predecessor) {
+        if is_predecessor {
             log::info!(host = report.host.as_str(); "previous leader has stopped acting");
-            self.predecessor = None;
+            self.predecessor = Predecessor::Ended;
             planner.handle_input(PlanInput::PredecessorEnds(now + ORDER_TIMEOUT), now);
         }
         let own = report.host == self.state.settings.host;
@@ -209,14 +225,18 @@
             return;
         };
         if now.since(self.term_started_at) >= AUTHORITY_LIMIT {
-            self.predecessor = None;
+            self.predecessor = Predecessor::Ended;
         }
         if base == 0 || reporting * 2 <= base {
             return;
         }
         planner.handle_input(PlanInput::MajorityReports, now);
+        if self.unverified.take().is_some() {
+            log::info!(reporting, base; "no host remembers a later assignment");
+            planner.handle_input(PlanInput::AssignmentVerified, now);
+        }
         // The previous leader has lost its majority, so its authority ends early.
-        if self.predecessor.take().is_some() {
+        if std::mem::replace(&mut self.predecessor, Predecessor::Ended) != Predecessor::Ended {
             let no_majority_end = self.term_started_at + AUTHORITY_LIMIT_WITHOUT_MAJORITY;
             // The previous leader may have received reports of these hosts until now.
             let majority_end = now + MAJORITY_REPORT_MAX_AGE + MAX_REPORT_INTERVAL * 2;
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -82,10 +82,9 @@
         })
     }
 
-    /// Latest assignment that the host knows, and the epoch of the store that it is from.
-    pub fn known(&self) -> Option<(Arc<OwnerState>, u64)> {
-        let (state, version) = self.state.owners()?;
-        Some((state, version.epoch))
+    /// Latest assignment that the host knows.
+    pub fn known(&self) -> Option<Arc<OwnerState>> {
+        self.state.owners().map(|(state, _)| state)
     }
 
     /// Replaces the assignment at `version`, or creates it if that is before the first change. Retries the write
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -1,57 +1,99 @@
 //! The conditional write that makes this host the leader.
 
 use {
-    super::owner_store::{OwnerStore, WriteOutcome},
+    super::{
+        leader_actor::Predecessor,
+        owner_store::{OwnerStore, WriteOutcome},
+    },
     camphorcove_core::{
         ids::StoreVersion,
-        ownership::{LeaderRecord, OwnerState},
+        ownership::{LeaderRecord, OwnerDoubt, OwnerState},
     },
 };
 
+/// What this host knows of the leadership before it tries to take over.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KnownLeadership {
+    /// Latest known term.
+    pub term: Option<u64>,
+    /// The leader sends digests, but does not reach the store.
+    pub leader_lives: bool,
+    /// Epoch in which this host has already waited for others to write a lost assignment again.
+    pub deferred_epoch: Option<u64>,
+}
+
 /// Result of a takeover attempt.
 #[derive(Debug)]
 pub(super) struct TakeoverEnded {
     /// Written assignment and its version, if this host is the leader now.
     pub won: Option<(OwnerState, StoreVersion)>,
-    /// The previous leader, if it may still act.
-    pub predecessor: Option<LeaderRecord>,
+    /// The previous leader.
+    pub predecessor: Predecessor,
+    /// Whether the assignment may not name all owners.
+    pub doubt: Option<OwnerDoubt>,
     /// Whether the attempt failed because of another leader.
     pub other_leader: bool,
+    /// Epoch in which the assignment was lost and is left to hosts that know more of it.
+    pub deferred_epoch: Option<u64>,
+}
+
+impl TakeoverEnded {
+    fn failed(other_leader: bool) -> Self {
+        Self {
+            won: None,
+            predecessor: Predecessor::Ended,
+            doubt: None,
+            other_leader,
+            deferred_epoch: None,
+        }
+    }
 }
 
 /// Reads the assignment and writes this host into it as the leader of the next term.
 ///
-/// Does not write if the stored term is newer than `known_term` and has another host as its
-/// leader. `secret` becomes the datagram key if there is no assignment yet.
+/// Does not write if the stored term is newer than the known one and has another host as its
+/// leader. After the store has lost writes, it starts from the latest assignment that the store
+/// or this host knows. `secret` becomes the datagram key if there is no assignment yet.
 pub(super) async fn take_over(
     owners: &OwnerStore,
     record: LeaderRecord,
-    known_term: Option<u64>,
+    known: KnownLeadership,
     secret: String,
 ) -> TakeoverEnded {
-    let failed = |other_leader| TakeoverEnded {
-        won: None,
-        predecessor: None,
-        other_leader,
-    };
     let stored = match owners.read().await {
         Ok(stored) => stored,
         Err(fault) => {
             log::warn!(reason:% = fault; "takeover failed: cannot read the assignment");
-            return failed(false);
+            return TakeoverEnded::failed(false);
         }
     };
     let version = stored.version;
-    let mut state = stored.state.unwrap_or_else(|| OwnerState::new(secret));
-    // The store has lost writes. The leader, if it lives, writes its assignment again.
-    if owners
-        .known()
-        .is_some_and(|(known, _)| known.is_newer_than(&state))
-    {
-        return failed(true);
+    let remembered = owners.known().filter(|remembered| {
+        let stored = stored.state.as_ref();
+        stored.is_none_or(|stored| remembered.is_newer_than(stored))
+    });
+    let lacks_writes = match (&remembered, &stored.state) {
+        (Some(state), _) => state.lacks_writes(version.epoch),
+        (None, Some(state)) => state.lacks_writes(version.epoch),
+        (None, None) => false,
+    };
+    // The living leader knows all writes, so it is the best one to write them again; next come
+    // hosts that remember the assignment.
+    let others_know_more = known.leader_lives || remembered.is_none();
+    if lacks_writes && others_know_more && known.deferred_epoch != Some(version.epoch) {
+        return TakeoverEnded {
+            deferred_epoch: Some(version.epoch),
+            ..TakeoverEnded::failed(true)
+        };
     }
+    let is_remembered = remembered.is_some();
+    let mut state = match (remembered, stored.state) {
+        (Some(remembered), _) => OwnerState::clone(&remembered),
+        (None, Some(stored)) => stored,
+        (None, None) => OwnerState::new(secret),
+    };
     // Gives a leader that this host did not know of time to send its first digest.
-    let unknown = known_term.is_none_or(|known| state.term > known);
+    let unknown = known.term.is_none_or(|known| state.term > known);
     let same_host =
         |leader: &LeaderRecord| leader.host == record.host && leader.address == record.address;
     if unknown
@@ -60,16 +102,35 @@
             .as_ref()
             .is_some_and(|leader| !same_host(leader))
     {
-        return failed(true);
+        return TakeoverEnded::failed(true);
     }
-    let predecessor = state.begin_term(record);
+    state.enter_epoch(version.epoch);
+    let doubt = match (lacks_writes, is_remembered) {
+        (false, _) => None,
+        (true, true) => Some(OwnerDoubt::Unverified),
+        (true, false) => Some(OwnerDoubt::Withdrawn),
+    };
+    if let Some(doubt) = doubt {
+        log::warn!(term = state.term, stored:% = version, doubt:? = doubt; "store has lost writes, taking over");
+        state.skip_lost_terms();
+    }
+    if doubt == Some(OwnerDoubt::Withdrawn) {
+        state.withdraw_all();
+    }
+    let predecessor = match (state.begin_term(record), lacks_writes) {
+        (_, true) => Predecessor::Unknown,
+        (Some(leader), false) => Predecessor::Known(leader),
+        (None, false) => Predecessor::Ended,
+    };
     match owners.write(&state, version).await {
         (_, WriteOutcome::Written { version }) => TakeoverEnded {
             won: Some((state, version)),
             predecessor,
+            doubt,
             other_leader: false,
+            deferred_epoch: None,
         },
-        (_, WriteOutcome::Lost | WriteOutcome::WritesLost { .. }) => failed(true),
-        (_, WriteOutcome::NotDone) => failed(false),
+        (_, WriteOutcome::Lost | WriteOutcome::WritesLost { .. }) => TakeoverEnded::failed(true),
+        (_, WriteOutcome::NotDone) => TakeoverEnded::failed(false),
     }
 }
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -41,6 +41,8 @@
     pub lacks_store: bool,
     /// Revisions of the newest changes that the host has seen.
     pub revisions: SeenRevisions,
+    /// Version of the newest assignment that the host knew before the store lost writes.
+    pub remembered_owners: StoreVersion,
     /// Load at the servers as the host measures it.
     pub load: LoadReport,
 }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -154,6 +154,8 @@
     pub(super) owners: OwnerMap,
     /// Latest known assignment and its version.
     pub(super) owner_state: Option<(Arc<OwnerState>, StoreVersion)>,
+    /// Version of the last assignment known before the store lost writes.
+    pub(super) remembered_owners: StoreVersion,
     /// Requests per service and key since the last report.
     pub(super) key_counts: BTreeMap<ServiceName, BTreeMap<u16, u32>>,
     /// Servers that refused a key as not their own, and until when they get no keyed request.
@@ -237,6 +239,7 @@
                 retry_windows: HashMap::new(),
                 owners: OwnerMap::default(),
                 owner_state: None,
+                remembered_owners: StoreVersion::default(),
                 key_counts: BTreeMap::new(),
                 not_owner_until: HashMap::new(),
                 random,
@@ -415,6 +418,9 @@
         {
             return false;
         }
+        if let Some(known) = known.filter(|known| known.epoch < version.epoch) {
+            inner.remembered_owners = known;
+        }
         let state = Arc::new(state);
         inner.owners.update(state.clone(), now);
         inner.not_owner_until.clear();
@@ -424,6 +430,11 @@
         true
     }
 
+    /// Version of the last assignment known before the store lost writes.
+    pub fn remembered_owners(&self) -> StoreVersion {
+        self.lock().remembered_owners
+    }
+
     /// Latest known assignment and its version.
     pub fn owners(&self) -> Option<(Arc<OwnerState>, StoreVersion)> {
         self.lock().owner_state.clone()
--- a/crates/gateway/tests/candidacy.rs
+++ b/crates/gateway/tests/candidacy.rs
@@ -1,5 +1,7 @@
 //! Choice of the host that takes over, and of the hosts that watch the store.
 
+mod support;
+
 use {
     camphorcove_core::time::BootTime,
     camphorcove_gateway::{
@@ -9,6 +11,7 @@
     },
     rstest::rstest,
     std::{net::SocketAddr, time::Duration},
+    support::fixtures::version,
 };
 
 const START: BootTime = BootTime::from_millis(50_000);
@@ -45,6 +48,7 @@
         cpu_permille,
         lacks_store: false,
         revisions: SeenRevisions::default(),
+        remembered_owners: version(0),
         load: LoadReport::default(),
     }
 }
--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -6,7 +6,7 @@
 use {
     camphorcove_core::{
         fleet::ServerPhase,
-        ownership::{OwnerState, RangePhase},
+        ownership::{LEASE_DURATION, OwnerState, RangePhase},
     },
     camphorcove_gateway::{
         state::HostState,
@@ -305,3 +305,37 @@
     let state = stored(&store).expect("an assignment");
     assert!(is_owned(&state));
 }
+
+/// Guards against keys without an owner for as long as leases last, where a successor remembers the
+/// assignment and most hosts remember no later one.
+#[tokio::test]
+async fn successor_that_remembers_the_assignment_keeps_its_owners() {
+    let (store, address) = StoreStandin::start().await;
+    let (ledger, servers) = owning_servers(3).await;
+    let hosts = start_hosts(address, &servers).await;
+    until("owned", || {
+        stored(&store).is_some_and(|state| is_owned(&state))
+    })
+    .await;
+    sleep(Duration::from_millis(2_500)).await;
+    let backup = store.back_up();
+    move_keys(&hosts, &store).await;
+    sleep(Duration::from_millis(500)).await;
+    let known = stored(&store).expect("an assignment");
+    let leader = hosts
+        .iter()
+        .find(|host| host.state.is_leader())
+        .expect("a leader");
+    leader.actor.kill();
+
+    store.restore(backup);
+    let taken_over =
+        |state: OwnerState| state.term > known.term && owners_of(&state) == owners_of(&known);
+    let took = until("taken over", || stored(&store).is_some_and(taken_over)).await;
+    sleep(Duration::from_secs(4)).await;
+
+    assert!(took < LEASE_DURATION, "{took:?}");
+    let state = stored(&store).expect("an assignment");
+    assert_eq!(owners_of(&state), owners_of(&known));
+    assert_eq!(ledger.violations(), Vec::<String>::new());
+}
