Keep what servers are known to have done when the store returns older entries

A list replaced all that was known, and in a list from a backup an entry may be older than what the host has seen.

Change: an entry from a backup, that is from the first list or update in a later epoch, does not undo a drain, a restart or a departure of the same server; departures are remembered for 120 s. Within an epoch entries replace each other as before, since a server may register again.

Ruled out: comparing the starts of a server within an epoch, as the clock of its machine may step back between two of them.

--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -4,6 +4,11 @@
 //! work, but keeps serving the keys that it owns until they have moved. An entry also
 //! disappears when the store could not accept the server's heartbeats; such a server
 //! stays in use until it has had time to register again.
+//!
+//! A store that has lost writes returns entries that were outdated before. What a server is
+//! known to have done since is therefore kept: by an entry from a backup, it does not become ready
+//! again after it began to drain, an earlier start does not take the place of a later one, and
+//! a server that left is not used again.
 
 use {
     super::{RemovalRule, ServerEntry, ServerPhase},
@@ -18,6 +23,9 @@
 /// Servers keep serving for about 2 s after the removal; no request may reach them later.
 pub const REMOVAL_GRACE_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// Time for which servers that left are remembered: longer than a backup is old.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(120);
+
 /// A change of the fleet, on which the host acts and which it logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetChange {
@@ -46,6 +54,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
     servers: BTreeMap<ServerId, TrackedServer>,
+    /// Start of each server that left, and when it left.
+    departures: BTreeMap<ServerId, (u64, BootTime)>,
 }
 
 impl FleetView {
@@ -86,7 +96,9 @@
             return None;
         }
         if server.entry.phase == ServerPhase::Draining {
+            let left = (server.entry.incarnation, now);
             self.servers.remove(id);
+            self.departures.insert(id.clone(), left);
             return Some(FleetChange::Left(id.clone()));
         }
         match rule {
@@ -121,6 +133,26 @@
         changes
     }
 
+    /// What an entry from a backup of the store tells of the present: the known entry where that is
+    /// later, and nothing of a server that has left.
+    pub fn entry_from_backup(&self, entry: ServerEntry) -> Option<ServerEntry> {
+        let left = self.departures.get(&entry.id);
+        if left.is_some_and(|(incarnation, _)| entry.incarnation <= *incarnation) {
+            return None;
+        }
+        let Some(known) = self.servers.get(&entry.id) else {
+            return Some(entry);
+        };
+        // A server whose entry was removed, in contrast, may have registered again.
+        let drains = known.entry.phase == ServerPhase::Draining && known.leaves_at.is_none();
+        let is_same = known.entry.incarnation == entry.incarnation;
+        let is_outdated = known.entry.incarnation > entry.incarnation || (is_same && drains);
+        Some(match is_outdated {
+            true => known.entry.clone(),
+            false => entry,
+        })
+    }
+
     /// Known servers that `entries` does not name.
     pub fn unlisted(&self, entries: &[ServerEntry]) -> Vec<ServerId> {
         let listed: BTreeSet<&ServerId> = entries.iter().map(|entry| &entry.id).collect();
@@ -131,10 +163,14 @@
     /// Removes servers whose time after the removal of their entry is over.
     pub fn expire(&mut self, now: BootTime) -> Vec<FleetChange> {
         let mut changes = Vec::new();
+        self.departures
+            .retain(|_, (_, left_at)| now.since(*left_at) < DEPARTURE_MEMORY);
+        let departures = &mut self.departures;
         self.servers.retain(|id, server| {
             let is_expired = server.leaves_at.is_some_and(|at| now >= at);
             if is_expired {
                 changes.push(FleetChange::Left(id.clone()));
+                departures.insert(id.clone(), (server.entry.incarnation, now));
             }
             !is_expired
         });
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -54,10 +54,18 @@
         }
         let rule = inner.removal_rule(update.removed.len(), now);
         let earliest_change_at = inner.earliest_change_at(now);
+        let is_from_backup = update.from.epoch < update.to.epoch;
         let fleet = Arc::make_mut(&mut inner.fleet);
         let mut changes = Vec::new();
         for entry in &update.put {
-            changes.extend(fleet.upsert(entry.clone(), earliest_change_at));
+            let entry = match is_from_backup {
+                true => fleet.entry_from_backup(entry.clone()),
+                false => Some(entry.clone()),
+            };
+            let Some(entry) = entry else {
+                continue;
+            };
+            changes.extend(fleet.upsert(entry, earliest_change_at));
         }
         for id in &update.removed {
             changes.extend(fleet.remove(id, rule, earliest_change_at));
@@ -74,6 +82,14 @@
     pub fn replace_fleet(&self, entries: Vec<ServerEntry>, span: RevisionSpan) {
         let now = self.now();
         let mut inner = self.lock();
+        let mut entries = entries;
+        if inner.fleet_listed && span.from.epoch < span.through.epoch {
+            let known = inner.fleet.clone();
+            entries = entries
+                .into_iter()
+                .filter_map(|entry| known.entry_from_backup(entry))
+                .collect();
+        }
         let removed = inner.fleet.unlisted(&entries);
         let rule = inner.removal_rule(removed.len(), now);
         let known = inner.fleet.clone();
