Return the store of the soak to a backup between faults

With an outage or without, the store comes back as it was before the fault; servers that live write their entries again. The faults and limits of a seed stay as they were.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -44,8 +44,10 @@
         region.start_callers();
 
         for _ in 0..FAULTS_PER_SEED {
+            let backup = region.back_up();
             region.inject_fault().await;
             region.change_limits();
+            region.restore_store(backup).await;
             sleep(Duration::from_millis(400)).await;
         }
         region.check_limits().await;
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -5,7 +5,7 @@
         caller::{CallerResponse, call, key_header, request},
         entries::{config_entry, route_entry, server_entry},
         owning_server::{OwnershipLedger, OwningServer},
-        store_standin::StoreStandin,
+        store_standin::{StoreBackup, StoreStandin},
     },
     camphorcove_standin::proxy::{ProxySettings, ProxyStandin},
     nix::{
@@ -94,6 +94,8 @@
     random: ChaCha8Rng,
     /// Decides about limits apart from the other faults, whose sequence a seed keeps.
     limit_random: ChaCha8Rng,
+    /// The same for the store's backups.
+    backup_random: ChaCha8Rng,
     hosts: Vec<SoakHost>,
     store: StoreStandin,
     ownership_ledger: OwnershipLedger,
@@ -110,6 +112,7 @@
         let mut region = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
+            backup_random: ChaCha8Rng::seed_from_u64(seed ^ 2),
             hosts: Vec::new(),
             store,
             ownership_ledger: OwnershipLedger::default(),
@@ -213,6 +216,34 @@
         }
     }
 
+    /// Sometimes returns the store to `backup`, with or without an outage before. Servers that live
+    /// then write their entries again, and the entries of others are gone.
+    pub async fn restore_store(&mut self, backup: StoreBackup) {
+        let outage = match self.backup_random.random_range(0..8) {
+            0 => Duration::ZERO,
+            1 => Duration::from_millis(self.backup_random.random_range(300..2_500)),
+            _ => return,
+        };
+        self.store.set_down(true);
+        sleep(outage).await;
+        self.store.restore(backup);
+        self.store.set_down(false);
+        for id in self.store.names("servers") {
+            if !self.servers.iter().any(|(server, _)| server.id == id) {
+                self.store.remove("servers", &id);
+            }
+        }
+        for (server, service) in &self.servers {
+            let entry = server_entry(service, server.address, "ready", born(&server.id));
+            self.store.put("servers", &server.id, entry);
+        }
+    }
+
+    /// Content of the store, to return to.
+    pub fn back_up(&self) -> StoreBackup {
+        self.store.back_up()
+    }
+
     /// Checks that limited servers get no more requests than they take, and then lifts the limits.
     pub async fn check_limits(&self) {
         sleep(LIMIT_NOTICE_TIME).await;
@@ -259,8 +290,7 @@
         self.servers_started += 1;
         let id = format!("s-{}", self.servers_started);
         let server = OwningServer::start(&id, &self.ownership_ledger).await;
-        let born = u64::try_from(self.servers_started).unwrap_or(0);
-        let entry = server_entry(service, server.address, "ready", born);
+        let entry = server_entry(service, server.address, "ready", born(&id));
         self.store.put("servers", &id, entry);
         self.servers.push((server, service));
     }
@@ -358,6 +388,11 @@
     })
 }
 
+/// Start of the server with this id; no two servers have the same.
+fn born(id: &str) -> u64 {
+    id.trim_start_matches("s-").parse().expect("a number")
+}
+
 fn config() -> serde_json::Value {
     let routes = [
         route_entry("read", "safe", "plain"),
