--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -12,6 +12,7 @@
 mod owner_map;
 mod owner_state;
 mod ownership_planner;
+mod plan_events;
 mod range_load;
 mod range_moves;
 
@@ -26,9 +27,8 @@
     owner_state::{
         LeaderRecord, OwnerState, RangePhase, RangeRecord, ServerInstance, ServiceOwners,
     },
-    ownership_planner::{
-        OrderFailure, OwnerDoubt, OwnershipPlanner, PlanAction, PlanContext, PlanInput,
-    },
+    ownership_planner::{OwnershipPlanner, PlanContext},
+    plan_events::{OrderFailure, OwnerDoubt, PlanAction, PlanInput},
     range_load::RangeLoad,
     range_moves::{AssignableServer, RangeMove, choose_moves},
 };
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod fleet_update;
 mod host_state;
 mod limit_tracking;
+mod load_report;
 mod log_rate_limiter;
 mod seen_revisions;
 mod server_pick;
@@ -18,10 +19,9 @@
     change_log::{ChangeLog, RevisionedChange},
     config_copy::ConfigCopy,
     fleet_update::FleetUpdate,
-    host_state::{
-        HostCounters, HostState, LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad,
-    },
+    host_state::{HostCounters, HostState},
     limit_tracking::SharedLimit,
+    load_report::{LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad},
     log_rate_limiter::{LogRateLimiter, LogTopic},
     seen_revisions::{RevisionSpan, SeenRevisions, StoreKind},
     server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
