Write a lost assignment again once, also one that was removed

Found by reading: a check of the leadership that was sent before the lost assignment was written again, and answered after it, made the leader write on top of the earlier version; the conflict with its own write would have ended its term. The check counts only if the store's epoch is later than that of the last write. An assignment that somebody removed was missed only by the next change of an owner; it is written again at once, and no longer retried without end.

--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -629,7 +629,7 @@
         if self.balance_due(now) {
             self.balanced_at = now;
         }
-        if next_state == self.state {
+        if next_state == self.state && self.lost_in.is_none() {
             return None;
         }
         next_state.change += 1;
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -452,6 +452,11 @@
         let Role::Leader(planner) = &mut self.role else {
             return;
         };
+        // A read that was sent before the assignment was written again may be answered after it.
+        let is_missing = stored.revision == 0;
+        if stored.epoch <= self.version.epoch && !is_missing {
+            return;
+        }
         if !planner.has_authority(now) {
             self.step_down("the store has lost writes", now);
             return;
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -63,8 +63,8 @@
         let Some((known, version)) = self.state.owners() else {
             return;
         };
-        // A host with another version skips the change. The digests show it the newest
-        // revision, and it reads the store.
+        // A host with another version skips the change. The digests show it the newest one, and it
+        // reads the store.
         if version != change.from {
             return;
         }
--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -339,3 +339,29 @@
     assert_eq!(owners_of(&state), owners_of(&known));
     assert_eq!(ledger.violations(), Vec::<String>::new());
 }
+
+/// Guards against a leader that waits for an object that no longer exists.
+#[tokio::test]
+async fn leader_writes_an_assignment_again_that_was_removed() {
+    let (store, address) = StoreStandin::start().await;
+    let (ledger, servers) = owning_servers(3).await;
+    let hosts = start_hosts(address, &servers).await;
+    until("owned", || {
+        stored(&store).is_some_and(|state| is_owned(&state))
+    })
+    .await;
+    sleep(Duration::from_millis(2_500)).await;
+    let known = stored(&store).expect("an assignment");
+
+    store.remove("camphorcove", "owners");
+    let service = "keyed".parse().expect("valid name");
+    until("written again", || {
+        for key in 0..200 {
+            hosts[0].state.count_key(&service, key);
+        }
+        stored(&store).is_some_and(|state| next_token(&state) >= next_token(&known))
+    })
+    .await;
+
+    assert_eq!(ledger.violations(), Vec::<String>::new());
+}
