--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -87,8 +87,9 @@
         self.state.owners().map(|(state, _)| state)
     }
 
-    /// Replaces the assignment at `version`, or creates it if that is before the first change. Retries the write
-    /// until its outcome is certain, and returns when the last attempt was sent.
+    /// Replaces the assignment at `version`, or creates it if that is before the first change.
+    /// Retries the write until its outcome is certain, and returns when the last attempt was
+    /// sent.
     ///
     /// An attempt without an answer may take effect later. Only a later attempt that succeeds
     /// or finds another revision rules that out.
