--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -302,9 +302,9 @@
         self.ended_instances.contains(instance) || instance_ended(fleet, instance)
     }
 
-    /// Whether servers that the assignment does not name may still hold keys. Once they cannot, keys
-    /// whose owners were never verified are taken from them, as those may have lost them.
-    fn has_unknown_owners(&mut self, now: BootTime) -> bool {
+    /// Whether no order may be sent yet, as servers that the assignment does not name may hold keys.
+    /// Once they cannot, keys whose owners were never verified are taken from these.
+    fn awaits_unknown_owners(&mut self, now: BootTime) -> bool {
         let waits = now <= self.lease_bounds.inherited_end();
         match self.doubt {
             Some(OwnerDoubt::Unverified) if !waits => self.withdraw(),
@@ -465,7 +465,7 @@
             return actions;
         }
         // Even the grant that raises a token would give keys to a second server.
-        let has_unknown_owners = self.has_unknown_owners(now);
+        let awaits_unknown_owners = self.awaits_unknown_owners(now);
         if self.must_withdraw && self.pending.is_none() {
             let mut next_state = self.state.clone();
             next_state.withdraw_all();
@@ -473,7 +473,7 @@
             self.pending = Some(next_state.clone());
             actions.push(PlanAction::Write(Box::new(next_state)));
         }
-        if has_unknown_owners || self.must_withdraw {
+        if awaits_unknown_owners || self.must_withdraw {
             return actions;
         }
         self.renew(plan_context, now, &mut actions);
--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -193,6 +193,34 @@
         && records.all(|record| matches!(record.phase, RangePhase::Owned { .. }))
 }
 
+/// Hosts with a leader that has granted all keys to the servers.
+struct OwnedRegion {
+    store: StoreStandin,
+    address: SocketAddr,
+    ledger: OwnershipLedger,
+    servers: Vec<OwningServer>,
+    hosts: Vec<LeaderHost>,
+}
+
+async fn owned_region() -> OwnedRegion {
+    let (store, address) = StoreStandin::start().await;
+    let (ledger, servers) = owning_servers(3).await;
+    let hosts = start_hosts(address, &servers).await;
+    until("owned", || {
+        stored(&store).is_some_and(|state| is_owned(&state))
+    })
+    .await;
+    // The leader has counted the hosts by then, and all know the assignment.
+    sleep(Duration::from_millis(2_500)).await;
+    OwnedRegion {
+        store,
+        address,
+        ledger,
+        servers,
+        hosts,
+    }
+}
+
 async fn owning_servers(count: usize) -> (OwnershipLedger, Vec<OwningServer>) {
     let ledger = OwnershipLedger::default();
     let mut servers = Vec::new();
@@ -239,14 +267,12 @@
 /// owners as of the backup, with tokens that servers have seen, and no leader can act any more.
 #[tokio::test]
 async fn leader_writes_the_assignment_again_after_lost_writes() {
-    let (store, address) = StoreStandin::start().await;
-    let (ledger, servers) = owning_servers(3).await;
-    let hosts = start_hosts(address, &servers).await;
-    until("owned", || {
-        stored(&store).is_some_and(|state| is_owned(&state))
-    })
-    .await;
-    sleep(Duration::from_millis(500)).await;
+    let OwnedRegion {
+        store,
+        ledger,
+        hosts,
+        ..
+    } = owned_region().await;
     let backup = store.back_up();
     move_keys(&hosts, &store).await;
     let known = stored(&store).expect("an assignment");
@@ -277,14 +303,13 @@
 /// know nothing of the lost writes, and servers hold leases with tokens that were lost.
 #[tokio::test]
 async fn successor_after_lost_writes_waits_for_leases_and_uses_higher_tokens() {
-    let (store, address) = StoreStandin::start().await;
-    let (ledger, servers) = owning_servers(3).await;
-    let hosts = start_hosts(address, &servers).await;
-    until("owned", || {
-        stored(&store).is_some_and(|state| is_owned(&state))
-    })
-    .await;
-    sleep(Duration::from_millis(500)).await;
+    let OwnedRegion {
+        store,
+        address,
+        ledger,
+        servers,
+        hosts,
+    } = owned_region().await;
     let backup = store.back_up();
     move_keys(&hosts, &store).await;
     let known = stored(&store).expect("an assignment");
@@ -310,14 +335,12 @@
 /// assignment and most hosts remember no later one.
 #[tokio::test]
 async fn successor_that_remembers_the_assignment_keeps_its_owners() {
-    let (store, address) = StoreStandin::start().await;
-    let (ledger, servers) = owning_servers(3).await;
-    let hosts = start_hosts(address, &servers).await;
-    until("owned", || {
-        stored(&store).is_some_and(|state| is_owned(&state))
-    })
-    .await;
-    sleep(Duration::from_millis(2_500)).await;
+    let OwnedRegion {
+        store,
+        ledger,
+        hosts,
+        ..
+    } = owned_region().await;
     let backup = store.back_up();
     move_keys(&hosts, &store).await;
     sleep(Duration::from_millis(500)).await;
@@ -343,14 +366,12 @@
 /// Guards against a leader that waits for an object that no longer exists.
 #[tokio::test]
 async fn leader_writes_an_assignment_again_that_was_removed() {
-    let (store, address) = StoreStandin::start().await;
-    let (ledger, servers) = owning_servers(3).await;
-    let hosts = start_hosts(address, &servers).await;
-    until("owned", || {
-        stored(&store).is_some_and(|state| is_owned(&state))
-    })
-    .await;
-    sleep(Duration::from_millis(2_500)).await;
+    let OwnedRegion {
+        store,
+        ledger,
+        hosts,
+        ..
+    } = owned_region().await;
     let known = stored(&store).expect("an assignment");
 
     store.remove("camphorcove", "owners");
