Let the test of a restarted task not depend on how long a backtrace takes

Traced: with RUST_BACKTRACE=1 and 20 busy processes it fails 4 times of 4, with RUST_BACKTRACE=0 it passes 4 of 4: the default panic hook resolves the backtrace on the test's only thread, which takes longer than the 300 ms that are left after the pause. The program has its own hook, which prints none. The task of the test now unwinds without the hook; its assertions and its time are as before, and it passes 6 of 6 beside the same load.

--- a/crates/gateway/tests/malformed_input.rs
+++ b/crates/gateway/tests/malformed_input.rs
@@ -107,7 +107,12 @@
     let counted = starts.clone();
     let task = move || {
         let number = counted.fetch_add(1, Ordering::Relaxed);
-        async move { assert!(number > 0, "fails the first time") }
+        async move {
+            if number == 0 {
+                // Unwinds without the panic hook, which takes long to print a backtrace.
+                std::panic::resume_unwind(Box::new("fails the first time"));
+            }
+        }
     };
 
     let supervised = timeout(Duration::from_millis(500), supervise("test", task)).await;
