Keep an offered handover when the resigned controller's last map arrives

Cause: the resigning host offers its role once its resignation is written. A poll that was answered before may bring its last map after the offer. That map counted as a sign of an active controller and cancelled the offer, so the successor waited the whole candidate delay while grants lapsed. Class: late news of a state that newer news has ended.

A read of the object can end a candidacy only if the object is not resigned or has a newer term; neither is possible after an offer, which leaves the map.

Change: an offer outlasts maps of the term that it ends. Safety does not depend on it: the object is read before a take-over.

--- a/crates/core/src/control/candidacy.rs
+++ b/crates/core/src/control/candidacy.rs
@@ -87,7 +87,8 @@
 
     /// Restarts the delay if the map shows that a controller is active.
     ///
-    /// Maps of a superseded controller do not count.
+    /// Maps of a superseded controller do not count. A handover offer outlasts maps of the term
+    /// that it ends, because the last of them may arrive after the offer.
     pub(super) fn map_observed(
         &mut self,
         epoch: Epoch,
@@ -107,7 +108,9 @@
         if !own {
             self.backoff_factor = 1;
         }
+        let still_offered = self.handover_offered && !newer;
         self.restart(now);
+        self.handover_offered = still_offered;
     }
 
     /// Restarts the delay because another host holds a newer term.
--- a/crates/core/tests/ownership_handover.rs
+++ b/crates/core/tests/ownership_handover.rs
@@ -176,6 +176,30 @@
     assert_eq!(simulation.hosts[old].machine.role(), ScopeRole::Idle);
 }
 
+/// Guards against an offered handover that the resigned controller's last map cancels.
+#[rstest]
+fn last_map_of_the_resigned_controller_does_not_delay_the_handover(
+    #[values(2912, 2915, 2966, 2972)] seed: u64,
+) {
+    let mut simulation = settled_simulation(seed, 3, 3, true);
+    let old = simulation.controller().unwrap();
+    let resigned_at = simulation.micros;
+
+    simulation.apply_fault(&Fault::Resign(old));
+    let next = expect_within(&mut simulation, 5, "handover", |simulation| {
+        simulation
+            .controller()
+            .is_some_and(|controller| controller != old)
+    });
+
+    assert_no_violations(&simulation);
+    assert!(
+        next - resigned_at < SECOND / 2,
+        "took {} us",
+        next - resigned_at
+    );
+}
+
 /// Guards against a planned restart during a platform outage, in which all grants would lapse.
 #[test]
 fn resignation_waits_for_the_platform() {
