Route a moved shard to its next owner once that has confirmed the grant

Cause: the map named the next owner as soon as the change of owner was written, while the grant was still under way. Servers that check tokens refuse such requests. A refused one is sent again twice within 12 ms; on a busy machine the grant takes longer. Class: announced before it is in force.

Ruled out: slots (64), deadlines, lapsed grants (these would have the first token).

Change: a shard that the current term assigned counts as moving until the server's process has confirmed the grant. Owners of earlier terms may hold theirs already, so a change of controller delays nothing.

--- a/crates/core/src/control/map_builder.rs
+++ b/crates/core/src/control/map_builder.rs
@@ -1,7 +1,11 @@
 //! Builds the routing map from the scope object and the phases of the servers.
 
 use {
-    super::{scope_machine::ScopeMachine, server_view::keeps_shard, tracked_server::Reachability},
+    super::{
+        scope_machine::ScopeMachine,
+        server_view::{keeps_shard, shard_id},
+        tracked_server::Reachability,
+    },
     crate::{
         ids::{FencingToken, ServerId, ZoneName},
         map::{MapVersion, RoutingMap, ServerEntry, ShardEntry},
@@ -121,7 +125,10 @@
                     owner: index_of(server),
                     token: *token,
                     moving: self.is_given_away(index, server, *token)
-                        || (!checked && !self.is_up(server)),
+                        || match checked {
+                            true => self.awaits_grant(index, server, *token),
+                            false => !self.is_up(server),
+                        },
                 },
                 ShardState::Releasing { from, token, .. } => ShardEntry {
                     owner: index_of(from),
@@ -141,6 +148,18 @@
             .is_some_and(|state| !keeps_shard(state, index, server, token))
     }
 
+    /// Whether a shard that this term assigned has not been granted to its owner yet.
+    ///
+    /// Owners that earlier terms assigned may hold their shards already.
+    fn awaits_grant(&self, index: usize, server: &ServerId, token: FencingToken) -> bool {
+        let term = self.term.as_ref().map(|term| term.epoch);
+        let shard = (shard_id(index), token);
+        let confirmed = self
+            .tracked(server)
+            .is_some_and(|tracked| tracked.confirmed.contains(&shard));
+        term == Some(token.epoch) && !confirmed
+    }
+
     fn is_up(&self, id: &ServerId) -> bool {
         self.tracked(id)
             .is_some_and(|tracked| tracked.reachability == Reachability::Up)
--- a/crates/core/src/control/order_answers.rs
+++ b/crates/core/src/control/order_answers.rs
@@ -92,6 +92,10 @@
             OrderKind::Grant => {
                 let newest = self.last_grant == order && self.set != 0;
                 self.acknowledged = newest && reply.result == ServerResult::Done;
+                if self.acknowledged {
+                    let granted = self.granted.iter();
+                    self.confirmed = granted.map(|grant| (grant.shard, grant.token)).collect();
+                }
             }
             OrderKind::Release(shards) => {
                 let done = reply.result == ServerResult::Done;
--- a/crates/core/src/control/tracked_server.rs
+++ b/crates/core/src/control/tracked_server.rs
@@ -6,7 +6,10 @@
         ids::{FencingToken, ShardId},
         time::{BootTime, GRANT_GRACE, ORDER_WINDOW, with_drift},
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Whether a server answers.
@@ -72,6 +75,8 @@
     pub(super) granted: Vec<ShardGrant>,
     /// The server confirmed the last set sent.
     pub(super) acknowledged: bool,
+    /// Shards that this process of the server has confirmed to hold.
+    pub(super) confirmed: BTreeSet<(ShardId, FencingToken)>,
     /// Latest time at which a grant of any controller can still be live.
     pub(super) expiry: BootTime,
     /// Latest time at which a grant of this term can still be live.
@@ -98,6 +103,7 @@
             set: 0,
             granted: Vec::new(),
             acknowledged: false,
+            confirmed: BTreeSet::new(),
             expiry,
             own_expiry: BootTime(0),
             expiry_cap: Some(expiry),
@@ -173,6 +179,7 @@
         self.set = 0;
         self.granted.clear();
         self.acknowledged = false;
+        self.confirmed.clear();
     }
 
     pub(super) fn is_released(&self, shard: ShardId, token: FencingToken) -> bool {
--- a/crates/core/tests/ownership_handover.rs
+++ b/crates/core/tests/ownership_handover.rs
@@ -5,6 +5,7 @@
 use {
     camphorcove_core::{
         control::ScopeRole,
+        ids::ShardId,
         scope::ShardState,
         time::{OUTAGE_LIMIT, with_drift},
     },
@@ -13,7 +14,7 @@
     support::{
         faults::{DisabledSafeguards, Fault},
         scenario::*,
-        simulation::{SECOND, Simulation, settled_simulation},
+        simulation::{SECOND, Simulation, server_index, settled_simulation},
         spec::scope_spec,
     },
 };
@@ -147,6 +148,44 @@
     });
 }
 
+/// Whether a host routes requests for a shard to a server that does not hold it.
+fn is_routed_without_grant(simulation: &Simulation) -> bool {
+    let maps = simulation
+        .hosts
+        .iter()
+        .filter_map(|host| host.held_map.as_ref());
+    for (map, _) in maps {
+        for (index, entry) in map.shards.iter().enumerate() {
+            let shard = ShardId(index as u32);
+            let Some(owner) = map.owner(shard).filter(|_| !entry.moving) else {
+                continue;
+            };
+            let server = &simulation.servers[server_index(&owner.id)];
+            if server.live_token(shard, simulation.micros) != Some(entry.token) {
+                return true;
+            }
+        }
+    }
+    false
+}
+
+/// Guards against requests that reach the next owner of a moved shard before its grant does.
+#[rstest]
+fn moved_shard_is_routed_after_its_grant(#[values(41, 42, 43)] seed: u64) {
+    let mut simulation = settled_simulation(seed, 3, 3, true);
+    assert!(!is_routed_without_grant(&simulation));
+
+    simulation.apply_fault(&Fault::DelayMessages(100, 60_000));
+    simulation.apply_fault(&Fault::DrainServer(0, true));
+    let end = simulation.micros + 10 * SECOND;
+    let early = simulation.run_until_condition(end, is_routed_without_grant);
+
+    assert_eq!(early, None, "log {:#?}", simulation.log);
+    assert_no_violations(&simulation);
+    assert_eq!(shards_of(&simulation, 0), []);
+    assert!(simulation.all_served());
+}
+
 /// Guards against a handover that waits for promises to lapse, or during which grants lapse.
 #[rstest]
 fn resignation_hands_over_at_once(#[values(17, 18, 19, 20)] seed: u64) {
