Give hosts that start after lost writes the configuration that the others use

Callers would have seen routes of a host that has just started handled as before a confirmed change, from the return of a store that lost writes until the operator has written again: the host read the older copy, while the other hosts kept the newer one.

Cause: the leader compares revisions of the store only. The host has read all of the store's changes, so nothing seemed to be missing. Class: what is newest was judged by where it is stored, not by its own version.

Change: reports and copies name the version that the operator gave the configuration. A leader sends its copy to a host that is not behind in the store and has an older one in force. Hosts that are behind read or get the change as before, so ordinary changes cost no more messages. A host keeps a copy only of what is in force. A configuration that does not fit into a datagram is still not sent.

--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -77,6 +77,7 @@
             cpu_permille: self.state.settings.cpu_permille(),
             lacks_store: self.state.lacks_store(),
             revisions: self.state.revisions(),
+            config_version: self.state.config_version(),
             remembered_owners: self.state.remembered_owners(),
             load,
         };
@@ -145,6 +146,20 @@
         }
     }
 
+    /// Sends the configuration to a host that has read all of the store's changes and has an older
+    /// one in force: the store has lost the newer one, and the host has started since.
+    fn resend_lost_configuration(&self, report: &Report, to: SocketAddr) {
+        let seen = report.revisions.get(StoreKind::Config);
+        if seen < self.state.seen_through(StoreKind::Config) {
+            return;
+        }
+        let copy = self.state.config_copy();
+        if let Some(copy) = copy.filter(|copy| copy.config_version > report.config_version) {
+            let message = PeerMessage::Config(ConfigCopy::clone(&copy));
+            self.link.send(&self.state, to, &message);
+        }
+    }
+
     /// Resends the changes after `revisions` to a host that missed them.
     pub(super) fn resend_missed(&self, revisions: &SeenRevisions, to: SocketAddr) {
         for update in self.state.fleet_updates(revisions.get(StoreKind::Fleet)) {
@@ -212,6 +227,9 @@
             planner.handle_input(PlanInput::PredecessorEnds(now + ORDER_TIMEOUT), now);
         }
         let own = report.host == self.state.settings.host;
+        if !own {
+            self.resend_lost_configuration(&report, from);
+        }
         self.hosts.record_report(&report, from, own, now);
     }
 
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -11,7 +11,7 @@
     },
     bincode::{Decode, Encode, config},
     camphorcove_core::{
-        ids::{HostId, StoreVersion},
+        ids::{ConfigVersion, HostId, StoreVersion},
         ownership::OwnerDelta,
     },
     hmac::{Hmac, KeyInit, Mac},
@@ -41,6 +41,8 @@
     pub lacks_store: bool,
     /// Revisions of the newest changes that the host has seen.
     pub revisions: SeenRevisions,
+    /// Version of the configuration in force at the host.
+    pub config_version: ConfigVersion,
     /// Version of the newest assignment that the host knew before the store lost writes.
     pub remembered_owners: StoreVersion,
     /// Load at the servers as the host measures it.
--- a/crates/gateway/src/state/config_copy.rs
+++ b/crates/gateway/src/state/config_copy.rs
@@ -2,7 +2,7 @@
 
 use {
     bincode::{Decode, Encode},
-    camphorcove_core::ids::StoreVersion,
+    camphorcove_core::ids::{ConfigVersion, StoreVersion},
 };
 
 /// The newest configuration as the operator wrote it.
@@ -10,6 +10,8 @@
 pub struct ConfigCopy {
     /// Version of its object in the store.
     pub version: StoreVersion,
+    /// Version that the operator has given it, which rises even if the store loses writes.
+    pub config_version: ConfigVersion,
     /// Content of the object, as JSON.
     pub text: String,
 }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -14,7 +14,7 @@
             GaugeReading, HostCount, ReportedLoad, RequestOutcome, RetryWindow, ServerGauge,
         },
         fleet::{FleetView, OutageGuard},
-        ids::{ServerId, ServiceName, StoreVersion},
+        ids::{ConfigVersion, ServerId, ServiceName, StoreVersion},
         ownership::{OwnerMap, OwnerState},
         routing::{RouteRule, RouteTable, WeightedRoundRobin},
         time::BootTime,
@@ -245,6 +245,11 @@
         self.lock().table.clone()
     }
 
+    /// Version of the configuration in force; 0 if there is none.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.table().map(|table| table.version).unwrap_or_default()
+    }
+
     /// Puts a configuration in force if its version is newer; returns whether it is.
     pub fn set_table(&self, table: RouteTable) -> bool {
         let mut inner = self.lock();
@@ -264,10 +269,14 @@
         self.lock().config_copy = Some(Arc::new(copy));
     }
 
+    /// Copy of the configuration in force, if it has been taken.
+    pub fn config_copy(&self) -> Option<Arc<ConfigCopy>> {
+        self.lock().config_copy.clone()
+    }
+
     /// Copy of the configuration in force, if it is newer than `version`.
     pub fn config_copy_after(&self, version: StoreVersion) -> Option<Arc<ConfigCopy>> {
-        let copy = self.lock().config_copy.clone();
-        copy.filter(|copy| copy.version > version)
+        self.config_copy().filter(|copy| copy.version > version)
     }
 
     /// Selects the service for a request by weighted round robin, and counts the request.
--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -27,6 +27,7 @@
         if apply_configuration(&self.state, object.version, &object.content) {
             self.state.set_config_copy(ConfigCopy {
                 version: object.version,
+                config_version: self.state.config_version(),
                 text: object.content.to_string(),
             });
         }
@@ -35,7 +36,8 @@
 
 /// Applies a copy of the configuration that the leader sent.
 pub fn apply_config_copy(state: &HostState, copy: ConfigCopy) {
-    if state.seen_through(StoreKind::Config) >= copy.version {
+    let is_seen = state.seen_through(StoreKind::Config) >= copy.version;
+    if is_seen && state.config_version() >= copy.config_version {
         return;
     }
     let content: Value = match serde_json::from_str(&copy.text) {
@@ -46,9 +48,11 @@
         }
     };
     state.record_store_epoch(copy.version);
-    apply_configuration(state, copy.version, &content);
+    let in_force = apply_configuration(state, copy.version, &content);
     state.record_revision(StoreKind::Config, copy.version);
-    state.set_config_copy(copy);
+    if in_force {
+        state.set_config_copy(copy);
+    }
 }
 
 /// Puts a configuration in force if it is valid and newer; returns whether it is in force now.
--- a/crates/gateway/tests/candidacy.rs
+++ b/crates/gateway/tests/candidacy.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    camphorcove_core::time::BootTime,
+    camphorcove_core::{ids::ConfigVersion, time::BootTime},
     camphorcove_gateway::{
         leader::{Candidacy, HostTable},
         peers::Report,
@@ -48,6 +48,7 @@
         cpu_permille,
         lacks_store: false,
         revisions: SeenRevisions::default(),
+        config_version: ConfigVersion(0),
         remembered_owners: version(0),
         load: LoadReport::default(),
     }
--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -131,6 +131,42 @@
     assert!(calls <= MAX_CALLS, "{calls} calls");
 }
 
+fn follow_configuration(host: &LeaderHost, store: SocketAddr) {
+    let client = StoreClient::new(store, Duration::from_millis(400));
+    let follower = ConfigFollower::new(host.state.clone());
+    tokio::spawn(follow(host.state.clone(), client, follower));
+}
+
+/// Guards against a host that starts after lost writes and serves an older configuration than the
+/// others until the operator has written again.
+#[tokio::test]
+async fn host_that_starts_after_lost_writes_gets_the_newest_configuration() {
+    let OwnedRegion {
+        store,
+        address,
+        servers,
+        hosts,
+        ..
+    } = owned_region().await;
+    store.put("config", "main", config(2));
+    let backup = store.back_up();
+    store.put("config", "main", config(3));
+    for host in &hosts {
+        follow_configuration(host, address);
+    }
+    until("in force", || {
+        hosts.iter().all(|host| version(&host.state) == 3)
+    })
+    .await;
+
+    store.restore(backup);
+    let late = start_host("host-3", address, &servers).await;
+    follow_configuration(&late, address);
+    let took = until("in force", || version(&late.state) == 3).await;
+
+    assert!(took < APPLY_LIMIT, "{took:?}");
+}
+
 /// Guards against entries of the backup that were outdated when the writes were lost: a server that
 /// drains or has left gets requests again, or an earlier start of a server takes the place of its
 /// present one.
@@ -231,17 +267,21 @@
 }
 
 async fn start_hosts(store: SocketAddr, servers: &[OwningServer]) -> Vec<LeaderHost> {
-    let entries: Vec<_> = servers
-        .iter()
-        .map(|server| entry(&server.id, "keyed", server.address))
-        .collect();
     let mut hosts = Vec::new();
     for number in 0..3 {
-        hosts.push(leader_host_with(&format!("host-{number}"), store, entries.clone()).await);
+        hosts.push(start_host(&format!("host-{number}"), store, servers).await);
     }
     hosts
 }
 
+async fn start_host(name: &str, store: SocketAddr, servers: &[OwningServer]) -> LeaderHost {
+    let entries = servers
+        .iter()
+        .map(|server| entry(&server.id, "keyed", server.address))
+        .collect();
+    leader_host_with(name, store, entries).await
+}
+
 /// Moves keys, so that the assignment is written several times: the owner of the first key turns
 /// out to be busy.
 async fn move_keys(hosts: &[LeaderHost], store: &StoreStandin) {
--- a/crates/gateway/tests/malformed_input.rs
+++ b/crates/gateway/tests/malformed_input.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    camphorcove_core::ids::ConfigVersion,
     camphorcove_gateway::{
         leader::{LeaderActor, Tick},
         node::supervise,
@@ -92,6 +93,7 @@
             &state,
             ConfigCopy {
                 version: version(revision),
+                config_version: ConfigVersion(revision),
                 text,
             },
         );
