--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -8,6 +8,8 @@
 
 mod key_range;
 mod lease_bounds;
+mod lease_orders;
+mod move_planning;
 mod owner_delta;
 mod owner_map;
 mod owner_state;
--- /dev/null
+++ b/crates/core/src/ownership/move_planning.rs
@@ -0,0 +1,247 @@
+//! Computes the next assignment: completes moves of ranges, and starts those that the load asks for.
+
+use {
+    super::{
+        AssignableServer, KeyRange, OwnerState, OwnershipPlanner, PlanContext, RangeLoad,
+        RangePhase, ServerInstance, ServiceOwners, choose_moves, lease_orders::RevocationStep,
+        ownership_planner::TOKENS_PER_MOVE,
+    },
+    crate::{fleet::ServerPhase, ids::ServiceName, time::BootTime},
+    std::{collections::HashSet, time::Duration},
+};
+
+/// Time without a new server after which a service gets its first assignment, so that the
+/// assignment covers all servers that start together.
+const INITIAL_FLEET_SETTLE_TIME: Duration = Duration::from_millis(1_000);
+
+/// Longest time for which the first assignment waits for further servers.
+const INITIAL_FLEET_MAX_WAIT: Duration = Duration::from_millis(4_000);
+
+/// Interval at which load is balanced; long enough to see the effect of a move.
+const BALANCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Shortest interval between two placements of keys without an owner: answers of servers
+/// arrive in quick succession, and each placement scans all keys.
+const UNOWNED_PLACEMENT_INTERVAL: Duration = Duration::from_millis(100);
+
+impl OwnershipPlanner {
+    /// Computes the next assignment; `None` if it equals the acknowledged one.
+    pub(super) fn plan_next_state(
+        &mut self,
+        plan_context: PlanContext<'_>,
+        now: BootTime,
+    ) -> Option<OwnerState> {
+        let mut next_state = self.state.clone();
+        if let Some(epoch) = self.lost_in {
+            next_state.enter_epoch(epoch);
+        }
+        let first_token = next_state.first_token();
+        let mut moves_chosen = false;
+        self.planned_at = now;
+        self.track_fleet_size(plan_context, now);
+        for service in plan_context.services {
+            let owners = next_state
+                .services
+                .entry(service.clone())
+                .or_insert_with(|| ServiceOwners::new(first_token));
+            let assignable = self.assignable_servers(plan_context, service, owners, now);
+            self.complete_moves(plan_context, service, owners, &assignable, now);
+            moves_chosen |= self.start_moves(plan_context, service, owners, &assignable, now);
+            owners.merge();
+        }
+        if moves_chosen {
+            self.moves_chosen_at = now;
+        }
+        if self.balance_due(now) {
+            self.balanced_at = now;
+        }
+        if next_state == self.state && self.lost_in.is_none() {
+            return None;
+        }
+        next_state.change += 1;
+        next_state.hosts = self.hosts;
+        Some(next_state)
+    }
+
+    pub(super) fn balance_due(&self, now: BootTime) -> bool {
+        now.since(self.balanced_at) >= BALANCE_INTERVAL
+    }
+
+    /// Servers of the service that can take keys: ready, responsive and not ended.
+    pub(super) fn assignable_servers(
+        &self,
+        plan_context: PlanContext<'_>,
+        service: &ServiceName,
+        owners: &ServiceOwners,
+        now: BootTime,
+    ) -> Vec<AssignableServer> {
+        let mut assignable = Vec::new();
+        let owning_instances: HashSet<&ServerInstance> = owners
+            .ranges
+            .iter()
+            .filter_map(|record| match &record.phase {
+                RangePhase::Owned { owner, .. } => Some(owner),
+                RangePhase::Moving { .. } | RangePhase::Free => None,
+            })
+            .collect();
+        for entry in plan_context.fleet.entries() {
+            if entry.service != *service || entry.phase != ServerPhase::Ready {
+                continue;
+            }
+            let instance = ServerInstance {
+                id: entry.id.clone(),
+                incarnation: entry.incarnation,
+                address: entry.address,
+            };
+            if self.is_unresponsive(&instance, now) || self.ended_instances.contains(&instance) {
+                continue;
+            }
+            let known = plan_context.capacity.get(&entry.id).copied();
+            let capacity = known.unwrap_or(entry.slots as f32).max(0.1);
+            let empty = !owning_instances.contains(&instance);
+            assignable.push(AssignableServer {
+                instance,
+                capacity,
+                empty,
+            });
+        }
+        assignable
+    }
+
+    pub(super) fn track_fleet_size(&mut self, plan_context: PlanContext<'_>, now: BootTime) {
+        let size = plan_context.fleet.entries().count();
+        if size > self.fleet_size {
+            self.fleet_grew_at = now;
+        }
+        self.fleet_size = size;
+    }
+
+    /// Whether the first assignment need not wait for more servers.
+    pub(super) fn is_fleet_settled(&self, owners: &ServiceOwners, now: BootTime) -> bool {
+        let is_unassigned = owners
+            .ranges
+            .iter()
+            .all(|record| record.phase == RangePhase::Free);
+        !is_unassigned
+            || now.since(self.fleet_grew_at) >= INITIAL_FLEET_SETTLE_TIME
+            || now.since(self.started_at) >= INITIAL_FLEET_MAX_WAIT
+    }
+
+    /// Assigns moving ranges that no server can hold any more to their next owners.
+    pub(super) fn complete_moves(
+        &mut self,
+        plan_context: PlanContext<'_>,
+        service: &ServiceName,
+        owners: &mut ServiceOwners,
+        assignable: &[AssignableServer],
+        now: BootTime,
+    ) {
+        let next_token = &mut owners.next_token;
+        for record in &mut owners.ranges {
+            let RangePhase::Moving {
+                owner,
+                token,
+                target,
+            } = &record.phase
+            else {
+                continue;
+            };
+            let range_id = (service.clone(), record.range, *token);
+            let progress = self.revocations.get(&range_id);
+            let raise_in_flight =
+                progress.is_some_and(|progress| progress.in_flight && progress.is_grant);
+            let released = progress.is_some_and(|progress| progress.step == RevocationStep::Done);
+            let expired = || {
+                !raise_in_flight
+                    && now > self.lease_bounds.latest_end(service, owner, record.range)
+                    && !self.has_renewal_in_flight(service, record.range)
+            };
+            if !(released || self.has_ended(plan_context.fleet, owner) || expired()) {
+                continue;
+            }
+            let handover = progress.and_then(|progress| progress.handover.clone());
+            let is_assignable = |instance: &ServerInstance| {
+                assignable
+                    .iter()
+                    .any(|candidate| candidate.instance == *instance)
+            };
+            record.phase = match target.clone().filter(is_assignable) {
+                Some(target) => {
+                    let token = *next_token;
+                    *next_token += 1;
+                    if let Some(handover) = handover {
+                        self.handovers
+                            .insert((service.clone(), record.range, token), handover);
+                    }
+                    RangePhase::Owned {
+                        owner: target,
+                        token,
+                    }
+                }
+                None => RangePhase::Free,
+            };
+        }
+    }
+
+    /// Starts moving ranges whose owner is draining, unresponsive or overloaded, and assigns
+    /// free ranges.
+    ///
+    /// Returns `false` if it was too early to choose moves.
+    pub(super) fn start_moves(
+        &mut self,
+        plan_context: PlanContext<'_>,
+        service: &ServiceName,
+        owners: &mut ServiceOwners,
+        assignable: &[AssignableServer],
+        now: BootTime,
+    ) -> bool {
+        for record in &mut owners.ranges {
+            if let RangePhase::Owned { owner, .. } = &record.phase
+                && self.has_ended(plan_context.fleet, owner)
+            {
+                record.phase = RangePhase::Free;
+            }
+        }
+        let has_unowned = owners.ranges.iter().any(|record| match &record.phase {
+            RangePhase::Free => true,
+            RangePhase::Owned { owner, .. } => !assignable
+                .iter()
+                .any(|candidate| candidate.instance == *owner),
+            RangePhase::Moving { .. } => false,
+        });
+        let due = match has_unowned {
+            true => now.since(self.moves_chosen_at) >= UNOWNED_PLACEMENT_INTERVAL,
+            false => self.balance_due(now),
+        };
+        if !due || !self.is_fleet_settled(owners, now) {
+            return false;
+        }
+        let no_load = RangeLoad::new(now);
+        let load = self.loads.get(service).unwrap_or(&no_load);
+        for planned in choose_moves(&owners.ranges, load, assignable) {
+            Self::start_move(owners, planned.range, &planned.target);
+        }
+        true
+    }
+
+    /// Assigns the free keys of `range` to `target`, and marks owned ones as moving to it.
+    pub(super) fn start_move(owners: &mut ServiceOwners, range: KeyRange, target: &ServerInstance) {
+        for at in owners.isolate(range) {
+            let token = owners.reserve_tokens(TOKENS_PER_MOVE);
+            let record = &mut owners.ranges[at];
+            record.phase = match &record.phase {
+                RangePhase::Free => RangePhase::Owned {
+                    owner: target.clone(),
+                    token,
+                },
+                RangePhase::Owned { owner, .. } if owner == target => continue,
+                RangePhase::Owned { owner, .. } => RangePhase::Moving {
+                    owner: owner.clone(),
+                    token,
+                    target: Some(target.clone()),
+                },
+                RangePhase::Moving { .. } => continue,
+            };
+        }
+    }
+}
