--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -73,7 +73,7 @@
             return;
         };
         if self.state.set_owners(state, change.to) {
-            self.state.record_revision(StoreKind::Owners, change.to);
+            self.state.record_version(StoreKind::Owners, change.to);
             self.update_role(now);
         }
     }
@@ -176,7 +176,7 @@
             .into_iter()
             .any(behind);
         if !watches && is_behind {
-            let message = PeerMessage::ResendRequest(self.state.followed_revisions());
+            let message = PeerMessage::ResendRequest(self.state.followed_versions());
             self.link.send(&self.state, from, &message);
         }
     }
@@ -187,7 +187,7 @@
 
     async fn handle(&mut self, message: ResendRequested, _: &mut Context<Self, Self::Reply>) {
         if matches!(self.role, Role::Leader(_)) {
-            self.resend_missed(&message.revisions, message.from);
+            self.resend_missed(&message.versions, message.from);
         }
     }
 }
--- a/crates/gateway/src/leader/leader_messages.rs
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -4,7 +4,7 @@
     super::owner_store::WriteOutcome,
     crate::{
         peers::{Digest, OwnerChange, Report},
-        state::SeenRevisions,
+        state::SeenVersions,
     },
     camphorcove_core::{ids::StoreVersion, ownership::PlanInput, time::BootTime},
     std::net::SocketAddr,
@@ -21,7 +21,7 @@
 /// A report arrived from another host.
 #[derive(Debug)]
 pub struct ReportReceived {
-    /// Load and store revisions of the host.
+    /// Load and store versions of the host.
     pub report: Report,
     /// Address of the host, to which digests are sent.
     pub from: SocketAddr,
@@ -44,7 +44,7 @@
 #[derive(Debug)]
 pub struct ResendRequested {
     /// Revisions through which the host has followed the store.
-    pub revisions: SeenRevisions,
+    pub versions: SeenVersions,
     /// Address of the host, to which the changes are sent.
     pub from: SocketAddr,
 }
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -4,7 +4,7 @@
     super::leader_actor::{CONFIRM_FAILURES, LeaderActor, Predecessor, Role},
     crate::{
         peers::{Digest, OwnerChange, PeerMessage, Report},
-        state::{ConfigCopy, FleetUpdate, ReportScope, SeenRevisions, StoreKind},
+        state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind},
     },
     camphorcove_core::{
         ids::StoreVersion,
@@ -76,7 +76,7 @@
             term,
             cpu_permille: self.state.settings.cpu_permille(),
             lacks_store: self.state.lacks_store(),
-            revisions: self.state.revisions(),
+            versions: self.state.versions(),
             config_version: self.state.config_version(),
             remembered_owners: self.state.remembered_owners(),
             load,
@@ -149,7 +149,7 @@
     /// Sends the configuration to a host that has read all of the store's changes and has an older
     /// one in force: the store has lost the newer one, and the host has started since.
     fn resend_lost_configuration(&self, report: &Report, to: SocketAddr) {
-        let seen = report.revisions.get(StoreKind::Config);
+        let seen = report.versions.get(StoreKind::Config);
         if seen < self.state.seen_through(StoreKind::Config) {
             return;
         }
@@ -160,18 +160,18 @@
         }
     }
 
-    /// Resends the changes after `revisions` to a host that missed them.
-    pub(super) fn resend_missed(&self, revisions: &SeenRevisions, to: SocketAddr) {
-        for update in self.state.fleet_updates(revisions.get(StoreKind::Fleet)) {
+    /// Resends the changes after `versions` to a host that missed them.
+    pub(super) fn resend_missed(&self, versions: &SeenVersions, to: SocketAddr) {
+        for update in self.state.fleet_updates(versions.get(StoreKind::Fleet)) {
             let message = PeerMessage::Fleet(FleetUpdate::clone(&update));
             self.link.send(&self.state, to, &message);
         }
-        let config_version = revisions.get(StoreKind::Config);
+        let config_version = versions.get(StoreKind::Config);
         if let Some(copy) = self.state.config_copy_after(config_version) {
             let message = PeerMessage::Config(ConfigCopy::clone(&copy));
             self.link.send(&self.state, to, &message);
         }
-        for change in self.owner_log.since(revisions.get(StoreKind::Owners)) {
+        for change in self.owner_log.since(versions.get(StoreKind::Owners)) {
             let message = PeerMessage::Owners(OwnerChange::clone(&change));
             self.link.send(&self.state, to, &message);
         }
@@ -190,7 +190,7 @@
         let Role::Leader(planner) = &mut self.role else {
             return;
         };
-        self.revisions.merge(&report.revisions);
+        self.versions.merge(&report.versions);
         // A report for another term does not show that its host follows this leader.
         if report.term != planner.state().term {
             return;
@@ -207,7 +207,7 @@
         };
         let is_later = |remembered: StoreVersion| {
             [
-                report.revisions.get(StoreKind::Owners),
+                report.versions.get(StoreKind::Owners),
                 report.remembered_owners,
             ]
             .iter()
@@ -294,7 +294,7 @@
             has_store,
             largest_cpu: self.hosts.largest_cpu_permille(),
             hosts,
-            revisions: self.revisions,
+            versions: self.versions,
             watchers,
             servers,
             limits,
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod leader_handlers;
 mod leader_messages;
 mod leader_reports;
+mod leader_terms;
 mod limit_table;
 mod order_sender;
 mod owner_store;
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -181,7 +181,7 @@
     fn update_host_state(&self, state: &OwnerState, version: StoreVersion) {
         self.state.set_owners(state.clone(), version);
         self.state.record_store_epoch(version);
-        self.state.record_revision(StoreKind::Owners, version);
+        self.state.record_version(StoreKind::Owners, version);
     }
 
     fn count_call(&self) {
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -6,8 +6,7 @@
 
 use {
     crate::state::{
-        ConfigCopy, FleetUpdate, LoadReport, RevisionedChange, SeenRevisions, ServerHash,
-        SharedLimit,
+        ConfigCopy, FleetUpdate, LoadReport, SeenVersions, ServerHash, SharedLimit, VersionedChange,
     },
     bincode::{Decode, Encode, config},
     camphorcove_core::{
@@ -40,7 +39,7 @@
     /// Whether the store is out of the host's reach; only a host that calls it can tell.
     pub lacks_store: bool,
     /// Revisions of the newest changes that the host has seen.
-    pub revisions: SeenRevisions,
+    pub versions: SeenVersions,
     /// Version of the configuration in force at the host.
     pub config_version: ConfigVersion,
     /// Version of the newest assignment that the host knew before the store lost writes.
@@ -64,7 +63,7 @@
     /// Number of hosts that report; `None` until all had time to report to a new leader.
     pub hosts: Option<u32>,
     /// Revisions of the newest changes that any host has seen.
-    pub revisions: SeenRevisions,
+    pub versions: SeenVersions,
     /// Hosts that are to watch the store besides the leader.
     pub watchers: Vec<SocketAddr>,
     /// Requests in flight over all hosts, for each server with few free slots.
@@ -87,7 +86,7 @@
     pub delta: OwnerDelta,
 }
 
-impl RevisionedChange for OwnerChange {
+impl VersionedChange for OwnerChange {
     fn start_version(&self) -> StoreVersion {
         self.from
     }
@@ -100,7 +99,7 @@
 /// Message in a datagram.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum PeerMessage {
-    /// To the leader: load and revisions of a host.
+    /// To the leader: load and versions of a host.
     Report(Report),
     /// From the leader: summary of all reports.
     Digest(Digest),
@@ -110,8 +109,8 @@
     Fleet(FleetUpdate),
     /// From the leader: the newest configuration.
     Config(ConfigCopy),
-    /// To the leader: request for changes after these revisions, which the host knows.
-    ResendRequest(SeenRevisions),
+    /// To the leader: request for changes after these versions, which the host knows.
+    ResendRequest(SeenVersions),
 }
 
 /// Encodes a message and prepends its authentication tag.
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -86,14 +86,14 @@
         };
         let delivered = match message {
             PeerMessage::Report(report) => {
-                state.set_peer_revisions(&report.revisions);
+                state.set_peer_versions(&report.versions);
                 leader
                     .tell(ReportReceived { report, from })
                     .try_send()
                     .is_ok()
             }
             PeerMessage::Digest(digest) => {
-                state.set_peer_revisions(&digest.revisions);
+                state.set_peer_versions(&digest.versions);
                 leader
                     .tell(DigestReceived { digest, from })
                     .try_send()
@@ -110,8 +110,8 @@
                 apply_config_copy(&state, copy);
                 true
             }
-            PeerMessage::ResendRequest(revisions) => leader
-                .tell(ResendRequested { revisions, from })
+            PeerMessage::ResendRequest(versions) => leader
+                .tell(ResendRequested { versions, from })
                 .try_send()
                 .is_ok(),
         };
--- a/crates/gateway/src/state/change_log.rs
+++ b/crates/gateway/src/state/change_log.rs
@@ -10,7 +10,7 @@
 const MAX_CHANGES: usize = 32;
 
 /// A change from one revision to a later one.
-pub trait RevisionedChange {
+pub trait VersionedChange {
     /// Version to which the change applies.
     fn start_version(&self) -> StoreVersion;
     /// Version after the change.
@@ -31,7 +31,7 @@
     }
 }
 
-impl<C: RevisionedChange> ChangeLog<C> {
+impl<C: VersionedChange> ChangeLog<C> {
     /// Adds a change. If it does not continue the last one, older changes are dropped.
     pub fn push(&mut self, change: C) {
         let continues = self.changes.back().is_some_and(|last| {
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -1,9 +1,7 @@
-//! Server entries that this host knows, and revisions through which it has followed the store.
+//! Server entries that this host knows, and versions through which it has followed the store.
 
 use {
-    super::{
-        FleetUpdate, HostState, RevisionSpan, SeenRevisions, StoreKind, host_state::StateInner,
-    },
+    super::{FleetUpdate, HostState, SeenVersions, StoreKind, VersionSpan, host_state::StateInner},
     camphorcove_core::{
         dispatch::ServerGauge,
         fleet::{FleetChange, FleetView, RemovalRule, ServerEntry, ServerPhase},
@@ -72,14 +70,14 @@
         }
         inner.apply_changes(&changes, now);
         inner.seen_through.advance(StoreKind::Fleet, update.to);
-        inner.own_revisions.advance(StoreKind::Fleet, update.to);
+        inner.own_versions.advance(StoreKind::Fleet, update.to);
         inner.fleet_log_end = update.to;
         inner.fleet_log.push(update);
         true
     }
 
     /// Replaces all server entries by a list from the store.
-    pub fn replace_fleet(&self, entries: Vec<ServerEntry>, span: RevisionSpan) {
+    pub fn replace_fleet(&self, entries: Vec<ServerEntry>, span: VersionSpan) {
         let now = self.now();
         let mut inner = self.lock();
         let mut entries = entries;
@@ -104,7 +102,7 @@
             false => span.through,
         };
         inner.seen_through.advance(StoreKind::Fleet, span.through);
-        inner.own_revisions.advance(StoreKind::Fleet, to);
+        inner.own_versions.advance(StoreKind::Fleet, to);
         let from = inner.fleet_log_end;
         if from == StoreVersion::default() {
             // The first list does not show earlier removals, so no update leads to it.
@@ -136,12 +134,12 @@
         let now = self.now();
         let mut inner = self.lock();
         inner.feed.record_digest(must_watch, now);
-        if inner.seen_through.get(StoreKind::Fleet) >= inner.peer_revisions.get(StoreKind::Fleet) {
+        if inner.seen_through.get(StoreKind::Fleet) >= inner.peer_versions.get(StoreKind::Fleet) {
             inner.last_in_sync_at = now;
         }
         drop(inner);
         if must_watch {
-            self.revisions_changed.notify_waiters();
+            self.versions_changed.notify_waiters();
         }
     }
 
@@ -150,7 +148,7 @@
         self.is_leader.store(is_leader, Ordering::Relaxed);
         if is_leader {
             self.lock().feed.start_store_watch();
-            self.revisions_changed.notify_waiters();
+            self.versions_changed.notify_waiters();
         }
     }
 
@@ -200,8 +198,8 @@
         }
         inner.lost_writes_at = Some(now);
         inner.outage_guard.record_store_recovery(now);
-        let revisions = inner.own_revisions;
-        log::warn!(epoch:? = known, now_at:% = version, seen:? = revisions; "store has lost writes");
+        let versions = inner.own_versions;
+        log::warn!(epoch:? = known, now_at:% = version, seen:? = versions; "store has lost writes");
     }
 
     /// Epoch of the store, as far as this host knows.
@@ -236,15 +234,15 @@
     }
 
     /// Records that all changes of a kind within the span have been seen.
-    pub fn record_seen(&self, kind: StoreKind, span: RevisionSpan) {
+    pub fn record_seen(&self, kind: StoreKind, span: VersionSpan) {
         let mut inner = self.lock();
         inner.seen_through.advance(kind, span.through);
-        inner.own_revisions.advance(kind, span.newest);
+        inner.own_versions.advance(kind, span.newest);
     }
 
     /// Records that an object was seen at `version`, for a kind that has only one object.
-    pub fn record_revision(&self, kind: StoreKind, version: StoreVersion) {
-        let span = RevisionSpan {
+    pub fn record_version(&self, kind: StoreKind, version: StoreVersion) {
+        let span = VersionSpan {
             from: version,
             through: version,
             newest: version,
@@ -253,42 +251,42 @@
     }
 
     /// Revision of the newest change of each kind that this host has seen.
-    pub fn revisions(&self) -> SeenRevisions {
-        self.lock().own_revisions
+    pub fn versions(&self) -> SeenVersions {
+        self.lock().own_versions
     }
 
     /// Revision of each kind through which this host knows all changes.
-    pub fn followed_revisions(&self) -> SeenRevisions {
+    pub fn followed_versions(&self) -> SeenVersions {
         self.lock().seen_through
     }
 
     /// Revision of the newest change of a kind that other hosts have seen.
-    pub fn peer_revision(&self, kind: StoreKind) -> StoreVersion {
-        self.lock().peer_revisions.get(kind)
+    pub fn peer_version(&self, kind: StoreKind) -> StoreVersion {
+        self.lock().peer_versions.get(kind)
     }
 
-    /// Merges the newest revisions that other hosts have seen.
-    pub fn set_peer_revisions(&self, revisions: &SeenRevisions) {
+    /// Merges the newest versions that other hosts have seen.
+    pub fn set_peer_versions(&self, versions: &SeenVersions) {
         let mut inner = self.lock();
-        let before = inner.peer_revisions;
-        inner.peer_revisions.merge(revisions);
-        let changed = inner.peer_revisions != before;
+        let before = inner.peer_versions;
+        inner.peer_versions.merge(versions);
+        let changed = inner.peer_versions != before;
         drop(inner);
         if changed {
-            self.revisions_changed.notify_waiters();
+            self.versions_changed.notify_waiters();
         }
     }
 
     /// Revision of the newest change of a kind that other hosts have seen and this one has not.
-    pub fn missing_revision(&self, kind: StoreKind) -> Option<StoreVersion> {
+    pub fn missing_version(&self, kind: StoreKind) -> Option<StoreVersion> {
         let inner = self.lock();
-        let newest = inner.peer_revisions.get(kind);
+        let newest = inner.peer_versions.get(kind);
         (inner.seen_through.get(kind) < newest).then_some(newest)
     }
 
     /// Whether other hosts have seen a change of the kind that this one has not.
     pub fn is_behind(&self, kind: StoreKind) -> bool {
-        self.missing_revision(kind).is_some()
+        self.missing_version(kind).is_some()
     }
 }
 
--- a/crates/gateway/src/state/fleet_update.rs
+++ b/crates/gateway/src/state/fleet_update.rs
@@ -1,7 +1,7 @@
 //! Changes of server entries in the form that the leader sends to other hosts.
 
 use {
-    super::RevisionedChange,
+    super::VersionedChange,
     bincode::{Decode, Encode},
     camphorcove_core::{
         fleet::ServerEntry,
@@ -22,7 +22,7 @@
     pub removed: Vec<ServerId>,
 }
 
-impl RevisionedChange for FleetUpdate {
+impl VersionedChange for FleetUpdate {
     fn start_version(&self) -> StoreVersion {
         self.from
     }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, SeenRevisions,
+        BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, SeenVersions,
         ServerHash, StoreContact, StoreFeed,
     },
     crate::conf::GatewaySettings,
@@ -35,7 +35,7 @@
 };
 
 /// Number of hosts assumed to share limits until the leader has counted them.
-pub(super) const ASSUMED_HOST_COUNT: u32 = 10;
+const ASSUMED_HOST_COUNT: u32 = 10;
 
 /// Age at which the load of other hosts is discarded: two reports are missing then.
 const REMOTE_LOAD_MAX_AGE: Duration = Duration::from_millis(1_000);
@@ -105,11 +105,11 @@
     /// When a digest last set the load of other hosts.
     pub(super) remote_load_at: BootTime,
     /// Revisions through which this host knows all changes.
-    pub(super) seen_through: SeenRevisions,
+    pub(super) seen_through: SeenVersions,
     /// Revisions of the newest changes that this host has seen.
-    pub(super) own_revisions: SeenRevisions,
+    pub(super) own_versions: SeenVersions,
     /// Revisions of the newest changes that other hosts have seen.
-    pub(super) peer_revisions: SeenRevisions,
+    pub(super) peer_versions: SeenVersions,
     pub(super) log_rate_limiter: LogRateLimiter,
 }
 
@@ -127,9 +127,9 @@
     pub body_budget: Arc<BodyBudget>,
     /// Wakes requests that wait for a new owner of their key.
     pub owners_changed: Notify,
-    /// Wakes the store followers when newer revisions are known or this host has to watch the
+    /// Wakes the store followers when newer versions are known or this host has to watch the
     /// store.
-    pub revisions_changed: Notify,
+    pub versions_changed: Notify,
     stopping: AtomicBool,
     pub(super) is_leader: AtomicBool,
     inner: Mutex<StateInner>,
@@ -143,6 +143,13 @@
     }
 }
 
+impl StateInner {
+    /// Number of hosts that share limits.
+    pub(super) fn hosts(&self) -> u32 {
+        self.host_count.value().unwrap_or(ASSUMED_HOST_COUNT)
+    }
+}
+
 impl HostState {
     /// Creates the state at process start.
     pub fn new(settings: GatewaySettings) -> Self {
@@ -158,7 +165,7 @@
             counters: HostCounters::default(),
             body_budget,
             owners_changed: Notify::new(),
-            revisions_changed: Notify::new(),
+            versions_changed: Notify::new(),
             stopping: AtomicBool::new(false),
             is_leader: AtomicBool::new(false),
             inner: Mutex::new(StateInner {
@@ -185,9 +192,9 @@
                 random,
                 host_count: HostCount::default(),
                 remote_load_at: BootTime::default(),
-                seen_through: SeenRevisions::default(),
-                own_revisions: SeenRevisions::default(),
-                peer_revisions: SeenRevisions::default(),
+                seen_through: SeenVersions::default(),
+                own_versions: SeenVersions::default(),
+                peer_versions: SeenVersions::default(),
                 log_rate_limiter: LogRateLimiter::default(),
             }),
         }
@@ -419,7 +426,7 @@
 
     /// Number of hosts that share limits.
     pub fn hosts(&self) -> u32 {
-        self.lock().host_count.value().unwrap_or(ASSUMED_HOST_COUNT)
+        self.lock().hosts()
     }
 
     /// Records the result of a request in the server's gauge.
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -9,21 +9,21 @@
 mod limit_tracking;
 mod load_report;
 mod log_rate_limiter;
-mod seen_revisions;
+mod seen_versions;
 mod server_pick;
 mod store_contact;
 mod store_feed;
 
 pub use {
     body_budget::{BodyBudget, BodyReservation},
-    change_log::{ChangeLog, RevisionedChange},
+    change_log::{ChangeLog, VersionedChange},
     config_copy::ConfigCopy,
     fleet_update::FleetUpdate,
     host_state::{HostCounters, HostState},
     limit_tracking::SharedLimit,
     load_report::{LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad},
     log_rate_limiter::{LogRateLimiter, LogTopic},
-    seen_revisions::{RevisionSpan, SeenRevisions, StoreKind},
+    seen_versions::{SeenVersions, StoreKind, VersionSpan},
     server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
     store_contact::StoreContact,
     store_feed::StoreFeed,
--- a/crates/gateway/src/state/seen_versions.rs
+++ b/crates/gateway/src/state/seen_versions.rs
@@ -1,7 +1,7 @@
-//! Store revisions that this host and other hosts have seen.
+//! Store versions that this host and other hosts have seen.
 //!
 //! A watch on a dead connection looks like a store without changes. Hosts therefore tell
-//! each other the newest revision that they have seen of each kind of object. A host that is
+//! each other the newest version that they have seen of each kind of object. A host that is
 //! behind reads the kind again.
 
 use {
@@ -20,27 +20,27 @@
     Owners,
 }
 
-/// Range of revisions that one answer of the store covers.
+/// Range of versions that one answer of the store covers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RevisionSpan {
-    /// Revision after which the range starts.
+pub struct VersionSpan {
+    /// Version after which the range starts.
     pub from: StoreVersion,
-    /// Last revision of the range: all changes up to it are known.
+    /// Last version of the range: all changes up to it are known.
     pub through: StoreVersion,
-    /// Revision of the newest change in the range; 0 if there is none.
+    /// Version of the newest change in the range; 0 if there is none.
     pub newest: StoreVersion,
 }
 
-/// One revision for each kind of object.
+/// One version for each kind of object.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
-pub struct SeenRevisions {
+pub struct SeenVersions {
     config: StoreVersion,
     fleet: StoreVersion,
     owners: StoreVersion,
 }
 
-impl SeenRevisions {
-    /// Revision of a kind; 0 if none was seen.
+impl SeenVersions {
+    /// Version of a kind; 0 if none was seen.
     pub fn get(&self, kind: StoreKind) -> StoreVersion {
         match kind {
             StoreKind::Config => self.config,
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Raises the revision of a kind; an older one is ignored.
+    /// Raises the version of a kind; an older one is ignored.
     pub fn advance(&mut self, kind: StoreKind, version: StoreVersion) {
         let current = match kind {
             StoreKind::Config => &mut self.config,
@@ -59,7 +59,7 @@
         *current = version.max(*current);
     }
 
-    /// Raises each revision to that of `other` where that is newer.
+    /// Raises each version to that of `other` where that is newer.
     pub fn merge(&mut self, other: &Self) {
         for kind in [StoreKind::Config, StoreKind::Fleet, StoreKind::Owners] {
             self.advance(kind, other.get(kind));
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -1,10 +1,7 @@
 //! Selects the server for one attempt of a request.
 
 use {
-    super::{
-        HostState,
-        host_state::{ASSUMED_HOST_COUNT, StateInner},
-    },
+    super::{HostState, host_state::StateInner},
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, Candidate, GaugeReading, LimitGate, ReportedLoad,
@@ -69,6 +66,17 @@
     NoKey,
 }
 
+impl PickRefusal {
+    /// Why a server with this admission decision does not get the request; `None` if it does.
+    fn of(admission: Admission) -> Option<Self> {
+        match admission {
+            Admission::Send => None,
+            Admission::Overloaded => Some(Self::Overloaded),
+            Admission::TooLate => Some(Self::TooLate),
+        }
+    }
+}
+
 /// Result of the selection.
 #[derive(Debug)]
 pub enum ServerPick {
@@ -231,16 +239,14 @@
         if !inner.may_send_to(&entry, now) || not_owner_until.is_some_and(|until| now < *until) {
             return inner.refuse_unowned();
         }
-        let hosts = inner.host_count.value().unwrap_or(ASSUMED_HOST_COUNT);
+        let hosts = inner.hosts();
         let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
             return inner.refuse_unowned();
         };
         let reading = gauge.read(now);
-        let refusal = match query.rule.decide(reading) {
-            _ if reading.avoided => Some(PickRefusal::OwnerUnresponsive),
-            Admission::Send => None,
-            Admission::Overloaded => Some(PickRefusal::Overloaded),
-            Admission::TooLate => Some(PickRefusal::TooLate),
+        let refusal = match reading.avoided {
+            true => Some(PickRefusal::OwnerUnresponsive),
+            false => PickRefusal::of(query.rule.decide(reading)),
         };
         if let Some(refusal) = refusal {
             let jitter = rand::RngExt::random(&mut inner.random);
@@ -278,18 +284,13 @@
         let inner = &mut *inner;
         let fleet = inner.fleet.clone();
         let mut offers = inner.list_offers(&fleet, query, zone, now);
-        let hosts = inner.host_count.value().unwrap_or(ASSUMED_HOST_COUNT);
+        let hosts = inner.hosts();
         let mut closed_gate: Option<LimitGate> = None;
         let mut closed_gates = 0;
         let target = query.rule.target_latency;
         while let Some(at) = choose_server(&offers.candidates, target, &mut inner.random) {
             let reading: GaugeReading = offers.candidates[at].reading;
-            let refusal = match query.rule.decide(reading) {
-                Admission::Send => None,
-                Admission::Overloaded => Some(PickRefusal::Overloaded),
-                Admission::TooLate => Some(PickRefusal::TooLate),
-            };
-            if let Some(refusal) = refusal {
+            if let Some(refusal) = PickRefusal::of(query.rule.decide(reading)) {
                 let jitter = rand::RngExt::random(&mut inner.random);
                 return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
             }
--- a/crates/gateway/src/state/store_feed.rs
+++ b/crates/gateway/src/state/store_feed.rs
@@ -1,7 +1,7 @@
 //! Decides whether this host follows the store through the leader or by its own watch.
 //!
 //! Every call to the store is billed, so not every host watches it. The leader and a few other
-//! hosts do, and the leader sends changes to the rest. Its digests name the newest revisions,
+//! hosts do, and the leader sends changes to the rest. Its digests name the newest versions,
 //! which lets a host detect missed changes. A host that gets no digests watches the store
 //! itself.
 
--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{CatchUp, KindChange, KindFollower},
-    crate::state::{ConfigCopy, HostState, RevisionSpan, StoreKind},
+    crate::state::{ConfigCopy, HostState, StoreKind, VersionSpan},
     camphorcove_core::ids::StoreVersion,
     camphorcove_platform::{CONFIG_KIND, CONFIG_NAME, StoredObject, decode_configuration},
     serde_json::Value,
@@ -49,7 +49,7 @@
     };
     state.record_store_epoch(copy.version);
     let in_force = apply_configuration(state, copy.version, &content);
-    state.record_revision(StoreKind::Config, copy.version);
+    state.record_version(StoreKind::Config, copy.version);
     if in_force {
         state.set_config_copy(copy);
     }
@@ -81,14 +81,14 @@
     /// Each change contains a complete configuration, and only the last one matters.
     const CATCH_UP: CatchUp = CatchUp::List;
 
-    fn apply_list(&mut self, objects: Vec<StoredObject>, span: RevisionSpan) {
+    fn apply_list(&mut self, objects: Vec<StoredObject>, span: VersionSpan) {
         for object in &objects {
             self.apply(object);
         }
         self.state.record_seen(Self::STORE_KIND, span);
     }
 
-    fn apply_changes(&mut self, changes: Vec<KindChange>, span: RevisionSpan) {
+    fn apply_changes(&mut self, changes: Vec<KindChange>, span: VersionSpan) {
         let mut newest: Option<StoredObject> = None;
         for change in changes {
             match change {
--- a/crates/gateway/src/watch/fleet_follower.rs
+++ b/crates/gateway/src/watch/fleet_follower.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{CatchUp, KindChange, KindFollower},
-    crate::state::{HostState, LogTopic, RevisionSpan, StoreKind},
+    crate::state::{HostState, LogTopic, StoreKind, VersionSpan},
     camphorcove_core::{fleet::ServerEntry, ids::ServerId},
     camphorcove_platform::{SERVER_KIND, StoredObject, decode_server},
     std::{
@@ -41,13 +41,13 @@
     const KIND_NAME: &'static str = SERVER_KIND;
     const CATCH_UP: CatchUp = CatchUp::Watch;
 
-    fn apply_list(&mut self, objects: Vec<StoredObject>, span: RevisionSpan) {
+    fn apply_list(&mut self, objects: Vec<StoredObject>, span: VersionSpan) {
         let entries = objects.iter().filter_map(|object| self.decode(object));
         let entries = entries.collect();
         self.state.replace_fleet(entries, span);
     }
 
-    fn apply_changes(&mut self, changes: Vec<KindChange>, span: RevisionSpan) {
+    fn apply_changes(&mut self, changes: Vec<KindChange>, span: VersionSpan) {
         // Only the last change of each server matters.
         let mut put: BTreeMap<ServerId, ServerEntry> = BTreeMap::new();
         let mut removed: BTreeSet<ServerId> = BTreeSet::new();
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -3,7 +3,7 @@
 //! dropped the history that a watch needs or when a watch lags.
 
 use {
-    crate::state::{HostState, RevisionSpan, StoreKind},
+    crate::state::{HostState, StoreKind, VersionSpan},
     camphorcove_core::ids::StoreVersion,
     camphorcove_platform::{
         ObjectListing, ReadConsistency, StoreClient, StoreError, StoredObject, WatchEvent,
@@ -73,7 +73,7 @@
 
 /// Applies the changes of one kind of store objects.
 pub trait KindFollower: Send + 'static {
-    /// Kind, as a key of [`SeenRevisions`](crate::state::SeenRevisions).
+    /// Kind, as a key of [`SeenVersions`](crate::state::SeenVersions).
     const STORE_KIND: StoreKind;
     /// Name of the kind in the store.
     const KIND_NAME: &'static str;
@@ -81,10 +81,10 @@
     const CATCH_UP: CatchUp;
 
     /// Applies a complete list of the objects, as of the end of the span.
-    fn apply_list(&mut self, objects: Vec<StoredObject>, span: RevisionSpan);
+    fn apply_list(&mut self, objects: Vec<StoredObject>, span: VersionSpan);
 
     /// Applies all changes within the span, which are in order.
-    fn apply_changes(&mut self, changes: Vec<KindChange>, span: RevisionSpan);
+    fn apply_changes(&mut self, changes: Vec<KindChange>, span: VersionSpan);
 }
 
 /// Why the kind has to be listed again.
@@ -174,7 +174,7 @@
                     state.record_store_recovery();
                 }
                 let newest = listing.objects.iter().map(|object| object.version).max();
-                let span = RevisionSpan {
+                let span = VersionSpan {
                     from: state.seen_through(F::STORE_KIND),
                     through: listing.version,
                     newest: newest.unwrap_or_default(),
@@ -207,7 +207,7 @@
 /// Whether a list includes the newest change that other hosts have seen.
 fn includes_known_changes(state: &HostState, kind: StoreKind, listing: &ObjectListing) -> bool {
     let newest = listing.objects.iter().map(|object| object.version).max();
-    newest.unwrap_or_default() >= state.peer_revision(kind)
+    newest.unwrap_or_default() >= state.peer_version(kind)
 }
 
 /// Applies changes until the kind has to be listed again.
@@ -235,12 +235,12 @@
 /// Waits until the leader's messages no longer suffice.
 async fn wait_until_read_needed(state: &HostState, kind: StoreKind) -> StoreRead {
     loop {
-        let changed = state.revisions_changed.notified();
+        let changed = state.versions_changed.notified();
         let left = state.feed_time_left();
         if left.is_zero() {
             return StoreRead::Watch;
         }
-        if let Some(missing) = state.missing_revision(kind) {
+        if let Some(missing) = state.missing_version(kind) {
             sleep(RESEND_TIMEOUT).await;
             // In a series of changes, a newer one is missing by now; its own time starts here.
             if state.seen_through(kind) < missing {
@@ -284,7 +284,7 @@
             WatchEvent::Removed(object) => KindChange::Removed(object),
         });
     }
-    let span = RevisionSpan {
+    let span = VersionSpan {
         from,
         through: response.version,
         newest,
@@ -301,8 +301,8 @@
 /// Completes when this host has lagged behind other hosts for [`MAX_WATCH_LAG`].
 async fn wait_until_lagging(state: &HostState, kind: StoreKind) {
     loop {
-        let changed = state.revisions_changed.notified();
-        if let Some(missing) = state.missing_revision(kind) {
+        let changed = state.versions_changed.notified();
+        if let Some(missing) = state.missing_version(kind) {
             sleep(MAX_WATCH_LAG).await;
             if state.seen_through(kind) < missing {
                 return;
--- a/crates/gateway/src/watch/owner_reader.rs
+++ b/crates/gateway/src/watch/owner_reader.rs
@@ -24,8 +24,8 @@
 pub async fn read_owners(state: Arc<HostState>, owners: OwnerStore, leader: ActorRef<LeaderActor>) {
     let mut first = true;
     loop {
-        let changed = state.revisions_changed.notified();
-        let behind = match state.missing_revision(StoreKind::Owners) {
+        let changed = state.versions_changed.notified();
+        let behind = match state.missing_version(StoreKind::Owners) {
             Some(missing) => {
                 sleep(ARRIVAL_TIMEOUT).await;
                 state.seen_through(StoreKind::Owners) < missing
--- a/crates/gateway/tests/candidacy.rs
+++ b/crates/gateway/tests/candidacy.rs
@@ -7,7 +7,7 @@
     camphorcove_gateway::{
         leader::{Candidacy, HostTable},
         peers::Report,
-        state::{LoadReport, SeenRevisions},
+        state::{LoadReport, SeenVersions},
     },
     rstest::rstest,
     std::{net::SocketAddr, time::Duration},
@@ -47,7 +47,7 @@
         term: 1,
         cpu_permille,
         lacks_store: false,
-        revisions: SeenRevisions::default(),
+        versions: SeenVersions::default(),
         config_version: ConfigVersion(0),
         remembered_owners: version(0),
         load: LoadReport::default(),
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -10,7 +10,7 @@
     camphorcove_gateway::{
         leader::{DigestReceived, Resign},
         peers::Digest,
-        state::{RevisionSpan, SeenRevisions, StoreKind},
+        state::{SeenVersions, StoreKind, VersionSpan},
         watch::{ConfigFollower, KindChange, KindFollower},
     },
     camphorcove_platform::StoredObject,
@@ -262,7 +262,7 @@
     .await;
 
     assert!(!follower.state.watches_store());
-    assert_eq!(follower.state.revisions().get(StoreKind::Fleet), at(30));
+    assert_eq!(follower.state.versions().get(StoreKind::Fleet), at(30));
 }
 
 /// A lost owner must lose its keys even if its address now belongs to a server of another service.
@@ -297,7 +297,7 @@
         has_store,
         largest_cpu: 1_000,
         hosts: None,
-        revisions: SeenRevisions::default(),
+        versions: SeenVersions::default(),
         watchers: Vec::new(),
         servers: Vec::new(),
         limits: Vec::new(),
@@ -365,7 +365,7 @@
     let _third = leader_host("host-3", address, server.address).await;
     sleep(Duration::from_millis(400)).await;
     let mut follower = ConfigFollower::new(leader.state.clone());
-    let span = RevisionSpan {
+    let span = VersionSpan {
         from: at(0),
         through: at(70),
         newest: at(70),
--- a/crates/gateway/tests/store_following.rs
+++ b/crates/gateway/tests/store_following.rs
@@ -4,7 +4,7 @@
 
 use {
     camphorcove_gateway::{
-        state::{ChangeLog, FleetUpdate, HostState, SeenRevisions, StoreKind},
+        state::{ChangeLog, FleetUpdate, HostState, SeenVersions, StoreKind},
         watch::{ConfigFollower, FleetFollower, follow},
     },
     camphorcove_platform::StoreClient,
@@ -109,7 +109,7 @@
     .await;
 }
 
-/// A watch on a dead connection shows no changes. The host must notice that from the revisions
+/// A watch on a dead connection shows no changes. The host must notice that from the versions
 /// that other hosts have seen, and list the kind.
 #[tokio::test]
 async fn silent_watch_is_detected_by_revisions_of_other_hosts() {
@@ -119,9 +119,9 @@
     sleep(Duration::from_millis(300)).await;
     let before = version(&state);
 
-    let mut revisions = SeenRevisions::default();
-    revisions.advance(StoreKind::Config, at(1_000));
-    state.set_peer_revisions(&revisions);
+    let mut versions = SeenVersions::default();
+    versions.advance(StoreKind::Config, at(1_000));
+    state.set_peer_versions(&versions);
     until(|| version(&state) == 12).await;
 
     assert_eq!(before, 2);
@@ -174,10 +174,10 @@
     store.put("servers", "s-2", server("ready"));
     store.put("config", "main", config("0000000c"));
 
-    let mut revisions = SeenRevisions::default();
-    revisions.advance(StoreKind::Fleet, at(3));
-    revisions.advance(StoreKind::Config, at(4));
-    state.set_peer_revisions(&revisions);
+    let mut versions = SeenVersions::default();
+    versions.advance(StoreKind::Fleet, at(3));
+    versions.advance(StoreKind::Config, at(4));
+    state.set_peer_versions(&versions);
     let begun = Instant::now();
     while state.fleet().entries().count() < 2 || version(&state) < 12 {
         assert!(begun.elapsed() < UPDATE_TIMEOUT, "not learned");
@@ -198,9 +198,9 @@
     let first = state.seen_through(StoreKind::Fleet).revision;
 
     for revision in first..first + 12 {
-        let mut revisions = SeenRevisions::default();
-        revisions.advance(StoreKind::Fleet, at(revision + 1));
-        state.set_peer_revisions(&revisions);
+        let mut versions = SeenVersions::default();
+        versions.advance(StoreKind::Fleet, at(revision + 1));
+        state.set_peer_versions(&versions);
         state.record_digest(false);
         sleep(Duration::from_millis(100)).await;
         state.update_fleet(update(revision, revision + 1, &[]));
@@ -237,7 +237,7 @@
 
     assert_eq!(accepted, applied);
     assert_eq!(
-        state.revisions().get(StoreKind::Fleet),
+        state.versions().get(StoreKind::Fleet),
         at(if applied { 3 } else { 1 })
     );
 }
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -10,7 +10,7 @@
     camphorcove_gateway::{
         conf::GatewaySettings,
         serve::{CallerListener, RequestHandler},
-        state::{HostState, RevisionSpan},
+        state::{HostState, VersionSpan},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, sync::watch},
@@ -56,8 +56,8 @@
 }
 
 /// Revisions of the first listing that a host receives.
-pub fn first_listing_span() -> RevisionSpan {
-    RevisionSpan {
+pub fn first_listing_span() -> VersionSpan {
+    VersionSpan {
         from: version(0),
         through: version(1),
         newest: version(1),
