--- a/crates/core/tests/ownership_handover.rs
+++ b/crates/core/tests/ownership_handover.rs
@@ -186,6 +186,18 @@
     assert!(simulation.all_served());
 }
 
+/// Lets the controller resign; returns the time until another host controls, in microseconds.
+fn hand_over(simulation: &mut Simulation, old: usize) -> u64 {
+    let resigned_at = simulation.micros;
+    simulation.apply_fault(&Fault::Resign(old));
+    let next = expect_within(simulation, 5, "handover", |simulation| {
+        simulation
+            .controller()
+            .is_some_and(|controller| controller != old)
+    });
+    next - resigned_at
+}
+
 /// Guards against a handover that waits for promises to lapse, or during which grants lapse.
 #[rstest]
 fn resignation_hands_over_at_once(#[values(17, 18, 19, 20)] seed: u64) {
@@ -193,12 +205,7 @@
     let old = simulation.controller().unwrap();
     let resigned_at = simulation.micros;
 
-    simulation.apply_fault(&Fault::Resign(old));
-    let next = expect_within(&mut simulation, 5, "handover", |simulation| {
-        simulation
-            .controller()
-            .is_some_and(|controller| controller != old)
-    });
+    let took = hand_over(&mut simulation, old);
     let lapsed = simulation.run_until_condition(resigned_at + 10 * SECOND, |simulation| {
         !simulation.all_served()
     });
@@ -206,11 +213,7 @@
     assert_no_violations(&simulation);
     // Promises last 2 s and are renewed every 0.5 s, so each is valid for at least 1.5 s more:
     // a handover within 0.5 s did not wait for one to lapse.
-    assert!(
-        next - resigned_at < SECOND / 2,
-        "took {} us",
-        next - resigned_at
-    );
+    assert!(took < SECOND / 2, "took {took} us");
     assert_eq!(lapsed, None);
     assert_eq!(simulation.hosts[old].machine.role(), ScopeRole::Idle);
 }
@@ -222,21 +225,11 @@
 ) {
     let mut simulation = settled_simulation(seed, 3, 3, true);
     let old = simulation.controller().unwrap();
-    let resigned_at = simulation.micros;
 
-    simulation.apply_fault(&Fault::Resign(old));
-    let next = expect_within(&mut simulation, 5, "handover", |simulation| {
-        simulation
-            .controller()
-            .is_some_and(|controller| controller != old)
-    });
+    let took = hand_over(&mut simulation, old);
 
     assert_no_violations(&simulation);
-    assert!(
-        next - resigned_at < SECOND / 2,
-        "took {} us",
-        next - resigned_at
-    );
+    assert!(took < SECOND / 2, "took {took} us");
 }
 
 /// Guards against a planned restart during a platform outage, in which all grants would lapse.
