Send no request on whose caller has left by the time it is read

So a host busy for over a second read the request and the end of its connection together. It sent the request within the same step in which it was read, and looked for the end of the connection only after that; a request that may run once went on even then. Class: an input acted on before those that arrived with it.

Change: a request yields once before it goes on, and the connection reads on meanwhile. The cost is one turn of the scheduler.

--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -25,7 +25,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::{task::yield_now, time::timeout},
 };
 
 /// Deadline of a request that states none.
@@ -78,7 +78,12 @@
                 Some(response) => response,
                 None => self.refuse_request(&head, Refusal::AnswerLost, None),
             },
-            None => self.route(request, started).await,
+            None => {
+                // On a busy host the caller may have left by the time its request is read. The
+                // connection reads on meanwhile and ends before the request is sent.
+                yield_now().await;
+                self.route(request, started).await
+            }
         };
         pipeline.end();
         // Closing now would cut off the requests behind this one that already run.
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -66,6 +66,30 @@
     assert_eq!(body, "body");
 }
 
+/// Guards against requests that are sent on after their callers have left: a busy host reads a
+/// request and the end of its connection at the same time.
+#[rstest]
+#[tokio::test]
+async fn request_of_a_caller_that_has_left_is_not_sent(
+    #[values(("GET", "/read/a"), ("POST", "/write/a"))] (method, path): (&str, &str),
+) {
+    let responses = vec![complete_response("fine"), complete_response("late")];
+    let server = ScriptedServer::start(responses).await;
+    let host = start_host_with(vec![entry("s-1", "plain", server.address)]).await;
+    // Leaves an idle connection to the server, on which a request can be sent at once.
+    let first = request(method, path, "r0", "", "");
+    assert_eq!(call(host.address, &first).await.status, 200);
+
+    // Nothing else runs on this thread, so the host reads no bytes before the next `await`.
+    let mut caller = std::net::TcpStream::connect(host.address).expect("the host listens");
+    let text = request(method, path, "r1", "", "");
+    std::io::Write::write_all(&mut caller, text.as_bytes()).expect("written");
+    drop(caller);
+    sleep(Duration::from_millis(300)).await;
+
+    assert_eq!(server.log().requests.len(), 1);
+}
+
 /// Guards against a deadline for the server that exceeds the caller's or the route's limit.
 #[tokio::test]
 async fn server_gets_no_more_time_than_is_left() {
