Compare what hosts have seen of the configuration with what the leader has seen of it

Hosts that started after lost writes would still have kept the older configuration in most cases: the leader compared the newest configuration that a host has seen with how far it follows the store itself, which other writes raise too. Found on reading the change again.

--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -150,7 +150,7 @@
     /// one in force: the store has lost the newer one, and the host has started since.
     fn resend_lost_configuration(&self, report: &Report, to: SocketAddr) {
         let seen = report.versions.get(StoreKind::Config);
-        if seen < self.state.seen_through(StoreKind::Config) {
+        if seen < self.state.versions().get(StoreKind::Config) {
             return;
         }
         let copy = self.state.config_copy();
--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -9,7 +9,7 @@
         ownership::{LEASE_DURATION, OwnerState, RangePhase},
     },
     camphorcove_gateway::{
-        state::HostState,
+        state::{HostState, StoreKind},
         watch::{ConfigFollower, FleetFollower, follow},
     },
     camphorcove_platform::StoreClient,
@@ -149,6 +149,7 @@
         ..
     } = owned_region().await;
     store.put("config", "main", config(2));
+    raise_revision(&store, 50);
     let backup = store.back_up();
     store.put("config", "main", config(3));
     for host in &hosts {
@@ -159,7 +160,10 @@
     })
     .await;
 
+    let epoch = |host: &LeaderHost| host.state.seen_through(StoreKind::Config).epoch;
+    let before = epoch(&hosts[0]);
     store.restore(backup);
+    until("noticed", || hosts.iter().all(|host| epoch(host) > before)).await;
     let late = start_host("host-3", address, &servers).await;
     follow_configuration(&late, address);
     let took = until("in force", || version(&late.state) == 3).await;
