--- a/crates/gateway/src/leader/leader_messages.rs
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -43,7 +43,7 @@
 /// A host missed changes and asks the leader to send them again.
 #[derive(Debug)]
 pub struct ResendRequested {
-    /// Revisions through which the host has followed the store.
+    /// Versions through which the host has followed the store.
     pub versions: SeenVersions,
     /// Address of the host, to which the changes are sent.
     pub from: SocketAddr,
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -38,7 +38,7 @@
     pub cpu_permille: u16,
     /// Whether the store is out of the host's reach; only a host that calls it can tell.
     pub lacks_store: bool,
-    /// Revisions of the newest changes that the host has seen.
+    /// Versions of the newest changes that the host has seen.
     pub versions: SeenVersions,
     /// Version of the configuration in force at the host.
     pub config_version: ConfigVersion,
@@ -62,7 +62,7 @@
     pub largest_cpu: u16,
     /// Number of hosts that report; `None` until all had time to report to a new leader.
     pub hosts: Option<u32>,
-    /// Revisions of the newest changes that any host has seen.
+    /// Versions of the newest changes that any host has seen.
     pub versions: SeenVersions,
     /// Hosts that are to watch the store besides the leader.
     pub watchers: Vec<SocketAddr>,
--- a/crates/gateway/src/state/change_log.rs
+++ b/crates/gateway/src/state/change_log.rs
@@ -1,4 +1,4 @@
-//! Keeps recent changes by revision, so that they can be sent again.
+//! Keeps recent changes by version, so that they can be sent again.
 
 use {
     camphorcove_core::ids::StoreVersion,
@@ -9,7 +9,7 @@
 /// fastest rolling replacement of servers.
 const MAX_CHANGES: usize = 32;
 
-/// A change from one revision to a later one.
+/// A change from one version to a later one.
 pub trait VersionedChange {
     /// Version to which the change applies.
     fn start_version(&self) -> StoreVersion;
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -22,7 +22,7 @@
 const STALE_READ_MAX_AGE: Duration = Duration::from_secs(20);
 
 impl HostState {
-    /// Applies changes of server entries from this host's own watch, up to revision `to`.
+    /// Applies changes of server entries from this host's own watch, up to version `to`.
     pub fn apply_watched_changes(
         &self,
         put: Vec<ServerEntry>,
@@ -40,7 +40,7 @@
 
     /// Applies an update of server entries and logs what changed.
     ///
-    /// Ignores an update that is old or leaves a gap after the known revision, and returns
+    /// Ignores an update that is old or leaves a gap after the known version, and returns
     /// `false` for it.
     pub fn update_fleet(&self, update: FleetUpdate) -> bool {
         let now = self.now();
@@ -123,7 +123,7 @@
         self.lock().fleet_log.since(version)
     }
 
-    /// Revision through which this host knows all changes of a kind.
+    /// Version through which this host knows all changes of a kind.
     pub fn seen_through(&self, kind: StoreKind) -> StoreVersion {
         self.lock().seen_through.get(kind)
     }
@@ -250,17 +250,17 @@
         self.record_seen(kind, span);
     }
 
-    /// Revision of the newest change of each kind that this host has seen.
+    /// Version of the newest change of each kind that this host has seen.
     pub fn versions(&self) -> SeenVersions {
         self.lock().own_versions
     }
 
-    /// Revision of each kind through which this host knows all changes.
+    /// Version of each kind through which this host knows all changes.
     pub fn followed_versions(&self) -> SeenVersions {
         self.lock().seen_through
     }
 
-    /// Revision of the newest change of a kind that other hosts have seen.
+    /// Version of the newest change of a kind that other hosts have seen.
     pub fn peer_version(&self, kind: StoreKind) -> StoreVersion {
         self.lock().peer_versions.get(kind)
     }
@@ -277,7 +277,7 @@
         }
     }
 
-    /// Revision of the newest change of a kind that other hosts have seen and this one has not.
+    /// Version of the newest change of a kind that other hosts have seen and this one has not.
     pub fn missing_version(&self, kind: StoreKind) -> Option<StoreVersion> {
         let inner = self.lock();
         let newest = inner.peer_versions.get(kind);
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -104,11 +104,11 @@
     pub(super) host_count: HostCount,
     /// When a digest last set the load of other hosts.
     pub(super) remote_load_at: BootTime,
-    /// Revisions through which this host knows all changes.
+    /// Versions through which this host knows all changes.
     pub(super) seen_through: SeenVersions,
-    /// Revisions of the newest changes that this host has seen.
+    /// Versions of the newest changes that this host has seen.
     pub(super) own_versions: SeenVersions,
-    /// Revisions of the newest changes that other hosts have seen.
+    /// Versions of the newest changes that other hosts have seen.
     pub(super) peer_versions: SeenVersions,
     pub(super) log_rate_limiter: LogRateLimiter,
 }
