Let test daemons behind a proxy choose their own port

The fixture took a free port for the daemon's peer listener, released it, and the daemon bound it later; meanwhile another process or connection could get it. The log of the failed run is lost, so that the port was taken there is only suspected.

The proxy now gets its target after the daemon has bound a port of its own, and a daemon that ends before it listens fails the test at once, with its log.

--- a/crates/daemon/tests/support/processes/daemon.rs
+++ b/crates/daemon/tests/support/processes/daemon.rs
@@ -117,6 +117,12 @@
         });
         let listening = wait_for("daemon listens", || {
             let found = find_line(&log, "listening");
+            let ended = child.try_wait().expect("wait");
+            assert!(
+                found.is_some() || ended.is_none(),
+                "daemon ended with {ended:?}\n{}",
+                log.lock().expect("log").join("\n")
+            );
             async move { found }
         })
         .await;
--- a/crates/daemon/tests/support/processes/region.rs
+++ b/crates/daemon/tests/support/processes/region.rs
@@ -21,7 +21,7 @@
     std::{
         collections::BTreeMap,
         fs,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::{Path, PathBuf},
     },
 };
@@ -137,13 +137,13 @@
             seeds: Vec::new(),
         };
         if self.plan.proxies {
-            // The proxy needs its target address before the daemon listens.
-            setup.peers = free_address();
+            // The daemon announces the proxy, which gets its target once the daemon listens.
             let proxy = ProxyStandin::to(setup.peers).await.expect("proxy");
             setup.announced = Some(proxy.address());
             self.proxies.push(proxy);
         }
         self.daemons.push(DaemonProcess::start(setup).await);
+        self.update_proxy(number);
         self.update_host_list();
     }
 
@@ -152,9 +152,17 @@
         self.daemons[number].kill();
         let setup = self.daemons[number].setup.clone();
         self.daemons[number] = DaemonProcess::start(setup).await;
+        self.update_proxy(number);
         self.update_host_list();
     }
 
+    /// Connects the proxy of a daemon, if there is one, to the port that the daemon listens on.
+    fn update_proxy(&self, number: usize) {
+        if let Some(proxy) = self.proxies.get(number) {
+            proxy.set_target(self.daemons[number].peers);
+        }
+    }
+
     fn update_host_list(&self) {
         let hosts = self.daemons.iter().map(|daemon| ListedHost {
             id: daemon.host().parse().expect("host id"),
@@ -363,11 +371,6 @@
     ["a", "b", "c"][number % 3]
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(ANY_PORT).expect("free port");
-    listener.local_addr().expect("address")
-}
-
 fn random_id() -> u64 {
     camphorcove_net::peer::random_nonce()
 }
--- a/crates/standin/src/proxy/proxy_connection.rs
+++ b/crates/standin/src/proxy/proxy_connection.rs
@@ -32,7 +32,8 @@
 
 /// Forwards bytes in both directions until the connection ends or is reset.
 pub(super) async fn run(state: &ProxyState, mut downstream: TcpStream) {
-    let Ok(mut upstream) = TcpStream::connect(state.target).await else {
+    let target = *state.target.borrow();
+    let Ok(mut upstream) = TcpStream::connect(target).await else {
         reset(&downstream);
         return;
     };
--- a/crates/standin/src/proxy/proxy_standin.rs
+++ b/crates/standin/src/proxy/proxy_standin.rs
@@ -73,6 +73,11 @@
         self.control.address()
     }
 
+    /// Connects later connections to another target.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.state.target.send_replace(target);
+    }
+
     /// Current faults.
     pub fn settings(&self) -> ProxySettings {
         self.state.settings.borrow().clone()
--- a/crates/standin/src/proxy/proxy_state.rs
+++ b/crates/standin/src/proxy/proxy_state.rs
@@ -23,7 +23,7 @@
 /// Target, faults and counters of a proxy.
 #[derive(Debug)]
 pub(super) struct ProxyState {
-    pub target: SocketAddr,
+    pub target: watch::Sender<SocketAddr>,
     pub settings: watch::Sender<ProxySettings>,
     pub accepted: AtomicU64,
     pub bytes_up: AtomicU64,
@@ -33,7 +33,7 @@
 impl ProxyState {
     pub fn new(target: SocketAddr) -> Self {
         Self {
-            target,
+            target: watch::Sender::new(target),
             settings: watch::Sender::default(),
             accepted: AtomicU64::new(0),
             bytes_up: AtomicU64::new(0),
