--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -30,7 +30,7 @@
         LeaderRecord, OwnerState, RangePhase, RangeRecord, ServerInstance, ServiceOwners,
     },
     ownership_planner::{OwnershipPlanner, PlanContext},
-    plan_events::{OrderFailure, OwnerDoubt, PlanAction, PlanInput},
+    plan_events::{OrderFailure, PlanAction, PlanInput, RecoveryPhase},
     range_load::RangeLoad,
     range_moves::{AssignableServer, RangeMove, choose_moves},
 };
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -9,7 +9,7 @@
 use {
     super::{
         AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, LeaseBounds, MAJORITY_REPORT_MAX_AGE,
-        OrderFailure, OwnerDoubt, OwnerState, PlanAction, PlanInput, RangeLoad, RangePhase,
+        OrderFailure, OwnerState, PlanAction, PlanInput, RangeLoad, RangePhase, RecoveryPhase,
         ServerInstance,
         lease_orders::{GrantProgress, RangeId, RevocationProgress},
     },
@@ -50,7 +50,7 @@
     pub(super) hosts: u32,
     /// Whether servers that the assignment does not name may hold keys, until all leases of earlier
     /// leaders have ended.
-    pub(super) doubt: Option<OwnerDoubt>,
+    pub(super) recovery: Option<RecoveryPhase>,
     /// All keys have to be taken from their owners by the next write.
     pub(super) must_withdraw: bool,
     pub(super) lease_bounds: LeaseBounds,
@@ -116,7 +116,7 @@
             state,
             pending: None,
             lost_in: None,
-            doubt: None,
+            recovery: None,
             must_withdraw: false,
             lease_bounds: LeaseBounds::new(predecessor_end),
             started_at: now,
@@ -140,12 +140,12 @@
     /// Creates the planner for an assignment that may lack the last writes of earlier leaders.
     pub fn after_lost_writes(
         state: OwnerState,
-        doubt: OwnerDoubt,
+        recovery: RecoveryPhase,
         predecessor_end: BootTime,
         now: BootTime,
     ) -> Self {
         Self {
-            doubt: Some(doubt),
+            recovery: Some(recovery),
             ..Self::new(state, predecessor_end, now)
         }
     }
@@ -251,15 +251,15 @@
     /// Once they cannot, keys whose owners were never verified are taken from these.
     pub(super) fn awaits_unknown_owners(&mut self, now: BootTime) -> bool {
         let waits = now <= self.lease_bounds.inherited_end();
-        match self.doubt {
-            Some(OwnerDoubt::Unverified) if !waits => self.withdraw(),
+        match self.recovery {
+            Some(RecoveryPhase::Unverified) if !waits => self.withdraw(),
             None | Some(_) => {}
         }
-        self.doubt.is_some() && waits
+        self.recovery.is_some() && waits
     }
 
     pub(super) fn withdraw(&mut self) {
-        self.doubt = Some(OwnerDoubt::Withdrawn);
+        self.recovery = Some(RecoveryPhase::Withdrawn);
         self.must_withdraw = true;
     }
 
@@ -289,10 +289,12 @@
             PlanInput::Confirmed(sent_at) => self.confirmed_at = self.confirmed_at.max(sent_at),
             PlanInput::MajorityReports => self.majority_reported_at = now,
             PlanInput::Hosts(hosts) => self.hosts = hosts,
-            PlanInput::AssignmentVerified if self.doubt == Some(OwnerDoubt::Unverified) => {
-                self.doubt = None;
+            PlanInput::AssignmentVerified if self.recovery == Some(RecoveryPhase::Unverified) => {
+                self.recovery = None;
             }
-            PlanInput::AssignmentLacksWrites if self.doubt == Some(OwnerDoubt::Unverified) => {
+            PlanInput::AssignmentLacksWrites
+                if self.recovery == Some(RecoveryPhase::Unverified) =>
+            {
                 self.withdraw();
             }
             PlanInput::AssignmentVerified | PlanInput::AssignmentLacksWrites => {}
--- a/crates/core/src/ownership/plan_events.rs
+++ b/crates/core/src/ownership/plan_events.rs
@@ -8,7 +8,7 @@
 
 /// Why the assignment may not name all owners, after the store has lost writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OwnerDoubt {
+pub enum RecoveryPhase {
     /// It is what the leader's host remembers; other hosts may remember a later one.
     Unverified,
     /// It lacks writes, and all keys have been taken from the owners that it names.
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -303,7 +303,7 @@
         self.begin_term(
             (state, version),
             ended.predecessor,
-            ended.doubt,
+            ended.recovery,
             predecessor_end,
         );
         let actor = context.actor_ref().clone();
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -11,7 +11,7 @@
     crate::state::StoreKind,
     camphorcove_core::{
         ids::StoreVersion,
-        ownership::{LeaderRecord, OwnerDoubt, OwnerState, OwnershipPlanner, PlanInput},
+        ownership::{LeaderRecord, OwnerState, OwnershipPlanner, PlanInput, RecoveryPhase},
         time::BootTime,
     },
     kameo::actor::ActorRef,
@@ -151,7 +151,7 @@
         &mut self,
         (state, version): (OwnerState, StoreVersion),
         predecessor: Predecessor,
-        doubt: Option<OwnerDoubt>,
+        recovery: Option<RecoveryPhase>,
         predecessor_end: BootTime,
     ) {
         let now = self.state.now();
@@ -161,15 +161,17 @@
             0 => usize::try_from(state.hosts).unwrap_or(0),
             listed => listed,
         };
-        let planner = match doubt {
-            Some(doubt) => OwnershipPlanner::after_lost_writes(state, doubt, predecessor_end, now),
+        let planner = match recovery {
+            Some(recovery) => {
+                OwnershipPlanner::after_lost_writes(state, recovery, predecessor_end, now)
+            }
             None => OwnershipPlanner::new(state, predecessor_end, now),
         };
         // The last version that this host knew before it wrote the takeover.
         let remembered = self.announced.as_ref().map(|(_, version)| *version);
-        self.unverified = match doubt {
-            Some(OwnerDoubt::Unverified) => remembered,
-            Some(OwnerDoubt::Withdrawn) | None => None,
+        self.unverified = match recovery {
+            Some(RecoveryPhase::Unverified) => remembered,
+            Some(RecoveryPhase::Withdrawn) | None => None,
         };
         self.predecessor = predecessor;
         self.term_started_at = now;
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -7,7 +7,7 @@
     },
     camphorcove_core::{
         ids::StoreVersion,
-        ownership::{LeaderRecord, OwnerDoubt, OwnerState},
+        ownership::{LeaderRecord, OwnerState, RecoveryPhase},
     },
 };
 
@@ -30,7 +30,7 @@
     /// The previous leader.
     pub predecessor: Predecessor,
     /// Whether the assignment may not name all owners.
-    pub doubt: Option<OwnerDoubt>,
+    pub recovery: Option<RecoveryPhase>,
     /// Whether the attempt failed because of another leader.
     pub other_leader: bool,
     /// Epoch in which the assignment was lost and is left to hosts that know more of it.
@@ -42,7 +42,7 @@
         Self {
             won: None,
             predecessor: Predecessor::Ended,
-            doubt: None,
+            recovery: None,
             other_leader,
             deferred_epoch: None,
         }
@@ -105,16 +105,16 @@
         return TakeoverEnded::failed(true);
     }
     state.enter_epoch(version.epoch);
-    let doubt = match (lacks_writes, is_remembered) {
+    let recovery = match (lacks_writes, is_remembered) {
         (false, _) => None,
-        (true, true) => Some(OwnerDoubt::Unverified),
-        (true, false) => Some(OwnerDoubt::Withdrawn),
+        (true, true) => Some(RecoveryPhase::Unverified),
+        (true, false) => Some(RecoveryPhase::Withdrawn),
     };
-    if let Some(doubt) = doubt {
-        log::warn!(term = state.term, stored:% = version, doubt:? = doubt; "store has lost writes, taking over");
+    if let Some(recovery) = recovery {
+        log::warn!(term = state.term, stored:% = version, recovery:? = recovery; "store has lost writes, taking over");
         state.skip_lost_terms();
     }
-    if doubt == Some(OwnerDoubt::Withdrawn) {
+    if recovery == Some(RecoveryPhase::Withdrawn) {
         state.withdraw_all();
     }
     let predecessor = match (state.begin_term(record), lacks_writes) {
@@ -126,7 +126,7 @@
         (_, WriteOutcome::Written { version }) => TakeoverEnded {
             won: Some((state, version)),
             predecessor,
-            doubt,
+            recovery,
             other_leader: false,
             deferred_epoch: None,
         },
