Keep in the assignment that it is being recovered after lost writes

Cause: after the store had lost writes, a successor waited for the leases that the assignment may not name, but this was only in its memory. It wrote its assignment in the present epoch; when it was replaced during the wait, the next successor took that assignment for complete, logged no recovery and sent orders at once. Class: a state that safety depends on is lost with the process that holds it, while the stored record claims more than is known.

The assignment now holds the phase of the recovery until the leader has ended it, and a successor that reads it waits itself.

--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -55,6 +55,7 @@
         if self.balance_due(now) {
             self.balanced_at = now;
         }
+        next_state.recovery = self.recovery;
         if next_state == self.state && self.lost_in.is_none() {
             return None;
         }
--- a/crates/core/src/ownership/owner_delta.rs
+++ b/crates/core/src/ownership/owner_delta.rs
@@ -1,7 +1,7 @@
 //! Differences between two assignments, small enough to send to other hosts in a datagram.
 
 use {
-    super::{LeaderRecord, OwnerState, RangeRecord, ServiceOwners},
+    super::{LeaderRecord, OwnerState, RangeRecord, RecoveryPhase, ServiceOwners},
     crate::ids::ServiceName,
     bincode::{Decode, Encode, config},
     xxhash_rust::xxh3::xxh3_64,
@@ -15,6 +15,7 @@
     change: u64,
     leader: Option<LeaderRecord>,
     hosts: u32,
+    recovery: Option<RecoveryPhase>,
     services: Vec<ServiceDelta>,
     /// Hash of the resulting assignment, without its secret.
     checksum: u64,
@@ -56,6 +57,7 @@
             change: new.change,
             leader: new.leader.clone(),
             hosts: new.hosts,
+            recovery: new.recovery,
             services,
             checksum: checksum(new),
         }
@@ -69,6 +71,7 @@
         state.change = self.change;
         state.leader.clone_from(&self.leader);
         state.hosts = self.hosts;
+        state.recovery = self.recovery;
         for delta in &self.services {
             let owners = state
                 .services
@@ -93,6 +96,7 @@
         state.change,
         &state.leader,
         state.hosts,
+        state.recovery,
         &state.services,
     );
     let bytes = bincode::encode_to_vec(hashed_fields, config::standard())
--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -1,7 +1,7 @@
 //! The assignment of keys to servers, as kept in the store.
 
 use {
-    super::{KeyRange, ownership_planner::TOKENS_PER_MOVE},
+    super::{KeyRange, RecoveryPhase, ownership_planner::TOKENS_PER_MOVE},
     crate::ids::{HostId, ServerId, ServiceName},
     bincode::{Decode, Encode},
     serde::{Deserialize, Serialize},
@@ -96,6 +96,10 @@
     /// Number of hosts that reported to the leader at the last write; 0 if unknown.
     #[serde(default)]
     pub hosts: u32,
+    /// Whether the assignment may still lack writes that the store has lost; kept here, because the
+    /// leader that recovers it may be replaced.
+    #[serde(default)]
+    pub recovery: Option<RecoveryPhase>,
     /// Key that authenticates messages between hosts, as hexadecimal digits.
     pub secret: String,
     /// Ownership records by service.
@@ -111,6 +115,7 @@
             change: 0,
             leader: None,
             hosts: 0,
+            recovery: None,
             secret,
             services: BTreeMap::new(),
         }
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -113,10 +113,10 @@
     pub fn new(state: OwnerState, predecessor_end: BootTime, now: BootTime) -> Self {
         Self {
             hosts: state.hosts,
+            recovery: state.recovery,
             state,
             pending: None,
             lost_in: None,
-            recovery: None,
             must_withdraw: false,
             lease_bounds: LeaseBounds::new(predecessor_end),
             started_at: now,
@@ -137,19 +137,6 @@
         }
     }
 
-    /// Creates the planner for an assignment that may lack the last writes of earlier leaders.
-    pub fn after_lost_writes(
-        state: OwnerState,
-        recovery: RecoveryPhase,
-        predecessor_end: BootTime,
-        now: BootTime,
-    ) -> Self {
-        Self {
-            recovery: Some(recovery),
-            ..Self::new(state, predecessor_end, now)
-        }
-    }
-
     /// Assignment that the store has acknowledged.
     pub fn state(&self) -> &OwnerState {
         &self.state
@@ -252,8 +239,10 @@
     pub(super) fn awaits_unknown_owners(&mut self, now: BootTime) -> bool {
         let waits = now <= self.lease_bounds.inherited_end();
         match self.recovery {
-            Some(RecoveryPhase::Unverified) if !waits => self.withdraw(),
-            None | Some(_) => {}
+            _ if waits => {}
+            Some(RecoveryPhase::Unverified) => self.withdraw(),
+            Some(RecoveryPhase::Withdrawn) if !self.must_withdraw => self.recovery = None,
+            Some(RecoveryPhase::Withdrawn) | None => {}
         }
         self.recovery.is_some() && waits
     }
@@ -348,6 +337,7 @@
         if self.must_withdraw && self.pending.is_none() {
             let mut next_state = self.state.clone();
             next_state.withdraw_all();
+            next_state.recovery = self.recovery;
             next_state.change += 1;
             self.pending = Some(next_state.clone());
             actions.push(PlanAction::Write(Box::new(next_state)));
--- a/crates/core/src/ownership/plan_events.rs
+++ b/crates/core/src/ownership/plan_events.rs
@@ -3,11 +3,13 @@
 use {
     super::{KeyRange, OwnerState, ServerInstance},
     crate::{ids::ServiceName, time::BootTime},
+    bincode::{Decode, Encode},
+    serde::{Deserialize, Serialize},
     std::time::Duration,
 };
 
 /// Why the assignment may not name all owners, after the store has lost writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub enum RecoveryPhase {
     /// It is what the leader's host remembers; other hosts may remember a later one.
     Unverified,
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -300,12 +300,7 @@
             1 => BootTime::default(),
             _ => predecessor_end + ORDER_TIMEOUT,
         };
-        self.begin_term(
-            (state, version),
-            ended.predecessor,
-            ended.recovery,
-            predecessor_end,
-        );
+        self.begin_term((state, version), ended.predecessor, predecessor_end);
         let actor = context.actor_ref().clone();
         self.run_leader_round(&actor, now);
     }
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -151,7 +151,6 @@
         &mut self,
         (state, version): (OwnerState, StoreVersion),
         predecessor: Predecessor,
-        recovery: Option<RecoveryPhase>,
         predecessor_end: BootTime,
     ) {
         let now = self.state.now();
@@ -161,18 +160,13 @@
             0 => usize::try_from(state.hosts).unwrap_or(0),
             listed => listed,
         };
-        let planner = match recovery {
-            Some(recovery) => {
-                OwnershipPlanner::after_lost_writes(state, recovery, predecessor_end, now)
-            }
-            None => OwnershipPlanner::new(state, predecessor_end, now),
-        };
         // The last version that this host knew before it wrote the takeover.
         let remembered = self.announced.as_ref().map(|(_, version)| *version);
-        self.unverified = match recovery {
+        self.unverified = match state.recovery {
             Some(RecoveryPhase::Unverified) => remembered,
             Some(RecoveryPhase::Withdrawn) | None => None,
         };
+        let planner = OwnershipPlanner::new(state, predecessor_end, now);
         self.predecessor = predecessor;
         self.term_started_at = now;
         log::info!(term = planner.state().term, revision:% = version; "this host is now the leader");
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -29,8 +29,6 @@
     pub won: Option<(OwnerState, StoreVersion)>,
     /// The previous leader.
     pub predecessor: Predecessor,
-    /// Whether the assignment may not name all owners.
-    pub recovery: Option<RecoveryPhase>,
     /// Whether the attempt failed because of another leader.
     pub other_leader: bool,
     /// Epoch in which the assignment was lost and is left to hosts that know more of it.
@@ -42,7 +40,6 @@
         Self {
             won: None,
             predecessor: Predecessor::Ended,
-            recovery: None,
             other_leader,
             deferred_epoch: None,
         }
@@ -72,11 +69,8 @@
         let stored = stored.state.as_ref();
         stored.is_none_or(|stored| remembered.is_newer_than(stored))
     });
-    let lacks_writes = match (&remembered, &stored.state) {
-        (Some(state), _) => state.lacks_writes(version.epoch),
-        (None, Some(state)) => state.lacks_writes(version.epoch),
-        (None, None) => false,
-    };
+    let latest = remembered.as_deref().or(stored.state.as_ref());
+    let lacks_writes = latest.is_some_and(|state| state.lacks_writes(version.epoch));
     // The living leader knows all writes, so it is the best one to write them again; next come
     // hosts that remember the assignment.
     let others_know_more = known.leader_lives || remembered.is_none();
@@ -105,28 +99,30 @@
         return TakeoverEnded::failed(true);
     }
     state.enter_epoch(version.epoch);
-    let recovery = match (lacks_writes, is_remembered) {
-        (false, _) => None,
-        (true, true) => Some(RecoveryPhase::Unverified),
-        (true, false) => Some(RecoveryPhase::Withdrawn),
+    state.recovery = match (state.recovery, lacks_writes, is_remembered) {
+        (None, false, _) => None,
+        (None, true, true) => Some(RecoveryPhase::Unverified),
+        // The leader that began the recovery has not ended it, and may act still.
+        (Some(_), _, _) | (None, true, false) => Some(RecoveryPhase::Withdrawn),
     };
-    if let Some(recovery) = recovery {
+    if let Some(recovery) = state.recovery {
         log::warn!(term = state.term, stored:% = version, recovery:? = recovery; "store has lost writes, taking over");
+    }
+    if lacks_writes {
         state.skip_lost_terms();
     }
-    if recovery == Some(RecoveryPhase::Withdrawn) {
+    if state.recovery == Some(RecoveryPhase::Withdrawn) {
         state.withdraw_all();
     }
-    let predecessor = match (state.begin_term(record), lacks_writes) {
-        (_, true) => Predecessor::Unknown,
-        (Some(leader), false) => Predecessor::Known(leader),
-        (None, false) => Predecessor::Ended,
+    let predecessor = match (state.begin_term(record), state.recovery) {
+        (_, Some(_)) => Predecessor::Unknown,
+        (Some(leader), None) => Predecessor::Known(leader),
+        (None, None) => Predecessor::Ended,
     };
     match owners.write(&state, version).await {
         (_, WriteOutcome::Written { version }) => TakeoverEnded {
             won: Some((state, version)),
             predecessor,
-            recovery,
             other_leader: false,
             deferred_epoch: None,
         },
--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -375,6 +375,43 @@
     assert!(is_owned(&state));
 }
 
+/// Guards against a second successor that takes the assignment of the first one for complete, although the
+/// first one stopped before all leases of the lost writes had ended.
+#[tokio::test]
+async fn second_successor_after_lost_writes_waits_for_leases_too() {
+    let OwnedRegion {
+        store,
+        address,
+        ledger,
+        servers,
+        hosts,
+    } = owned_region().await;
+    let backup = store.back_up();
+    move_keys(&hosts, &store).await;
+    let known = stored(&store).expect("an assignment");
+    for host in &hosts {
+        host.actor.kill();
+    }
+
+    store.restore(backup);
+    let successors = start_hosts(address, &servers).await;
+    until("a successor", || {
+        successors.iter().any(|host| host.state.is_leader())
+    })
+    .await;
+    for first in successors.iter().filter(|host| host.state.is_leader()) {
+        first.actor.kill();
+    }
+    until("owned", || {
+        stored(&store)
+            .is_some_and(|state| is_owned(&state) && next_token(&state) > next_token(&known))
+    })
+    .await;
+    sleep(Duration::from_secs(2)).await;
+
+    assert_eq!(ledger.violations(), Vec::<String>::new());
+}
+
 /// Guards against keys without an owner for as long as leases last, where a successor remembers the
 /// assignment and most hosts remember no later one.
 #[tokio::test]
