Count what hosts have heard of when an assignment is verified after lost writes

After the store had lost writes, a successor that remembers the assignment keeps its owners once most hosts report that they remember no later one. Hosts reported the version that they have. Then the successor sent orders with tokens that servers had seen exceeded: it lost and won the leadership again and again, and a move could have given keys to a second server. Class: a quorum that answers for what it holds, not for what has existed.

Hosts now remember the newest version that they have heard of in an earlier epoch. The successor then waits for the leases. successor_waits_for_leases_of_changes_that_it_has_only_heard_of failed before (no leader stayed, three terms in 2 s) and passes now.

--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -271,6 +271,10 @@
         let before = inner.peer_versions;
         inner.peer_versions.merge(versions);
         let changed = inner.peer_versions != before;
+        let heard = before.get(StoreKind::Owners);
+        if heard.epoch < inner.peer_versions.get(StoreKind::Owners).epoch {
+            inner.remember_owners(heard);
+        }
         drop(inner);
         if changed {
             self.versions_changed.notify_waiters();
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -6,7 +6,7 @@
 use {
     super::{
         BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, SeenVersions,
-        ServerHash, StoreContact, StoreFeed,
+        ServerHash, StoreContact, StoreFeed, StoreKind,
     },
     crate::conf::GatewaySettings,
     camphorcove_core::{
@@ -94,7 +94,7 @@
     pub(super) owners: OwnerMap,
     /// Latest known assignment and its version.
     pub(super) owner_state: Option<(Arc<OwnerState>, StoreVersion)>,
-    /// Version of the last assignment known before the store lost writes.
+    /// Version of the last assignment that this host has heard of before the store lost writes.
     pub(super) remembered_owners: StoreVersion,
     /// Requests per service and key since the last report.
     pub(super) key_counts: BTreeMap<ServiceName, BTreeMap<u16, u32>>,
@@ -148,6 +148,11 @@
     pub(super) fn hosts(&self) -> u32 {
         self.host_count.value().unwrap_or(ASSUMED_HOST_COUNT)
     }
+
+    /// Remembers that this version of the assignment existed.
+    pub(super) fn remember_owners(&mut self, version: StoreVersion) {
+        self.remembered_owners = self.remembered_owners.max(version);
+    }
 }
 
 impl HostState {
@@ -374,8 +379,11 @@
         {
             return false;
         }
-        if let Some(known) = known.filter(|known| known.epoch < version.epoch) {
-            inner.remembered_owners = known;
+        let heard = inner.peer_versions.get(StoreKind::Owners);
+        for earlier in known.into_iter().chain([heard]) {
+            if earlier.epoch < version.epoch {
+                inner.remember_owners(earlier);
+            }
         }
         let state = Arc::new(state);
         inner.owners.update(state.clone(), now);
@@ -386,7 +394,8 @@
         true
     }
 
-    /// Version of the last assignment known before the store lost writes.
+    /// Version of the last assignment that this host has heard of before the store lost writes. The host may
+    /// have missed that assignment itself.
     pub fn remembered_owners(&self) -> StoreVersion {
         self.lock().remembered_owners
     }
--- a/crates/gateway/tests/support/leader_hosts.rs
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -46,6 +46,19 @@
     store: SocketAddr,
     entries: Vec<ServerEntry>,
     socket: UdpSocket,
+) -> LeaderHost {
+    let socket = Arc::new(socket);
+    let host = deaf_leader_host(name, store, entries, socket.clone());
+    tokio::spawn(receive(host.state.clone(), socket, host.actor.clone()));
+    host
+}
+
+/// Starts a host that knows these servers and sends messages over `socket`, but receives none.
+pub fn deaf_leader_host(
+    name: &str,
+    store: SocketAddr,
+    entries: Vec<ServerEntry>,
+    socket: Arc<UdpSocket>,
 ) -> LeaderHost {
     let mut settings = settings(store);
     settings.host = name.parse().expect("valid id");
@@ -53,11 +66,9 @@
     let state = Arc::new(HostState::new(settings));
     state.set_table(table(1));
     state.replace_fleet(entries, first_listing_span());
-    let socket = Arc::new(socket);
     let client = StoreClient::new(store, Duration::from_millis(400));
-    let link = PeerLink::new(socket.clone());
+    let link = PeerLink::new(socket);
     let actor = LeaderActor::spawn(LeaderActor::new(state.clone(), client.clone(), link));
-    tokio::spawn(receive(state.clone(), socket, actor.clone()));
     let owners = OwnerStore::new(state.clone(), client);
     tokio::spawn(read_owners(state.clone(), owners, actor.clone()));
     let ticking_actor = actor.clone();
