Fault soak: requests that crash each server which begins to run them

A series sends the same method, path, cookie and body for 6 to 12 s with a new id each time, keyed or not, at any host. Each server that begins to run one closes all connections, regularly or with a reset, refuses connections for 1 to 3 s, and returns under its id with a new incarnation or as another server.

The soak prints how often such a request reached a server after hosts could have known, and how many harmless requests were refused beside it; the limit of three is behind WITHHOLDING_IS_CHECKED, as hosts do not withhold requests yet. After the faults, requests that differ in the path, the cookie or the body only must be served.

Servers listen below the range of outgoing ports, so that they can return to their address. Statuses 408, 421 and 429 count as "not run" as well.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -45,17 +45,24 @@
 
         for _ in 0..FAULTS_PER_SEED {
             let backup = region.back_up();
+            region.start_crash_series();
             region.inject_fault().await;
             region.change_limits();
             region.restore_store(backup).await;
             sleep(Duration::from_millis(400)).await;
         }
+        region.end_crash_series().await;
         region.check_limits().await;
         let served = region.wait_until_served(RECOVERY_LIMIT).await;
+        let serves_similar = region.serves_similar(RECOVERY_LIMIT).await;
         let violations = region.finish().await;
 
         assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
         assert!(served, "seed {seed}: not served after the faults");
+        assert!(
+            serves_similar,
+            "seed {seed}: requests that resemble harmful ones are refused"
+        );
         println!("seed {seed} passed");
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,10 @@
 //! Fixtures shared by the gateway's integration tests.
 #![allow(dead_code)]
 
+pub mod crash_series;
 pub mod fixtures;
 pub mod leader_hosts;
+pub mod soak_callers;
+pub mod soak_host;
 pub mod soak_region;
+pub mod soak_servers;
--- /dev/null
+++ b/crates/gateway/tests/support/soak_host.rs
@@ -0,0 +1,174 @@
+//! A host as a real process, whose connections to the store go through a proxy.
+
+use {
+    camphorcove_platform_standin::owning_server::OwnershipLedger,
+    camphorcove_standin::proxy::{ProxySettings, ProxyStandin},
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    std::{
+        fs,
+        net::{SocketAddr, TcpListener, UdpSocket},
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        sync::{
+            Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// First port for hosts and servers, and the number of ports: below the range of outgoing
+/// connections.
+const FIRST_PORT: u16 = 12_000;
+const PORT_COUNT: u32 = 18_000;
+
+/// Distance between the first ports of test processes with consecutive ids.
+const PORTS_PER_PROCESS: u32 = 97;
+
+/// Pause between checks whether a process has ended.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Number of ports that this process has tried.
+static PORTS_TAKEN: AtomicU32 = AtomicU32::new(0);
+
+/// A running host.
+pub struct SoakHost {
+    /// Address of the listener for callers.
+    pub callers: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    proxy: ProxyStandin,
+    child: Mutex<Child>,
+    /// Held by whoever stops the process and starts it again.
+    restart: tokio::sync::Mutex<()>,
+    /// When the host was restarted, stopped, frozen or cut off.
+    disturbances: Mutex<Vec<(Instant, Instant)>>,
+}
+
+impl SoakHost {
+    /// Starts host `number` of the run with this seed.
+    pub async fn start(seed: u64, number: usize, store: SocketAddr) -> Self {
+        let proxy = ProxyStandin::to(store).await.expect("a port is free");
+        let folder = std::env::temp_dir().join(format!("camphorcove-soak-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder for settings");
+        let settings = folder.join(format!("{seed}-{number}.toml"));
+        let log = folder.join(format!("{seed}-{number}.log"));
+        let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_port());
+        let text = format!(
+            "host = \"host-{number}\"\nzone = \"zone-a\"\ncallers = \"{callers}\"\n\
+             readiness = \"{readiness}\"\npeers = \"{peers}\"\nmetrics = \"{metrics}\"\n\
+             store = \"{}\"\ncpu_share = 1\nmemory_mb = 128\ndescriptors = 1024\nstop_limit_s = 5\n\
+             repeat_ratio = 0.2\nrepeat_slack = 60\nrepeat_window_s = 10\n",
+            proxy.address()
+        );
+        fs::write(&settings, text).expect("settings are written");
+        let child = Mutex::new(spawn(&settings, &log));
+        Self {
+            callers,
+            settings,
+            log,
+            proxy,
+            child,
+            restart: tokio::sync::Mutex::default(),
+            disturbances: Mutex::default(),
+        }
+    }
+
+    /// Sends a signal, unless the process has ended.
+    pub fn signal(&self, signal: Signal) {
+        let mut child = self.child.lock().expect("not poisoned");
+        if matches!(child.try_wait(), Ok(Some(_))) {
+            return;
+        }
+        let id = i32::try_from(child.id()).expect("a process id");
+        kill(Pid::from_raw(id), signal).expect("own process");
+    }
+
+    /// Ends the process with a signal and starts it again.
+    pub async fn restart(&self, signal: Signal) {
+        let _restart = self.restart.lock().await;
+        let from = Instant::now();
+        self.signal(signal);
+        let ended = loop {
+            let ended = self.child.lock().expect("not poisoned").try_wait();
+            if let Some(ended) = ended.expect("own process") {
+                break ended;
+            }
+            sleep(EXIT_POLL_INTERVAL).await;
+        };
+        if signal == Signal::SIGTERM {
+            assert!(ended.success(), "planned stop ended with {ended}");
+        }
+        *self.child.lock().expect("not poisoned") = spawn(&self.settings, &self.log);
+        self.record_disturbance(from, Instant::now());
+    }
+
+    /// Suspends the process for `duration`, after which its late grants are excused for a while.
+    pub async fn freeze(&self, duration: Duration, ownership_ledger: &OwnershipLedger) {
+        let from = Instant::now();
+        self.signal(Signal::SIGSTOP);
+        sleep(duration).await;
+        ownership_ledger.host_resumed();
+        self.signal(Signal::SIGCONT);
+        self.record_disturbance(from, Instant::now());
+    }
+
+    /// Changes the faults of the connection to the store for `duration`.
+    pub async fn cut_store(&self, faults: ProxySettings, duration: Duration) {
+        let from = Instant::now();
+        self.proxy.change(|settings| *settings = faults);
+        sleep(duration).await;
+        self.proxy
+            .change(|settings| *settings = ProxySettings::default());
+        self.record_disturbance(from, Instant::now());
+    }
+
+    fn record_disturbance(&self, from: Instant, until: Instant) {
+        let mut disturbances = self.disturbances.lock().expect("not poisoned");
+        disturbances.push((from, until));
+    }
+
+    /// Whether the host was restarted, stopped, frozen or cut off between these times.
+    pub fn was_disturbed(&self, from: Instant, until: Instant) -> bool {
+        let disturbances = self.disturbances.lock().expect("not poisoned");
+        disturbances
+            .iter()
+            .any(|(start, end)| *start <= until && from <= *end)
+    }
+}
+
+impl Drop for SoakHost {
+    fn drop(&mut self) {
+        self.signal(Signal::SIGKILL);
+        let _ = self.child.lock().expect("not poisoned").wait();
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log = fs::File::options().create(true).append(true).open(log);
+    Command::new(env!("CARGO_BIN_EXE_camphorcove-gateway"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::from(log.expect("a log file")))
+        .spawn()
+        .expect("the program starts")
+}
+
+/// A port that no other host or server of this process gets and that no outgoing connection takes,
+/// as it lies below the range from which the system chooses. Ports from that range were handed out
+/// twice.
+pub fn free_port() -> SocketAddr {
+    loop {
+        let offset = PORTS_TAKEN.fetch_add(1, Ordering::Relaxed);
+        let start = std::process::id() * PORTS_PER_PROCESS + offset;
+        let port = FIRST_PORT + u16::try_from(start % PORT_COUNT).expect("below the limit");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
