Fault soak: kept connections, and stops and changes that overlap

One caller for each host keeps its connection until the process is gone. A request whose connection closes without a complete response is a violation, unless the host was killed or frozen, or the request crossed the close of an idle connection: it ran nowhere and was answered by the close within 50 ms.

Series run beside the other faults: SIGTERM of a host while another one is frozen or has just started, a second SIGTERM while a host stops, a host that is stopped again shortly after its start, all hosts one after the other without waiting, and servers and configurations that change in quick succession.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,8 +3,10 @@
 
 pub mod crash_series;
 pub mod fixtures;
+pub mod kept_callers;
 pub mod leader_hosts;
 pub mod soak_callers;
 pub mod soak_host;
 pub mod soak_region;
 pub mod soak_servers;
+pub mod stop_series;
--- a/crates/gateway/tests/support/soak_host.rs
+++ b/crates/gateway/tests/support/soak_host.rs
@@ -10,6 +10,7 @@
     std::{
         fs,
         net::{SocketAddr, TcpListener, UdpSocket},
+        os::unix::process::ExitStatusExt,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{
@@ -32,6 +33,13 @@
 /// Pause between checks whether a process has ended.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time after the start of a process in which SIGTERM may find no handler yet and end it at once.
+const HANDLER_TIME: Duration = Duration::from_secs(1);
+
+/// Time after which a host that does not stop is killed: twice its stop limit, and the longest time
+/// for which it may be frozen meanwhile.
+const MAX_STOP_TIME: Duration = Duration::from_secs(15);
+
 /// Number of ports that this process has tried.
 static PORTS_TAKEN: AtomicU32 = AtomicU32::new(0);
 
@@ -42,11 +50,30 @@
     settings: PathBuf,
     log: PathBuf,
     proxy: ProxyStandin,
-    child: Mutex<Child>,
+    process: Mutex<HostProcess>,
     /// Held by whoever stops the process and starts it again.
     restart: tokio::sync::Mutex<()>,
     /// When the host was restarted, stopped, frozen or cut off.
-    disturbances: Mutex<Vec<(Instant, Instant)>>,
+    disturbances: Mutex<Vec<(DisturbanceKind, Instant, Instant)>>,
+    violations: Mutex<Vec<String>>,
+}
+
+/// What happened to a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DisturbanceKind {
+    /// Stopped by SIGTERM and started again.
+    PlannedStop,
+    /// Killed and started again.
+    Kill,
+    /// Suspended and resumed.
+    Freeze,
+    /// Cut off from the store.
+    Cut,
+}
+
+struct HostProcess {
+    child: Child,
+    started_at: Instant,
 }
 
 impl SoakHost {
@@ -66,45 +93,71 @@
             proxy.address()
         );
         fs::write(&settings, text).expect("settings are written");
-        let child = Mutex::new(spawn(&settings, &log));
+        let process = Mutex::new(HostProcess::spawn(&settings, &log));
         Self {
             callers,
             settings,
             log,
             proxy,
-            child,
+            process,
             restart: tokio::sync::Mutex::default(),
             disturbances: Mutex::default(),
+            violations: Mutex::default(),
         }
     }
 
     /// Sends a signal, unless the process has ended.
     pub fn signal(&self, signal: Signal) {
-        let mut child = self.child.lock().expect("not poisoned");
-        if matches!(child.try_wait(), Ok(Some(_))) {
+        let mut process = self.process.lock().expect("not poisoned");
+        if matches!(process.child.try_wait(), Ok(Some(_))) {
             return;
         }
-        let id = i32::try_from(child.id()).expect("a process id");
+        let id = i32::try_from(process.child.id()).expect("a process id");
         kill(Pid::from_raw(id), signal).expect("own process");
     }
 
-    /// Ends the process with a signal and starts it again.
-    pub async fn restart(&self, signal: Signal) {
+    /// Ends the process with a signal and starts it again. With `again_after`, the signal is sent a
+    /// second time after that pause.
+    pub async fn restart(&self, signal: Signal, again_after: Option<Duration>) {
         let _restart = self.restart.lock().await;
         let from = Instant::now();
+        let may_lack_handler = self
+            .process
+            .lock()
+            .expect("not poisoned")
+            .started_at
+            .elapsed()
+            < HANDLER_TIME;
         self.signal(signal);
+        if let Some(pause) = again_after {
+            sleep(pause).await;
+            self.signal(signal);
+        }
         let ended = loop {
-            let ended = self.child.lock().expect("not poisoned").try_wait();
+            let ended = self.process.lock().expect("not poisoned").child.try_wait();
             if let Some(ended) = ended.expect("own process") {
                 break ended;
             }
+            if from.elapsed() > MAX_STOP_TIME {
+                self.record_violation(format!("{} did not stop", self.log.display()));
+                self.signal(Signal::SIGKILL);
+            }
             sleep(EXIT_POLL_INTERVAL).await;
         };
-        if signal == Signal::SIGTERM {
-            assert!(ended.success(), "planned stop ended with {ended}");
+        let is_planned = signal == Signal::SIGTERM;
+        let had_no_handler = may_lack_handler && ended.signal() == Some(signal as i32);
+        if is_planned && !ended.success() && !had_no_handler {
+            self.record_violation(format!(
+                "planned stop of {} ended with {ended}",
+                self.log.display()
+            ));
         }
-        *self.child.lock().expect("not poisoned") = spawn(&self.settings, &self.log);
-        self.record_disturbance(from, Instant::now());
+        let kind = match is_planned && ended.success() {
+            true => DisturbanceKind::PlannedStop,
+            false => DisturbanceKind::Kill,
+        };
+        self.record_disturbance(kind, from, Instant::now());
+        *self.process.lock().expect("not poisoned") = HostProcess::spawn(&self.settings, &self.log);
     }
 
     /// Suspends the process for `duration`, after which its late grants are excused for a while.
@@ -114,7 +167,7 @@
         sleep(duration).await;
         ownership_ledger.host_resumed();
         self.signal(Signal::SIGCONT);
-        self.record_disturbance(from, Instant::now());
+        self.record_disturbance(DisturbanceKind::Freeze, from, Instant::now());
     }
 
     /// Changes the faults of the connection to the store for `duration`.
@@ -124,38 +177,77 @@
         sleep(duration).await;
         self.proxy
             .change(|settings| *settings = ProxySettings::default());
-        self.record_disturbance(from, Instant::now());
+        self.record_disturbance(DisturbanceKind::Cut, from, Instant::now());
     }
 
-    fn record_disturbance(&self, from: Instant, until: Instant) {
+    fn record_disturbance(&self, kind: DisturbanceKind, from: Instant, until: Instant) {
         let mut disturbances = self.disturbances.lock().expect("not poisoned");
-        disturbances.push((from, until));
+        disturbances.push((kind, from, until));
+    }
+
+    fn record_violation(&self, violation: String) {
+        self.violations
+            .lock()
+            .expect("not poisoned")
+            .push(violation);
+    }
+
+    /// Planned stops that failed.
+    pub fn violations(&self) -> Vec<String> {
+        self.violations.lock().expect("not poisoned").clone()
     }
 
     /// Whether the host was restarted, stopped, frozen or cut off between these times.
     pub fn was_disturbed(&self, from: Instant, until: Instant) -> bool {
+        self.has_disturbance(from, until, |_| true)
+    }
+
+    /// Whether the host was killed or frozen between these times.
+    pub fn was_broken(&self, from: Instant, until: Instant) -> bool {
+        let breaks = |kind| matches!(kind, DisturbanceKind::Kill | DisturbanceKind::Freeze);
+        self.has_disturbance(from, until, breaks)
+    }
+
+    /// Whether the host was stopped by SIGTERM between these times.
+    pub fn was_stopped(&self, from: Instant, until: Instant) -> bool {
+        let stops = |kind| kind == DisturbanceKind::PlannedStop;
+        self.has_disturbance(from, until, stops)
+    }
+
+    fn has_disturbance(
+        &self,
+        from: Instant,
+        until: Instant,
+        is_meant: impl Fn(DisturbanceKind) -> bool,
+    ) -> bool {
         let disturbances = self.disturbances.lock().expect("not poisoned");
         disturbances
             .iter()
-            .any(|(start, end)| *start <= until && from <= *end)
+            .any(|(kind, start, end)| is_meant(*kind) && *start <= until && from <= *end)
     }
 }
 
 impl Drop for SoakHost {
     fn drop(&mut self) {
         self.signal(Signal::SIGKILL);
-        let _ = self.child.lock().expect("not poisoned").wait();
+        let _ = self.process.lock().expect("not poisoned").child.wait();
     }
 }
 
-fn spawn(settings: &Path, log: &Path) -> Child {
-    let log = fs::File::options().create(true).append(true).open(log);
-    Command::new(env!("CARGO_BIN_EXE_camphorcove-gateway"))
-        .arg("--settings")
-        .arg(settings)
-        .stdout(Stdio::from(log.expect("a log file")))
-        .spawn()
-        .expect("the program starts")
+impl HostProcess {
+    fn spawn(settings: &Path, log: &Path) -> Self {
+        let log = fs::File::options().create(true).append(true).open(log);
+        let child = Command::new(env!("CARGO_BIN_EXE_camphorcove-gateway"))
+            .arg("--settings")
+            .arg(settings)
+            .stdout(Stdio::from(log.expect("a log file")))
+            .spawn()
+            .expect("the program starts");
+        Self {
+            child,
+            started_at: Instant::now(),
+        }
+    }
 }
 
 /// A port that no other host or server of this process gets and that no outgoing connection takes,
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -3,9 +3,11 @@
 use {
     super::{
         crash_series::{CrashSeries, SeriesContext},
+        kept_callers::KeptCallers,
         soak_callers::{CALLER_TIMEOUT, CallerLedger, start_callers, status_of},
         soak_host::SoakHost,
         soak_servers::SoakServers,
+        stop_series::StopContext,
     },
     camphorcove_platform_standin::{
         caller::{key_header, request},
@@ -21,11 +23,14 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
-    tokio::time::{sleep, timeout},
+    tokio::{
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
 };
 
 /// Number of hosts: the leader, two that watch the store, and two that get updates from the
@@ -55,12 +60,17 @@
     backup_random: ChaCha8Rng,
     /// The same for requests that crash servers.
     crash_random: ChaCha8Rng,
+    /// The same for series of stops and changes.
+    stop_random: ChaCha8Rng,
     hosts: Vec<Arc<SoakHost>>,
     store: StoreStandin,
     ownership_ledger: OwnershipLedger,
     servers: SoakServers,
     caller_ledger: Arc<Mutex<CallerLedger>>,
+    kept_callers: Option<KeptCallers>,
     crash_series: Vec<CrashSeries>,
+    stop_series: JoinSet<()>,
+    config_version: Arc<AtomicU64>,
     violations: Vec<String>,
     stop: Arc<AtomicBool>,
 }
@@ -68,19 +78,23 @@
 impl SoakRegion {
     pub async fn start(seed: u64) -> Self {
         let (store, address) = StoreStandin::start().await;
-        store.put("config", "main", config());
+        store.put("config", "main", config(1));
         let ownership_ledger = OwnershipLedger::default();
         let mut region = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
             backup_random: ChaCha8Rng::seed_from_u64(seed ^ 2),
             crash_random: random_apart(seed, "crashes"),
+            stop_random: random_apart(seed, "stops"),
             hosts: Vec::new(),
             servers: SoakServers::new(store.clone(), ownership_ledger.clone()),
             store,
             ownership_ledger,
             caller_ledger: Arc::default(),
+            kept_callers: None,
             crash_series: Vec::new(),
+            stop_series: JoinSet::new(),
+            config_version: Arc::new(AtomicU64::new(1)),
             violations: Vec::new(),
             stop: Arc::default(),
         };
@@ -124,7 +138,9 @@
     }
 
     /// Starts callers that send requests until `finish`.
-    pub fn start_callers(&self) {
+    pub fn start_callers(&mut self) {
+        let kept_callers = KeptCallers::start(&self.hosts, &self.caller_ledger, &self.stop);
+        self.kept_callers = Some(kept_callers);
         let hosts: Vec<SocketAddr> = self.hosts.iter().map(|host| host.callers).collect();
         start_callers(&hosts, &self.caller_ledger, &self.stop);
     }
@@ -134,8 +150,8 @@
         let host = self.random.random_range(0..self.hosts.len());
         let duration = Duration::from_millis(self.random.random_range(300..3_500));
         match self.random.random_range(0..9) {
-            0 => self.hosts[host].restart(Signal::SIGKILL).await,
-            1 => self.hosts[host].restart(Signal::SIGTERM).await,
+            0 => self.hosts[host].restart(Signal::SIGKILL, None).await,
+            1 => self.hosts[host].restart(Signal::SIGTERM, None).await,
             2 => {
                 self.hosts[host]
                     .freeze(duration, &self.ownership_ledger)
@@ -183,6 +199,30 @@
         self.crash_series.push(series);
     }
 
+    /// Sometimes starts a series of stops, restarts and changes, which goes on beside other faults.
+    pub fn start_stop_series(&mut self) {
+        if self.stop_random.random_range(0..4) > 0 {
+            return;
+        }
+        let context = StopContext {
+            hosts: self.hosts.clone(),
+            servers: self.servers.clone(),
+            store: self.store.clone(),
+            ownership_ledger: self.ownership_ledger.clone(),
+            config_version: self.config_version.clone(),
+            config,
+        };
+        let random = ChaCha8Rng::seed_from_u64(self.stop_random.random());
+        self.stop_series.spawn(context.run_series(random));
+    }
+
+    /// Waits until all stops and changes have ended.
+    pub async fn end_stop_series(&mut self) {
+        while let Some(ended) = self.stop_series.join_next().await {
+            ended.expect("the series ends");
+        }
+    }
+
     /// Waits until requests that crash servers have ended and all servers are back.
     pub async fn end_crash_series(&mut self) {
         let context = self.series_context();
@@ -267,6 +307,13 @@
     pub async fn finish(&mut self) -> Vec<String> {
         self.stop.store(true, Ordering::Relaxed);
         sleep(CALLER_TIMEOUT).await;
+        if let Some(callers) = self.kept_callers.take() {
+            let cut_requests = callers.finish(&self.hosts, &self.ownership_ledger);
+            self.violations.extend(cut_requests.await);
+        }
+        for host in &self.hosts {
+            self.violations.extend(host.violations());
+        }
         let caller_ledger = self.caller_ledger.lock().expect("not poisoned");
         self.ownership_ledger
             .check_callers(&caller_ledger.at_most_once, &caller_ledger.refused);
@@ -291,12 +338,12 @@
     ChaCha8Rng::from_seed(bytes)
 }
 
-fn config() -> serde_json::Value {
+fn config(version: u64) -> serde_json::Value {
     let routes = [
         route_entry("read", "safe", "plain"),
         route_entry("write", "unsafe", "plain"),
         route_entry("key", "safe", "keyed"),
         route_entry("claim", "unsafe", "keyed"),
     ];
-    config_entry("00000001", &routes)
+    config_entry(&format!("{version:08}"), &routes)
 }
--- a/crates/gateway/tests/support/soak_servers.rs
+++ b/crates/gateway/tests/support/soak_servers.rs
@@ -110,11 +110,19 @@
         ids.collect()
     }
 
-    /// Crashes a server for good and starts another one for its service.
+    /// Crashes a server for good and starts another one for its service; nothing if another
+    /// replacement has just taken the server at this position.
     pub async fn replace(&self, at: usize) {
-        let SoakServer {
+        let removed = {
+            let mut list = self.lock();
+            (at < list.servers.len()).then(|| list.servers.swap_remove(at))
+        };
+        let Some(SoakServer {
             server, service, ..
-        } = self.lock().servers.swap_remove(at);
+        }) = removed
+        else {
+            return;
+        };
         server.crash();
         self.record_down(&server.id);
         let servers = self.clone();
