Proxy stand-in: a partition loses the bytes of a connection that its sender resets

The proxy held the bytes back and delivered them after the partition, although TCP sends nothing again once its sender has reset the connection. Hosts rely on that: they reset the connection of an order that they no longer wait for, so that it cannot be carried out late. a_black_hole_loses_the_bytes_of_a_reset_connection received the order before this change.

--- a/crates/standin/src/proxy/proxy_connection.rs
+++ b/crates/standin/src/proxy/proxy_connection.rs
@@ -6,7 +6,7 @@
     bytes::{Bytes, BytesMut},
     std::{
         io,
-        sync::atomic::{AtomicU64, Ordering},
+        sync::atomic::{AtomicBool, AtomicU64, Ordering},
         time::Duration,
     },
     tokio::{
@@ -95,11 +95,12 @@
 impl Direction<'_> {
     async fn run(self, source: ReadHalf<'_>, sink: WriteHalf<'_>) -> io::Result<()> {
         let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+        let failed = AtomicBool::new(false);
         let reading = async {
-            read_all(source, sender).await;
+            read_all(source, sender, &failed).await;
             Ok(())
         };
-        tokio::try_join!(reading, self.write_all(receiver, sink))?;
+        tokio::try_join!(reading, self.write_all(receiver, sink, &failed))?;
         Ok(())
     }
 
@@ -107,31 +108,39 @@
         mut self,
         mut chunks: mpsc::Receiver<Chunk>,
         mut sink: WriteHalf<'_>,
+        failed: &AtomicBool,
     ) -> io::Result<()> {
         while let Some((read_at, bytes)) = chunks.recv().await {
-            let faults = self.wait_while_blackholed().await;
+            let faults = self.wait_while_blackholed(failed).await?;
             sleep_until(read_at + Duration::from_millis(faults.delay_ms)).await;
             // The direction may have become a black hole during the delay.
-            let faults = self.wait_while_blackholed().await;
+            let faults = self.wait_while_blackholed(failed).await?;
             let bytes = bytes?;
             let is_last = self.forward(&faults, bytes, &mut sink).await?;
             if is_last {
                 break;
             }
         }
-        self.wait_while_blackholed().await;
+        self.wait_while_blackholed(failed).await?;
         sink.shutdown().await
     }
 
-    /// Waits while the direction is a black hole; returns the current faults.
-    async fn wait_while_blackholed(&mut self) -> DirectionFaults {
+    /// Waits while the direction is a black hole; returns the current faults, or an error if the
+    /// sender reset the connection meanwhile. TCP does not send its bytes again then.
+    async fn wait_while_blackholed(&mut self, failed: &AtomicBool) -> io::Result<DirectionFaults> {
         let direction_faults = self.faults;
+        let is_blackholed = direction_faults(&self.settings.borrow()).blackhole;
         let open = self
             .settings
             .wait_for(|settings| !direction_faults(settings).blackhole)
             .await;
-        open.map(|settings| direction_faults(&settings).clone())
-            .unwrap_or_default()
+        let faults = open
+            .map(|settings| direction_faults(&settings).clone())
+            .unwrap_or_default();
+        match is_blackholed && failed.load(Ordering::Relaxed) {
+            true => Err(io::ErrorKind::ConnectionReset.into()),
+            false => Ok(faults),
+        }
     }
 
     /// Forwards a chunk, or the part of it that the byte limits allow; returns
@@ -167,8 +176,8 @@
     }
 }
 
-/// Reads chunks until the source ends or the receiver is dropped.
-async fn read_all(mut source: ReadHalf<'_>, sender: mpsc::Sender<Chunk>) {
+/// Reads chunks until the source ends or the receiver is dropped; sets `failed` at a read error.
+async fn read_all(mut source: ReadHalf<'_>, sender: mpsc::Sender<Chunk>, failed: &AtomicBool) {
     loop {
         let mut buffer = BytesMut::with_capacity(CHUNK_SIZE);
         let chunk = tokio::select! {
@@ -180,8 +189,9 @@
             Ok(_) => Ok(buffer.freeze()),
             Err(error) => Err(error),
         };
-        let failed = chunk.is_err();
-        if sender.send((Instant::now(), chunk)).await.is_err() || failed {
+        let is_last = chunk.is_err();
+        failed.store(is_last, Ordering::Relaxed);
+        if sender.send((Instant::now(), chunk)).await.is_err() || is_last {
             return;
         }
     }
--- a/crates/standin/src/proxy/proxy_settings.rs
+++ b/crates/standin/src/proxy/proxy_settings.rs
@@ -5,7 +5,7 @@
 #[serde(default, deny_unknown_fields)]
 pub struct DirectionFaults {
     /// Bytes are held back until this is switched off, as during a network partition,
-    /// after which TCP delivers them.
+    /// after which TCP delivers them, unless their sender has reset the connection.
     pub blackhole: bool,
     /// Delay of all bytes, in milliseconds.
     pub delay_ms: u64,
--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -186,6 +186,26 @@
     assert_eq!(bytes, b"");
 }
 
+/// Guards against a partition that delivers what its sender has given up: a host resets the connection
+/// of an order that it no longer waits for, so that the order cannot be carried out late.
+#[tokio::test]
+async fn a_black_hole_loses_the_bytes_of_a_reset_connection() {
+    let proxied = proxied_listener().await;
+    let (mut downstream, mut upstream) = proxied.connect().await;
+
+    proxied.proxy.change(|faults| faults.up.blackhole = true);
+    downstream.write_all(b"order").await.unwrap();
+    downstream.set_zero_linger().unwrap();
+    drop(downstream);
+    let received_nothing = receives_nothing(&mut upstream).await;
+    proxied.proxy.change(|faults| faults.up.blackhole = false);
+    let (bytes, end) = read_to_end(&mut upstream).await;
+
+    assert!(received_nothing);
+    assert_eq!(bytes, b"");
+    assert!(end.is_err(), "the reset is passed on");
+}
+
 #[rstest]
 #[case::truncated(|faults: &mut ProxySettings| faults.down.truncate_after = Some(5), true)]
 #[case::reset(|faults: &mut ProxySettings| faults.down.reset_after = Some(5), false)]
