Setting peers_listen: socket for datagrams behind a relay

Hosts name the address peers to each other and compare it with their own, so a relay between hosts had no place. The optional setting names the socket that the host itself binds; without it, nothing changes.

--- a/crates/gateway/src/conf/gateway_settings.rs
+++ b/crates/gateway/src/conf/gateway_settings.rs
@@ -19,8 +19,10 @@
     pub callers: SocketAddr,
     /// Address of the listener for the load balancer's readiness checks.
     pub readiness: SocketAddr,
-    /// Address of the UDP socket for datagrams between hosts.
+    /// Address at which other hosts reach this one with datagrams.
     pub peers: SocketAddr,
+    /// Address of the UDP socket for datagrams between hosts: `peers`, unless datagrams are relayed.
+    pub peers_listen: SocketAddr,
     /// Address of the listener for metrics.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
@@ -55,6 +57,7 @@
     callers: Spanned<String>,
     readiness: Spanned<String>,
     peers: Spanned<String>,
+    peers_listen: Option<Spanned<String>>,
     metrics: Spanned<String>,
     store: Spanned<String>,
     cpu_share: Spanned<FileNumber>,
@@ -113,6 +116,7 @@
             return source.fail(offset, "file", found, &reason);
         }
     };
+    let peers_listen = table.peers_listen.as_ref().unwrap_or(&table.peers);
     let name = "a name of 1 to 63 of a-z, 0-9, -, ., _, :";
     Ok(GatewaySettings {
         host: source.parse("host", &table.host, name)?,
@@ -120,6 +124,7 @@
         callers: source.parse("callers", &table.callers, "IP:PORT")?,
         readiness: source.parse("readiness", &table.readiness, "IP:PORT")?,
         peers: source.parse("peers", &table.peers, "IP:PORT")?,
+        peers_listen: source.parse("peers_listen", peers_listen, "IP:PORT")?,
         metrics: source.parse("metrics", &table.metrics, "IP:PORT")?,
         store: source.parse("store", &table.store, "IP:PORT")?,
         cpu_share: source.cpu_share(&table.cpu_share)?,
--- a/crates/gateway/src/node/run_host.rs
+++ b/crates/gateway/src/node/run_host.rs
@@ -40,7 +40,7 @@
     let callers = bind("callers", settings.callers).await?;
     let readiness = bind("readiness", settings.readiness).await?;
     let metrics = bind("metrics", settings.metrics).await?;
-    let address = settings.peers;
+    let address = settings.peers_listen;
     let socket = UdpSocket::bind(address).await.context(ListenSnafu {
         listener: "peers",
         address,
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -43,6 +43,7 @@
         callers: any,
         readiness: any,
         peers: any,
+        peers_listen: any,
         metrics: any,
         store,
         cpu_share: 1.0,
