Fault soak: delays and cuts between hosts and servers, and between hosts

Every second server has a proxy, whose connections are delayed, reset, or silent in one or both directions. All datagrams between hosts pass a relay, which delays or drops them between two hosts or between one and all others, in one or both directions. Servers are delayed by less than the time-out of an order in one direction, but possibly by more for the answer.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -49,12 +49,13 @@
             let backup = region.back_up();
             region.start_crash_series();
             region.start_stop_series();
+            region.disturb_links();
             region.inject_fault().await;
             region.change_limits();
             region.restore_store(backup).await;
             sleep(Duration::from_millis(400)).await;
         }
-        region.end_stop_series().await;
+        region.end_running_faults().await;
         region.end_crash_series().await;
         region.check_limits().await;
         let served = region.wait_until_served(RECOVERY_LIMIT).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,8 @@
 pub mod fixtures;
 pub mod kept_callers;
 pub mod leader_hosts;
+pub mod link_faults;
+pub mod peer_relay;
 pub mod soak_callers;
 pub mod soak_host;
 pub mod soak_region;
--- a/crates/gateway/tests/support/soak_host.rs
+++ b/crates/gateway/tests/support/soak_host.rs
@@ -1,6 +1,7 @@
 //! A host as a real process, whose connections to the store go through a proxy.
 
 use {
+    super::peer_relay::RelayedHost,
     camphorcove_platform_standin::owning_server::OwnershipLedger,
     camphorcove_standin::proxy::{ProxySettings, ProxyStandin},
     nix::{
@@ -67,7 +68,7 @@
     Kill,
     /// Suspended and resumed.
     Freeze,
-    /// Cut off from the store.
+    /// Cut off from the store or from other hosts.
     Cut,
 }
 
@@ -78,16 +79,17 @@
 
 impl SoakHost {
     /// Starts host `number` of the run with this seed.
-    pub async fn start(seed: u64, number: usize, store: SocketAddr) -> Self {
+    pub async fn start(seed: u64, number: usize, store: SocketAddr, peers: RelayedHost) -> Self {
         let proxy = ProxyStandin::to(store).await.expect("a port is free");
         let folder = std::env::temp_dir().join(format!("camphorcove-soak-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder for settings");
         let settings = folder.join(format!("{seed}-{number}.toml"));
         let log = folder.join(format!("{seed}-{number}.log"));
-        let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_port());
+        let [callers, readiness, metrics] = [(); 3].map(|()| free_port());
+        let RelayedHost { public, own } = peers;
         let text = format!(
             "host = \"host-{number}\"\nzone = \"zone-a\"\ncallers = \"{callers}\"\n\
-             readiness = \"{readiness}\"\npeers = \"{peers}\"\nmetrics = \"{metrics}\"\n\
+             readiness = \"{readiness}\"\npeers = \"{public}\"\npeers_listen = \"{own}\"\nmetrics = \"{metrics}\"\n\
              store = \"{}\"\ncpu_share = 1\nmemory_mb = 128\ndescriptors = 1024\nstop_limit_s = 5\n\
              repeat_ratio = 0.2\nrepeat_slack = 60\nrepeat_window_s = 10\n",
             proxy.address()
@@ -170,6 +172,11 @@
         self.record_disturbance(DisturbanceKind::Freeze, from, Instant::now());
     }
 
+    /// Records that the host was cut off from other hosts since `from`.
+    pub fn record_cut(&self, from: Instant) {
+        self.record_disturbance(DisturbanceKind::Cut, from, Instant::now());
+    }
+
     /// Changes the faults of the connection to the store for `duration`.
     pub async fn cut_store(&self, faults: ProxySettings, duration: Duration) {
         let from = Instant::now();
@@ -177,7 +184,7 @@
         sleep(duration).await;
         self.proxy
             .change(|settings| *settings = ProxySettings::default());
-        self.record_disturbance(DisturbanceKind::Cut, from, Instant::now());
+        self.record_cut(from);
     }
 
     fn record_disturbance(&self, kind: DisturbanceKind, from: Instant, until: Instant) {
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -4,8 +4,10 @@
     super::{
         crash_series::{CrashSeries, SeriesContext},
         kept_callers::KeptCallers,
+        link_faults::LinkContext,
+        peer_relay::{PeerRelay, RelayedHost},
         soak_callers::{CALLER_TIMEOUT, CallerLedger, start_callers, status_of},
-        soak_host::SoakHost,
+        soak_host::{SoakHost, free_port},
         soak_servers::SoakServers,
         stop_series::StopContext,
     },
@@ -62,14 +64,18 @@
     crash_random: ChaCha8Rng,
     /// The same for series of stops and changes.
     stop_random: ChaCha8Rng,
+    /// The same for faults of the network.
+    link_random: ChaCha8Rng,
     hosts: Vec<Arc<SoakHost>>,
+    relay: Arc<PeerRelay>,
     store: StoreStandin,
     ownership_ledger: OwnershipLedger,
     servers: SoakServers,
     caller_ledger: Arc<Mutex<CallerLedger>>,
     kept_callers: Option<KeptCallers>,
     crash_series: Vec<CrashSeries>,
-    stop_series: JoinSet<()>,
+    /// Series of stops and changes, and faults of the network, that go on.
+    running_faults: JoinSet<()>,
     config_version: Arc<AtomicU64>,
     violations: Vec<String>,
     stop: Arc<AtomicBool>,
@@ -80,20 +86,26 @@
         let (store, address) = StoreStandin::start().await;
         store.put("config", "main", config(1));
         let ownership_ledger = OwnershipLedger::default();
+        let addresses = [(); HOSTS].map(|()| RelayedHost {
+            public: free_port(),
+            own: free_port(),
+        });
         let mut region = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
             backup_random: ChaCha8Rng::seed_from_u64(seed ^ 2),
             crash_random: random_apart(seed, "crashes"),
             stop_random: random_apart(seed, "stops"),
+            link_random: random_apart(seed, "links"),
             hosts: Vec::new(),
+            relay: Arc::new(PeerRelay::start(&addresses).await),
             servers: SoakServers::new(store.clone(), ownership_ledger.clone()),
             store,
             ownership_ledger,
             caller_ledger: Arc::default(),
             kept_callers: None,
             crash_series: Vec::new(),
-            stop_series: JoinSet::new(),
+            running_faults: JoinSet::new(),
             config_version: Arc::new(AtomicU64::new(1)),
             violations: Vec::new(),
             stop: Arc::default(),
@@ -107,8 +119,8 @@
         region
             .servers
             .bring_back(random_apart(seed, "returning servers"));
-        for number in 0..HOSTS {
-            let host = SoakHost::start(seed, number, address).await;
+        for (number, peers) in addresses.into_iter().enumerate() {
+            let host = SoakHost::start(seed, number, address, peers).await;
             region.hosts.push(Arc::new(host));
         }
         region
@@ -213,12 +225,26 @@
             config,
         };
         let random = ChaCha8Rng::seed_from_u64(self.stop_random.random());
-        self.stop_series.spawn(context.run_series(random));
+        self.running_faults.spawn(context.run_series(random));
     }
 
-    /// Waits until all stops and changes have ended.
-    pub async fn end_stop_series(&mut self) {
-        while let Some(ended) = self.stop_series.join_next().await {
+    /// Sometimes delays or cuts connections and datagrams, beside other faults.
+    pub fn disturb_links(&mut self) {
+        if self.link_random.random_range(0..2) > 0 {
+            return;
+        }
+        let context = LinkContext {
+            hosts: self.hosts.clone(),
+            servers: self.servers.clone(),
+            relay: self.relay.clone(),
+        };
+        let random = ChaCha8Rng::seed_from_u64(self.link_random.random());
+        self.running_faults.spawn(context.run_fault(random));
+    }
+
+    /// Waits until all stops, changes and faults of the network have ended.
+    pub async fn end_running_faults(&mut self) {
+        while let Some(ended) = self.running_faults.join_next().await {
             ended.expect("the series ends");
         }
     }
--- a/crates/gateway/tests/support/soak_servers.rs
+++ b/crates/gateway/tests/support/soak_servers.rs
@@ -7,9 +7,11 @@
         owning_server::{OwnershipLedger, OwningServer},
         store_standin::StoreStandin,
     },
+    camphorcove_standin::proxy::{ProxyOptions, ProxySettings, ProxyStandin},
     rand::RngExt,
     rand_chacha::ChaCha8Rng,
     std::{
+        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
     },
@@ -28,6 +30,8 @@
     service: &'static str,
     born: u64,
     up: bool,
+    /// In front of every second server.
+    proxy: Option<Arc<ProxyStandin>>,
 }
 
 #[derive(Default)]
@@ -72,11 +76,16 @@
         let born = self.next_born();
         let id = format!("s-{born}");
         let server = OwningServer::start_on(free_port(), &id, &self.ledger).await;
+        let proxy = match born % 2 {
+            0 => Some(Arc::new(start_proxy(server.address).await)),
+            _ => None,
+        };
         SoakServer {
             server,
             service,
             born,
             up: true,
+            proxy,
         }
     }
 
@@ -88,7 +97,8 @@
     }
 
     fn write_entry(&self, server: &SoakServer) {
-        let address = server.server.address;
+        let proxy = server.proxy.as_ref();
+        let address = proxy.map_or(server.server.address, |proxy| proxy.address());
         let entry = server_entry(server.service, address, "ready", server.born);
         self.store.put("servers", &server.server.id, entry);
     }
@@ -166,6 +176,7 @@
         self.record_down(&id);
         if let Some(server) = self.lock().find(&id) {
             server.up = false;
+            server.refuse(true);
         }
         sleep(down_time.min(ENTRY_LIFETIME)).await;
         if !keeps_id || down_time > ENTRY_LIFETIME {
@@ -175,11 +186,11 @@
         let old = self
             .lock()
             .find(&id)
-            .map(|server| (server.service, server.server.address));
+            .map(|server| (server.service, server.server.address, server.proxy.clone()));
         // A server that was replaced meanwhile does not return.
-        if let Some((service, address)) = old {
+        if let Some((service, address, proxy)) = old {
             let server = match keeps_id {
-                true => self.start_again(&id, service, address).await,
+                true => self.start_again(&id, service, address, proxy).await,
                 false => self.start_new(service).await,
             };
             match self.lock().find(&id) {
@@ -197,14 +208,41 @@
         &self,
         id: &str,
         service: &'static str,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
+        proxy: Option<Arc<ProxyStandin>>,
     ) -> SoakServer {
-        SoakServer {
+        let server = SoakServer {
             server: OwningServer::start_on(address, id, &self.ledger).await,
             service,
             born: self.next_born(),
             up: true,
+            proxy,
+        };
+        server.refuse(false);
+        server
+    }
+
+    /// Disturbs the connections of one of the servers that have a proxy for `duration`.
+    pub async fn disturb(&self, at: usize, faults: ProxySettings, duration: Duration) {
+        let proxies: Vec<Arc<ProxyStandin>> = {
+            let list = self.lock();
+            let proxies = list.servers.iter().map(|server| server.proxy.clone());
+            proxies.flatten().collect()
+        };
+        if proxies.is_empty() {
+            return;
         }
+        let proxy = &proxies[at % proxies.len()];
+        // The server may crash meanwhile, so whether it refuses connections is kept.
+        let set = |faults: ProxySettings| {
+            proxy.change(|settings| {
+                let refuse = settings.refuse;
+                *settings = ProxySettings { refuse, ..faults };
+            });
+        };
+        set(faults);
+        sleep(duration).await;
+        set(ProxySettings::default());
     }
 
     fn record_down(&self, id: &str) {
@@ -230,6 +268,25 @@
     }
 }
 
+impl SoakServer {
+    /// Makes the proxy, if any, refuse connections as the server does, or accept them.
+    fn refuse(&self, refuse: bool) {
+        if let Some(proxy) = &self.proxy {
+            proxy.change(|settings| settings.refuse = refuse);
+        }
+    }
+}
+
+async fn start_proxy(target: SocketAddr) -> ProxyStandin {
+    let options = ProxyOptions {
+        target,
+        listen: free_port(),
+        control: ([127, 0, 0, 1], 0).into(),
+    };
+    let proxy = ProxyStandin::start(options).await;
+    proxy.expect("a free port")
+}
+
 impl ServerList {
     fn find(&mut self, id: &str) -> Option<&mut SoakServer> {
         let mut servers = self.servers.iter_mut();
