Refuse a request under which servers crash one after the other

What callers saw: one request of one caller, sent again and again, ended server after server. Cause: each host judged each attempt alone, and nothing remembered under which request a server had ended. Class: a fault that its input carries along, handled as a fault of whoever got it.

Hosts now recognize a request when it comes again, tell each other under which requests servers crash, and refuse one that explains the crashes. What a server answers is cleared, so that innocent requests beside it, and one that everybody sends, are served.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
+pub mod quarantine;
 pub mod retry;
 pub mod routing;
 pub mod scope;
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -72,6 +72,8 @@
     /// The request was sent and may have run; no valid response arrived, for the given
     /// reason.
     Unknown(String),
+    /// The same; the server ended the connection before the response was complete.
+    ConnectionLost(String),
     /// The request was sent and may have run; the attempt timed out and a retry is allowed.
     AbandonedForRetry,
     /// The request was sent and may have run; its deadline passed.
@@ -164,6 +166,10 @@
             permit.end(RequestOutcome::Failure, None);
             CallOutcome::Unknown(reason)
         }
+        Err(ExchangeFailure::ConnectionLost(reason)) => {
+            permit.end(RequestOutcome::Failure, None);
+            CallOutcome::ConnectionLost(reason)
+        }
     }
 }
 
@@ -171,6 +177,7 @@
 enum ExchangeFailure {
     NotSent(String),
     Unknown(String),
+    ConnectionLost(String),
 }
 
 struct ServerResponse {
@@ -212,10 +219,12 @@
         Err(mut failure) => {
             // hyper returns the request only if it never started to send it.
             let unsent = failure.take_message().is_some();
-            let reason = failure.into_error().to_string();
+            let error = failure.into_error();
+            let reason = error.to_string();
             return Err(match unsent {
                 true => ExchangeFailure::NotSent(reason),
-                false => ExchangeFailure::Unknown(reason),
+                false if error.is_parse() => ExchangeFailure::Unknown(reason),
+                false => ExchangeFailure::ConnectionLost(reason),
             });
         }
     };
@@ -235,7 +244,7 @@
     let response = Response::from_parts(parts, ());
     let body = read_body(body)
         .await
-        .map_err(|error| ExchangeFailure::Unknown(format!("answer broke off: {error}")))?;
+        .map_err(|error| ExchangeFailure::ConnectionLost(format!("answer broke off: {error}")))?;
     Ok(ServerResponse {
         head,
         response,
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -5,7 +5,7 @@
         leader_actor::{CONFIRM_FAILURES, LeaderActor, NextTick, Predecessor, Role},
         leader_messages::{
             ConfirmEnded, ConfirmOutcome, DigestReceived, OwnerChangeReceived, OwnersRead,
-            PlanEvent, ReportReceived, ResendRequested, Resign, Tick, WriteEnded,
+            PlanEvent, ReportReceived, ResendRequested, Resign, ShareSuspects, Tick, WriteEnded,
         },
         owner_store::WriteOutcome,
         takeover::TakeoverEnded,
@@ -192,6 +192,14 @@
     }
 }
 
+impl Message<ShareSuspects> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: ShareSuspects, _: &mut Context<Self, Self::Reply>) {
+        self.share_suspects();
+    }
+}
+
 impl Message<Resign> for LeaderActor {
     type Reply = ();
 
--- a/crates/gateway/src/leader/leader_messages.rs
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -49,6 +49,10 @@
     pub from: SocketAddr,
 }
 
+/// Sends this host's news of suspected requests to all hosts.
+#[derive(Debug)]
+pub struct ShareSuspects;
+
 /// Makes this host resign as leader before it stops.
 #[derive(Debug)]
 pub struct Resign;
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -4,7 +4,7 @@
     super::leader_actor::{CONFIRM_FAILURES, LeaderActor, Predecessor, Role},
     crate::{
         peers::{Digest, OwnerChange, PeerMessage, Report},
-        state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind},
+        state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind, SuspectNews},
     },
     camphorcove_core::{
         ids::StoreVersion,
@@ -59,6 +59,7 @@
     /// Reports the load of this host to the leader. The leader records its own report, checks
     /// its majority and sends a digest.
     pub(super) fn send_report(&mut self, now: BootTime) {
+        self.share_suspects();
         let host = self.state.settings.host.clone();
         let leader = self.leader_address();
         let term = match &self.role {
@@ -125,6 +126,23 @@
             .send_all(&self.state, &self.peer_addresses(), &message);
     }
 
+    /// Sends this host's news of suspected requests to all hosts.
+    pub(super) fn share_suspects(&self) {
+        if let Some(news) = self.state.take_suspect_news() {
+            self.send_suspects(news);
+        }
+    }
+
+    fn send_suspects(&self, news: SuspectNews) {
+        let mut addresses = self.peer_addresses();
+        if let Some((leader, _)) = self.leader_address() {
+            addresses.insert(leader);
+        }
+        addresses.remove(&self.state.settings.peers);
+        let message = PeerMessage::Suspects(news);
+        self.link.send_all(&self.state, &addresses, &message);
+    }
+
     /// Sends new fleet updates to all hosts.
     pub(super) fn send_fleet_updates(&mut self) {
         for update in self.state.fleet_updates(self.fleet_version_sent) {
@@ -285,6 +303,9 @@
         self.digests_sent = self.digests_sent.wrapping_add(1);
         if lists_peers {
             self.peers = self.hosts.addresses().collect();
+            if let Some(known) = self.state.known_suspects() {
+                self.send_suspects(known);
+            }
         }
         let has_store = self.confirm_failures < CONFIRM_FAILURES && !self.state.lacks_store();
         let watchers = self.watchers(has_store, now);
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -22,7 +22,7 @@
     leader_actor::LeaderActor,
     leader_messages::{
         DigestReceived, OwnerChangeReceived, OwnersRead, ReportReceived, ResendRequested, Resign,
-        Tick,
+        ShareSuspects, Tick,
     },
     owner_store::OwnerStore,
 };
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -32,6 +32,11 @@
             "Requests sent to servers that limit the rate of requests.",
             &counters.limited,
         ),
+        (
+            "quarantined_total",
+            "Requests refused because servers have crashed under them.",
+            &counters.quarantined,
+        ),
         ("repeated_total", "Repeats sent.", &counters.retries),
         (
             "connections_total",
@@ -74,6 +79,11 @@
             "Servers that limit the rate of requests.",
             state.limited_servers() as u64,
         ),
+        (
+            "quarantined_requests",
+            "Requests in quarantine, as servers have crashed under them.",
+            state.quarantined_requests() as u64,
+        ),
     ];
     for (name, help, value) in gauges {
         let gauge = IntGauge::new(format!("camphorcove_{name}"), help)?;
--- a/crates/gateway/src/node/run_host.rs
+++ b/crates/gateway/src/node/run_host.rs
@@ -7,7 +7,7 @@
         error::{GatewayError, ListenSnafu, StartSnafu},
         leader::{LeaderActor, OwnerStore, Resign, Tick},
         metrics::serve_probes,
-        peers::{PeerLink, receive},
+        peers::{PeerLink, receive, share_suspects},
         serve::{CallerListener, RequestHandler},
         state::HostState,
         watch::{ConfigFollower, FleetFollower, follow, read_owners},
@@ -61,6 +61,9 @@
     let receiver = (state.clone(), leader.clone());
     let receive = move || receive(receiver.0.clone(), socket.clone(), receiver.1.clone());
     tokio::spawn(supervise("datagrams", receive));
+    let sharer = (state.clone(), leader.clone());
+    let share = move || share_suspects(sharer.0.clone(), sharer.1.clone());
+    tokio::spawn(supervise("suspected requests", share));
     let ticked = leader.clone();
     let tick = move || run_leader_ticks(ticked.clone());
     tokio::spawn(supervise("leader ticks", tick));
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -6,7 +6,8 @@
 
 use {
     crate::state::{
-        ConfigCopy, FleetUpdate, LoadReport, SeenVersions, ServerHash, SharedLimit, VersionedChange,
+        ConfigCopy, FleetUpdate, LoadReport, SeenVersions, ServerHash, SharedLimit, SuspectNews,
+        VersionedChange,
     },
     bincode::{Decode, Encode, config},
     camphorcove_core::{
@@ -111,6 +112,8 @@
     Config(ConfigCopy),
     /// To the leader: request for changes after these versions, which the host knows.
     ResendRequest(SeenVersions),
+    /// To all hosts: requests under which servers have crashed.
+    Suspects(SuspectNews),
 }
 
 /// Encodes a message and prepends its authentication tag.
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -110,6 +110,10 @@
                 apply_config_copy(&state, copy);
                 true
             }
+            PeerMessage::Suspects(news) => {
+                state.apply_suspect_news(&news);
+                true
+            }
             PeerMessage::ResendRequest(versions) => leader
                 .tell(ResendRequested { versions, from })
                 .try_send()
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod caller_connection;
 mod caller_listener;
 mod connection_headers;
+mod crash_check;
 mod refusal;
 mod request_attempts;
 mod request_handler;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -25,6 +25,8 @@
     Overloaded,
     /// Not run: the servers limit the rate of requests.
     Limited,
+    /// Not run: servers have crashed under this request.
+    Quarantined,
     /// Not run: the remaining time is too short.
     TooLate,
     /// May have run: the server's response was lost or is invalid.
@@ -44,6 +46,7 @@
             | Self::Unavailable
             | Self::Overloaded
             | Self::Limited
+            | Self::Quarantined
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -61,6 +64,7 @@
         Refusal::Unavailable => "not run: no server available",
         Refusal::Overloaded => "not run: overloaded",
         Refusal::Limited => "not run: the server limits the rate of requests",
+        Refusal::Quarantined => "not run: servers have crashed under this request",
         Refusal::TooLate => "not run: too little time left",
         Refusal::AnswerLost => "the request may have run: its answer was lost",
         Refusal::TimedOut => "the request may have run: no answer in time",
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -14,6 +14,7 @@
         dispatch::{AdmissionRule, RequestOutcome},
         fleet::ServerEntry,
         ids::ServerId,
+        quarantine::Admittance,
         routing::RetryPolicy,
     },
     camphorcove_platform::RequestHead,
@@ -22,7 +23,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Longest total time that a request waits for its key to change owner; a move usually takes
@@ -75,6 +76,16 @@
             if time_left < MIN_ATTEMPT_TIME {
                 return self.give_up(&routed, history, Refusal::TooLate, None);
             }
+            match self.admit(&routed) {
+                Admittance::Open => {}
+                Admittance::Wait(wait) => {
+                    sleep(wait).await;
+                    continue;
+                }
+                Admittance::Quarantined(left) => {
+                    return self.give_up(&routed, history, Refusal::Quarantined, Some(left));
+                }
+            }
             let query = PickQuery {
                 service: &routed.service,
                 key: routed.key,
@@ -143,8 +154,12 @@
                 needs_new_connection: routed.rule.retry == RetryPolicy::AtMostOnce
                     && history.tried.contains(&entry.id),
             };
+            let sent_at = self.state.now();
             let sending = send_call(pool, target, permit, &routed.call, attempt_timeout);
             let outcome = sending.await;
+            if matches!(outcome, CallOutcome::ConnectionLost(_)) {
+                self.check_for_crash(&routed, &entry, sent_at).await;
+            }
             if let Some(response) = self
                 .evaluate_outcome(&routed, &mut history, entry, outcome)
                 .await
@@ -168,6 +183,9 @@
                 let failed = response.status().is_server_error();
                 history.sent += 1;
                 history.may_have_run = true;
+                if !failed {
+                    self.record_answer(routed);
+                }
                 if !failed || !idempotent {
                     self.state.counters.answered.fetch_add(1, Ordering::Relaxed);
                     return Some(forward_response(response));
@@ -201,7 +219,7 @@
                     ));
                 }
             }
-            CallOutcome::Unknown(reason) => {
+            CallOutcome::Unknown(reason) | CallOutcome::ConnectionLost(reason) => {
                 history.sent += 1;
                 history.may_have_run = true;
                 self.log_failed_attempt(routed, &entry, &reason);
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -13,6 +13,7 @@
     bytes::{Bytes, BytesMut},
     camphorcove_core::{
         ids::ServiceName,
+        quarantine::RequestFingerprint,
         routing::{RetryPolicy, RouteRule, RouteTable},
         time::BootTime,
     },
@@ -22,7 +23,7 @@
     http_body_util::{BodyExt, Empty},
     hyper::body::{Body, Incoming},
     std::{
-        sync::{Arc, atomic::Ordering},
+        sync::{Arc, OnceLock, atomic::Ordering},
         time::Duration,
     },
     tokio::{task::yield_now, time::timeout},
@@ -52,6 +53,8 @@
     /// Only set for keyed services.
     pub(super) key: Option<u16>,
     pub(super) started: BootTime,
+    /// Computed when it is first needed.
+    pub(super) fingerprint: OnceLock<RequestFingerprint>,
     /// Keeps the body counted against the memory budget until the request has ended.
     _body: BodyReservation,
 }
@@ -211,6 +214,7 @@
             service,
             key: head.key.filter(|_| keyed),
             started,
+            fingerprint: OnceLock::new(),
             _body: reservation,
         })
     }
@@ -265,6 +269,9 @@
 
     pub(super) fn count_refusal(&self, refusal: Refusal) {
         let counters = &self.state.counters;
+        if refusal == Refusal::Quarantined {
+            counters.quarantined.fetch_add(1, Ordering::Relaxed);
+        }
         let counter = match refusal {
             Refusal::AnswerLost | Refusal::TimedOut => &counters.failed,
             _ => &counters.refused,
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -6,7 +6,7 @@
 use {
     super::{
         BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, SeenVersions,
-        ServerHash, StoreContact, StoreFeed, StoreKind,
+        ServerHash, StoreContact, StoreFeed, StoreKind, suspect_news::SuspectOutbox,
     },
     crate::conf::GatewaySettings,
     camphorcove_core::{
@@ -16,6 +16,7 @@
         fleet::{FleetView, OutageGuard},
         ids::{ConfigVersion, ServerId, ServiceName, StoreVersion},
         ownership::{OwnerMap, OwnerState},
+        quarantine::SuspectTable,
         routing::{RouteRule, RouteTable, WeightedRoundRobin},
         time::BootTime,
     },
@@ -53,6 +54,8 @@
     pub failed: AtomicU64,
     /// Requests sent to servers that limit the rate of requests.
     pub limited: AtomicU64,
+    /// Requests refused because servers have crashed under them.
+    pub quarantined: AtomicU64,
     /// Retries sent to servers.
     pub retries: AtomicU64,
     /// Connections opened to servers.
@@ -111,6 +114,8 @@
     /// Versions of the newest changes that other hosts have seen.
     pub(super) peer_versions: SeenVersions,
     pub(super) log_rate_limiter: LogRateLimiter,
+    pub(super) suspects: SuspectTable,
+    pub(super) suspect_outbox: SuspectOutbox,
 }
 
 /// Shared state of one host.
@@ -130,6 +135,8 @@
     /// Wakes the store followers when newer versions are known or this host has to watch the
     /// store.
     pub versions_changed: Notify,
+    /// Wakes the task that sends news of suspected requests to other hosts.
+    pub suspects_changed: Notify,
     stopping: AtomicBool,
     pub(super) is_leader: AtomicBool,
     inner: Mutex<StateInner>,
@@ -171,6 +178,7 @@
             body_budget,
             owners_changed: Notify::new(),
             versions_changed: Notify::new(),
+            suspects_changed: Notify::new(),
             stopping: AtomicBool::new(false),
             is_leader: AtomicBool::new(false),
             inner: Mutex::new(StateInner {
@@ -201,6 +209,8 @@
                 own_versions: SeenVersions::default(),
                 peer_versions: SeenVersions::default(),
                 log_rate_limiter: LogRateLimiter::default(),
+                suspects: SuspectTable::default(),
+                suspect_outbox: SuspectOutbox::default(),
             }),
         }
     }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -13,6 +13,8 @@
 mod server_pick;
 mod store_contact;
 mod store_feed;
+mod suspect_news;
+mod suspect_tracking;
 
 pub use {
     body_budget::{BodyBudget, BodyReservation},
@@ -27,4 +29,5 @@
     server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
     store_contact::StoreContact,
     store_feed::StoreFeed,
+    suspect_news::SuspectNews,
 };
--- a/crates/gateway/tests/missed_changes.rs
+++ b/crates/gateway/tests/missed_changes.rs
@@ -84,7 +84,10 @@
                     .await
                     .is_ok()
             }
-            PeerMessage::Fleet(_) | PeerMessage::Config(_) | PeerMessage::ResendRequest(_) => true,
+            PeerMessage::Fleet(_)
+            | PeerMessage::Suspects(_)
+            | PeerMessage::Config(_)
+            | PeerMessage::ResendRequest(_) => true,
         };
         assert!(delivered, "the actor has ended");
     }
--- a/crates/gateway/tests/support/leader_hosts.rs
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -5,7 +5,7 @@
     camphorcove_core::fleet::ServerEntry,
     camphorcove_gateway::{
         leader::{LeaderActor, OwnerStore, Tick},
-        peers::{PeerLink, receive},
+        peers::{PeerLink, receive, share_suspects},
         state::HostState,
         watch::read_owners,
     },
@@ -71,6 +71,7 @@
     let actor = LeaderActor::spawn(LeaderActor::new(state.clone(), client.clone(), link));
     let owners = OwnerStore::new(state.clone(), client);
     tokio::spawn(read_owners(state.clone(), owners, actor.clone()));
+    tokio::spawn(share_suspects(state.clone(), actor.clone()));
     let ticking_actor = actor.clone();
     tokio::spawn(async move {
         while let Ok(next) = ticking_actor.ask(Tick).await {
