Do not take a copy of an earlier refusal for the answer to the next request

Callers saw "not run, try again" for requests that a server was running, and at-most-once requests ran twice: a faulty server wrote a refusal once more on a kept connection while the next request ran there. A refusal without an id was always believed, and a copy with the very id of the request was believed after an idempotent retry on the same connection.

A connection now remembers the ids (hashes) of the requests that were refused on it. It carries no request that it has refused before, and a refusal without an id is believed only on a connection that has carried none. The rule that a retry at the same server opens a new connection is replaced: any connection that has not refused the request will do, which opens fewer connections.

--- a/crates/gateway/src/forward/connection_pool.rs
+++ b/crates/gateway/src/forward/connection_pool.rs
@@ -1,10 +1,11 @@
 //! Pool of connections to backend servers.
 
 use {
-    super::server_call::CallTarget,
+    super::{refusal_history::RefusalHistory, server_call::CallTarget},
     crate::state::HostState,
     bytes::Bytes,
     camphorcove_core::{fleet::ServerEntry, ids::ServerId, time::BootTime},
+    http::HeaderValue,
     http_body_util::Full,
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
@@ -59,8 +60,8 @@
 pub struct PooledConnection {
     /// hyper's handle for sending requests.
     pub sender: Sender,
-    /// Whether the connection has carried a request before.
-    pub used: bool,
+    /// Refusals that it has carried.
+    pub refusals: RefusalHistory,
     key: ConnectionKey,
 }
 
@@ -76,6 +77,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
+    refusals: RefusalHistory,
     reusable_until: BootTime,
 }
 
@@ -110,15 +112,20 @@
         }
     }
 
-    /// Takes an idle connection or opens a new one.
-    pub async fn acquire(&self, target: CallTarget<'_>) -> Result<PooledConnection, PoolError> {
+    /// Takes an idle connection or opens a new one. The connection has carried no refusal of the
+    /// request with this id.
+    pub async fn acquire(
+        &self,
+        target: CallTarget<'_>,
+        request_id: &HeaderValue,
+    ) -> Result<PooledConnection, PoolError> {
         let entry = target.entry;
         let key = ConnectionKey {
             server: entry.id.clone(),
             incarnation: entry.incarnation,
             address: entry.address,
         };
-        let open_count = match self.take_idle(&key, !target.needs_new_connection) {
+        let open_count = match self.take_idle(&key, request_id) {
             Ok(pooled) => return Ok(pooled),
             Err(open_count) => open_count,
         };
@@ -145,7 +152,7 @@
             .fetch_add(1, Ordering::Relaxed);
         Ok(PooledConnection {
             sender,
-            used: false,
+            refusals: RefusalHistory::default(),
             key,
         })
     }
@@ -155,9 +162,10 @@
         self.state.may_send_to(entry)
     }
 
-    /// Returns a connection to the pool after a complete response.
+    /// Returns a connection to the pool after a complete response, or closes it if it has carried
+    /// too many refusals.
     pub fn release(&self, pooled: PooledConnection, idle_timeout: Option<Duration>) {
-        if pooled.sender.is_closed() {
+        if pooled.sender.is_closed() || pooled.refusals.is_full() {
             return;
         }
         let now = self.state.now();
@@ -172,6 +180,7 @@
             .retain(|idle| idle.reusable_until > now && !idle.sender.is_closed());
         server_connections.idle.push(IdleConnection {
             sender: pooled.sender,
+            refusals: pooled.refusals,
             reusable_until,
         });
     }
@@ -189,12 +198,12 @@
         });
     }
 
-    /// Takes an idle connection if `may_reuse` allows it; otherwise returns the counter of the
-    /// server's open connections.
+    /// Takes an idle connection that has carried no refusal of this request; without one, returns
+    /// the counter of the server's open connections.
     fn take_idle(
         &self,
         key: &ConnectionKey,
-        may_reuse: bool,
+        request_id: &HeaderValue,
     ) -> Result<PooledConnection, Arc<AtomicU32>> {
         let now = self.state.now();
         let mut by_server = self.lock();
@@ -206,13 +215,16 @@
         let ready_index = server_connections
             .idle
             .iter()
-            .rposition(|idle| may_reuse && idle.sender.is_ready());
+            .rposition(|idle| idle.sender.is_ready() && !idle.refusals.contains(request_id));
         match ready_index {
-            Some(index) => Ok(PooledConnection {
-                sender: server_connections.idle.remove(index).sender,
-                used: true,
-                key: key.clone(),
-            }),
+            Some(index) => {
+                let idle = server_connections.idle.remove(index);
+                Ok(PooledConnection {
+                    sender: idle.sender,
+                    refusals: idle.refusals,
+                    key: key.clone(),
+                })
+            }
             None => Err(server_connections.open_count.clone()),
         }
     }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwards requests to backend servers over pooled connections.
 
 mod connection_pool;
+mod refusal_history;
 mod response_body;
 mod server_call;
 
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -54,10 +54,6 @@
     pub entry: &'a ServerEntry,
     /// Number of connections that the server accepts from all hosts together.
     pub max_connections: u32,
-    /// Whether the connection must not have carried another request. A late second response to
-    /// an earlier attempt at this server has the id of the request, so that it could make the
-    /// caller believe that the request has not run.
-    pub needs_new_connection: bool,
 }
 
 /// How an attempt ended.
@@ -100,7 +96,7 @@
     attempt_timeout: Option<AttemptTimeout<'_>>,
 ) -> CallOutcome {
     let entry = target.entry;
-    let mut pooled = match pool.acquire(target).await {
+    let mut pooled = match pool.acquire(target, &call.id).await {
         Ok(pooled) => pooled,
         Err(PoolError::Full) => {
             permit.end(RequestOutcome::Abandoned, None);
@@ -223,10 +219,11 @@
     let status = response.status();
     match &head.id {
         Some(id) if *id == call.id => {}
-        None if head.not_run || status == StatusCode::MISDIRECTED_REQUEST => {}
+        // On a connection that has carried a refusal, it may be a copy of that one.
+        None if is_refusal(&head, status) && pooled.refusals.is_empty() => {}
         _ => return Err(ExchangeFailure::Unknown("answer to another request".into())),
     }
-    if !head.signed && !head.not_run && status != StatusCode::MISDIRECTED_REQUEST {
+    if !head.signed && !is_refusal(&head, status) {
         return Err(ExchangeFailure::Unknown(format!(
             "answer {status} without signature"
         )));
@@ -243,6 +240,11 @@
     })
 }
 
+/// Whether the server states that it did not run the request.
+fn is_refusal(head: &ResponseHead, status: StatusCode) -> bool {
+    head.not_run || status == StatusCode::MISDIRECTED_REQUEST
+}
+
 async fn read_body(mut body: Incoming) -> Result<ReadBody, hyper::Error> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -258,7 +260,7 @@
 
 fn complete_call(
     pool: &Arc<ConnectionPool>,
-    pooled: PooledConnection,
+    mut pooled: PooledConnection,
     permit: ServerPermit,
     received: ServerResponse,
     caller_leaves_at: BootTime,
@@ -270,7 +272,7 @@
     } = received;
     permit.record_limit(head.limit);
     let status = response.status();
-    let not_run = head.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+    let not_run = is_refusal(&head, status);
     let outcome = match status {
         _ if not_run => RequestOutcome::Refused,
         status if status.is_server_error() => RequestOutcome::Failure,
@@ -279,7 +281,13 @@
     let body = match body {
         ReadBody::Buffered(bytes) => {
             permit.end(outcome, head.load);
-            if !head.closes_connection {
+            // A server that names no ids in refusals could not refuse another request on this
+            // connection, as that refusal would not be believed.
+            let names_id = head.id.is_some();
+            if let Some(id) = head.id.filter(|_| not_run) {
+                pooled.refusals.record(&id);
+            }
+            if names_id && !head.closes_connection {
                 pool.release(pooled, head.idle_timeout);
             }
             ResponseBody::Buffered(bytes)
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -140,8 +140,6 @@
             let target = CallTarget {
                 entry: &entry,
                 max_connections: routed.max_connections,
-                needs_new_connection: routed.rule.retry == RetryPolicy::AtMostOnce
-                    && history.tried.contains(&entry.id),
             };
             let sending = send_call(pool, target, permit, &routed.call, attempt_timeout);
             let outcome = sending.await;
