Do not take a copy of an earlier refusal for the answer to the next order

Answers to orders carry no id. A copy of the refusal of an earlier order (400 or 421 "not run", 409, 500, 503) that arrived while the next order ran on the same connection was believed: a grant that the server had carried out counted as not delivered, so that its lease was not awaited, and 400 or 421 as proof that the old owner has ended. Two owners of a key could follow.

The client for orders now takes a failure on a connection that has carried one before for no answer, and closes that connection. The planner then assumes that the order may have arrived. The connection is kept after the first failure, because full servers refuse new connections.

--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -40,6 +40,20 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// An open connection that carries one request at a time.
+#[derive(Debug)]
+struct OpenConnection {
+    sender: Sender,
+    /// Whether it has carried a response that reports no success.
+    carried_failure: bool,
+}
+
+impl OpenConnection {
+    fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
 /// Why an exchange failed.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub))]
@@ -61,11 +75,12 @@
 /// Sends requests over pooled connections, without retries. Clones share the pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<OpenConnection>>>>,
     idle_limit: usize,
     connect_limit: Option<Duration>,
     response_limit: usize,
     abortive_close: bool,
+    doubts_repeated_failures: bool,
 }
 
 impl Default for HttpClient {
@@ -83,6 +98,7 @@
             connect_limit: None,
             response_limit: RESPONSE_LIMIT,
             abortive_close: false,
+            doubts_repeated_failures: false,
         }
     }
 
@@ -106,6 +122,14 @@
         self
     }
 
+    /// Takes a response that reports no success for no response, and closes the connection, if it
+    /// has carried such a response before: a server in trouble may write the earlier one once more,
+    /// and responses that name no request cannot be told apart.
+    pub fn with_doubt_of_repeated_failures(mut self) -> Self {
+        self.doubts_repeated_failures = true;
+        self
+    }
+
     /// Sends a request and reads the whole response within `timeout`.
     ///
     /// The connection is closed if the returned future is dropped before it completes.
@@ -128,7 +152,7 @@
         connection_use: ConnectionUse,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let deadline = Instant::now() + timeout;
-        let mut sender = match connection_use {
+        let mut connection = match connection_use {
             ConnectionUse::Reused => self.connection(address, deadline).await?,
             ConnectionUse::New => self.open_connection(address, deadline).await?,
         };
@@ -138,12 +162,18 @@
             return not_sent("timed out before sending");
         }
         let request = with_host_header(request, address);
-        let receiving = send_and_receive(&mut sender, request, self.response_limit);
+        let receiving = send_and_receive(&mut connection.sender, request, self.response_limit);
         let reply = timeout_at(deadline, receiving)
             .await
             .unwrap_or_else(|_| no_reply("timed out"))?;
+        if !reply.status().is_success() {
+            if self.doubts_repeated_failures && connection.carried_failure {
+                return no_reply("may be an earlier response, sent once more");
+            }
+            connection.carried_failure = true;
+        }
         if connection_use == ConnectionUse::Reused {
-            self.store_idle(address, sender);
+            self.store_idle(address, connection);
         }
         Ok(reply)
     }
@@ -151,19 +181,21 @@
     /// Number of open connections to `address` that are idle.
     pub fn idle_connections(&self, address: SocketAddr) -> usize {
         let idle = self.lock();
-        let senders = idle.get(&address).into_iter().flatten();
-        senders.filter(|sender| !sender.is_closed()).count()
+        let connections = idle.get(&address).into_iter().flatten();
+        connections
+            .filter(|connection| !connection.is_closed())
+            .count()
     }
 
     async fn connection(
         &self,
         address: SocketAddr,
         deadline: Instant,
-    ) -> Result<Sender, ExchangeError> {
-        while let Some(mut sender) = self.take_idle(address) {
-            let ready = timeout_at(deadline, sender.ready()).await;
+    ) -> Result<OpenConnection, ExchangeError> {
+        while let Some(mut connection) = self.take_idle(address) {
+            let ready = timeout_at(deadline, connection.sender.ready()).await;
             match ready {
-                Ok(Ok(())) => return Ok(sender),
+                Ok(Ok(())) => return Ok(connection),
                 Ok(Err(_)) => continue,
                 Err(_) => return not_sent("timed out waiting for a connection"),
             }
@@ -175,40 +207,44 @@
         &self,
         address: SocketAddr,
         deadline: Instant,
-    ) -> Result<Sender, ExchangeError> {
+    ) -> Result<OpenConnection, ExchangeError> {
         let connect_deadline = self.connect_limit.map(|limit| Instant::now() + limit);
         let deadline =
             connect_deadline.map_or(deadline, |connect_deadline| connect_deadline.min(deadline));
-        timeout_at(deadline, connect(address, self.abortive_close))
+        let sender = timeout_at(deadline, connect(address, self.abortive_close))
             .await
-            .unwrap_or_else(|_| not_sent("timed out connecting"))
+            .unwrap_or_else(|_| not_sent("timed out connecting"))?;
+        Ok(OpenConnection {
+            sender,
+            carried_failure: false,
+        })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
         let mut idle = self.lock();
-        let senders = idle.get_mut(&address)?;
-        while let Some(sender) = senders.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
+        let connections = idle.get_mut(&address)?;
+        while let Some(connection) = connections.pop() {
+            if !connection.is_closed() {
+                return Some(connection);
             }
         }
         idle.remove(&address);
         None
     }
 
-    fn store_idle(&self, address: SocketAddr, sender: Sender) {
-        if sender.is_closed() {
+    fn store_idle(&self, address: SocketAddr, connection: OpenConnection) {
+        if connection.is_closed() {
             return;
         }
         let mut idle = self.lock();
-        let senders = idle.entry(address).or_default();
-        senders.retain(|sender| !sender.is_closed());
-        if senders.len() < self.idle_limit {
-            senders.push(sender);
+        let connections = idle.entry(address).or_default();
+        connections.retain(|connection| !connection.is_closed());
+        if connections.len() < self.idle_limit {
+            connections.push(connection);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Sender>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<OpenConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
