daemon: close a server connection after a refusal

Replies of servers to the daemon name no request. A copy of a refusal that a server wrote late on a kept connection answered the next request there, which then was sent again although the server ran it. Dropping the permit closes the connection after each refusal, so that a copy reaches no other request.

Before: a_refusal_written_twice_answers_one_request failed with a gap of 30 ms on both ways (ran 2 times instead of once). Now it passes for gaps of 0, 1 and 30 ms.

--- a/crates/daemon/src/forward/server_exchange.rs
+++ b/crates/daemon/src/forward/server_exchange.rs
@@ -15,7 +15,6 @@
         time::BootTime,
     },
     camphorcove_net::servers::{ServerClock, ServerTime},
-    futures_util::FutureExt,
     http::{
         HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, Version,
         header::TRANSFER_ENCODING,
@@ -176,7 +175,9 @@
 ) -> Result<Response<RouterBody>, ResultCode> {
     let (mut parts, body) = reply.into_parts();
     if reports_not_run(&parts.headers) {
-        reuse_if_complete(permit, body);
+        // Dropping the permit closes the connection. Replies name no request, so a copy of this
+        // one, which a server in trouble may write later, would answer the next request.
+        drop(permit);
         return Err(ResultCode::ServerShed);
     }
     if parts.status == StatusCode::SWITCHING_PROTOCOLS || is_close_delimited(&parts, &body) {
@@ -201,13 +202,6 @@
     body.size_hint().exact().is_none() && !parts.headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// Keeps the connection for other requests if the rest of a refusal has already arrived.
-fn reuse_if_complete(permit: Permit, body: Incoming) {
-    if let Some(Ok(_)) = body.collect().now_or_never() {
-        permit.complete();
-    }
-}
-
 /// Records the clock reading of a reply, unless the latest one is recent.
 fn record_clock(context: &RequestContext, server: SocketAddr, headers: &HeaderMap) {
     let text = headers
--- a/crates/daemon/tests/server_faults.rs
+++ b/crates/daemon/tests/server_faults.rs
@@ -7,8 +7,9 @@
     camphorcove_core::conf::{FencingMode, RoutingMode, ServiceConfig},
     rstest::rstest,
     socket2::{Domain, Socket, Type},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
     support::{Cluster, FakeServer, MapSpec, ServerAction, call, get, ok_reply, service},
+    tokio::time::sleep,
 };
 
 /// Timeout of requests that are meant to exceed it, in milliseconds.
@@ -173,6 +174,29 @@
     assert_eq!(bodies, [b"raft 17", b"raft 17"]);
 }
 
+/// Guards against a request that runs twice, or runs although its caller is told that it did not:
+/// a late copy of the refusal of an earlier request was taken for the answer to the next one.
+#[rstest]
+#[tokio::test]
+async fn a_refusal_written_twice_answers_one_request(
+    #[values(0, 1)] forwarder: usize,
+    #[values(0, 1, 30)] gap_ms: u64,
+) {
+    let server = FakeServer::start(move |number, _| match number {
+        0 => ServerAction::ShedTwice(Duration::from_millis(gap_ms)),
+        _ => ServerAction::Reply(ok_reply("booked")),
+    })
+    .await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+
+    let answer = call(cluster.caller(), post("/s/k", "", "raft 17")).await;
+    sleep(Duration::from_millis(2 * gap_ms)).await;
+
+    assert_eq!(answer.code(), Some(200), "{answer:?}");
+    assert_eq!(server.ran(), 1);
+}
+
 /// Guards against errors for callers when a server closes an idle connection that the router
 /// would use next.
 #[rstest]
--- a/crates/daemon/tests/support/fake_server.rs
+++ b/crates/daemon/tests/support/fake_server.rs
@@ -29,10 +29,16 @@
     Stall,
     /// Does not run the request and says so in the reply.
     Shed,
+    /// Like [`Self::Shed`], and writes the same reply once more after this time.
+    ShedTwice(Duration),
     /// Does not run the request: resets the connection after the head, without reading the body.
     ResetAfterHead,
 }
 
+/// Reply that states that a request did not run.
+const SHED_REPLY: &[u8] =
+    b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-server-verdict: not-run\r\n\r\n";
+
 /// A request that the server received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -197,7 +203,7 @@
         shared.dropped.send_modify(|count| *count += 1);
         return false;
     }
-    request.ran = !matches!(action, ServerAction::Shed);
+    request.ran = !matches!(action, ServerAction::Shed | ServerAction::ShedTwice(_));
     record(shared, request);
     perform(shared, stream, action).await
 }
@@ -219,10 +225,11 @@
             shared.dropped.send_modify(|count| *count += 1);
             false
         }
-        ServerAction::Shed => {
-            let reply =
-                "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nx-server-verdict: not-run\r\n\r\n";
-            stream.write_all(reply.as_bytes()).await.is_ok()
+        ServerAction::Shed => stream.write_all(SHED_REPLY).await.is_ok(),
+        ServerAction::ShedTwice(gap) => {
+            let written = stream.write_all(SHED_REPLY).await.is_ok();
+            tokio::time::sleep(gap).await;
+            written && stream.write_all(SHED_REPLY).await.is_ok()
         }
         ServerAction::ResetAfterHead => false,
     }
