daemon: refuse replies with a transfer coding other than chunked

Their body ends with the connection, like one without a length, which was already refused. A server that stopped in it gave the caller a complete 200 with a short or empty body.

Before: a_reply_cut_anywhere_is_no_complete_success, which cuts a reply at each byte, failed for the other coding on both ways ("cut after 94 bytes", 200, complete). The cases with a length, chunks and neither passed before too. Now all 16 cases pass.

--- a/crates/daemon/src/forward/server_exchange.rs
+++ b/crates/daemon/src/forward/server_exchange.rs
@@ -14,12 +14,11 @@
         outcome::ResultCode,
         time::BootTime,
     },
-    camphorcove_net::servers::{ServerClock, ServerTime},
-    http::{
-        HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, Version,
-        header::TRANSFER_ENCODING,
+    camphorcove_net::{
+        http::ends_with_connection,
+        servers::{ServerClock, ServerTime},
     },
-    http_body::Body,
+    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, Version},
     http_body_util::BodyExt,
     hyper::{body::Incoming, client::conn::TrySendError},
     std::{fmt::Display, net::SocketAddr, sync::atomic::Ordering::Relaxed, time::Duration},
@@ -173,16 +172,16 @@
     permit: Permit,
     reply: Response<Incoming>,
 ) -> Result<Response<RouterBody>, ResultCode> {
-    let (mut parts, body) = reply.into_parts();
-    if reports_not_run(&parts.headers) {
+    if reports_not_run(reply.headers()) {
         // Dropping the permit closes the connection. Replies name no request, so a copy of this
         // one, which a server in trouble may write later, would answer the next request.
         drop(permit);
         return Err(ResultCode::ServerShed);
     }
-    if parts.status == StatusCode::SWITCHING_PROTOCOLS || is_close_delimited(&parts, &body) {
+    if reply.status() == StatusCode::SWITCHING_PROTOCOLS || ends_with_connection(&reply) {
         return Err(ResultCode::ReplyInvalid);
     }
+    let (mut parts, body) = reply.into_parts();
     strip_headers(&mut parts.headers);
     parts.version = Version::default();
     parts.extensions.clear();
@@ -196,12 +195,6 @@
         .is_some_and(|verdict| verdict.as_bytes() == VERDICT_NOT_RUN.as_bytes())
 }
 
-/// Whether the body ends when the connection closes, so that a truncated body would look
-/// complete.
-fn is_close_delimited(parts: &http::response::Parts, body: &Incoming) -> bool {
-    body.size_hint().exact().is_none() && !parts.headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Records the clock reading of a reply, unless the latest one is recent.
 fn record_clock(context: &RequestContext, server: SocketAddr, headers: &HeaderMap) {
     let text = headers
--- a/crates/daemon/tests/server_faults.rs
+++ b/crates/daemon/tests/server_faults.rs
@@ -153,6 +153,54 @@
     assert_eq!(server.ran(), ran);
 }
 
+/// A reply with this framing header and this framed body.
+fn framed_reply(line: &str, framed: &str) -> String {
+    format!(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-server-clock: 5000000\r\n{line}\r\n{framed}"
+    )
+}
+
+/// Guards against a short or empty body that the caller takes for a complete success: the server
+/// stops at each byte of its reply.
+#[rstest]
+#[case::length(framed_reply("content-length: 10\r\n", "0123456789"), 0)]
+// The line break behind the last chunk carries nothing of the body.
+#[case::chunks(
+    framed_reply("transfer-encoding: chunked\r\n", "a\r\n0123456789\r\n0\r\n\r\n"),
+    2
+)]
+#[case::connection(framed_reply("", "0123456789"), 0)]
+#[case::other_coding(framed_reply("transfer-encoding: gzip\r\n", "0123456789"), 0)]
+#[tokio::test]
+async fn a_reply_cut_anywhere_is_no_complete_success(
+    #[case] reply: String,
+    #[case] uncounted: usize,
+    #[values(0, 1)] forwarder: usize,
+    #[values(true, false)] is_reset: bool,
+) {
+    let last = reply.len() - uncounted;
+    let server = FakeServer::start(move |number, _| {
+        let part = reply[..number.min(last - 1)].to_owned();
+        match is_reset {
+            true => ServerAction::ReplyThenReset(part),
+            false => ServerAction::ReplyThenClose(part),
+        }
+    })
+    .await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+
+    for sent in 0..last {
+        let answer = call(cluster.caller(), post("/s/k", "", "booking")).await;
+
+        assert_eq!(server.ran(), sent + 1);
+        assert!(
+            answer.status != 200 || !answer.complete,
+            "cut after {sent} bytes: {answer:?}"
+        );
+    }
+}
+
 /// A server's statement that it did not run a request makes a retry safe, also of a request with
 /// a small body.
 #[rstest]
