Refuse requests that come too late in a planned stop to be finished

In a planned stop, requests that came late in the grace were passed on to servers, and were cut with no answer when the host exited, among them requests that may run only once. Nothing told late requests from early ones: until the listener closed after 3.2 s, and on connections with running requests until the end, every request was sent on, with a deadline of up to 15 s against a stop limit of 6 s. Requests that had been read behind a running one were dropped, as the response in front of them closed the connection.

From 2.9 s after SIGTERM (or half of the stop limit) a request that has not been sent to a server is refused as not run with Retry-After and Connection: close: new ones, those whose body is incomplete, and those that wait for an owner, a connection or a retry. Requests sent before are served until 0.3 s before the limit. A response closes its connection only if no head behind it has been read. Idle connections stay open until 0.5 s before the limit, so that requests on them are refused instead of meeting a closed connection; they were closed after 3.2 s. Idempotent requests that may have run are still retried.

--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -54,6 +54,8 @@
     pub entry: &'a ServerEntry,
     /// Number of connections that the server accepts from all hosts together.
     pub max_connections: u32,
+    /// Time from which the request is not sent any more, although a connection is open by then.
+    pub send_until: Option<BootTime>,
 }
 
 /// How an attempt ended.
@@ -115,6 +117,10 @@
         return CallOutcome::NotSent("server has left".into());
     }
     let now = BootClock.now();
+    if target.send_until.is_some_and(|end| now >= end) {
+        permit.end(RequestOutcome::Abandoned, None);
+        return CallOutcome::NotSent("host stops".into());
+    }
     let time_left = call.expires_at.since(now);
     let Some(request) = build_request(call, entry, time_left) else {
         permit.end(RequestOutcome::Abandoned, None);
--- a/crates/gateway/src/serve/caller_connection.rs
+++ b/crates/gateway/src/serve/caller_connection.rs
@@ -23,8 +23,8 @@
     mut closing: watch::Receiver<bool>,
 ) {
     let stream = CallerStream::new(stream);
-    let read_ahead = stream.read_ahead();
-    let pipeline = Arc::new(RequestPipeline::default());
+    let read_ahead = Arc::new(stream.read_ahead());
+    let pipeline = Arc::new(RequestPipeline::new(read_ahead.clone()));
     let service = service_fn(|request| {
         let handler = handler.clone();
         let pipeline = pipeline.clone();
@@ -48,7 +48,8 @@
                 return Poll::Ready(Ok(()));
             }
             handler.start_pipelined(&pipeline, read_ahead.take_pipelined());
-            if shutting_down || !must_close || !pipeline.is_drained() {
+            // Behind a running request, the response that closes the connection is not decided yet.
+            if shutting_down || !must_close || read_ahead.has_unanswered() {
                 return Poll::Pending;
             }
             shutting_down = true;
--- a/crates/gateway/src/serve/caller_listener.rs
+++ b/crates/gateway/src/serve/caller_listener.rs
@@ -37,6 +37,10 @@
 /// probes readiness once a second and stops sending callers after two failed probes.
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(3_200);
 
+/// Time before the end of the stop at which idle connections are closed. Until then, requests that
+/// arrive on them are refused, as their callers could not tell what a closed connection means.
+const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(200);
+
 /// Part of the stop time limit that is reserved for the process to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -58,11 +62,16 @@
         }
     }
 
-    /// Asks all connections to close when their requests have been answered, and waits for that.
-    async fn close(mut self) {
-        self.closing.send_replace(true);
+    /// Waits until all connections have ended. After `idle_time` it asks those that are idle to
+    /// close, and the others when their requests have been answered.
+    async fn close(mut self, idle_time: Duration) {
         drop(self.open);
-        while self.ended.recv().await.is_some() {}
+        let all_ended = async { while self.ended.recv().await.is_some() {} };
+        tokio::pin!(all_ended);
+        if timeout(idle_time, &mut all_ended).await.is_err() {
+            self.closing.send_replace(true);
+            all_ended.await;
+        }
     }
 }
 
@@ -90,7 +99,11 @@
         loop {
             tokio::select! {
                 _ = stop.wait_for(|stop| *stop) => break,
-                accepted = accept(&listener, &connection_slots) => self.serve(accepted, &connections),
+                accepted = accept(&listener, &connection_slots) => {
+                    if let Some((stream, slot)) = accepted {
+                        self.serve(stream, slot, &connections);
+                    }
+                }
             }
         }
         let accept_period = sleep(STOP_ACCEPT_TIME);
@@ -98,13 +111,21 @@
         loop {
             tokio::select! {
                 () = &mut accept_period => break,
-                accepted = accept(&listener, &connection_slots) => self.serve(accepted, &connections),
+                accepted = accept(&listener, &connection_slots) => {
+                    if let Some((stream, slot)) = accepted {
+                        self.serve(stream, slot, &connections);
+                    }
+                }
             }
         }
         drop(listener);
         let remaining = self.state.settings.stop_limit;
         let remaining = remaining.saturating_sub(STOP_ACCEPT_TIME + EXIT_MARGIN);
-        if timeout(remaining, connections.close()).await.is_err() {
+        let idle_time = remaining.saturating_sub(IDLE_CLOSE_MARGIN);
+        if timeout(remaining, connections.close(idle_time))
+            .await
+            .is_err()
+        {
             log::warn!("stop time limit reached; closing connections with running requests");
         }
     }
@@ -122,14 +143,10 @@
         }
     }
 
-    fn serve(
-        &self,
-        accepted: Option<(TcpStream, OwnedSemaphorePermit)>,
-        connections: &ConnectionGroup,
-    ) {
-        let Some((stream, slot)) = accepted else {
-            return;
-        };
+    fn serve(&self, stream: TcpStream, slot: OwnedSemaphorePermit, connections: &ConnectionGroup) {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(reason:% = error; "cannot set TCP_NODELAY on a caller connection");
+        }
         let (idle, header_buffer_bytes) = self.limits();
         // hyper's header timer also runs between requests, so it is set to the longer of the
         // header timeout and the idle timeout.
@@ -155,12 +172,7 @@
 ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
     let slot = connection_slots.clone().acquire_owned().await.ok()?;
     match listener.accept().await {
-        Ok((stream, _)) => {
-            if let Err(error) = stream.set_nodelay(true) {
-                log::debug!(reason:% = error; "cannot set TCP_NODELAY on a caller connection");
-            }
-            Some((stream, slot))
-        }
+        Ok((stream, _)) => Some((stream, slot)),
         Err(error) => {
             log::warn!(reason:% = error; "accept failed");
             sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -27,6 +27,8 @@
     Limited,
     /// Not run: the remaining time is too short.
     TooLate,
+    /// Not run: this host stops, and a server could no longer finish the request.
+    Stopping,
     /// May have run: the server's response was lost or is invalid.
     AnswerLost,
     /// May have run: no response before the deadline.
@@ -44,7 +46,8 @@
             | Self::Unavailable
             | Self::Overloaded
             | Self::Limited
-            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TooLate
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -62,6 +65,7 @@
         Refusal::Overloaded => "not run: overloaded",
         Refusal::Limited => "not run: the server limits the rate of requests",
         Refusal::TooLate => "not run: too little time left",
+        Refusal::Stopping => "not run: the host stops",
         Refusal::AnswerLost => "the request may have run: its answer was lost",
         Refusal::TimedOut => "the request may have run: no answer in time",
     };
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Refusal, RequestHandler, refusal_response,
-        request_handler::{RoutedRequest, log_topic, request_id},
+        request_handler::{RoutedRequest, STOP_RETRY_AFTER, log_topic, request_id},
         strip_connection_headers,
     },
     crate::{
@@ -71,6 +71,10 @@
     ) -> Response<ResponseBody> {
         let mut history = AttemptHistory::default();
         loop {
+            if self.state.refuses_requests() && !history.may_have_run {
+                let retry_after = Some(STOP_RETRY_AFTER);
+                return self.give_up(&routed, history, Refusal::Stopping, retry_after);
+            }
             let time_left = routed.call.expires_at.since(self.state.now());
             if time_left < MIN_ATTEMPT_TIME {
                 return self.give_up(&routed, history, Refusal::TooLate, None);
@@ -140,6 +144,11 @@
             let target = CallTarget {
                 entry: &entry,
                 max_connections: routed.max_connections,
+                send_until: self
+                    .state
+                    .stop
+                    .last_start()
+                    .filter(|_| !history.may_have_run),
             };
             let sending = send_call(pool, target, permit, &routed.call, attempt_timeout);
             let outcome = sending.await;
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -34,6 +34,13 @@
 /// `Retry-After` value while no configuration is known.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// `Retry-After` value while this host stops: any other host can take the request at once.
+pub(super) const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Longest time in which the body of a refused request is read and dropped while this host stops.
+/// A caller that is still sending when its connection ends may miss the response.
+const LATE_BODY_TIME: Duration = Duration::from_millis(100);
+
 /// Largest request body that is buffered, whatever the configuration allows.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -86,7 +93,7 @@
             }
         };
         pipeline.end();
-        // Closing now would cut off the requests behind this one that already run.
+        // Closing now would cut off the requests behind this one that have been read.
         if self.state.is_stopping() && pipeline.is_drained() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -101,7 +108,7 @@
         heads: Vec<PipelinedHead>,
     ) {
         for head in heads {
-            if self.state.is_stopping() || !pipeline.may_start(head.index) {
+            if self.state.refuses_requests() || !pipeline.may_start(head.index) {
                 return;
             }
             let Some(request) = parse_bodyless(&head) else {
@@ -132,6 +139,12 @@
         B: Body<Data = Bytes> + Unpin,
     {
         let head = decode_request(request.headers());
+        if self.state.refuses_requests() {
+            if !request.headers().contains_key(header::EXPECT) {
+                drop_body(request.into_body()).await;
+            }
+            return self.refuse_request(&head, Refusal::Stopping, Some(STOP_RETRY_AFTER));
+        }
         let Some(table) = self.state.table() else {
             let retry_after = Some(CONFIGURATION_RETRY_AFTER);
             return self.refuse_request(&head, Refusal::NoConfiguration, retry_after);
@@ -145,8 +158,13 @@
         {
             Ok(routed) => routed,
             Err(refusal) => {
-                let retry_after = (refusal.status() == StatusCode::SERVICE_UNAVAILABLE)
-                    .then(|| self.retry_after());
+                let retry_after = match refusal {
+                    Refusal::Stopping => Some(STOP_RETRY_AFTER),
+                    _ if refusal.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                        Some(self.retry_after())
+                    }
+                    _ => None,
+                };
                 return self.refuse_request(&head, refusal, retry_after);
             }
         };
@@ -186,9 +204,11 @@
         let (parts, body) = request.into_parts();
         let limit = table.limits.body_bytes.min(MAX_BODY_BYTES);
         let reading = self.read_body(body, limit);
-        let (body, reservation) = match timeout(expires_at.since(started), reading).await {
-            Ok(read) => read?,
-            Err(_) => return Err(Refusal::TooLate),
+        let reading = timeout(expires_at.since(started), reading);
+        let (body, reservation) = tokio::select! {
+            biased;
+            read = reading => read.unwrap_or(Err(Refusal::TooLate))?,
+            () = self.state.stop.last_start_passed() => return Err(Refusal::Stopping),
         };
         let service = self.state.route_request(&rule);
         let config = table.services.get(&service);
@@ -280,6 +300,17 @@
     table.find(host, request.uri().path())
 }
 
+/// Reads a body for a short time and drops it.
+async fn drop_body<B>(mut body: B)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    if timeout(LATE_BODY_TIME, reading).await.is_err() {
+        log::debug!("body of a refused request not read to its end");
+    }
+}
+
 pub(super) fn log_topic(refusal: Refusal) -> LogTopic {
     match refusal {
         Refusal::AnswerLost | Refusal::TimedOut => LogTopic::Failure,
--- a/crates/gateway/src/serve/request_pipeline.rs
+++ b/crates/gateway/src/serve/request_pipeline.rs
@@ -7,11 +7,11 @@
 
 use {
     crate::forward::ResponseBody,
-    camphorcove_net::http::PipelinedHead,
+    camphorcove_net::http::{PipelinedHead, ReadAhead},
     http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, Version},
     std::{
         collections::VecDeque,
-        sync::{Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     tokio::task::JoinHandle,
 };
@@ -24,9 +24,10 @@
 const MAX_HEADERS: usize = 100;
 
 /// Requests of one caller connection, in the order in which they arrive.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RequestPipeline {
     inner: Mutex<PipelineInner>,
+    read_ahead: Arc<ReadAhead>,
 }
 
 #[derive(Debug, Default)]
@@ -73,6 +74,14 @@
 }
 
 impl RequestPipeline {
+    /// Creates the pipeline of a connection that is read by `read_ahead`.
+    pub fn new(read_ahead: Arc<ReadAhead>) -> Self {
+        Self {
+            inner: Mutex::default(),
+            read_ahead,
+        }
+    }
+
     /// Records that hyper handed over the next request. Returns the call that was started for
     /// it, if there is one.
     pub fn begin(&self, method: &Method, id: Option<&HeaderValue>) -> Option<EarlyCall> {
@@ -101,9 +110,10 @@
         self.lock().answered
     }
 
-    /// Whether no request was started early and still has to be answered.
+    /// Whether no request behind the one that hyper handed over last has been started or read.
     pub fn is_drained(&self) -> bool {
-        self.lock().early_calls.is_empty()
+        let inner = self.lock();
+        inner.early_calls.is_empty() && self.read_ahead.head_count() <= inner.begun
     }
 
     /// Whether the request with this index may be started now: it is next, and those in front
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -5,8 +5,8 @@
 
 use {
     super::{
-        BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, SeenVersions,
-        ServerHash, StoreContact, StoreFeed,
+        BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, PlannedStop,
+        SeenVersions, ServerHash, StoreContact, StoreFeed,
     },
     crate::conf::GatewaySettings,
     camphorcove_core::{
@@ -27,7 +27,7 @@
         fmt,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64},
         },
         time::Duration,
     },
@@ -130,7 +130,8 @@
     /// Wakes the store followers when newer versions are known or this host has to watch the
     /// store.
     pub versions_changed: Notify,
-    stopping: AtomicBool,
+    /// Phases of the planned stop.
+    pub stop: PlannedStop,
     pub(super) is_leader: AtomicBool,
     inner: Mutex<StateInner>,
 }
@@ -158,6 +159,7 @@
         let mut random = ChaCha8Rng::from_rng(&mut random);
         let round_robin = WeightedRoundRobin::with_phase(rand::RngExt::random(&mut random));
         let body_budget = Arc::new(BodyBudget::new(settings.memory_mb));
+        let stop = PlannedStop::new(settings.stop_limit);
         Self {
             settings,
             clock: BootClock,
@@ -166,7 +168,7 @@
             body_budget,
             owners_changed: Notify::new(),
             versions_changed: Notify::new(),
-            stopping: AtomicBool::new(false),
+            stop,
             is_leader: AtomicBool::new(false),
             inner: Mutex::new(StateInner {
                 table: None,
@@ -228,12 +230,17 @@
 
     /// Starts the planned shutdown.
     pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stop.begin(self.now());
     }
 
     /// Whether the planned shutdown has started.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop.has_begun()
+    }
+
+    /// Whether the shutdown has come so far that no further request is sent to a server.
+    pub fn refuses_requests(&self) -> bool {
+        self.stop.last_start().is_some_and(|end| self.now() >= end)
     }
 
     /// Whether this host can serve new callers.
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -9,6 +9,7 @@
 mod limit_tracking;
 mod load_report;
 mod log_rate_limiter;
+mod planned_stop;
 mod seen_versions;
 mod server_pick;
 mod store_contact;
@@ -23,6 +24,7 @@
     limit_tracking::SharedLimit,
     load_report::{LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad},
     log_rate_limiter::{LogRateLimiter, LogTopic},
+    planned_stop::PlannedStop,
     seen_versions::{SeenVersions, StoreKind, VersionSpan},
     server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
     store_contact::StoreContact,
--- a/crates/gateway/tests/pipelining.rs
+++ b/crates/gateway/tests/pipelining.rs
@@ -146,28 +146,34 @@
 }
 
 /// Guards against a planned stop that closes a connection behind a response although requests
-/// behind it already run, and against one that starts further requests.
+/// behind it run or have been read, and against one that keeps the connection open for more.
 #[tokio::test]
-async fn stop_answers_the_requests_that_run_and_leaves_later_ones_unread() {
+async fn stop_answers_the_requests_that_have_been_read() {
     let server = slow_server().await;
     let host = start_host(&server).await;
     let requests = ["r1", "r2"].map(|id| request("GET", "/read/a", id, "", ""));
-    let later = request("GET", "/read/a", "r3", "", "");
+    let later = request("POST", "/write/a", "r3", "", "x");
 
     let mut stream = send(&host, &requests).await;
     sleep(WORK_TIME / 3).await;
     host.state.begin_stop();
     host.stop.send_replace(true);
     stream.write_all(later.as_bytes()).await.expect("sent");
-    let responses = read_responses(&mut stream, 2).await;
+    let responses = read_responses(&mut stream, 3).await;
     let mut rest = Vec::new();
     let closed = timeout(WORK_TIME, stream.read_to_end(&mut rest)).await;
 
-    assert_eq!(outcomes(&responses), [(200, "r1"), (200, "r2")]);
-    assert!(!responses[0].head.contains("connection: close"));
-    assert!(responses[1].head.contains("connection: close"));
+    let closing: Vec<bool> = responses
+        .iter()
+        .map(|response| response.head.contains("connection: close"))
+        .collect();
+    assert_eq!(
+        outcomes(&responses),
+        [(200, "r1"), (200, "r2"), (200, "r3")]
+    );
+    assert_eq!(closing, [false, false, true]);
     assert!(closed.is_ok() && rest.is_empty());
-    assert_eq!(server.log().requests.len(), 2);
+    assert_eq!(server.log().requests.len(), 3);
 }
 
 /// Guards against memory that one caller can fill with requests that it sends at once.
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -75,6 +75,11 @@
 
 /// Routes `/read/` (idempotent), `/write/` (at most once), `/key/` (keyed).
 pub fn table(version: u64) -> RouteTable {
+    table_with_time_limit(version, TIME_LIMIT)
+}
+
+/// The same with another time limit.
+pub fn table_with_time_limit(version: u64, time_limit: Duration) -> RouteTable {
     let limits = CallerLimits {
         header_bytes: 16_384,
         body_bytes: 1 << 20,
@@ -91,7 +96,7 @@
         host: "boats.example".into(),
         prefix: prefix.into(),
         retry,
-        time_limit: TIME_LIMIT,
+        time_limit,
         target_latency: TARGET_LATENCY,
         attempts: 2,
         split: vec![SplitPart {
--- a/crates/net/src/http/caller_stream.rs
+++ b/crates/net/src/http/caller_stream.rs
@@ -97,6 +97,16 @@
         lock(&self.inbound).guard.set_answered(answered);
     }
 
+    /// Number of complete heads that have been received.
+    pub fn head_count(&self) -> u64 {
+        lock(&self.inbound).guard.head_count()
+    }
+
+    /// Whether at least one request, of which the head has been received, is unanswered.
+    pub fn has_unanswered(&self) -> bool {
+        lock(&self.inbound).guard.has_unanswered()
+    }
+
     /// Returns the heads that arrived behind an unanswered request since the last call.
     pub fn take_pipelined(&self) -> Vec<PipelinedHead> {
         lock(&self.inbound).guard.take_pipelined()
--- a/crates/net/src/http/framing_guard.rs
+++ b/crates/net/src/http/framing_guard.rs
@@ -86,6 +86,11 @@
         self.answered = answered;
     }
 
+    /// Number of complete heads so far.
+    pub fn head_count(&self) -> u64 {
+        self.head_count
+    }
+
     /// Whether at least one request is unanswered.
     pub fn has_unanswered(&self) -> bool {
         self.head_count > self.answered
