Serve the connections in the accept queue when a stopping host closes its listener

Connections that the kernel had accepted, but not the host, were reset when the listener closed in a planned stop, with the requests that their callers had sent. The queue is now emptied by non-blocking calls on the socket itself, as tokio's listener may not know of the latest connections yet. Their requests are refused as not run.

Before: connections_in_the_accept_queue_are_served failed (a caller's connection was reset). Now it passes.

--- a/crates/gateway/src/serve/caller_listener.rs
+++ b/crates/gateway/src/serve/caller_listener.rs
@@ -101,7 +101,7 @@
                 _ = stop.wait_for(|stop| *stop) => break,
                 accepted = accept(&listener, &connection_slots) => {
                     if let Some((stream, slot)) = accepted {
-                        self.serve(stream, slot, &connections);
+                        self.serve(stream, Some(slot), &connections);
                     }
                 }
             }
@@ -113,12 +113,12 @@
                 () = &mut accept_period => break,
                 accepted = accept(&listener, &connection_slots) => {
                     if let Some((stream, slot)) = accepted {
-                        self.serve(stream, slot, &connections);
+                        self.serve(stream, Some(slot), &connections);
                     }
                 }
             }
         }
-        drop(listener);
+        self.serve_queue(listener, &connection_slots, &connections);
         let remaining = self.state.settings.stop_limit;
         let remaining = remaining.saturating_sub(STOP_ACCEPT_TIME + EXIT_MARGIN);
         let idle_time = remaining.saturating_sub(IDLE_CLOSE_MARGIN);
@@ -143,7 +143,42 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream, slot: OwnedSemaphorePermit, connections: &ConnectionGroup) {
+    /// Serves the connections in the listener's accept queue, which would be reset, and closes the
+    /// listener. They are served beyond the limit as well, as their requests are refused at once.
+    fn serve_queue(
+        &self,
+        listener: TcpListener,
+        connection_slots: &Arc<Semaphore>,
+        connections: &ConnectionGroup,
+    ) {
+        // tokio's listener may not have learned of the latest connections yet.
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::warn!(reason:% = error; "accept queue not emptied");
+                return;
+            }
+        };
+        while let Ok((stream, _)) = listener.accept() {
+            let accepted = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream));
+            match accepted {
+                Ok(stream) => {
+                    let slot = connection_slots.clone().try_acquire_owned().ok();
+                    self.serve(stream, slot, connections);
+                }
+                Err(error) => log::warn!(reason:% = error; "accept failed"),
+            }
+        }
+    }
+
+    fn serve(
+        &self,
+        stream: TcpStream,
+        slot: Option<OwnedSemaphorePermit>,
+        connections: &ConnectionGroup,
+    ) {
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!(reason:% = error; "cannot set TCP_NODELAY on a caller connection");
         }
--- a/crates/gateway/tests/late_requests.rs
+++ b/crates/gateway/tests/late_requests.rs
@@ -10,6 +10,7 @@
     },
     rstest::rstest,
     std::{
+        io::{Read, Write},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -20,6 +21,7 @@
     tokio::{
         io::AsyncWriteExt,
         net::TcpStream,
+        task::spawn_blocking,
         time::{Instant as RuntimeInstant, sleep, sleep_until},
     },
 };
@@ -30,6 +32,9 @@
 /// A stop time limit that the platform uses.
 const STOP_LIMIT: Duration = Duration::from_secs(6);
 
+/// Number of callers that connect while the host does not run.
+const QUEUED_CALLERS: usize = 8;
+
 /// A host that stops, its server, and when the stop began.
 struct StoppingHost {
     host: TestHost,
@@ -238,6 +243,34 @@
     assert_eq!(stopping.arrivals(), 0);
 }
 
+/// Guards against callers whose connections are reset because they wait in the accept queue when
+/// the listener closes.
+#[tokio::test]
+async fn connections_in_the_accept_queue_are_served() {
+    let stopping = StoppingHost::start(vec![response_after(0)], STOP_LIMIT).await;
+    let address = stopping.host.address;
+    stopping.at(3_100).await;
+    let mut callers = Vec::new();
+    for number in 0..QUEUED_CALLERS {
+        let id = format!("r{number}");
+        callers.push(spawn_blocking(move || {
+            let mut stream = std::net::TcpStream::connect(address).expect("listens");
+            let text = patient_request("POST", "/write/a", &id, "", "x");
+            stream.write_all(text.as_bytes()).expect("sent");
+            let mut answer = String::new();
+            let read = stream.read_to_string(&mut answer);
+            read.map(|_| answer)
+        }));
+    }
+    // The host runs on this thread, so the listener closes before it accepts any of them.
+    std::thread::sleep(Duration::from_millis(300));
+
+    for caller in callers {
+        let answer = caller.await.expect("no panic").expect("no reset");
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    }
+}
+
 /// Guards against a stop that takes its whole time although nothing is left to do.
 #[tokio::test]
 async fn stop_ends_when_all_connections_have_ended() {
