Stand-ins: servers that write refusals twice or cut their answers, and a soak with them

The soak switches between them with a random sequence of its own, so the other faults of a seed stay the same.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -47,6 +47,7 @@
             let backup = region.back_up();
             region.inject_fault().await;
             region.change_limits();
+            region.spoil_answers();
             region.restore_store(backup).await;
             sleep(Duration::from_millis(400)).await;
         }
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -4,7 +4,7 @@
     camphorcove_platform_standin::{
         caller::{CallerResponse, call, key_header, request},
         entries::{config_entry, route_entry, server_entry},
-        owning_server::{OwnershipLedger, OwningServer},
+        owning_server::{AnswerFault, OwnershipLedger, OwningServer},
         store_standin::{StoreBackup, StoreStandin},
     },
     camphorcove_standin::proxy::{ProxySettings, ProxyStandin},
@@ -94,6 +94,8 @@
     random: ChaCha8Rng,
     /// Decides about limits apart from the other faults, whose sequence a seed keeps.
     limit_random: ChaCha8Rng,
+    /// The same for the servers' answers.
+    answer_random: ChaCha8Rng,
     /// The same for the store's backups.
     backup_random: ChaCha8Rng,
     hosts: Vec<SoakHost>,
@@ -112,6 +114,7 @@
         let mut region = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
+            answer_random: ChaCha8Rng::seed_from_u64(seed ^ 4),
             backup_random: ChaCha8Rng::seed_from_u64(seed ^ 2),
             hosts: Vec::new(),
             store,
@@ -200,11 +203,22 @@
                 self.store.set_down(false);
             }
             6 => self.replace_server().await,
-            7 => self.ownership_ledger.lose_responses(true),
-            _ => self.ownership_ledger.lose_responses(false),
+            7 => self.ownership_ledger.set_answer_fault(AnswerFault::Lost),
+            _ => self.ownership_ledger.set_answer_fault(AnswerFault::None),
         }
     }
 
+    /// Makes servers write refusals twice, or cut their answers, or neither.
+    pub fn spoil_answers(&mut self) {
+        let fault = match self.answer_random.random_range(0..6) {
+            0 | 1 => AnswerFault::RefusedTwice,
+            2 | 3 => AnswerFault::Cut,
+            4 => AnswerFault::None,
+            _ => return,
+        };
+        self.ownership_ledger.set_answer_fault(fault);
+    }
+
     /// Makes a random server limit the rate of requests, or lifts its limit, or neither.
     pub fn change_limits(&mut self) {
         let server = self.limit_random.random_range(0..self.servers.len());
