--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -9,7 +9,7 @@
     crate::state::ServerPermit,
     bytes::{Bytes, BytesMut},
     camphorcove_core::{dispatch::RequestOutcome, fleet::ServerEntry, time::BootTime},
-    camphorcove_net::clock::BootClock,
+    camphorcove_net::{clock::BootClock, http::ends_with_connection},
     camphorcove_platform::{ResponseHead, decode_response, set_request_headers},
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri},
     http_body_util::{BodyExt, Full},
@@ -54,10 +54,8 @@
     pub entry: &'a ServerEntry,
     /// Number of connections that the server accepts from all hosts together.
     pub max_connections: u32,
-    /// Whether the connection must not have carried another request. A late second response to
-    /// an earlier attempt at this server has the id of the request, so that it could make the
-    /// caller believe that the request has not run.
-    pub needs_new_connection: bool,
+    /// Time from which the request is not sent any more, although a connection is open by then.
+    pub send_until: Option<BootTime>,
 }
 
 /// How an attempt ended.
@@ -102,7 +100,7 @@
     attempt_timeout: Option<AttemptTimeout<'_>>,
 ) -> CallOutcome {
     let entry = target.entry;
-    let mut pooled = match pool.acquire(target).await {
+    let mut pooled = match pool.acquire(target, &call.id).await {
         Ok(pooled) => pooled,
         Err(PoolError::Full) => {
             permit.end(RequestOutcome::Abandoned, None);
@@ -121,6 +119,10 @@
         return CallOutcome::NotSent("server has left".into());
     }
     let now = BootClock.now();
+    if target.send_until.is_some_and(|end| now >= end) {
+        permit.end(RequestOutcome::Abandoned, None);
+        return CallOutcome::NotSent("host stops".into());
+    }
     let time_left = call.expires_at.since(now);
     let Some(request) = build_request(call, entry, time_left) else {
         permit.end(RequestOutcome::Abandoned, None);
@@ -232,14 +234,20 @@
     let status = response.status();
     match &head.id {
         Some(id) if *id == call.id => {}
-        None if head.not_run || status == StatusCode::MISDIRECTED_REQUEST => {}
+        // On a connection that has carried a refusal, it may be a copy of that one.
+        None if is_refusal(&head, status) && pooled.refusals.is_empty() => {}
         _ => return Err(ExchangeFailure::Unknown("answer to another request".into())),
     }
-    if !head.signed && !head.not_run && status != StatusCode::MISDIRECTED_REQUEST {
+    if !head.signed && !is_refusal(&head, status) {
         return Err(ExchangeFailure::Unknown(format!(
             "answer {status} without signature"
         )));
     }
+    // Nothing would show that such a body has been truncated. The body of a refusal is not used.
+    let unframed = status.is_informational() || ends_with_connection(&response);
+    if unframed && !is_refusal(&head, status) {
+        return Err(ExchangeFailure::Unknown("answer without an end".into()));
+    }
     let (parts, body) = response.into_parts();
     let response = Response::from_parts(parts, ());
     let body = read_body(body)
@@ -252,6 +260,11 @@
     })
 }
 
+/// Whether the server states that it did not run the request.
+fn is_refusal(head: &ResponseHead, status: StatusCode) -> bool {
+    head.not_run || status == StatusCode::MISDIRECTED_REQUEST
+}
+
 async fn read_body(mut body: Incoming) -> Result<ReadBody, hyper::Error> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -267,7 +280,7 @@
 
 fn complete_call(
     pool: &Arc<ConnectionPool>,
-    pooled: PooledConnection,
+    mut pooled: PooledConnection,
     permit: ServerPermit,
     received: ServerResponse,
     caller_leaves_at: BootTime,
@@ -279,7 +292,7 @@
     } = received;
     permit.record_limit(head.limit);
     let status = response.status();
-    let not_run = head.not_run || status == StatusCode::MISDIRECTED_REQUEST;
+    let not_run = is_refusal(&head, status);
     let outcome = match status {
         _ if not_run => RequestOutcome::Refused,
         status if status.is_server_error() => RequestOutcome::Failure,
@@ -288,7 +301,13 @@
     let body = match body {
         ReadBody::Buffered(bytes) => {
             permit.end(outcome, head.load);
-            if !head.closes_connection {
+            // A server that names no ids in refusals could not refuse another request on this
+            // connection, as that refusal would not be believed.
+            let names_id = head.id.is_some();
+            if let Some(id) = head.id.filter(|_| not_run) {
+                pooled.refusals.record(&id);
+            }
+            if names_id && !head.closes_connection {
                 pool.release(pooled, head.idle_timeout);
             }
             ResponseBody::Buffered(bytes)
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -29,6 +29,8 @@
     Quarantined,
     /// Not run: the remaining time is too short.
     TooLate,
+    /// Not run: this host stops, and a server could no longer finish the request.
+    Stopping,
     /// May have run: the server's response was lost or is invalid.
     AnswerLost,
     /// May have run: no response before the deadline.
@@ -47,7 +49,8 @@
             | Self::Overloaded
             | Self::Limited
             | Self::Quarantined
-            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TooLate
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -66,6 +69,7 @@
         Refusal::Limited => "not run: the server limits the rate of requests",
         Refusal::Quarantined => "not run: servers have crashed under this request",
         Refusal::TooLate => "not run: too little time left",
+        Refusal::Stopping => "not run: the host stops",
         Refusal::AnswerLost => "the request may have run: its answer was lost",
         Refusal::TimedOut => "the request may have run: no answer in time",
     };
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -14,7 +14,7 @@
     camphorcove_platform_standin::{
         caller::{key_header, request},
         entries::{config_entry, route_entry},
-        owning_server::OwnershipLedger,
+        owning_server::{AnswerFault, OwnershipLedger},
         store_standin::{StoreBackup, StoreStandin},
     },
     camphorcove_standin::proxy::ProxySettings,
@@ -58,6 +58,8 @@
     random: ChaCha8Rng,
     /// Decides about limits apart from the other faults, whose sequence a seed keeps.
     limit_random: ChaCha8Rng,
+    /// The same for the servers' answers.
+    answer_random: ChaCha8Rng,
     /// The same for the store's backups.
     backup_random: ChaCha8Rng,
     /// The same for requests that crash servers.
@@ -93,6 +95,7 @@
         let mut region = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
+            answer_random: ChaCha8Rng::seed_from_u64(seed ^ 4),
             backup_random: ChaCha8Rng::seed_from_u64(seed ^ 2),
             crash_random: random_apart(seed, "crashes"),
             stop_random: random_apart(seed, "stops"),
@@ -184,11 +187,22 @@
                 let at = self.random.random_range(0..self.servers.count());
                 self.servers.replace(at).await;
             }
-            7 => self.ownership_ledger.lose_responses(true),
-            _ => self.ownership_ledger.lose_responses(false),
+            7 => self.ownership_ledger.set_answer_fault(AnswerFault::Lost),
+            _ => self.ownership_ledger.set_answer_fault(AnswerFault::None),
         }
     }
 
+    /// Makes servers write refusals twice, or cut their answers, or neither.
+    pub fn spoil_answers(&mut self) {
+        let fault = match self.answer_random.random_range(0..6) {
+            0 | 1 => AnswerFault::RefusedTwice,
+            2 | 3 => AnswerFault::Cut,
+            4 => AnswerFault::None,
+            _ => return,
+        };
+        self.ownership_ledger.set_answer_fault(fault);
+    }
+
     /// Makes a random server limit the rate of requests, or lifts its limit, or neither.
     pub fn change_limits(&mut self) {
         let ids = self.servers.ids();
