Pass on answers whose body ends with their connection

The change before refused every answer without a length. The platform allows them: a regular end of the connection is the end of the body, and only a reset shows a truncated one. Refusing them would cost callers answers that are whole. What stays refused is an answer in another transfer coding, whose header is not passed on, and a switch of protocols.

--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -9,7 +9,7 @@
     crate::state::ServerPermit,
     bytes::{Bytes, BytesMut},
     camphorcove_core::{dispatch::RequestOutcome, fleet::ServerEntry, time::BootTime},
-    camphorcove_net::{clock::BootClock, http::ends_with_connection},
+    camphorcove_net::{clock::BootClock, http::has_other_coding},
     camphorcove_platform::{ResponseHead, decode_response, set_request_headers},
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri},
     http_body_util::{BodyExt, Full},
@@ -243,10 +243,11 @@
             "answer {status} without signature"
         )));
     }
-    // Nothing would show that such a body has been truncated. The body of a refusal is not used.
-    let unframed = status.is_informational() || ends_with_connection(&response);
-    if unframed && !is_refusal(&head, status) {
-        return Err(ExchangeFailure::Unknown("answer without an end".into()));
+    let is_unreadable = status.is_informational() || has_other_coding(response.headers());
+    if is_unreadable && !is_refusal(&head, status) {
+        return Err(ExchangeFailure::Unknown(format!(
+            "answer {status} in another protocol or coding"
+        )));
     }
     let (parts, body) = response.into_parts();
     let response = Response::from_parts(parts, ());
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -9,7 +9,7 @@
 mod http_client;
 
 pub use {
-    body_framing::ends_with_connection,
+    body_framing::{ends_with_connection, has_other_coding},
     caller_stream::{CallerStream, ReadAhead},
     framing_guard::{FramingGuard, PipelinedHead},
     http_client::{ConnectionUse, ExchangeError, HttpClient},
