Servers that announce in their answers that they leave get no new requests

Callers of a server that leaves lost their requests until its entry in the store said that it drains, and for as long as the store was out of reach or returned an older entry: no code read Server-Leaving.

The fleet of each host now remembers the announcement for the start of the server that made it. It counts as draining from then on, whatever a list, a watch or a datagram says, so the existing rules apply: the leader moves its keys, requests for its keys reach it for LEAVING_SERVER_GRACE, and this is checked again before each request is sent. Services without keys use such a server only while none is ready. Hosts name such servers in each report and digests name them to all hosts until they have left, so that a lost datagram or a new leader does no harm. A later start of the server is not affected.

One line in the log when a host learns of it; leavings_total and leaving_servers on the metrics page. The messages between hosts change.

--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -9,6 +9,9 @@
 //! known to have done since is therefore kept: by an entry from a backup, it does not become ready
 //! again after it began to drain, an earlier start does not take the place of a later one, and
 //! a server that left is not used again.
+//!
+//! A server announces in its answers that it is about to leave. It counts as draining from then on,
+//! whatever its entry says: the store may be out of reach, or return an older entry.
 
 use {
     super::{RemovalRule, ServerEntry, ServerPhase},
@@ -26,6 +29,10 @@
 /// Time for which servers that left are remembered: longer than a backup is old.
 const DEPARTURE_MEMORY: Duration = Duration::from_secs(120);
 
+/// Time for which announcements of servers are remembered that are no longer in the fleet: a copy of
+/// the store may be hours old. An announcement takes about 100 bytes.
+const ANNOUNCEMENT_MEMORY: Duration = Duration::from_secs(24 * 3600);
+
 /// A change of the fleet, on which the host acts and which it logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetChange {
@@ -33,6 +40,8 @@
     Joined(ServerEntry),
     /// A server began to drain and takes no new work.
     Draining(ServerId),
+    /// A server whose entry is ready announces that it is about to leave.
+    Announced(ServerId),
     /// A server removed its entry without a drain; it gets no new work.
     Removed(ServerId),
     /// An entry vanished around a store outage; the server stays in the fleet until this time.
@@ -44,10 +53,20 @@
 #[derive(Clone, Debug)]
 struct TrackedServer {
     entry: ServerEntry,
-    /// When the server began to drain or removed its entry.
+    /// When the server began to drain, announced to leave or removed its entry.
     leaving_since: Option<BootTime>,
     /// Set when the entry was removed: time at which the server leaves the fleet.
     leaves_at: Option<BootTime>,
+    /// The server drains because it has announced to leave; its entry in the store is ready.
+    only_announced: bool,
+}
+
+/// Word of a server that it is about to leave.
+#[derive(Clone, Copy, Debug)]
+struct LeavingAnnouncement {
+    incarnation: u64,
+    /// When this host learned of it.
+    since: BootTime,
 }
 
 /// All servers known to this host, including those whose removed entry has not expired.
@@ -56,21 +75,28 @@
     servers: BTreeMap<ServerId, TrackedServer>,
     /// Start of each server that left, and when it left.
     departures: BTreeMap<ServerId, (u64, BootTime)>,
+    /// Latest announcement of each server; it holds for this start of the server and earlier ones.
+    announcements: BTreeMap<ServerId, LeavingAnnouncement>,
 }
 
 impl FleetView {
     /// Adds or updates the entry of a server.
     pub fn upsert(&mut self, entry: ServerEntry, now: BootTime) -> Option<FleetChange> {
         let id = entry.id.clone();
+        let announced_at = self.announced_at(&id, entry.incarnation);
+        let only_announced = announced_at.is_some() && entry.phase == ServerPhase::Ready;
+        let entry = self.with_announcement(entry);
         let drains = entry.phase == ServerPhase::Draining;
         let since = self
             .servers
             .get(&id)
             .and_then(|server| server.leaving_since);
+        let since = since.unwrap_or(now);
         let tracked = TrackedServer {
             entry: entry.clone(),
             leaves_at: None,
-            leaving_since: drains.then(|| since.unwrap_or(now)),
+            leaving_since: drains.then(|| announced_at.map_or(since, |at| at.min(since))),
+            only_announced,
         };
         let Some(old) = self.servers.insert(id.clone(), tracked) else {
             return Some(FleetChange::Joined(entry));
@@ -84,7 +110,8 @@
 
     /// Handles the removal of an entry.
     ///
-    /// A draining server leaves at once; for others, `rule` tells how long they stay.
+    /// A server whose entry says that it drains leaves at once; for others, `rule` tells how long
+    /// they stay.
     pub fn remove(
         &mut self,
         id: &ServerId,
@@ -95,7 +122,7 @@
         if server.leaves_at.is_some() {
             return None;
         }
-        if server.entry.phase == ServerPhase::Draining {
+        if server.entry.phase == ServerPhase::Draining && !server.only_announced {
             let left = (server.entry.incarnation, now);
             self.servers.remove(id);
             self.departures.insert(id.clone(), left);
@@ -104,7 +131,7 @@
         match rule {
             RemovalRule::Leaves => {
                 server.entry.phase = ServerPhase::Draining;
-                server.leaving_since = Some(now);
+                server.leaving_since.get_or_insert(now);
                 server.leaves_at = Some(now + REMOVAL_GRACE_PERIOD);
                 Some(FleetChange::Removed(id.clone()))
             }
@@ -153,6 +180,73 @@
         })
     }
 
+    /// Records that this start of a server is about to leave.
+    pub fn announce_leaving(
+        &mut self,
+        id: &ServerId,
+        incarnation: u64,
+        now: BootTime,
+    ) -> Option<FleetChange> {
+        let known = self.servers.get(id).map(|server| server.entry.incarnation);
+        let is_outdated = known.is_some_and(|known| known > incarnation);
+        if is_outdated || self.announced_at(id, incarnation).is_some() {
+            return None;
+        }
+        let announcement = LeavingAnnouncement {
+            incarnation,
+            since: now,
+        };
+        self.announcements.insert(id.clone(), announcement);
+        let server = self.servers.get_mut(id)?;
+        server.leaving_since.get_or_insert(now);
+        if server.entry.phase == ServerPhase::Draining {
+            return None;
+        }
+        server.entry.phase = ServerPhase::Draining;
+        server.only_announced = true;
+        Some(FleetChange::Announced(id.clone()))
+    }
+
+    /// When this start of a server, or a later one, announced to leave.
+    pub fn announced_at(&self, id: &ServerId, incarnation: u64) -> Option<BootTime> {
+        let announcement = self.announcements.get(id)?;
+        (incarnation <= announcement.incarnation).then_some(announcement.since)
+    }
+
+    /// Whether this is the last known entry of the server in the store.
+    pub fn is_stored(&self, entry: &ServerEntry) -> bool {
+        let Some(server) = self.servers.get(&entry.id) else {
+            return false;
+        };
+        let mut stored = server.entry.clone();
+        if server.only_announced && server.leaves_at.is_none() {
+            stored.phase = ServerPhase::Ready;
+        }
+        stored == *entry
+    }
+
+    /// The entry as the fleet has it: a server that has announced to leave drains.
+    fn with_announcement(&self, mut entry: ServerEntry) -> ServerEntry {
+        if self.announced_at(&entry.id, entry.incarnation).is_some() {
+            entry.phase = ServerPhase::Draining;
+        }
+        entry
+    }
+
+    /// Servers of the fleet that have announced to leave.
+    pub fn announced(&self) -> impl Iterator<Item = &ServerEntry> {
+        let announced =
+            |entry: &&ServerEntry| self.announced_at(&entry.id, entry.incarnation).is_some();
+        self.entries().filter(announced)
+    }
+
+    /// Whether the server drains because it has announced to leave, while its entry is ready.
+    pub fn is_only_announced(&self, id: &ServerId) -> bool {
+        self.servers
+            .get(id)
+            .is_some_and(|server| server.only_announced)
+    }
+
     /// Known servers that `entries` does not name.
     pub fn unlisted(&self, entries: &[ServerEntry]) -> Vec<ServerId> {
         let listed: BTreeSet<&ServerId> = entries.iter().map(|entry| &entry.id).collect();
@@ -163,6 +257,10 @@
     /// Removes servers whose time after the removal of their entry is over.
     pub fn expire(&mut self, now: BootTime) -> Vec<FleetChange> {
         let mut changes = Vec::new();
+        let servers = &self.servers;
+        self.announcements.retain(|id, announcement| {
+            servers.contains_key(id) || now.since(announcement.since) < ANNOUNCEMENT_MEMORY
+        });
         self.departures
             .retain(|_, (_, left_at)| now.since(*left_at) < DEPARTURE_MEMORY);
         let departures = &mut self.departures;
@@ -182,7 +280,8 @@
         self.servers.get(id).map(|server| &server.entry)
     }
 
-    /// Time at which the server began to drain or removed its entry; `None` if it does neither.
+    /// Time at which the server began to drain, announced to leave or removed its entry; `None` if
+    /// it did none of these.
     pub fn leaving_since(&self, id: &ServerId) -> Option<BootTime> {
         self.servers.get(id)?.leaving_since
     }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -14,6 +14,9 @@
 
 const START: BootTime = BootTime::from_millis(1_000);
 
+/// More than the time for which a server stays whose entry was removed.
+const LATER: Duration = Duration::from_millis(1_500);
+
 fn entry(phase: ServerPhase, incarnation: u64) -> ServerEntry {
     ServerEntry {
         id: "s-1".parse().expect("valid id"),
@@ -155,3 +158,73 @@
         Some(FleetChange::Joined(entry(ServerPhase::Ready, 2)))
     );
 }
+
+/// Guards against a server that becomes ready again by an entry in the store, after it has announced
+/// to leave, and against another start of it that pays for that.
+#[rstest]
+#[case::same_start(1, ServerPhase::Draining)]
+#[case::earlier_start(0, ServerPhase::Draining)]
+#[case::later_start(2, ServerPhase::Ready)]
+fn announcement_outlives_the_entries_of_its_start(
+    #[case] incarnation: u64,
+    #[case] phase: ServerPhase,
+) {
+    let mut fleet = fleet();
+    let id = entry(ServerPhase::Ready, 1).id;
+
+    let announced = fleet.announce_leaving(&id, 1, START);
+    let again = fleet.announce_leaving(&id, 1, START + LATER);
+    fleet.remove(&id, RemovalRule::Leaves, START + LATER);
+    fleet.expire(START + LATER * 2);
+    let left = fleet.get(&id).is_none();
+    fleet.upsert(entry(ServerPhase::Ready, incarnation), START + LATER * 3);
+
+    assert_eq!(announced, Some(FleetChange::Announced(id.clone())));
+    assert_eq!(again, None);
+    assert!(left);
+    assert_eq!(fleet.get(&id).map(|entry| entry.phase), Some(phase));
+    let since = (phase == ServerPhase::Draining).then_some(START);
+    assert_eq!(fleet.leaving_since(&id), since);
+}
+
+/// Guards against keyed requests that are refused at once when a server that has announced to leave
+/// removes its entry: it serves its keys until they have moved, as others do.
+#[test]
+fn announced_server_without_an_entry_serves_its_keys_for_a_while() {
+    let mut fleet = fleet();
+    let id = entry(ServerPhase::Ready, 1).id;
+    fleet.announce_leaving(&id, 1, START);
+
+    let removed = fleet.remove(&id, RemovalRule::Leaves, START + LATER);
+
+    assert_eq!(removed, Some(FleetChange::Removed(id.clone())));
+    assert_eq!(fleet.leaving_since(&id), Some(START));
+}
+
+/// Guards against an answer of an earlier start, which arrives late and takes a server that has
+/// started again out of use.
+#[test]
+fn announcement_of_an_earlier_start_does_not_count() {
+    let mut fleet = FleetView::default();
+    fleet.upsert(entry(ServerPhase::Ready, 2), START);
+    let id = entry(ServerPhase::Ready, 2).id;
+
+    let announced = fleet.announce_leaving(&id, 1, START);
+
+    assert_eq!(announced, None);
+    assert_eq!(fleet.announced().count(), 0);
+    assert_eq!(fleet.leaving_since(&id), None);
+}
+
+/// Guards against followers that are not told of a drain, because a host that lists the store knows
+/// of it from the server's answers already.
+#[test]
+fn announcement_is_no_entry_of_the_store() {
+    let mut fleet = fleet();
+    let ready = entry(ServerPhase::Ready, 1);
+
+    fleet.announce_leaving(&ready.id, 1, START);
+
+    assert!(fleet.is_stored(&ready));
+    assert!(!fleet.is_stored(&entry(ServerPhase::Draining, 1)));
+}
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -269,6 +269,9 @@
         body,
     } = received;
     permit.record_limit(head.limit);
+    if head.leaving {
+        permit.record_leaving();
+    }
     let status = response.status();
     let not_run = head.not_run || status == StatusCode::MISDIRECTED_REQUEST;
     let outcome = match status {
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -221,6 +221,7 @@
         for limit in &report.load.limits {
             self.limits.record_report(limit, now);
         }
+        self.state.record_leaving_servers(&report.load.leaving);
         if is_predecessor {
             log::info!(host = report.host.as_str(); "previous leader has stopped acting");
             self.predecessor = Predecessor::Ended;
@@ -298,6 +299,7 @@
             watchers,
             servers,
             limits,
+            leaving: self.state.leaving_list(),
             peers: match lists_peers {
                 true => self.peers.clone(),
                 false => Vec::new(),
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -32,6 +32,11 @@
             "Requests sent to servers that limit the rate of requests.",
             &counters.limited,
         ),
+        (
+            "leavings_total",
+            "Announcements of servers that they leave.",
+            &counters.leavings,
+        ),
         ("repeated_total", "Repeats sent.", &counters.retries),
         (
             "connections_total",
@@ -74,6 +79,11 @@
             "Servers that limit the rate of requests.",
             state.limited_servers() as u64,
         ),
+        (
+            "leaving_servers",
+            "Servers that have announced to leave.",
+            state.leaving_servers() as u64,
+        ),
     ];
     for (name, help, value) in gauges {
         let gauge = IntGauge::new(format!("camphorcove_{name}"), help)?;
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -6,7 +6,8 @@
 
 use {
     crate::state::{
-        ConfigCopy, FleetUpdate, LoadReport, SeenVersions, ServerHash, SharedLimit, VersionedChange,
+        ConfigCopy, FleetUpdate, LeavingServer, LoadReport, SeenVersions, ServerHash, SharedLimit,
+        VersionedChange,
     },
     bincode::{Decode, Encode, config},
     camphorcove_core::{
@@ -70,6 +71,8 @@
     pub servers: Vec<(ServerHash, u32)>,
     /// Servers that limit the rate of requests, and what all hosts may send them.
     pub limits: Vec<SharedLimit>,
+    /// Servers that have announced to leave.
+    pub leaving: Vec<LeavingServer>,
     /// Addresses of all hosts, to which a later leader announces itself; empty in most
     /// digests.
     pub peers: Vec<SocketAddr>,
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -91,7 +91,7 @@
         let removed = inner.fleet.unlisted(&entries);
         let rule = inner.removal_rule(removed.len(), now);
         let known = inner.fleet.clone();
-        let differs = |entry: &&ServerEntry| known.get(&entry.id) != Some(*entry);
+        let differs = |entry: &&ServerEntry| !known.is_stored(entry);
         let put: Vec<ServerEntry> = entries.iter().filter(differs).cloned().collect();
         let changes = Arc::make_mut(&mut inner.fleet).replace(entries, rule, now);
         inner.fleet_listed = true;
@@ -307,7 +307,7 @@
     }
 
     /// Creates and removes load gauges to match the changes, and logs the changes.
-    fn apply_changes(&mut self, changes: &[FleetChange], now: BootTime) {
+    pub(super) fn apply_changes(&mut self, changes: &[FleetChange], now: BootTime) {
         for change in changes {
             match change {
                 FleetChange::Joined(entry) => {
@@ -324,6 +324,9 @@
                 FleetChange::Draining(id) => {
                     log::info!(server = id.as_str(); "server is draining");
                 }
+                FleetChange::Announced(id) => {
+                    log::info!(server = id.as_str(); "server announces that it leaves, sending no new requests");
+                }
                 FleetChange::Removed(id) => {
                     log::info!(server = id.as_str(); "server entry removed, sending no new requests");
                 }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -53,6 +53,8 @@
     pub failed: AtomicU64,
     /// Requests sent to servers that limit the rate of requests.
     pub limited: AtomicU64,
+    /// Announcements of servers that they leave, in answers to this host.
+    pub leavings: AtomicU64,
     /// Retries sent to servers.
     pub retries: AtomicU64,
     /// Connections opened to servers.
--- a/crates/gateway/src/state/load_report.rs
+++ b/crates/gateway/src/state/load_report.rs
@@ -1,7 +1,7 @@
 //! What a host measures at servers and reports to the leader.
 
 use {
-    super::HostState,
+    super::{HostState, LeavingServer},
     bincode::{Decode, Encode},
     camphorcove_core::{
         dispatch::{LimitGate, LimitedRequests, NamedLimit, ServerGauge},
@@ -63,6 +63,9 @@
     pub servers: Vec<ServerLoad>,
     /// Servers that limit the rate of requests, or have just ceased to.
     pub limits: Vec<LimitReport>,
+    /// Servers that have announced to leave, in each report until they have left: a datagram may be
+    /// lost, and a new leader has to learn of them.
+    pub leaving: Vec<LeavingServer>,
     /// Number of requests per service and key since the last report.
     pub keys: Vec<(ServiceName, Vec<(u16, u32)>)>,
 }
@@ -70,6 +73,7 @@
 impl HostState {
     /// Returns the load since the last call, for the report to the leader.
     pub fn take_load_report(&self, scope: ReportScope) -> LoadReport {
+        let leaving = self.leaving_list();
         let mut inner = self.lock();
         let mut servers = Vec::new();
         let mut limits = Vec::new();
@@ -94,6 +98,7 @@
         LoadReport {
             servers,
             limits,
+            leaving,
             keys,
         }
     }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod fleet_tracking;
 mod fleet_update;
 mod host_state;
+mod leaving_tracking;
 mod limit_tracking;
 mod load_report;
 mod log_rate_limiter;
@@ -20,6 +21,7 @@
     config_copy::ConfigCopy,
     fleet_update::FleetUpdate,
     host_state::{HostCounters, HostState},
+    leaving_tracking::LeavingServer,
     limit_tracking::SharedLimit,
     load_report::{LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad},
     log_rate_limiter::{LogRateLimiter, LogTopic},
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -19,8 +19,8 @@
 };
 
 /// Time after which a leaving server gets no more keyed requests, even if its keys have no
-/// new owner yet. No request may reach a server later than 2 s after the store shows that it
-/// leaves.
+/// new owner yet. No request may reach a server later than 2 s after the store shows or an answer
+/// announces that it leaves.
 const LEAVING_SERVER_GRACE: Duration = Duration::from_millis(1_300);
 
 /// Usual duration of a move of keys: the old owner finishes its running requests, then follow
@@ -93,6 +93,7 @@
 pub struct ServerPermit {
     state: Arc<HostState>,
     server: ServerId,
+    incarnation: u64,
     started: BootTime,
     open: bool,
 }
@@ -103,6 +104,11 @@
         self.state.record_limit(&self.server, limit);
     }
 
+    /// Records that the server's answer announces that it leaves.
+    pub fn record_leaving(&self) {
+        self.state.record_leaving(&self.server, self.incarnation);
+    }
+
     /// Records how the request ended.
     pub fn end(mut self, outcome: RequestOutcome, load: Option<ReportedLoad>) {
         self.finish(outcome, load);
@@ -148,17 +154,38 @@
 }
 
 impl StateInner {
-    /// Ready servers of a service without keys.
+    /// Ready servers of a service without keys. If there are none, those that have announced to
+    /// leave and still take requests.
     fn list_offers<'f>(
         &self,
         fleet: &'f FleetView,
         query: PickQuery<'_>,
         zone: &ZoneName,
         now: BootTime,
+    ) -> ServerOffers<'f> {
+        let is_ready = |entry: &ServerEntry| entry.phase == ServerPhase::Ready;
+        let offers = self.list_servers(fleet, query, zone, now, is_ready);
+        if !offers.entries.is_empty() {
+            return offers;
+        }
+        let still_serves = |entry: &ServerEntry| {
+            fleet.is_only_announced(&entry.id) && self.may_send_to(entry, now)
+        };
+        self.list_servers(fleet, query, zone, now, still_serves)
+    }
+
+    /// Servers of a service without keys that `is_offered` accepts.
+    fn list_servers<'f>(
+        &self,
+        fleet: &'f FleetView,
+        query: PickQuery<'_>,
+        zone: &ZoneName,
+        now: BootTime,
+        is_offered: impl Fn(&ServerEntry) -> bool,
     ) -> ServerOffers<'f> {
         let mut offers = ServerOffers::default();
         for entry in fleet.entries() {
-            if entry.service != *query.service || entry.phase != ServerPhase::Ready {
+            if entry.service != *query.service || !is_offered(entry) {
                 continue;
             }
             let Some(gauge) = self.gauges.get(&entry.id) else {
@@ -330,6 +357,7 @@
         let permit = ServerPermit {
             state: self.clone(),
             server: entry.id.clone(),
+            incarnation: entry.incarnation,
             started,
             open: true,
         };
