Tests that hints of servers are logged once and reported each time

pause_begins_and_ends_once guards the log lines of a pause: it begins once, is extended without a second line and ends once; an answer of an earlier start does not count. each_report_names_a_leaving_server guards against an announcement that is lost with a datagram or a leader.

--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -3,8 +3,8 @@
 use {
     camphorcove_core::{
         dispatch::{
-            Admission, AdmissionRule, Candidate, HostCount, ReportedLoad, RequestOutcome,
-            RetryWindow, ServerGauge, choose_server, retry_after,
+            Admission, AdmissionRule, Candidate, HostCount, PauseTable, ReportedLoad,
+            RequestOutcome, RetryWindow, ServerGauge, choose_server, retry_after,
         },
         time::BootTime,
     },
@@ -250,3 +250,23 @@
     assert!(earliest >= Duration::from_millis(100) && latest <= Duration::from_secs(3));
     assert!(latest.as_secs_f64() / earliest.as_secs_f64() > 1.5);
 }
+
+/// Guards against a pause that begins or ends more than once in the log, and against one that another
+/// start of the server pays for.
+#[test]
+fn pause_begins_and_ends_once() {
+    let mut pauses = PauseTable::default();
+    let server = "s-1".parse().expect("valid id");
+    let start = BootTime::from_millis(1_000);
+    let second = Duration::from_secs(1);
+
+    let begun = pauses.record(&server, 2, second, start);
+    let extended = pauses.record(&server, 2, second * 2, start);
+    let earlier_start = pauses.record(&server, 1, second * 9, start);
+    let early = pauses.expire(start + second);
+    let ended = pauses.expire(start + second * 2);
+
+    assert_eq!((begun, extended, earlier_start), (Some(second), None, None));
+    assert_eq!((early, ended), (Vec::new(), vec![server]));
+    assert!(pauses.expire(start + second * 3).is_empty());
+}
--- a/crates/gateway/tests/server_leaving.rs
+++ b/crates/gateway/tests/server_leaving.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use {
-    camphorcove_gateway::state::VersionSpan,
+    camphorcove_gateway::state::{LeavingServer, ReportScope, ServerHash, VersionSpan},
     camphorcove_platform_standin::{
         owning_server::{OwnershipLedger, OwningServer},
         scripted_server::{ScriptedServer, Step, complete_response, response},
@@ -211,3 +211,24 @@
     assert_eq!(ledger.requests(leaving), before);
     assert_eq!(ledger.violations(), Vec::<String>::new());
 }
+
+/// Guards against an announcement that is lost with one datagram or with the leader that knew it:
+/// each report names it, and a digest that names it again changes nothing.
+#[tokio::test]
+async fn each_report_names_a_leaving_server() {
+    let single = start_single_host("plain", 1).await;
+    announce(&single).await;
+    let state = &single.host.state;
+
+    let first = state.take_load_report(ReportScope::Changes).leaving;
+    state.record_leaving_servers(&first);
+    let second = state.take_load_report(ReportScope::Changes).leaving;
+
+    let server = ServerHash::of(&single.entries[0].id);
+    let incarnation = single.entries[0].incarnation;
+    let leaving = LeavingServer {
+        server,
+        incarnation,
+    };
+    assert_eq!((first, second), (vec![leaving], vec![leaving]));
+}
