Soak test: servers announce to leave and turn requests away

Servers of the soak test now and then name a pause or announce to leave; these are replaced and end 3.5 s later, and their entries say that they are ready until then.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -31,7 +31,8 @@
 }
 
 /// Guards against two owners of a key, at-most-once requests that run twice, requests that ran
-/// although they were refused as not run, more requests than a server takes, wrong responses, a planned stop that fails, and keys
+/// although they were refused as not run, more requests than a server takes, requests for
+/// servers that have announced to leave or want none, wrong responses, a planned stop that fails, and keys
 /// that remain without an owner.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_random_faults() {
@@ -47,6 +48,7 @@
             let backup = region.back_up();
             region.inject_fault().await;
             region.change_limits();
+            region.give_hints().await;
             region.restore_store(backup).await;
             sleep(Duration::from_millis(400)).await;
         }
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -66,6 +66,10 @@
 /// Number of ports that this process has tried.
 static PORTS_TAKEN: AtomicU32 = AtomicU32::new(0);
 
+/// Time from a server's announcement until it ends: longer than that in which it takes requests, so
+/// that later ones are noticed.
+const LEAVING_TIME: Duration = Duration::from_millis(3_500);
+
 /// A host process whose connections to the store go through a proxy.
 struct SoakHost {
     settings: PathBuf,
@@ -96,6 +100,8 @@
     limit_random: ChaCha8Rng,
     /// The same for the store's backups.
     backup_random: ChaCha8Rng,
+    /// The same for what servers say in their answers.
+    hint_random: ChaCha8Rng,
     hosts: Vec<SoakHost>,
     store: StoreStandin,
     ownership_ledger: OwnershipLedger,
@@ -113,6 +119,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
             backup_random: ChaCha8Rng::seed_from_u64(seed ^ 2),
+            hint_random: ChaCha8Rng::seed_from_u64(seed ^ 3),
             hosts: Vec::new(),
             store,
             ownership_ledger: OwnershipLedger::default(),
@@ -216,6 +223,32 @@
         }
     }
 
+    /// Makes a random server turn requests away for a time, or announce that it leaves and be
+    /// replaced, or neither.
+    pub async fn give_hints(&mut self) {
+        let at = self.hint_random.random_range(0..self.servers.len());
+        match self.hint_random.random_range(0..4) {
+            0 => {
+                let pause = Duration::from_millis(self.hint_random.random_range(200..2_500));
+                let id = &self.servers[at].0.id;
+                self.ownership_ledger.turn_away(id, pause);
+            }
+            1 => {
+                let (server, service) = self.servers.swap_remove(at);
+                self.ownership_ledger.announce_leaving(&server.id);
+                let store = self.store.clone();
+                tokio::spawn(async move {
+                    // Its entry says "ready" until it has gone.
+                    sleep(LEAVING_TIME).await;
+                    server.crash();
+                    store.remove("servers", &server.id);
+                });
+                self.add_server(service).await;
+            }
+            _ => {}
+        }
+    }
+
     /// Sometimes returns the store to `backup`, with or without an outage before. Servers that live
     /// then write their entries again, and the entries of others are gone.
     pub async fn restore_store(&mut self, backup: StoreBackup) {
