--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -116,7 +116,7 @@
     // meanwhile.
     if !pool.may_use(entry) {
         permit.end(RequestOutcome::Abandoned, None);
-        return CallOutcome::NotSent("server has left".into());
+        return CallOutcome::NotSent("server takes no more requests".into());
     }
     let now = BootClock.now();
     if target.send_until.is_some_and(|end| now >= end) {
@@ -129,7 +129,7 @@
         return CallOutcome::NotSent("request cannot be built".into());
     };
     let result = {
-        let exchange = exchange(&mut pooled, request, call);
+        let exchange = exchange(pool, &mut pooled, entry, request, call);
         tokio::pin!(exchange);
         let early = match attempt_timeout {
             Some(attempt_timeout) if attempt_timeout.duration < time_left => {
@@ -212,7 +212,9 @@
 
 /// Sends the request, validates the response's headers and reads the start of its body.
 async fn exchange(
+    pool: &ConnectionPool,
     pooled: &mut PooledConnection,
+    entry: &ServerEntry,
     request: Request<Full<Bytes>>,
     call: &CallRequest,
 ) -> Result<ServerResponse, ExchangeFailure> {
@@ -249,6 +251,8 @@
             "answer {status} in another protocol or coding"
         )));
     }
+    // The body may come late or break off.
+    pool.record_hints(entry, status, &head);
     let (parts, body) = response.into_parts();
     let response = Response::from_parts(parts, ());
     let body = read_body(body)
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -37,6 +37,21 @@
             "Requests refused because servers have crashed under them.",
             &counters.quarantined,
         ),
+        (
+            "leavings_total",
+            "Announcements of servers that they leave.",
+            &counters.leavings,
+        ),
+        (
+            "pauses_total",
+            "Times that servers named for which they want no requests.",
+            &counters.pauses,
+        ),
+        (
+            "paused_total",
+            "Requests refused because a server wants none for a time.",
+            &counters.paused,
+        ),
         ("repeated_total", "Repeats sent.", &counters.retries),
         (
             "connections_total",
@@ -84,6 +99,16 @@
             "Requests in quarantine, as servers have crashed under them.",
             state.quarantined_requests() as u64,
         ),
+        (
+            "leaving_servers",
+            "Servers that have announced to leave.",
+            state.leaving_servers() as u64,
+        ),
+        (
+            "paused_servers",
+            "Servers that want no requests from this host.",
+            state.paused_servers() as u64,
+        ),
     ];
     for (name, help, value) in gauges {
         let gauge = IntGauge::new(format!("camphorcove_{name}"), help)?;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -27,6 +27,8 @@
     Limited,
     /// Not run: servers have crashed under this request.
     Quarantined,
+    /// Not run: the servers want no requests for a time.
+    Paused,
     /// Not run: the remaining time is too short.
     TooLate,
     /// Not run: this host stops, and a server could no longer finish the request.
@@ -49,6 +51,7 @@
             | Self::Overloaded
             | Self::Limited
             | Self::Quarantined
+            | Self::Paused
             | Self::TooLate
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
@@ -68,6 +71,7 @@
         Refusal::Overloaded => "not run: overloaded",
         Refusal::Limited => "not run: the server limits the rate of requests",
         Refusal::Quarantined => "not run: servers have crashed under this request",
+        Refusal::Paused => "not run: the server wants no requests for a time",
         Refusal::TooLate => "not run: too little time left",
         Refusal::Stopping => "not run: the host stops",
         Refusal::AnswerLost => "the request may have run: its answer was lost",
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -6,9 +6,11 @@
 mod fleet_tracking;
 mod fleet_update;
 mod host_state;
+mod leaving_tracking;
 mod limit_tracking;
 mod load_report;
 mod log_rate_limiter;
+mod pause_tracking;
 mod planned_stop;
 mod seen_versions;
 mod server_pick;
@@ -23,6 +25,7 @@
     config_copy::ConfigCopy,
     fleet_update::FleetUpdate,
     host_state::{HostCounters, HostState},
+    leaving_tracking::LeavingServer,
     limit_tracking::SharedLimit,
     load_report::{LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad},
     log_rate_limiter::{LogRateLimiter, LogTopic},
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -62,6 +62,8 @@
     answer_random: ChaCha8Rng,
     /// The same for the store's backups.
     backup_random: ChaCha8Rng,
+    /// The same for what servers say in their answers.
+    hint_random: ChaCha8Rng,
     /// The same for requests that crash servers.
     crash_random: ChaCha8Rng,
     /// The same for series of stops and changes.
@@ -97,6 +99,7 @@
             limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
             answer_random: ChaCha8Rng::seed_from_u64(seed ^ 4),
             backup_random: ChaCha8Rng::seed_from_u64(seed ^ 2),
+            hint_random: ChaCha8Rng::seed_from_u64(seed ^ 3),
             crash_random: random_apart(seed, "crashes"),
             stop_random: random_apart(seed, "stops"),
             link_random: random_apart(seed, "links"),
@@ -214,6 +217,24 @@
         }
     }
 
+    /// Makes a random server turn requests away for a time, or announce that it leaves and be
+    /// replaced, or neither.
+    pub async fn give_hints(&mut self) {
+        match self.hint_random.random_range(0..4) {
+            0 => {
+                let ids = self.servers.ids();
+                let id = &ids[self.hint_random.random_range(0..ids.len())];
+                let pause = Duration::from_millis(self.hint_random.random_range(200..2_500));
+                self.ownership_ledger.turn_away(id, pause);
+            }
+            1 => {
+                let at = self.hint_random.random_range(0..self.servers.count());
+                self.servers.leave(at).await;
+            }
+            _ => {}
+        }
+    }
+
     /// Sometimes starts a series of requests that crash servers, which goes on beside other faults.
     pub fn start_crash_series(&mut self) {
         if self.crash_random.random_range(0..3) > 0 {
--- a/crates/gateway/tests/support/soak_servers.rs
+++ b/crates/gateway/tests/support/soak_servers.rs
@@ -21,6 +21,10 @@
 /// Time after which the store entry of a crashed server is removed.
 const ENTRY_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Time from a server's announcement until it ends: longer than that in which it takes requests, so
+/// that later ones are noticed.
+const LEAVING_TIME: Duration = Duration::from_millis(3_500);
+
 /// Time for which a server that a request ended refuses connections, in milliseconds.
 const DOWN_TIME_MS: std::ops::Range<u64> = 1_000..3_000;
 
@@ -144,6 +148,29 @@
         self.add(service).await;
     }
 
+    /// Makes a server announce that it leaves, and starts another one for its service. Its entry says
+    /// "ready" until it has gone.
+    pub async fn leave(&self, at: usize) {
+        let leaving = {
+            let mut list = self.lock();
+            (at < list.servers.len()).then(|| list.servers.swap_remove(at))
+        };
+        let Some(SoakServer {
+            server, service, ..
+        }) = leaving
+        else {
+            return;
+        };
+        self.ledger.announce_leaving(&server.id);
+        let servers = self.clone();
+        tokio::spawn(async move {
+            sleep(LEAVING_TIME).await;
+            server.crash();
+            servers.remove_entry(&server.id);
+        });
+        self.add(service).await;
+    }
+
     /// Removes entries of servers that do not run, and writes those of all others again.
     pub fn rewrite_entries(&self) {
         let list = self.lock();
