Fault soak: number of hosts for runs by hand

SOAK_HOSTS=60 starts 60 host processes and 60 servers. Requests that cross the close of an idle connection are printed one by one, so that each can be traced.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -1,7 +1,8 @@
 //! Real host processes under random faults; callers and servers check the guarantees.
 //!
 //! `SOAK_SEEDS=1000..1050 cargo test -p camphorcove-gateway --test soak -- --nocapture`
-//! runs the given seeds; without `SOAK_SEEDS`, a few fixed seeds are run.
+//! runs the given seeds; without `SOAK_SEEDS`, a few fixed seeds are run. `SOAK_HOSTS=60` runs them
+//! with 60 hosts and servers in proportion.
 
 mod support;
 
@@ -32,13 +33,19 @@
     seeds.collect()
 }
 
+/// Number of hosts for runs by hand at a larger size; `None` for the usual number.
+fn host_count() -> Option<usize> {
+    let text = env::var("SOAK_HOSTS").ok()?;
+    Some(text.parse().expect("SOAK_HOSTS is a number of hosts"))
+}
+
 /// Guards against two owners of a key, at-most-once requests that run twice, requests that ran
 /// although they were refused as not run, more requests than a server takes, wrong responses, a planned stop that fails, and keys
 /// that remain without an owner.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_random_faults() {
     for seed in seeds() {
-        let mut region = SoakRegion::start(seed).await;
+        let mut region = SoakRegion::start(seed, host_count()).await;
         assert!(
             region.wait_until_served(RECOVERY_LIMIT).await,
             "seed {seed}: never served"
--- a/crates/gateway/tests/support/kept_callers.rs
+++ b/crates/gateway/tests/support/kept_callers.rs
@@ -74,7 +74,6 @@
         ownership_ledger: &OwnershipLedger,
     ) -> Vec<String> {
         let mut violations = Vec::new();
-        let mut crossed = 0;
         for task in self.tasks {
             for cut in task.await.expect("the caller ends") {
                 let host = &hosts[cut.host];
@@ -85,7 +84,10 @@
                 let runs = ownership_ledger.runs(&cut.id);
                 let waited = closed_at - sent_at;
                 if host.was_stopped(sent_at, closed_at) && runs == 0 && waited < CROSSING_TIME {
-                    crossed += 1;
+                    println!(
+                        "request {} to host {} crossed the close after {waited:?}",
+                        cut.id, cut.host
+                    );
                     continue;
                 }
                 violations.push(format!(
@@ -94,7 +96,6 @@
                 ));
             }
         }
-        println!("{crossed} requests crossed the close of their connection by a planned stop");
         violations
     }
 }
--- a/crates/gateway/tests/support/soak_region.rs
+++ b/crates/gateway/tests/support/soak_region.rs
@@ -39,7 +39,7 @@
 /// leader.
 const HOSTS: usize = 5;
 
-/// Numbers of servers of the keyed and of the plain service at the start.
+/// Numbers of servers of the keyed and of the plain service for these hosts; more hosts get more.
 const KEYED_SERVERS: usize = 3;
 const PLAIN_SERVERS: usize = 2;
 
@@ -82,14 +82,18 @@
 }
 
 impl SoakRegion {
-    pub async fn start(seed: u64) -> Self {
+    /// Starts `hosts` hosts and a number of servers in proportion.
+    pub async fn start(seed: u64, hosts: Option<usize>) -> Self {
+        let host_count = hosts.unwrap_or(HOSTS);
+        let servers_for = |servers: usize| (servers * host_count).div_ceil(HOSTS);
         let (store, address) = StoreStandin::start().await;
         store.put("config", "main", config(1));
         let ownership_ledger = OwnershipLedger::default();
-        let addresses = [(); HOSTS].map(|()| RelayedHost {
+        let address_of = |_| RelayedHost {
             public: free_port(),
             own: free_port(),
-        });
+        };
+        let addresses: Vec<RelayedHost> = (0..host_count).map(address_of).collect();
         let mut region = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             limit_random: ChaCha8Rng::seed_from_u64(seed ^ 1),
@@ -110,10 +114,10 @@
             violations: Vec::new(),
             stop: Arc::default(),
         };
-        for _ in 0..KEYED_SERVERS {
+        for _ in 0..servers_for(KEYED_SERVERS) {
             region.servers.add("keyed").await;
         }
-        for _ in 0..PLAIN_SERVERS {
+        for _ in 0..servers_for(PLAIN_SERVERS) {
             region.servers.add("plain").await;
         }
         region
