A stopping host serves the connections that wait when its listener closes

The connection was in the backlog of the listener: a host that gets no processor time for a while sees the end of its accept time and the waiting connections at once, and dropping the listener made the system reset these.

connections_that_wait_when_the_listener_closes_are_served fails without the change: the connection closes without an answer. The host now takes the waiting connections before it closes the listener, and lets them read the requests that have arrived before it asks all connections to close.

--- a/crates/gateway/src/serve/caller_listener.rs
+++ b/crates/gateway/src/serve/caller_listener.rs
@@ -37,6 +37,10 @@
 /// probes readiness once a second and stops sending callers after two failed probes.
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(3_200);
 
+/// Time after the listener has closed in which connections that were accepted last read the
+/// requests that have arrived on them: many turns of the event loop.
+const ARRIVED_READ_TIME: Duration = Duration::from_millis(20);
+
 /// Part of the stop time limit that is reserved for the process to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -101,9 +105,13 @@
                 accepted = accept(&listener, &connection_slots) => self.serve(accepted, &connections),
             }
         }
-        drop(listener);
+        for accepted in accept_waiting(listener, &connection_slots) {
+            self.serve(Some(accepted), &connections);
+        }
+        sleep(ARRIVED_READ_TIME).await;
         let remaining = self.state.settings.stop_limit;
-        let remaining = remaining.saturating_sub(STOP_ACCEPT_TIME + EXIT_MARGIN);
+        let remaining =
+            remaining.saturating_sub(STOP_ACCEPT_TIME + ARRIVED_READ_TIME + EXIT_MARGIN);
         if timeout(remaining, connections.close()).await.is_err() {
             log::warn!("stop time limit reached; closing connections with running requests");
         }
@@ -149,6 +157,35 @@
     }
 }
 
+/// Closes the listener and returns the connections that wait in its backlog, which the system has
+/// accepted and would reset. After a time without processor, many may wait.
+fn accept_waiting(
+    listener: TcpListener,
+    connection_slots: &Arc<Semaphore>,
+) -> Vec<(TcpStream, OwnedSemaphorePermit)> {
+    let mut waiting = Vec::new();
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!(reason:% = error; "cannot accept the connections that wait");
+            return waiting;
+        }
+    };
+    while let Ok(slot) = connection_slots.clone().try_acquire_owned()
+        && let Ok((stream, _)) = listener.accept()
+    {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| stream.set_nodelay(true))
+            .and_then(|()| TcpStream::from_std(stream));
+        match stream {
+            Ok(stream) => waiting.push((stream, slot)),
+            Err(error) => log::warn!(reason:% = error; "accept failed"),
+        }
+    }
+    waiting
+}
+
 async fn accept(
     listener: &TcpListener,
     connection_slots: &Arc<Semaphore>,
--- /dev/null
+++ b/crates/gateway/tests/planned_stop.rs
@@ -0,0 +1,76 @@
+//! Requests that arrive at the end of the time in which a stopping host accepts connections.
+
+mod support;
+
+use {
+    camphorcove_platform_standin::{
+        caller::{CallerResponse, read_response, request},
+        scripted_server::{ScriptedServer, complete_response},
+    },
+    std::{
+        io::Write,
+        net::{SocketAddr, TcpStream},
+        thread,
+        time::Duration,
+    },
+    support::fixtures::{TestHost, entry, start_host_with},
+    tokio::time::{sleep, timeout},
+};
+
+/// Time for which a stopping host accepts connections, less the time in which the test sends.
+const ACCEPT_TIME: Duration = Duration::from_millis(3_100);
+
+/// Time for which the host does not run then, beyond the time in which it accepts.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Number of hosts: which of two events a host sees first may be random.
+const HOSTS: usize = 8;
+
+/// Longest wait for a response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
+
+async fn start_hosts() -> Vec<TestHost> {
+    let server = ScriptedServer::start(vec![complete_response("served")]).await;
+    let mut hosts = Vec::new();
+    for _ in 0..HOSTS {
+        hosts.push(start_host_with(vec![entry("s-1", "plain", server.address)]).await);
+    }
+    hosts
+}
+
+/// Connects and sends a request while no host runs, as all of them share the thread of the test.
+fn send_blocking(to: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("the system accepts");
+    let text = request("GET", "/read/a", "r-1", "", "");
+    stream.write_all(text.as_bytes()).expect("request is sent");
+    stream
+}
+
+async fn response_on(stream: TcpStream) -> CallerResponse {
+    stream.set_nonblocking(true).expect("open socket");
+    let mut stream = tokio::net::TcpStream::from_std(stream).expect("open socket");
+    read_response(&mut stream, &mut Vec::new()).await
+}
+
+/// Guards against a listener that resets connections which the system has accepted for it. In soak
+/// seed 9401, a host that got no processor time for 150 ms cut off a request that way.
+#[tokio::test]
+async fn connections_that_wait_when_the_listener_closes_are_served() {
+    let hosts = start_hosts().await;
+    for host in &hosts {
+        host.stop.send_replace(true);
+    }
+    sleep(ACCEPT_TIME).await;
+
+    let streams: Vec<TcpStream> = hosts
+        .iter()
+        .map(|host| send_blocking(host.address))
+        .collect();
+    thread::sleep(PAUSE);
+
+    for stream in streams {
+        let response = timeout(RESPONSE_TIMEOUT, response_on(stream)).await;
+        let response = response.expect("an answer or a close");
+        assert_eq!((response.status, response.body.as_str()), (200, "served"));
+    }
+}
