Fault soak: SIGTERM may end a process that has not logged its start

The check excused the first second after a start; it now excuses exactly the processes that have not logged "host starts", also within that second.

--- a/crates/gateway/tests/support/soak_host.rs
+++ b/crates/gateway/tests/support/soak_host.rs
@@ -34,8 +34,8 @@
 /// Pause between checks whether a process has ended.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time after the start of a process in which SIGTERM may find no handler yet and end it at once.
-const HANDLER_TIME: Duration = Duration::from_secs(1);
+/// Message that a process logs once it handles signals. Before, SIGTERM ends it at once.
+const START_MESSAGE: &str = "\"host starts\"";
 
 /// Time after which a host that does not stop is killed: twice its stop limit, and the longest time
 /// for which it may be frozen meanwhile.
@@ -74,7 +74,8 @@
 
 struct HostProcess {
     child: Child,
-    started_at: Instant,
+    /// Length of the log file when the process started, in bytes.
+    log_start: usize,
 }
 
 impl SoakHost {
@@ -123,13 +124,6 @@
     pub async fn restart(&self, signal: Signal, again_after: Option<Duration>) {
         let _restart = self.restart.lock().await;
         let from = Instant::now();
-        let may_lack_handler = self
-            .process
-            .lock()
-            .expect("not poisoned")
-            .started_at
-            .elapsed()
-            < HANDLER_TIME;
         self.signal(signal);
         if let Some(pause) = again_after {
             sleep(pause).await;
@@ -147,7 +141,7 @@
             sleep(EXIT_POLL_INTERVAL).await;
         };
         let is_planned = signal == Signal::SIGTERM;
-        let had_no_handler = may_lack_handler && ended.signal() == Some(signal as i32);
+        let had_no_handler = ended.signal() == Some(signal as i32) && !self.has_started();
         if is_planned && !ended.success() && !had_no_handler {
             self.record_violation(format!(
                 "planned stop of {} ended with {ended}",
@@ -162,6 +156,13 @@
         *self.process.lock().expect("not poisoned") = HostProcess::spawn(&self.settings, &self.log);
     }
 
+    /// Whether the process has logged its start.
+    fn has_started(&self) -> bool {
+        let log_start = self.process.lock().expect("not poisoned").log_start;
+        let log = fs::read(&self.log).expect("a log file");
+        String::from_utf8_lossy(&log[log_start..]).contains(START_MESSAGE)
+    }
+
     /// Suspends the process for `duration`, after which its late grants are excused for a while.
     pub async fn freeze(&self, duration: Duration, ownership_ledger: &OwnershipLedger) {
         let from = Instant::now();
@@ -243,6 +244,7 @@
 
 impl HostProcess {
     fn spawn(settings: &Path, log: &Path) -> Self {
+        let log_start = fs::read(log).map_or(0, |earlier| earlier.len());
         let log = fs::File::options().create(true).append(true).open(log);
         let child = Command::new(env!("CARGO_BIN_EXE_camphorcove-gateway"))
             .arg("--settings")
@@ -250,10 +252,7 @@
             .stdout(Stdio::from(log.expect("a log file")))
             .spawn()
             .expect("the program starts");
-        Self {
-            child,
-            started_at: Instant::now(),
-        }
+        Self { child, log_start }
     }
 }
 
