A stopping host answers requests that it has no time to await

A route's time limit of 2 s does not fit into the time that is left for it then, so the host closed the connection and the caller did not learn whether the request had run.

--- a/crates/gateway/src/serve/caller_listener.rs
+++ b/crates/gateway/src/serve/caller_listener.rs
@@ -41,6 +41,10 @@
 /// requests that have arrived on them: many turns of the event loop.
 const ARRIVED_READ_TIME: Duration = Duration::from_millis(20);
 
+/// Part of the stop time limit that is reserved for answers to requests which servers have not
+/// answered by then: many times what writing them takes.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// Part of the stop time limit that is reserved for the process to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -110,9 +114,16 @@
         }
         sleep(ARRIVED_READ_TIME).await;
         let remaining = self.state.settings.stop_limit;
-        let remaining =
-            remaining.saturating_sub(STOP_ACCEPT_TIME + ARRIVED_READ_TIME + EXIT_MARGIN);
-        if timeout(remaining, connections.close()).await.is_err() {
+        let remaining = remaining
+            .saturating_sub(STOP_ACCEPT_TIME + ARRIVED_READ_TIME + LAST_ANSWERS_TIME + EXIT_MARGIN);
+        let closing = connections.close();
+        tokio::pin!(closing);
+        if timeout(remaining, &mut closing).await.is_ok() {
+            return;
+        }
+        log::warn!("stop time limit reached; answering requests that wait for servers");
+        self.handler.answer_waiting_requests();
+        if timeout(LAST_ANSWERS_TIME, closing).await.is_err() {
             log::warn!("stop time limit reached; closing connections with running requests");
         }
     }
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -25,7 +25,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::{task::yield_now, time::timeout},
+    tokio::{sync::watch, task::yield_now, time::timeout},
 };
 
 /// Deadline of a request that states none.
@@ -41,6 +41,8 @@
 pub struct RequestHandler {
     pub(super) state: Arc<HostState>,
     pub(super) pool: Arc<ConnectionPool>,
+    /// Set when the stop time limit leaves no time to await servers.
+    must_answer: watch::Sender<bool>,
 }
 
 /// A request whose body has been read and whose service has been chosen.
@@ -60,7 +62,16 @@
     /// Creates the handler of a host, with an empty connection pool.
     pub fn new(state: Arc<HostState>) -> Self {
         let pool = Arc::new(ConnectionPool::new(state.clone()));
-        Self { state, pool }
+        Self {
+            state,
+            pool,
+            must_answer: watch::Sender::new(false),
+        }
+    }
+
+    /// Answers all requests that still wait for a server: they may have run.
+    pub(super) fn answer_waiting_requests(&self) {
+        self.must_answer.send_replace(true);
     }
 
     /// Answers the next request of a connection; while the host stops, the response closes the
@@ -73,16 +84,23 @@
         let started = self.state.now();
         self.state.counters.requests.fetch_add(1, Ordering::Relaxed);
         let head = decode_request(request.headers());
-        let mut response = match pipeline.begin(request.method(), head.id.as_ref()) {
-            Some(early_call) => match early_call.response().await {
-                Some(response) => response,
-                None => self.refuse_request(&head, Refusal::AnswerLost, None),
-            },
-            None => {
+        let early_call = pipeline.begin(request.method(), head.id.as_ref());
+        let answering = async {
+            let Some(early_call) = early_call else {
                 // On a busy host the caller may have left by the time its request is read. The
                 // connection reads on meanwhile and ends before the request is sent.
                 yield_now().await;
-                self.route(request, started).await
+                return self.route(request, started).await;
+            };
+            let response = early_call.response().await;
+            response.unwrap_or_else(|| self.refuse_request(&head, Refusal::AnswerLost, None))
+        };
+        let mut must_answer = self.must_answer.subscribe();
+        let mut response = tokio::select! {
+            biased;
+            response = answering => response,
+            _ = must_answer.wait_for(|must_answer| *must_answer) => {
+                self.refuse_request(&head, Refusal::TimedOut, None)
             }
         };
         pipeline.end();
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -1,20 +1,25 @@
-//! Requests that arrive at the end of the time in which a stopping host accepts connections.
+//! Requests in flight when a stopping host closes its listener and its connections.
 
 mod support;
 
 use {
+    camphorcove_gateway::state::HostState,
     camphorcove_platform_standin::{
         caller::{CallerResponse, read_response, request},
-        scripted_server::{ScriptedServer, complete_response},
+        scripted_server::{ScriptedServer, Step, complete_response},
     },
     std::{
         io::Write,
         net::{SocketAddr, TcpStream},
+        sync::Arc,
         thread,
         time::Duration,
     },
-    support::fixtures::{TestHost, entry, start_host_with},
-    tokio::time::{sleep, timeout},
+    support::fixtures::{
+        TIME_LIMIT, TestHost, entry, first_listing_span, settings, start_host_with, start_listener,
+        table,
+    },
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Time for which a stopping host accepts connections, less the time in which the test sends.
@@ -74,3 +79,36 @@
         assert_eq!((response.status, response.body.as_str()), (200, "served"));
     }
 }
+
+/// A host that stops within `stop_limit`, with a server that answers nothing.
+async fn start_silent_host(stop_limit: Duration) -> TestHost {
+    let server = ScriptedServer::start(vec![vec![Step::Wait(TIME_LIMIT * 10)]]).await;
+    let mut settings = settings(([127, 0, 0, 1], 1).into());
+    settings.stop_limit = stop_limit;
+    let state = Arc::new(HostState::new(settings));
+    state.set_table(table(1));
+    state.replace_fleet(
+        vec![entry("s-1", "plain", server.address)],
+        first_listing_span(),
+    );
+    state.set_remote_load(Some(1), &[]);
+    start_listener(state).await
+}
+
+/// Guards against a stop that closes the connection of a request which it no longer has the time to
+/// await, so that its caller does not learn that it may have run. In soak seed 9534, a server's
+/// answer was held back until the host had to exit.
+#[tokio::test]
+async fn requests_that_outlast_the_stop_are_answered() {
+    let stop_limit = ACCEPT_TIME + Duration::from_millis(1_000);
+    let host = start_silent_host(stop_limit).await;
+    let stop_began = Instant::now();
+    host.state.begin_stop();
+    host.stop.send_replace(true);
+    sleep(ACCEPT_TIME).await;
+
+    let response = response_on(send_blocking(host.address)).await;
+
+    assert_eq!(response.status, 504);
+    assert!(stop_began.elapsed() < stop_limit);
+}
