--- a/crates/gateway/src/serve/caller_listener.rs
+++ b/crates/gateway/src/serve/caller_listener.rs
@@ -37,9 +37,10 @@
 /// probes readiness once a second and stops sending callers after two failed probes.
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(3_200);
 
-/// Time before the end of the stop at which idle connections are closed. Until then, requests that
-/// arrive on them are refused, as their callers could not tell what a closed connection means.
-const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(200);
+/// Part of the stop time limit that is reserved for answers to requests which servers have not
+/// answered by then: many times what writing them takes. Idle connections are open until then, as requests
+/// that arrive on them are refused, and callers cannot tell what a closed connection means.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
 /// Part of the stop time limit that is reserved for the process to exit.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
@@ -120,12 +121,16 @@
         }
         self.serve_queue(listener, &connection_slots, &connections);
         let remaining = self.state.settings.stop_limit;
-        let remaining = remaining.saturating_sub(STOP_ACCEPT_TIME + EXIT_MARGIN);
-        let idle_time = remaining.saturating_sub(IDLE_CLOSE_MARGIN);
-        if timeout(remaining, connections.close(idle_time))
-            .await
-            .is_err()
-        {
+        let remaining =
+            remaining.saturating_sub(STOP_ACCEPT_TIME + LAST_ANSWERS_TIME + EXIT_MARGIN);
+        let closing = connections.close(remaining);
+        tokio::pin!(closing);
+        if timeout(remaining, &mut closing).await.is_ok() {
+            return;
+        }
+        log::warn!("stop time limit reached; answering requests that wait for servers");
+        self.handler.answer_waiting_requests();
+        if timeout(LAST_ANSWERS_TIME, closing).await.is_err() {
             log::warn!("stop time limit reached; closing connections with running requests");
         }
     }
