daemon: answer the requests that have been received when a planned stop begins

Callers got no answer to requests that a stopping host had read behind a running one: the answer in front of them closed the connection, during the grace for open connections or when it was over. Connections in the listen backlog were reset, because tokio's listener does not know of connections before the reactor has run.

An answer asks its caller to close only if no head behind it has been received, and a connection is shut down at the end of the grace only if nothing on it is unanswered. The backlog is emptied by non-blocking calls on the socket itself. Requests come at most 2 s after SIGTERM, or behind one that came before, and shutdown_limit is 30 s by default, so late ones need not be refused here.

--- a/crates/daemon/src/serve/entry_handler.rs
+++ b/crates/daemon/src/serve/entry_handler.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ServiceIndex,
+        CallerRequests, ServiceIndex,
         entry_request::{EntryRequest, check_request},
         refusal::refusal,
     },
@@ -88,7 +88,12 @@
     }
 
     /// Answers one request of a caller.
-    pub async fn answer(&self, request: Request<Incoming>) -> Response<RouterBody> {
+    pub async fn answer(
+        &self,
+        request: Request<Incoming>,
+        requests: &CallerRequests,
+    ) -> Response<RouterBody> {
+        requests.begin();
         let counters = &self.context.counters;
         let in_flight_guard = InFlightGuard::new(counters.clone());
         let start = self.context.clock.now();
@@ -113,7 +118,8 @@
         }
         let mut answer = result.unwrap_or_else(refusal);
         set_result_headers(answer.headers_mut(), code);
-        if version == Version::HTTP_11 && self.stopping.load(Relaxed) {
+        requests.end();
+        if version == Version::HTTP_11 && self.stopping.load(Relaxed) && requests.is_last() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/daemon/src/serve/entry_server.rs
+++ b/crates/daemon/src/serve/entry_server.rs
@@ -1,19 +1,24 @@
 //! Listener for callers.
 
 use {
-    super::EntryHandler,
+    super::{CallerRequests, EntryHandler},
     crate::{context::RequestContext, forward::ForwardService},
     camphorcove_net::http::CallerStream,
-    futures_util::FutureExt,
     hyper::service::service_fn,
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
-        server::{conn::auto, graceful::GracefulShutdown},
+        server::conn::auto,
+    },
+    std::{
+        convert::Infallible,
+        future::{Future, poll_fn},
+        sync::Arc,
+        task::Poll,
+        time::Duration,
     },
-    std::{convert::Infallible, future::Future, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{OwnedSemaphorePermit, Semaphore},
+        sync::{OwnedSemaphorePermit, Semaphore, watch},
         time::{sleep, timeout},
     },
 };
@@ -61,9 +66,10 @@
     ///
     /// Closing an idle HTTP/1.1 connection would lose a request that is already on its way.
     /// Open connections are therefore served for `CLOSE_GRACE`, and each answer asks its
-    /// caller to close. Connections that are still open and idle after that are closed.
+    /// caller to close, unless another request behind it has been read. Connections that are still
+    /// open and idle after that are closed.
     pub async fn run(self, listener: TcpListener, shutdown: impl Future<Output = ()> + Send) {
-        let graceful = GracefulShutdown::new();
+        let closing = watch::Sender::new(false);
         let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         tokio::pin!(shutdown);
         loop {
@@ -72,47 +78,105 @@
                 accepted = accept(&listener, &permits) => accepted,
             };
             if let Some((stream, permit)) = accepted {
-                self.serve(stream, permit, &graceful);
+                self.serve(stream, permit, closing.subscribe());
             }
         }
         self.handler.begin_stop();
-        self.serve_backlog(&listener, &permits, &graceful);
-        drop(listener);
+        self.serve_backlog(listener, &permits, &closing);
         let all = u32::try_from(MAX_CONNECTIONS).unwrap_or(u32::MAX);
-        let _ = timeout(CLOSE_GRACE, permits.acquire_many(all)).await;
-        graceful.shutdown().await;
+        if timeout(CLOSE_GRACE, permits.acquire_many(all))
+            .await
+            .is_err()
+        {
+            closing.send_replace(true);
+            let _ = permits.acquire_many(all).await;
+        }
     }
 
-    /// Serves the connections that wait in the listen backlog.
+    /// Serves the connections that wait in the listen backlog, which would be reset, and closes the
+    /// listener.
     fn serve_backlog(
         &self,
-        listener: &TcpListener,
+        listener: TcpListener,
         permits: &Arc<Semaphore>,
-        graceful: &GracefulShutdown,
+        closing: &watch::Sender<bool>,
     ) {
-        while let Some(Some((stream, permit))) = accept(listener, permits).now_or_never() {
-            self.serve(stream, permit, graceful);
+        // tokio's listener may not have learned of the latest connections yet.
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::warn!("listen backlog not emptied: {error}");
+                return;
+            }
+        };
+        while let Ok(permit) = permits.clone().try_acquire_owned() {
+            let Ok((stream, _)) = listener.accept() else {
+                return;
+            };
+            let accepted = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream));
+            match accepted {
+                Ok(stream) => self.serve(stream, permit, closing.subscribe()),
+                Err(error) => log::warn!("accepting a caller connection failed: {error}"),
+            }
         }
     }
 
-    fn serve(&self, stream: TcpStream, permit: OwnedSemaphorePermit, graceful: &GracefulShutdown) {
+    fn serve(
+        &self,
+        stream: TcpStream,
+        permit: OwnedSemaphorePermit,
+        closing: watch::Receiver<bool>,
+    ) {
         let handler = self.handler.clone();
-        let service = service_fn(move |request| {
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler.answer(request).await) }
-        });
-        let io = TokioIo::new(CallerStream::new(stream));
-        let connection = builder().serve_connection(io, service).into_owned();
-        let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("caller connection ended: {error}");
-            }
+            serve_connection(handler, stream, closing).await;
             drop(permit);
         });
     }
 }
 
+/// Serves a connection until the caller closes it, or until the requests that have been read are
+/// answered after `closing` is set.
+async fn serve_connection(
+    handler: Arc<EntryHandler>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let stream = CallerStream::new(stream);
+    let requests = Arc::new(CallerRequests::new(stream.received_heads()));
+    let counted = requests.clone();
+    let service = service_fn(move |request| {
+        let (handler, requests) = (handler.clone(), counted.clone());
+        async move { Ok::<_, Infallible>(handler.answer(request, &requests).await) }
+    });
+    let builder = builder();
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closing = closing.wait_for(|closing| *closing);
+    tokio::pin!(closing);
+    let mut must_close = false;
+    let mut shutting_down = false;
+    let ended = poll_fn(|cx| {
+        must_close = must_close || closing.as_mut().poll(cx).is_ready();
+        loop {
+            if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
+                return Poll::Ready(ended);
+            }
+            if shutting_down || !must_close || requests.has_unanswered() {
+                return Poll::Pending;
+            }
+            shutting_down = true;
+            connection.as_mut().graceful_shutdown();
+        }
+    });
+    if let Err(error) = ended.await {
+        log::debug!("caller connection ended: {error}");
+    }
+}
+
 /// Accepts a connection once fewer than `MAX_CONNECTIONS` are open; `None` after a failure.
 async fn accept(
     listener: &TcpListener,
@@ -120,10 +184,7 @@
 ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
     let permit = permits.clone().acquire_owned().await.ok()?;
     match listener.accept().await {
-        Ok((stream, _)) => {
-            let _ = stream.set_nodelay(true);
-            Some((stream, permit))
-        }
+        Ok((stream, _)) => Some((stream, permit)),
         Err(error) => {
             log::warn!("accepting a caller connection failed: {error}");
             sleep(ACCEPT_PAUSE).await;
--- a/crates/daemon/tests/support/caller.rs
+++ b/crates/daemon/tests/support/caller.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// Reads until the router closes the connection and returns everything that it sent.
+    pub async fn read_all(mut self) -> String {
+        let mut bytes = Vec::new();
+        let _ = self.stream.read_to_end(&mut bytes).await;
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// Reads until the router closes the connection.
     pub async fn finish(mut self) -> Answer {
         let mut bytes = Vec::new();
--- a/crates/daemon/tests/support/fake_server.rs
+++ b/crates/daemon/tests/support/fake_server.rs
@@ -21,6 +21,8 @@
 pub enum ServerAction {
     /// Runs the request and writes these bytes.
     Reply(String),
+    /// Runs the request and writes these bytes after this time.
+    ReplyAfter(Duration, String),
     /// Runs the request, writes these bytes and closes the connection.
     ReplyThenClose(String),
     /// Runs the request, writes these bytes and resets the connection.
@@ -211,6 +213,10 @@
 async fn perform(shared: &Shared, stream: &mut TcpStream, action: ServerAction) -> bool {
     match action {
         ServerAction::Reply(text) => stream.write_all(text.as_bytes()).await.is_ok(),
+        ServerAction::ReplyAfter(time, text) => {
+            tokio::time::sleep(time).await;
+            stream.write_all(text.as_bytes()).await.is_ok()
+        }
         ServerAction::ReplyThenClose(text) => {
             let _ = stream.write_all(text.as_bytes()).await;
             false
--- a/crates/net/src/http/caller_stream.rs
+++ b/crates/net/src/http/caller_stream.rs
@@ -65,6 +65,19 @@
     }
 }
 
+/// Counts the requests that have been received on a caller's connection.
+#[derive(Clone, Debug)]
+pub struct ReceivedHeads {
+    inbound: Arc<Mutex<Inbound>>,
+}
+
+impl ReceivedHeads {
+    /// Number of complete HTTP/1 heads that have been received.
+    pub fn count(&self) -> u64 {
+        lock(&self.inbound).guard.head_count()
+    }
+}
+
 /// Reads a caller's connection while hyper is busy with a request.
 #[derive(Debug)]
 pub struct ReadAhead {
@@ -131,6 +144,13 @@
         }
     }
 
+    /// Counts the requests that are received on this connection.
+    pub fn received_heads(&self) -> ReceivedHeads {
+        ReceivedHeads {
+            inbound: self.inbound.clone(),
+        }
+    }
+
     /// Reads this connection ahead of hyper.
     pub fn read_ahead(&self) -> ReadAhead {
         lock(&self.inbound).guard.keep_heads();
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -10,7 +10,7 @@
 
 pub use {
     body_framing::ends_with_connection,
-    caller_stream::{CallerStream, ReadAhead},
+    caller_stream::{CallerStream, ReadAhead, ReceivedHeads},
     framing_guard::{FramingGuard, PipelinedHead},
     http_client::{ConnectionUse, ExchangeError, HttpClient},
 };
