Test that idle connections and running requests end with a planned stop

The cases of late_requests.rs did not check when the listener itself ends: idle connections stay open for at least five sixths of the stop limit, and the host does not wait for a server beyond the limit. Passes with the current sources.

--- a/crates/gateway/tests/late_requests.rs
+++ b/crates/gateway/tests/late_requests.rs
@@ -19,7 +19,7 @@
         start_listener, table_with_time_limit, version,
     },
     tokio::{
-        io::AsyncWriteExt,
+        io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
         task::spawn_blocking,
         time::{Instant as RuntimeInstant, sleep, sleep_until},
@@ -271,6 +271,24 @@
     }
 }
 
+/// Guards against idle connections that are closed while requests on them could still be refused,
+/// and against a stop that waits beyond its limit for a server.
+#[tokio::test]
+async fn idle_connections_and_running_requests_end_with_the_stop() {
+    let mut stopping = StoppingHost::start(vec![response_after(9_000)], STOP_LIMIT).await;
+    let mut busy = connect(&stopping.host).await;
+    let text = patient_request("POST", "/write/a", "r1", "", "x");
+    busy.write_all(text.as_bytes()).await.expect("sent");
+
+    let idle = stopping.kept.read(&mut [0; 1]).await;
+    let idle_time = stopping.begun.elapsed();
+    stopping.at(6_000).await;
+
+    assert_eq!(idle.expect("closed in the regular way"), 0);
+    assert!(idle_time > STOP_LIMIT * 5 / 6, "{idle_time:?}");
+    assert!(stopping.host.stop.is_closed());
+}
+
 /// Guards against a stop that takes its whole time although nothing is left to do.
 #[tokio::test]
 async fn stop_ends_when_all_connections_have_ended() {
