--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -6,7 +6,7 @@
 use {
     camphorcove_core::{
         fleet::ServerPhase,
-        ownership::{LEASE_DURATION, OwnerState, RangePhase},
+        ownership::{LEASE_DURATION, OwnerState},
     },
     camphorcove_gateway::{
         state::{HostState, StoreKind},
@@ -15,20 +15,17 @@
     camphorcove_platform::StoreClient,
     camphorcove_platform_standin::{
         entries::{config_entry, route_entry, server_entry},
-        owning_server::{OwnershipLedger, OwningServer},
         store_standin::StoreStandin,
     },
-    serde::Deserialize,
     serde_json::Value,
-    std::{
-        collections::BTreeMap,
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     support::{
-        fixtures::{entry, host_state},
-        leader_hosts::{LeaderHost, leader_host_with},
+        fixtures::host_state,
+        leader_hosts::LeaderHost,
+        owned_region::{
+            OwnedRegion, is_owned, move_keys, next_token, owned_region, owners_of, start_host,
+            start_hosts, stored, until,
+        },
     },
     tokio::time::sleep,
 };
@@ -42,9 +39,6 @@
 /// Time for which the store is away.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 
-/// Longest wait for a condition.
-const WAIT_LIMIT: Duration = Duration::from_secs(20);
-
 fn config(version: u32) -> Value {
     config_entry(
         &format!("{version:08x}"),
@@ -75,15 +69,6 @@
     (state, store)
 }
 
-async fn until(what: &str, condition: impl Fn() -> bool) -> Duration {
-    let started = Instant::now();
-    while !condition() {
-        assert!(started.elapsed() < WAIT_LIMIT, "never {what}");
-        sleep(Duration::from_millis(10)).await;
-    }
-    started.elapsed()
-}
-
 fn version(state: &HostState) -> u64 {
     state.table().map_or(0, |table| table.version.0)
 }
@@ -207,106 +192,6 @@
     assert_eq!(started(&state), Some(6));
 }
 
-fn stored(store: &StoreStandin) -> Option<OwnerState> {
-    OwnerState::deserialize(store.spec("camphorcove", "owners")?).ok()
-}
-
-/// Owner of each range that has one.
-fn owners_of(state: &OwnerState) -> BTreeMap<u16, String> {
-    let mut owners = BTreeMap::new();
-    for record in state.services.values().flat_map(|owners| &owners.ranges) {
-        if let RangePhase::Owned { owner, .. } = &record.phase {
-            owners.insert(record.range.first, owner.id.to_string());
-        }
-    }
-    owners
-}
-
-fn next_token(state: &OwnerState) -> u64 {
-    let tokens = state.services.values().map(|owners| owners.next_token);
-    tokens.max().unwrap_or_default()
-}
-
-fn is_owned(state: &OwnerState) -> bool {
-    let mut records = state.services.values().flat_map(|owners| &owners.ranges);
-    !state.services.is_empty()
-        && records.all(|record| matches!(record.phase, RangePhase::Owned { .. }))
-}
-
-/// Hosts with a leader that has granted all keys to the servers.
-struct OwnedRegion {
-    store: StoreStandin,
-    address: SocketAddr,
-    ledger: OwnershipLedger,
-    servers: Vec<OwningServer>,
-    hosts: Vec<LeaderHost>,
-}
-
-async fn owned_region() -> OwnedRegion {
-    let (store, address) = StoreStandin::start().await;
-    let (ledger, servers) = owning_servers(3).await;
-    let hosts = start_hosts(address, &servers).await;
-    until("owned", || {
-        stored(&store).is_some_and(|state| is_owned(&state))
-    })
-    .await;
-    // The leader has counted the hosts by then, and all know the assignment.
-    sleep(Duration::from_millis(2_500)).await;
-    OwnedRegion {
-        store,
-        address,
-        ledger,
-        servers,
-        hosts,
-    }
-}
-
-async fn owning_servers(count: usize) -> (OwnershipLedger, Vec<OwningServer>) {
-    let ledger = OwnershipLedger::default();
-    let mut servers = Vec::new();
-    for number in 0..count {
-        servers.push(OwningServer::start(&format!("s-{number}"), &ledger).await);
-    }
-    (ledger, servers)
-}
-
-async fn start_hosts(store: SocketAddr, servers: &[OwningServer]) -> Vec<LeaderHost> {
-    let mut hosts = Vec::new();
-    for number in 0..3 {
-        hosts.push(start_host(&format!("host-{number}"), store, servers).await);
-    }
-    hosts
-}
-
-async fn start_host(name: &str, store: SocketAddr, servers: &[OwningServer]) -> LeaderHost {
-    let entries = servers
-        .iter()
-        .map(|server| entry(&server.id, "keyed", server.address))
-        .collect();
-    leader_host_with(name, store, entries).await
-}
-
-/// Moves keys, so that the assignment is written several times: the owner of the first key turns
-/// out to be busy.
-async fn move_keys(hosts: &[LeaderHost], store: &StoreStandin) {
-    let before = stored(store).expect("an assignment");
-    let service = "keyed".parse().expect("valid name");
-    let started = Instant::now();
-    while stored(store).is_none_or(|state| next_token(&state) <= next_token(&before)) {
-        assert!(started.elapsed() < WAIT_LIMIT, "no key moved");
-        for host in hosts {
-            for key in 0..200 {
-                host.state.count_key(&service, key);
-            }
-        }
-        sleep(Duration::from_millis(20)).await;
-    }
-    until("owned", || {
-        stored(store).is_some_and(|state| is_owned(&state))
-    })
-    .await;
-}
-
 /// Guards against a leader that gives up the only complete copy of the assignment: keys change
 /// owners as of the backup, with tokens that servers have seen, and no leader can act any more.
 #[tokio::test]
@@ -353,6 +238,7 @@
         ledger,
         servers,
         hosts,
+        ..
     } = owned_region().await;
     let backup = store.back_up();
     move_keys(&hosts, &store).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod fixtures;
 pub mod leader_hosts;
+pub mod owned_region;
 pub mod soak_region;
