Keep the doubt about a recovered assignment when its leader ends

A successor that takes over an assignment that lacks writes labels it with the present epoch, and only its memory says that servers unknown to the assignment may hold keys. When it crashed or resigned before their leases had ended, the next leader found an assignment of the present epoch, took it for complete and raised tokens by grants at owners of the backup. Class: a doubt that is kept in memory while what it concerns is stored.

Change: the assignment says that it may lack owners, in the store and in the changes that hosts get. The mark is set with the takeover and goes with the first write after the doubt has been resolved. A leader that finds it treats the assignment like one of an earlier epoch: it waits for all leases. An assignment that is withdrawn in an epoch that the leader has just learned of is labelled with that epoch. The format of changes between hosts gains a field.

--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -35,6 +35,8 @@
         if let Some(epoch) = self.lost_in {
             next_state.enter_epoch(epoch);
         }
+        // Nothing is planned before that is certain.
+        next_state.may_lack_owners = false;
         let first_token = next_state.first_token();
         let mut moves_chosen = false;
         self.planned_at = now;
--- a/crates/core/src/ownership/owner_delta.rs
+++ b/crates/core/src/ownership/owner_delta.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct OwnerDelta {
     epoch: Option<u64>,
+    may_lack_owners: bool,
     term: u64,
     change: u64,
     leader: Option<LeaderRecord>,
@@ -52,6 +53,7 @@
         }
         Self {
             epoch: new.epoch,
+            may_lack_owners: new.may_lack_owners,
             term: new.term,
             change: new.change,
             leader: new.leader.clone(),
@@ -65,6 +67,7 @@
     pub fn apply(&self, old: &OwnerState) -> Option<OwnerState> {
         let mut state = old.clone();
         state.epoch = self.epoch;
+        state.may_lack_owners = self.may_lack_owners;
         state.term = self.term;
         state.change = self.change;
         state.leader.clone_from(&self.leader);
@@ -89,6 +92,7 @@
 fn checksum(state: &OwnerState) -> u64 {
     let hashed_fields = (
         state.epoch,
+        state.may_lack_owners,
         state.term,
         state.change,
         &state.leader,
--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -87,6 +87,11 @@
     /// wrote it that did not know epochs.
     #[serde(default)]
     pub epoch: Option<u64>,
+    /// Servers that the assignment does not name may hold keys, by writes that the store has lost.
+    /// Stays set until all leases of earlier leaders have ended, or most hosts have shown that they
+    /// remember no later assignment; a leader that ends before leaves the doubt to its successor.
+    #[serde(default)]
+    pub may_lack_owners: bool,
     /// Term of the leader; increases with each takeover.
     pub term: u64,
     /// Number of the write; shows whether a write whose answer was lost took effect.
@@ -107,6 +112,7 @@
     pub fn new(secret: String) -> Self {
         Self {
             epoch: None,
+            may_lack_owners: false,
             term: 0,
             change: 0,
             leader: None,
@@ -130,7 +136,7 @@
     /// Moves the assignment on to `epoch`, without change if it is from that epoch. Tokens go on
     /// above those that may have been lost.
     pub fn enter_epoch(&mut self, epoch: u64) {
-        if self.lacks_writes(epoch) {
+        if self.epoch.is_some_and(|written| written != epoch) {
             for owners in self.services.values_mut() {
                 owners.next_token += TOKENS_PER_EPOCH;
             }
@@ -138,9 +144,10 @@
         self.epoch = Some(epoch);
     }
 
-    /// Whether the store may have lost writes that followed this one, as it is in `epoch` now.
+    /// Whether the store, which is in `epoch` now, may have lost writes that followed this one, or
+    /// that this one should have included.
     pub fn lacks_writes(&self, epoch: u64) -> bool {
-        self.epoch.is_some_and(|written| written != epoch)
+        self.may_lack_owners || self.epoch.is_some_and(|written| written != epoch)
     }
 
     /// Skips terms whose leaders the store may have forgotten.
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -345,6 +345,9 @@
         let awaits_unknown_owners = self.awaits_unknown_owners(now);
         if self.must_withdraw && self.pending.is_none() {
             let mut next_state = self.state.clone();
+            if let Some(epoch) = self.lost_in {
+                next_state.enter_epoch(epoch);
+            }
             next_state.withdraw_all();
             next_state.change += 1;
             self.pending = Some(next_state.clone());
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -110,8 +110,9 @@
         (true, true) => Some(OwnerDoubt::Unverified),
         (true, false) => Some(OwnerDoubt::Withdrawn),
     };
+    state.may_lack_owners = doubt.is_some();
     if let Some(doubt) = doubt {
-        log::warn!(term = state.term, stored:% = version, doubt:? = doubt; "store has lost writes, taking over");
+        log::warn!(term = state.term, stored:% = version, doubt:? = doubt; "assignment may lack writes, taking over");
         state.skip_lost_terms();
     }
     if doubt == Some(OwnerDoubt::Withdrawn) {
