Count skipped tokens and terms from the epochs that have passed

What would be seen: after the store has returned to the same copy twice, a second successor gives out the tokens of the first again, and both lead the same term, so that hosts follow either one's digests.

Class: a distance counted from a point that can come back.

Change: each epoch that has passed since the assignment was written skips as much. Within an epoch nothing is skipped, so a takeover of an assignment that may lack owners no longer adds 1,024 terms.

second_return_to_a_copy_yields_higher_tokens_and_terms and takeovers_within_an_epoch_skip_nothing failed before (the second with term 2050 for 1026) and pass.

--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -8,11 +8,11 @@
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
-/// Fencing tokens that are skipped when the store has lost writes: far more than are used in the
-/// time that a backup is old.
+/// Fencing tokens that are skipped for each loss of writes by the store: far more than are used in
+/// the time that a backup is old.
 const TOKENS_PER_EPOCH: u64 = 1 << 20;
 
-/// Terms that are skipped by a leader who does not know the lost writes.
+/// Terms that are skipped for each loss by a leader who does not know the lost writes.
 const TERMS_PER_EPOCH: u64 = 1 << 10;
 
 /// One run of a server process: a restart under the same id is another instance.
@@ -134,25 +134,30 @@
     }
 
     /// Moves the assignment on to `epoch`, without change if it is from that epoch. Tokens go on
-    /// above those that may have been lost.
+    /// above those that may have been lost in each epoch since.
     pub fn enter_epoch(&mut self, epoch: u64) {
-        if self.epoch.is_some_and(|written| written != epoch) {
-            for owners in self.services.values_mut() {
-                owners.next_token += TOKENS_PER_EPOCH;
-            }
+        let skipped = self.epochs_since(epoch) * TOKENS_PER_EPOCH;
+        for owners in self.services.values_mut() {
+            owners.next_token += skipped;
         }
         self.epoch = Some(epoch);
     }
 
+    /// Epochs between the one that the assignment was written in and `epoch`. The store may return to
+    /// the same copy several times, and each time a leader may go on from it.
+    fn epochs_since(&self, epoch: u64) -> u64 {
+        self.epoch.map_or(0, |written| epoch.abs_diff(written))
+    }
+
     /// Whether the store, which is in `epoch` now, may have lost writes that followed this one, or
     /// that this one should have included.
     pub fn lacks_writes(&self, epoch: u64) -> bool {
         self.may_lack_owners || self.epoch.is_some_and(|written| written != epoch)
     }
 
-    /// Skips terms whose leaders the store may have forgotten.
-    pub fn skip_lost_terms(&mut self) {
-        self.term += TERMS_PER_EPOCH;
+    /// Skips terms whose leaders the store, which is in `epoch` now, may have forgotten.
+    pub fn skip_lost_terms(&mut self, epoch: u64) {
+        self.term += self.epochs_since(epoch) * TERMS_PER_EPOCH;
     }
 
     /// Takes all keys from their owners, each with its owner as the next one, since another server may
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -104,6 +104,9 @@
     {
         return TakeoverEnded::failed(true);
     }
+    if lacks_writes {
+        state.skip_lost_terms(version.epoch);
+    }
     state.enter_epoch(version.epoch);
     let doubt = match (lacks_writes, is_remembered) {
         (false, _) => None,
@@ -113,7 +116,6 @@
     state.may_lack_owners = doubt.is_some();
     if let Some(doubt) = doubt {
         log::warn!(term = state.term, stored:% = version, doubt:? = doubt; "assignment may lack writes, taking over");
-        state.skip_lost_terms();
     }
     if doubt == Some(OwnerDoubt::Withdrawn) {
         state.withdraw_all();
