Do not count a write that the store applied in a later epoch

What would be seen: a leader goes on with the store's confirmation beside a successor whose assignment it has replaced.

The store compares revisions only. A write that is on its way, or repeated, while the store returns to an earlier copy can meet its revision again, at an assignment that another host has written since. The result's epoch was to be checked and was not. Class: a condition whose value comes back.

Change: the leader, or candidate, whose write lands in another epoch gives up, as after a lost conflict. What it has written names the earlier epoch, so that the next leader verifies it. Where the object was the same in both epochs this costs a change of leader, during which leases go on.

--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -24,5 +24,5 @@
         DigestReceived, OwnerChangeReceived, OwnersRead, ReportReceived, ResendRequested, Resign,
         Tick,
     },
-    owner_store::OwnerStore,
+    owner_store::{OwnerStore, WriteOutcome},
 };
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -26,7 +26,7 @@
         /// Version of the stored object.
         version: StoreVersion,
     },
-    /// Another host has changed the object.
+    /// Another host has changed the object, or may have.
     Lost,
     /// The store has lost the assignment that was to be replaced.
     WritesLost {
@@ -119,6 +119,13 @@
                 }
             };
             match written {
+                // The store has lost writes meanwhile, and has given out the revision of the
+                // condition again. What was replaced may be the assignment of a successor.
+                Ok(object) if object.version.epoch != version.epoch => {
+                    log::warn!(term = state.term, replaced:% = version, written:% = object.version; "assignment written in another epoch of the store than planned");
+                    self.state.record_store_epoch(object.version);
+                    return (sent_at, WriteOutcome::Lost);
+                }
                 Ok(object) => {
                     let version = object.version;
                     self.update_host_state(state, version);
--- a/crates/gateway/tests/two_owners.rs
+++ b/crates/gateway/tests/two_owners.rs
@@ -4,11 +4,17 @@
 mod support;
 
 use {
-    camphorcove_gateway::leader::Resign,
+    camphorcove_core::{ids::StoreVersion, ownership::OwnerState},
+    camphorcove_gateway::leader::{OwnerStore, Resign, WriteOutcome},
+    camphorcove_platform::StoreClient,
+    camphorcove_platform_standin::store_standin::StoreStandin,
     rstest::rstest,
     std::time::Duration,
-    support::owned_region::{
-        OwnedRegion, is_owned, move_keys, next_token, owned_region, start_hosts, stored, until,
+    support::{
+        fixtures::host_state,
+        owned_region::{
+            OwnedRegion, is_owned, move_keys, next_token, owned_region, start_hosts, stored, until,
+        },
     },
     tokio::time::sleep,
 };
@@ -99,3 +105,44 @@
     assert!(state.term > known.term);
     assert!(next_token(&state) > next_token(&known));
 }
+
+/// An assignment that a leader of `term` wrote in `epoch`.
+fn assignment(term: u64, epoch: u64) -> OwnerState {
+    let mut state = OwnerState::new("secret".into());
+    state.enter_epoch(epoch);
+    state.term = term;
+    state
+}
+
+/// Guards against a leader that goes on after its write has replaced the assignment of a successor: the
+/// store had returned to an earlier copy while the write was on its way, and the successor's write
+/// had the same revision as the assignment that was to be replaced.
+#[tokio::test]
+async fn write_that_is_applied_in_a_later_epoch_does_not_count() {
+    let (store, address) = StoreStandin::start().await;
+    let client = StoreClient::new(address, Duration::from_millis(400));
+    let owners = OwnerStore::new(host_state(), client);
+    let write = async |state: &OwnerState, version: StoreVersion| {
+        let (_, outcome) = owners.write(state, version).await;
+        outcome
+    };
+    let WriteOutcome::Written { version: first } =
+        write(&assignment(1, 0), StoreVersion::new(0, 0)).await
+    else {
+        panic!("not created");
+    };
+    let backup = store.back_up();
+    let WriteOutcome::Written { version: replaced } = write(&assignment(1, 0), first).await else {
+        panic!("not written");
+    };
+    store.restore(backup);
+    let in_next_epoch = StoreVersion::new(1, first.revision);
+    let successor = write(&assignment(1_025, 1), in_next_epoch).await;
+
+    let outcome = write(&assignment(1, 0), replaced).await;
+
+    assert!(
+        matches!(successor, WriteOutcome::Written { version } if version.revision == replaced.revision)
+    );
+    assert!(matches!(outcome, WriteOutcome::Lost), "{outcome:?}");
+}
