Write once more before the first order of a leader that recovered the assignment

Cause: a write that lands in another epoch was taken for a lost conflict, to spare a successor whose assignment it may have replaced.

Change: the successor is protected at its own side instead. A leader sends no order while the acknowledged assignment may lack owners, so it has to write once more after the doubt is resolved, which fails if its takeover has been replaced. The earlier leader treats its write as one before which the store has lost writes: it does not count as a confirmation, and only a leader with authority writes again.

--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -356,8 +356,12 @@
         if awaits_unknown_owners || self.must_withdraw {
             return actions;
         }
-        self.renew(plan_context, now, &mut actions);
-        self.revoke(now, &mut actions);
+        // The write that removes the mark also shows that the store still names this leader: another
+        // write may have replaced its takeover, as revisions are given out again.
+        if !self.state.may_lack_owners {
+            self.renew(plan_context, now, &mut actions);
+            self.revoke(now, &mut actions);
+        }
         if self.pending.is_none()
             && now.since(self.planned_at) >= PLANNING_INTERVAL
             && let Some(next_state) = self.plan_next_state(plan_context, now)
--- a/crates/core/tests/ownership_planner.rs
+++ b/crates/core/tests/ownership_planner.rs
@@ -270,3 +270,25 @@
 
     assert!(writes <= 5, "{writes} writes within 100 ms");
 }
+
+/// Guards against orders of a leader whose takeover another write has replaced, after the store has
+/// lost writes: it has to write once more before its first order.
+#[test]
+fn no_order_is_sent_while_the_assignment_may_lack_owners() {
+    let mut state = owned_state(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
+    state.may_lack_owners = true;
+    let mut driver = PlannerDriver::new(state, &[0, 1]);
+
+    let before = driver.poll();
+    for action in &before {
+        driver.finish(action, None);
+    }
+    let after = driver.poll();
+
+    let is_grant = |action: &PlanAction| matches!(action, PlanAction::Grant { .. });
+    assert!(
+        matches!(before.as_slice(), [PlanAction::Write(state)] if !state.may_lack_owners),
+        "{before:?}"
+    );
+    assert_eq!(after.iter().filter(|action| is_grant(action)).count(), 2);
+}
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -26,11 +26,11 @@
         /// Version of the stored object.
         version: StoreVersion,
     },
-    /// Another host has changed the object, or may have.
+    /// Another host has changed the object.
     Lost,
-    /// The store has lost the assignment that was to be replaced.
+    /// The store has lost writes since the assignment that was to be replaced.
     WritesLost {
-        /// Version of the earlier object that the store holds, or before the first change.
+        /// Version of the object that the store holds, or before the first change.
         stored: StoreVersion,
     },
     /// Nothing was written, and no earlier attempt can take effect.
@@ -119,12 +119,13 @@
                 }
             };
             match written {
-                // The store has lost writes meanwhile, and has given out the revision of the
-                // condition again. What was replaced may be the assignment of a successor.
+                // The store has lost writes meanwhile. What was replaced may be the assignment of a
+                // successor, as revisions are given out again; it has sent no order yet.
                 Ok(object) if object.version.epoch != version.epoch => {
                     log::warn!(term = state.term, replaced:% = version, written:% = object.version; "assignment written in another epoch of the store than planned");
                     self.state.record_store_epoch(object.version);
-                    return (sent_at, WriteOutcome::Lost);
+                    let stored = object.version;
+                    return (sent_at, WriteOutcome::WritesLost { stored });
                 }
                 Ok(object) => {
                     let version = object.version;
--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -316,3 +316,35 @@
 
     assert_eq!(ledger.violations(), Vec::<String>::new());
 }
+
+/// Guards against a leader that gives up where the store has lost no write of the assignment: its
+/// next write meets the revision that it expects, in another epoch.
+#[tokio::test]
+async fn leader_stays_when_the_store_returns_with_the_present_assignment() {
+    let OwnedRegion {
+        store,
+        ledger,
+        hosts,
+        ..
+    } = owned_region().await;
+    store.set_down(true);
+    let backup = store.back_up();
+    let known = stored(&store).expect("an assignment");
+    let service = "keyed".parse().expect("valid name");
+
+    store.restore(backup);
+    store.set_down(false);
+    until("written again", || {
+        for host in &hosts {
+            for key in 0..200 {
+                host.state.count_key(&service, key);
+            }
+        }
+        stored(&store).is_some_and(|state| is_owned(&state) && state.epoch > known.epoch)
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+
+    assert_eq!(stored(&store).map(|state| state.term), Some(known.term));
+    assert_eq!(ledger.violations(), Vec::<String>::new());
+}
