Verify a remembered assignment by hosts that can remember a later one

What would be seen: a host that had missed the last writes of a lost leader leads after the store has returned, most other hosts have just started, and it gives keys to second owners at once.

Most hosts have to remember no later assignment; hosts that have just started remember none and counted. A later one of an epoch that the leader's host had missed did not count, and neither did one that a host still held while it had already read the store's older copy. Class: silence taken for knowledge.

Change: if the leader's host has not heard the lost leader within 2.5 s before its takeover, only hosts that remember an assignment from before the present epoch count. A host reports the assignment that it holds until it adopts one of the present epoch, and any that is later than the leader's and from before the present epoch counts as later.

remembered_assignment_is_verified_by_hosts_that_can_know failed before in its first case and passes; the other three cases passed before and show that verification by the right hosts goes on.

--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -6,6 +6,7 @@
         host_table::HostTable,
         leader_messages::{ConfirmEnded, ConfirmOutcome, WriteEnded},
         limit_table::LimitTable,
+        memory_check::MemoryCheck,
         order_sender::OrderSender,
         owner_store::OwnerStore,
     },
@@ -93,11 +94,13 @@
     pub(super) hosts: HostTable,
     /// Limits that servers have named to any host.
     pub(super) limits: LimitTable,
-    /// Version of the remembered assignment that this leader began with after the store had lost writes,
+    /// Check of the remembered assignment that this leader began with after the store had lost writes,
     /// until most hosts have shown that they remember no later one.
-    pub(super) unverified: Option<StoreVersion>,
+    pub(super) unverified: Option<MemoryCheck>,
     /// Sender and term of the latest digest.
     pub(super) last_digest_sender: Option<(SocketAddr, u64)>,
+    /// When the latest digest arrived.
+    pub(super) last_digest_at: Option<BootTime>,
     /// Addresses of all hosts, from the last digest that listed them.
     pub(super) peers: Vec<SocketAddr>,
     /// The leader does not reach the store and has named this host as a watcher, so this
@@ -162,6 +165,7 @@
             limits: LimitTable::default(),
             unverified: None,
             last_digest_sender: None,
+            last_digest_at: None,
             peers: Vec::new(),
             may_replace_leader: false,
             deferred_epoch: None,
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -150,6 +150,7 @@
             self.step_down("a digest of a later leader arrived", now);
         }
         self.last_digest_sender = Some((from, digest.term));
+        self.last_digest_at = Some(now);
         if !digest.peers.is_empty() {
             self.peers = digest.peers;
         }
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -1,13 +1,15 @@
 //! Reports to the leader, its digests, and the changes that it sends to all hosts.
 
 use {
-    super::leader_actor::{CONFIRM_FAILURES, LeaderActor, Predecessor, Role},
+    super::{
+        leader_actor::{CONFIRM_FAILURES, LeaderActor, Predecessor, Role},
+        memory_check::{HostMemory, MemoryCheck},
+    },
     crate::{
         peers::{Digest, OwnerChange, PeerMessage, Report},
         state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind},
     },
     camphorcove_core::{
-        ids::StoreVersion,
         ownership::{
             AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, MAJORITY_REPORT_MAX_AGE,
             ORDER_TIMEOUT, OwnerDelta, PlanInput,
@@ -205,15 +207,11 @@
             Predecessor::Known(record) => record.host == report.host && record.address == from,
             Predecessor::Unknown | Predecessor::Ended => false,
         };
-        let is_later = |remembered: StoreVersion| {
-            [
-                report.versions.get(StoreKind::Owners),
-                report.remembered_owners,
-            ]
-            .iter()
-            .any(|version| version.epoch == remembered.epoch && *version > remembered)
-        };
-        if self.unverified.is_some_and(is_later) {
+        let memory = self
+            .unverified
+            .as_mut()
+            .map(|check| check.record_report(&report));
+        if memory == Some(HostMemory::Later) {
             self.unverified = None;
             log::warn!(host = report.host.as_str(); "host remembers a later assignment, taking all keys from their owners");
             planner.handle_input(PlanInput::AssignmentLacksWrites, now);
@@ -249,7 +247,9 @@
             return;
         }
         planner.handle_input(PlanInput::MajorityReports, now);
-        if self.unverified.take().is_some() {
+        let is_passed = |check: &MemoryCheck| check.is_passed(reporting, base);
+        if self.unverified.as_ref().is_some_and(is_passed) {
+            self.unverified = None;
             log::info!(reporting, base; "no host remembers a later assignment");
             planner.handle_input(PlanInput::AssignmentVerified, now);
         }
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -6,6 +6,7 @@
         leader_actor::{LeaderActor, Predecessor, Role},
         leader_handlers::Announce,
         limit_table::LimitTable,
+        memory_check::MemoryCheck,
         takeover::{KnownLeadership, take_over},
     },
     crate::state::StoreKind,
@@ -167,9 +168,14 @@
         };
         // The last version that this host knew before it wrote the takeover.
         let remembered = self.announced.as_ref().map(|(_, version)| *version);
-        self.unverified = match doubt {
-            Some(OwnerDoubt::Unverified) => remembered,
-            Some(OwnerDoubt::Withdrawn) | None => None,
+        self.unverified = match (doubt, remembered) {
+            (Some(OwnerDoubt::Unverified), Some(remembered)) => Some(MemoryCheck::new(
+                remembered,
+                version.epoch,
+                self.last_digest_at,
+                now,
+            )),
+            (Some(_), _) | (None, _) => None,
         };
         self.predecessor = predecessor;
         self.term_started_at = now;
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -11,6 +11,7 @@
 mod leader_reports;
 mod leader_terms;
 mod limit_table;
+mod memory_check;
 mod order_sender;
 mod owner_store;
 mod panic_guard;
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -388,7 +388,12 @@
 
     /// Version of the last assignment known before the store lost writes.
     pub fn remembered_owners(&self) -> StoreVersion {
-        self.lock().remembered_owners
+        let inner = self.lock();
+        let held = inner.owner_state.as_ref().map(|(_, version)| *version);
+        let epoch = inner.store_epoch.unwrap_or_default();
+        // No assignment of the new epoch has been adopted yet.
+        let remembered = held.filter(|held| held.epoch < epoch);
+        remembered.unwrap_or(inner.remembered_owners)
     }
 
     /// Latest known assignment and its version.
