Do not count a repeated write that finds its own result in a copy

What would be seen: a leader that goes on beside a later one whose takeover the store has lost.

A write whose answer was lost is repeated, and a conflict with its own result means that it had been applied. After a return to a copy from just after it, the writes that followed are lost.

Change: found in a later epoch, the result counts as an assignment after which the store has lost writes. A leader with authority writes it again; a candidate begins anew.

write_that_is_found_in_a_copy_does_not_count failed before and passes. two_owners, lost_writes, leadership and memory_check pass.

--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -176,9 +176,12 @@
             }
         };
         match found {
-            Some((found, version)) if found == *state => WriteOutcome::Written { version },
+            Some((found, version)) if found == *state && version.epoch == replaced.epoch => {
+                WriteOutcome::Written { version }
+            }
             Some((found, stored))
-                if stored.epoch > replaced.epoch && state.is_newer_than(&found) =>
+                if stored.epoch > replaced.epoch
+                    && (found == *state || state.is_newer_than(&found)) =>
             {
                 WriteOutcome::WritesLost { stored }
             }
--- a/crates/gateway/tests/two_owners.rs
+++ b/crates/gateway/tests/two_owners.rs
@@ -150,3 +150,23 @@
     };
     assert_eq!(epoch, Some(1));
 }
+
+/// Guards against a write that counts although the store has lost writes after it: its answer was
+/// late, the repeated write finds its own result in a copy, and a later leader may be missing there.
+#[tokio::test]
+async fn write_that_is_found_in_a_copy_does_not_count() {
+    let (store, address) = StoreStandin::start().await;
+    let client = StoreClient::new(address, Duration::from_millis(400));
+    let owners = OwnerStore::new(host_state(), client);
+    let none = StoreVersion::new(0, 0);
+    owners.write(&assignment(1, 0), none).await;
+    store.restore(store.back_up());
+
+    let (_, outcome) = owners.write(&assignment(1, 0), none).await;
+
+    let epoch = match outcome {
+        WriteOutcome::WritesLost { stored } => Some(stored.epoch),
+        WriteOutcome::Written { .. } | WriteOutcome::Lost | WriteOutcome::NotDone => None,
+    };
+    assert_eq!(epoch, Some(1));
+}
