--- a/crates/core/src/ownership/owner_delta.rs
+++ b/crates/core/src/ownership/owner_delta.rs
@@ -1,7 +1,7 @@
 //! Differences between two assignments, small enough to send to other hosts in a datagram.
 
 use {
-    super::{LeaderRecord, OwnerState, RangeRecord, RecoveryPhase, ServiceOwners},
+    super::{LeaderRecord, OwnerState, RangeRecord, ServiceOwners},
     crate::ids::ServiceName,
     bincode::{Decode, Encode, config},
     xxhash_rust::xxh3::xxh3_64,
@@ -11,11 +11,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct OwnerDelta {
     epoch: Option<u64>,
+    may_lack_owners: bool,
     term: u64,
     change: u64,
     leader: Option<LeaderRecord>,
     hosts: u32,
-    recovery: Option<RecoveryPhase>,
     services: Vec<ServiceDelta>,
     /// Hash of the resulting assignment, without its secret.
     checksum: u64,
@@ -53,11 +53,11 @@
         }
         Self {
             epoch: new.epoch,
+            may_lack_owners: new.may_lack_owners,
             term: new.term,
             change: new.change,
             leader: new.leader.clone(),
             hosts: new.hosts,
-            recovery: new.recovery,
             services,
             checksum: checksum(new),
         }
@@ -67,11 +67,11 @@
     pub fn apply(&self, old: &OwnerState) -> Option<OwnerState> {
         let mut state = old.clone();
         state.epoch = self.epoch;
+        state.may_lack_owners = self.may_lack_owners;
         state.term = self.term;
         state.change = self.change;
         state.leader.clone_from(&self.leader);
         state.hosts = self.hosts;
-        state.recovery = self.recovery;
         for delta in &self.services {
             let owners = state
                 .services
@@ -92,11 +92,11 @@
 fn checksum(state: &OwnerState) -> u64 {
     let hashed_fields = (
         state.epoch,
+        state.may_lack_owners,
         state.term,
         state.change,
         &state.leader,
         state.hosts,
-        state.recovery,
         &state.services,
     );
     let bytes = bincode::encode_to_vec(hashed_fields, config::standard())
--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -1,18 +1,18 @@
 //! The assignment of keys to servers, as kept in the store.
 
 use {
-    super::{KeyRange, RecoveryPhase, ownership_planner::TOKENS_PER_MOVE},
+    super::{KeyRange, ownership_planner::TOKENS_PER_MOVE},
     crate::ids::{HostId, ServerId, ServiceName},
     bincode::{Decode, Encode},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
-/// Fencing tokens that are skipped when the store has lost writes: far more than are used in the
-/// time that a backup is old.
+/// Fencing tokens that are skipped for each loss of writes by the store: far more than are used in
+/// the time that a backup is old.
 const TOKENS_PER_EPOCH: u64 = 1 << 20;
 
-/// Terms that are skipped by a leader who does not know the lost writes.
+/// Terms that are skipped for each loss by a leader who does not know the lost writes.
 const TERMS_PER_EPOCH: u64 = 1 << 10;
 
 /// One run of a server process: a restart under the same id is another instance.
@@ -87,6 +87,11 @@
     /// wrote it that did not know epochs.
     #[serde(default)]
     pub epoch: Option<u64>,
+    /// Servers that the assignment does not name may hold keys, by writes that the store has lost.
+    /// Stays set until all leases of earlier leaders have ended, or most hosts have shown that they
+    /// remember no later assignment; a leader that ends before leaves the recovery to its successor.
+    #[serde(default)]
+    pub may_lack_owners: bool,
     /// Term of the leader; increases with each takeover.
     pub term: u64,
     /// Number of the write; shows whether a write whose answer was lost took effect.
@@ -96,10 +101,6 @@
     /// Number of hosts that reported to the leader at the last write; 0 if unknown.
     #[serde(default)]
     pub hosts: u32,
-    /// Whether the assignment may still lack writes that the store has lost; kept here, because the
-    /// leader that recovers it may be replaced.
-    #[serde(default)]
-    pub recovery: Option<RecoveryPhase>,
     /// Key that authenticates messages between hosts, as hexadecimal digits.
     pub secret: String,
     /// Ownership records by service.
@@ -111,11 +112,11 @@
     pub fn new(secret: String) -> Self {
         Self {
             epoch: None,
+            may_lack_owners: false,
             term: 0,
             change: 0,
             leader: None,
             hosts: 0,
-            recovery: None,
             secret,
             services: BTreeMap::new(),
         }
@@ -133,24 +134,30 @@
     }
 
     /// Moves the assignment on to `epoch`, without change if it is from that epoch. Tokens go on
-    /// above those that may have been lost.
+    /// above those that may have been lost in each epoch since.
     pub fn enter_epoch(&mut self, epoch: u64) {
-        if self.lacks_writes(epoch) {
-            for owners in self.services.values_mut() {
-                owners.next_token += TOKENS_PER_EPOCH;
-            }
+        let skipped = self.epochs_since(epoch) * TOKENS_PER_EPOCH;
+        for owners in self.services.values_mut() {
+            owners.next_token += skipped;
         }
         self.epoch = Some(epoch);
     }
 
-    /// Whether the store may have lost writes that followed this one, as it is in `epoch` now.
+    /// Epochs between the one that the assignment was written in and `epoch`. The store may return to
+    /// the same copy several times, and each time a leader may go on from it.
+    fn epochs_since(&self, epoch: u64) -> u64 {
+        self.epoch.map_or(0, |written| epoch.abs_diff(written))
+    }
+
+    /// Whether the store, which is in `epoch` now, may have lost writes that followed this one, or
+    /// that this one should have included.
     pub fn lacks_writes(&self, epoch: u64) -> bool {
-        self.epoch.is_some_and(|written| written != epoch)
+        self.may_lack_owners || self.epoch.is_some_and(|written| written != epoch)
     }
 
-    /// Skips terms whose leaders the store may have forgotten.
-    pub fn skip_lost_terms(&mut self) {
-        self.term += TERMS_PER_EPOCH;
+    /// Skips terms whose leaders the store, which is in `epoch` now, may have forgotten.
+    pub fn skip_lost_terms(&mut self, epoch: u64) {
+        self.term += self.epochs_since(epoch) * TERMS_PER_EPOCH;
     }
 
     /// Takes all keys from their owners, each with its owner as the next one, since another server may
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -113,10 +113,10 @@
     pub fn new(state: OwnerState, predecessor_end: BootTime, now: BootTime) -> Self {
         Self {
             hosts: state.hosts,
-            recovery: state.recovery,
             state,
             pending: None,
             lost_in: None,
+            recovery: None,
             must_withdraw: false,
             lease_bounds: LeaseBounds::new(predecessor_end),
             started_at: now,
@@ -137,6 +137,19 @@
         }
     }
 
+    /// Creates the planner for an assignment that may lack the last writes of earlier leaders.
+    pub fn after_lost_writes(
+        state: OwnerState,
+        recovery: RecoveryPhase,
+        predecessor_end: BootTime,
+        now: BootTime,
+    ) -> Self {
+        Self {
+            recovery: Some(recovery),
+            ..Self::new(state, predecessor_end, now)
+        }
+    }
+
     /// Assignment that the store has acknowledged.
     pub fn state(&self) -> &OwnerState {
         &self.state
@@ -241,10 +254,8 @@
     pub(super) fn awaits_unknown_owners(&mut self, now: BootTime) -> bool {
         let waits = now <= self.lease_bounds.inherited_end();
         match self.recovery {
-            _ if waits => {}
-            Some(RecoveryPhase::Unverified) => self.withdraw(),
-            Some(RecoveryPhase::Withdrawn) if !self.must_withdraw => self.recovery = None,
-            Some(RecoveryPhase::Withdrawn) | None => {}
+            Some(RecoveryPhase::Unverified) if !waits => self.withdraw(),
+            None | Some(_) => {}
         }
         self.recovery.is_some() && waits
     }
@@ -338,8 +349,10 @@
         let awaits_unknown_owners = self.awaits_unknown_owners(now);
         if self.must_withdraw && self.pending.is_none() {
             let mut next_state = self.state.clone();
+            if let Some(epoch) = self.lost_in {
+                next_state.enter_epoch(epoch);
+            }
             next_state.withdraw_all();
-            next_state.recovery = self.recovery;
             next_state.change += 1;
             self.pending = Some(next_state.clone());
             actions.push(PlanAction::Write(Box::new(next_state)));
@@ -347,8 +360,12 @@
         if awaits_unknown_owners || self.must_withdraw {
             return actions;
         }
-        self.renew(plan_context, now, &mut actions);
-        self.revoke(now, &mut actions);
+        // The write that removes the mark also shows that the store still names this leader: another
+        // write may have replaced its takeover, as revisions are given out again.
+        if !self.state.may_lack_owners {
+            self.renew(plan_context, now, &mut actions);
+            self.revoke(now, &mut actions);
+        }
         if self.pending.is_none()
             && now.since(self.planned_at) >= PLANNING_INTERVAL
             && let Some(next_state) = self.plan_next_state(plan_context, now)
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -150,6 +150,7 @@
             self.step_down("a digest of a later leader arrived", now);
         }
         self.last_digest_sender = Some((from, digest.term));
+        self.last_digest_at = Some(now);
         if !digest.peers.is_empty() {
             self.peers = digest.peers;
         }
@@ -309,7 +310,12 @@
             1 => BootTime::default(),
             _ => predecessor_end + ORDER_TIMEOUT,
         };
-        self.begin_term((state, version), ended.predecessor, predecessor_end);
+        self.begin_term(
+            (state, version),
+            ended.predecessor,
+            ended.recovery,
+            predecessor_end,
+        );
         let actor = context.actor_ref().clone();
         self.run_leader_round(&actor, now);
     }
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -6,6 +6,7 @@
         leader_actor::{LeaderActor, Predecessor, Role},
         leader_handlers::Announce,
         limit_table::LimitTable,
+        memory_check::MemoryCheck,
         takeover::{KnownLeadership, take_over},
     },
     crate::state::StoreKind,
@@ -151,6 +152,7 @@
         &mut self,
         (state, version): (OwnerState, StoreVersion),
         predecessor: Predecessor,
+        recovery: Option<RecoveryPhase>,
         predecessor_end: BootTime,
     ) {
         let now = self.state.now();
@@ -160,13 +162,23 @@
             0 => usize::try_from(state.hosts).unwrap_or(0),
             listed => listed,
         };
+        let planner = match recovery {
+            Some(recovery) => {
+                OwnershipPlanner::after_lost_writes(state, recovery, predecessor_end, now)
+            }
+            None => OwnershipPlanner::new(state, predecessor_end, now),
+        };
         // The last version that this host knew before it wrote the takeover.
         let remembered = self.announced.as_ref().map(|(_, version)| *version);
-        self.unverified = match state.recovery {
-            Some(RecoveryPhase::Unverified) => remembered,
-            Some(RecoveryPhase::Withdrawn) | None => None,
+        self.unverified = match (recovery, remembered) {
+            (Some(RecoveryPhase::Unverified), Some(remembered)) => Some(MemoryCheck::new(
+                remembered,
+                version.epoch,
+                self.last_digest_at,
+                now,
+            )),
+            (Some(_), _) | (None, _) => None,
         };
-        let planner = OwnershipPlanner::new(state, predecessor_end, now);
         self.predecessor = predecessor;
         self.term_started_at = now;
         log::info!(term = planner.state().term, revision:% = version; "this host is now the leader");
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -28,9 +28,9 @@
     },
     /// Another host has changed the object.
     Lost,
-    /// The store has lost the assignment that was to be replaced.
+    /// The store has lost writes since the assignment that was to be replaced.
     WritesLost {
-        /// Version of the earlier object that the store holds, or before the first change.
+        /// Version of the object that the store holds, or before the first change.
         stored: StoreVersion,
     },
     /// Nothing was written, and no earlier attempt can take effect.
@@ -119,6 +119,14 @@
                 }
             };
             match written {
+                // The store has lost writes meanwhile. What was replaced may be the assignment of a
+                // successor, as revisions are given out again; it has sent no order yet.
+                Ok(object) if object.version.epoch != version.epoch => {
+                    log::warn!(term = state.term, replaced:% = version, written:% = object.version; "assignment written in another epoch of the store than planned");
+                    self.state.record_store_epoch(object.version);
+                    let stored = object.version;
+                    return (sent_at, WriteOutcome::WritesLost { stored });
+                }
                 Ok(object) => {
                     let version = object.version;
                     self.update_host_state(state, version);
@@ -168,9 +176,12 @@
             }
         };
         match found {
-            Some((found, version)) if found == *state => WriteOutcome::Written { version },
+            Some((found, version)) if found == *state && version.epoch == replaced.epoch => {
+                WriteOutcome::Written { version }
+            }
             Some((found, stored))
-                if stored.epoch > replaced.epoch && state.is_newer_than(&found) =>
+                if stored.epoch > replaced.epoch
+                    && (found == *state || state.is_newer_than(&found)) =>
             {
                 WriteOutcome::WritesLost { stored }
             }
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -9,6 +9,7 @@
         ids::StoreVersion,
         ownership::{LeaderRecord, OwnerState, RecoveryPhase},
     },
+    camphorcove_platform::FIRST_STORE_EPOCH,
 };
 
 /// What this host knows of the leadership before it tries to take over.
@@ -29,6 +30,8 @@
     pub won: Option<(OwnerState, StoreVersion)>,
     /// The previous leader.
     pub predecessor: Predecessor,
+    /// Whether the assignment may not name all owners.
+    pub recovery: Option<RecoveryPhase>,
     /// Whether the attempt failed because of another leader.
     pub other_leader: bool,
     /// Epoch in which the assignment was lost and is left to hosts that know more of it.
@@ -40,6 +43,7 @@
         Self {
             won: None,
             predecessor: Predecessor::Ended,
+            recovery: None,
             other_leader,
             deferred_epoch: None,
         }
@@ -50,7 +54,7 @@
 ///
 /// Does not write if the stored term is newer than the known one and has another host as its
 /// leader. After the store has lost writes, it starts from the latest assignment that the store
-/// or this host knows. `secret` becomes the datagram key if there is no assignment yet.
+/// or this host knows. If there is none, the store is new or has lost it. `secret` becomes the datagram key if there is no assignment yet.
 pub(super) async fn take_over(
     owners: &OwnerStore,
     record: LeaderRecord,
@@ -69,8 +73,12 @@
         let stored = stored.state.as_ref();
         stored.is_none_or(|stored| remembered.is_newer_than(stored))
     });
-    let latest = remembered.as_deref().or(stored.state.as_ref());
-    let lacks_writes = latest.is_some_and(|state| state.lacks_writes(version.epoch));
+    let lacks_writes = match (&remembered, &stored.state) {
+        (Some(state), _) => state.lacks_writes(version.epoch),
+        (None, Some(state)) => state.lacks_writes(version.epoch),
+        // A store that has lost writes may have lost the assignment since before its creation.
+        (None, None) => version.epoch > FIRST_STORE_EPOCH,
+    };
     // The living leader knows all writes, so it is the best one to write them again; next come
     // hosts that remember the assignment.
     let others_know_more = known.leader_lives || remembered.is_none();
@@ -84,8 +92,14 @@
     let mut state = match (remembered, stored.state) {
         (Some(remembered), _) => OwnerState::clone(&remembered),
         (None, Some(stored)) => stored,
-        (None, None) => OwnerState::new(secret),
+        (None, None) => {
+            let mut state = OwnerState::new(secret);
+            state.enter_epoch(FIRST_STORE_EPOCH);
+            state
+        }
     };
+    // A copy of an assignment that was being recovered does not show what had been lost before.
+    let is_complete = is_remembered && !state.may_lack_owners;
     // Gives a leader that this host did not know of time to send its first digest.
     let unknown = known.term.is_none_or(|known| state.term > known);
     let same_host =
@@ -98,31 +112,32 @@
     {
         return TakeoverEnded::failed(true);
     }
+    if lacks_writes {
+        state.skip_lost_terms(version.epoch);
+    }
     state.enter_epoch(version.epoch);
-    state.recovery = match (state.recovery, lacks_writes, is_remembered) {
-        (None, false, _) => None,
-        (None, true, true) => Some(RecoveryPhase::Unverified),
-        // The leader that began the recovery has not ended it, and may act still.
-        (Some(_), _, _) | (None, true, false) => Some(RecoveryPhase::Withdrawn),
+    let recovery = match (lacks_writes, is_complete) {
+        (false, _) => None,
+        (true, true) => Some(RecoveryPhase::Unverified),
+        (true, false) => Some(RecoveryPhase::Withdrawn),
     };
-    if let Some(recovery) = state.recovery {
-        log::warn!(term = state.term, stored:% = version, recovery:? = recovery; "store has lost writes, taking over");
-    }
-    if lacks_writes {
-        state.skip_lost_terms();
+    state.may_lack_owners = recovery.is_some();
+    if let Some(recovery) = recovery {
+        log::warn!(term = state.term, stored:% = version, recovery:? = recovery; "assignment may lack writes, taking over");
     }
-    if state.recovery == Some(RecoveryPhase::Withdrawn) {
+    if recovery == Some(RecoveryPhase::Withdrawn) {
         state.withdraw_all();
     }
-    let predecessor = match (state.begin_term(record), state.recovery) {
-        (_, Some(_)) => Predecessor::Unknown,
-        (Some(leader), None) => Predecessor::Known(leader),
-        (None, None) => Predecessor::Ended,
+    let predecessor = match (state.begin_term(record), lacks_writes) {
+        (_, true) => Predecessor::Unknown,
+        (Some(leader), false) => Predecessor::Known(leader),
+        (None, false) => Predecessor::Ended,
     };
     match owners.write(&state, version).await {
         (_, WriteOutcome::Written { version }) => TakeoverEnded {
             won: Some((state, version)),
             predecessor,
+            recovery,
             other_leader: false,
             deferred_epoch: None,
         },
