Wait for leaders that the previous leader had not outlasted

What servers can see, without any loss of writes: a server that only a lost leader reaches holds keys under that leader's renewals, and a second successor gives them to another server. In the test the keys moved 4.4 s after the first takeover, while the lost leader could act for 2.5 s (12 s with most hosts) and its leases last 3 s more.

Cause: a successor waits for the leader that the assignment names as its predecessor. When that one resigns, or reports to it, all earlier leases were taken to end 3.4 s later; but it may have taken over itself a moment ago, from a leader that is cut off and goes on. What it knew of that one ended with it. Class, as for the doubt about a recovered assignment: a bound kept in memory while what it concerns goes on.

Change: the assignment says that earlier leaders may act, from the takeover until the leader knows that their authority has ended. A successor that finds the mark waits as for an unknown leader: until most hosts have left it, or 12 s. Owners that answer are renewed as before; the cost is one more write a term, and about 2.5 s for keys of servers that are lost while leaders change in quick succession.

--- a/crates/core/src/ownership/lease_bounds.rs
+++ b/crates/core/src/ownership/lease_bounds.rs
@@ -64,6 +64,11 @@
         self.inherited_end
     }
 
+    /// Whether earlier leaders send no more orders; leases that they have granted may go on.
+    pub fn earlier_leaders_have_ended(&self, now: BootTime) -> bool {
+        now + max_lease_duration(LEASE_DURATION) > self.inherited_end
+    }
+
     /// Lowers the bound for leases of the previous leader, which sends no orders after `end`.
     pub fn limit_predecessor(&mut self, end: BootTime) {
         self.inherited_end = self
--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -37,6 +37,7 @@
         }
         // Nothing is planned before that is certain.
         next_state.may_lack_owners = false;
+        next_state.earlier_leaders_may_act &= !self.lease_bounds.earlier_leaders_have_ended(now);
         let first_token = next_state.first_token();
         let mut moves_chosen = false;
         self.planned_at = now;
--- a/crates/core/src/ownership/owner_delta.rs
+++ b/crates/core/src/ownership/owner_delta.rs
@@ -12,6 +12,7 @@
 pub struct OwnerDelta {
     epoch: Option<u64>,
     may_lack_owners: bool,
+    earlier_leaders_may_act: bool,
     term: u64,
     change: u64,
     leader: Option<LeaderRecord>,
@@ -54,6 +55,7 @@
         Self {
             epoch: new.epoch,
             may_lack_owners: new.may_lack_owners,
+            earlier_leaders_may_act: new.earlier_leaders_may_act,
             term: new.term,
             change: new.change,
             leader: new.leader.clone(),
@@ -68,6 +70,7 @@
         let mut state = old.clone();
         state.epoch = self.epoch;
         state.may_lack_owners = self.may_lack_owners;
+        state.earlier_leaders_may_act = self.earlier_leaders_may_act;
         state.term = self.term;
         state.change = self.change;
         state.leader.clone_from(&self.leader);
@@ -93,6 +96,7 @@
     let hashed_fields = (
         state.epoch,
         state.may_lack_owners,
+        state.earlier_leaders_may_act,
         state.term,
         state.change,
         &state.leader,
--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -92,6 +92,10 @@
     /// remember no later assignment; a leader that ends before leaves the doubt to its successor.
     #[serde(default)]
     pub may_lack_owners: bool,
+    /// Leaders before the present one may still send orders. Stays set until their authority has ended,
+    /// so that the next leader does not wait for the present one alone.
+    #[serde(default)]
+    pub earlier_leaders_may_act: bool,
     /// Term of the leader; increases with each takeover.
     pub term: u64,
     /// Number of the write; shows whether a write whose answer was lost took effect.
@@ -113,6 +117,7 @@
         Self {
             epoch: None,
             may_lack_owners: false,
+            earlier_leaders_may_act: false,
             term: 0,
             change: 0,
             leader: None,
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -70,7 +70,8 @@
     Ended,
     /// It may act still.
     Known(LeaderRecord),
-    /// A leader whose takeover the store has lost may act still.
+    /// Leaders may act still whose takeovers the store has lost, or which the previous leader had not
+    /// outlasted.
     Unknown,
 }
 
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -28,7 +28,7 @@
 pub(super) struct TakeoverEnded {
     /// Written assignment and its version, if this host is the leader now.
     pub won: Option<(OwnerState, StoreVersion)>,
-    /// The previous leader.
+    /// The leaders before this one.
     pub predecessor: Predecessor,
     /// Whether the assignment may not name all owners.
     pub doubt: Option<OwnerDoubt>,
@@ -126,11 +126,14 @@
     if doubt == Some(OwnerDoubt::Withdrawn) {
         state.withdraw_all();
     }
-    let predecessor = match (state.begin_term(record), lacks_writes) {
+    // The end of the previous leader says nothing of those that it had not outlasted.
+    let others_may_act = lacks_writes || state.earlier_leaders_may_act;
+    let predecessor = match (state.begin_term(record), others_may_act) {
         (_, true) => Predecessor::Unknown,
         (Some(leader), false) => Predecessor::Known(leader),
         (None, false) => Predecessor::Ended,
     };
+    state.earlier_leaders_may_act = predecessor != Predecessor::Ended;
     match owners.write(&state, version).await {
         (_, WriteOutcome::Written { version }) => TakeoverEnded {
             won: Some((state, version)),
--- a/crates/gateway/tests/two_owners.rs
+++ b/crates/gateway/tests/two_owners.rs
@@ -4,16 +4,24 @@
 mod support;
 
 use {
-    camphorcove_core::{ids::StoreVersion, ownership::OwnerState},
+    camphorcove_core::{
+        ids::StoreVersion,
+        ownership::{AUTHORITY_LIMIT_WITHOUT_MAJORITY, LEASE_DURATION, LeaderRecord, OwnerState},
+    },
     camphorcove_gateway::leader::{OwnerStore, Resign, WriteOutcome},
     camphorcove_platform::StoreClient,
-    camphorcove_platform_standin::store_standin::StoreStandin,
+    camphorcove_platform_standin::{
+        owning_server::{OwnershipLedger, OwningServer},
+        store_standin::StoreStandin,
+    },
     rstest::rstest,
-    std::time::Duration,
+    std::time::{Duration, Instant},
     support::{
-        fixtures::host_state,
+        fixtures::{entry, host_state, owners_with},
+        leader_hosts::leader_host_with,
         owned_region::{
-            OwnedRegion, is_owned, move_keys, next_token, owned_region, start_hosts, stored, until,
+            OwnedRegion, is_owned, move_keys, next_token, owned_region, owners_of, start_hosts,
+            stored, until,
         },
     },
     tokio::time::sleep,
@@ -170,3 +178,57 @@
     };
     assert_eq!(epoch, Some(1));
 }
+
+/// Time for which the lost leader may still act without most hosts, and the lease that it may give at its
+/// end.
+const LOST_LEADER_LEASES: Duration =
+    AUTHORITY_LIMIT_WITHOUT_MAJORITY.saturating_add(LEASE_DURATION);
+
+/// Guards against a leader that waits only for its predecessor's leases: the predecessor had just taken
+/// over from a leader that was lost to it and may still renew the lease of a server that only that
+/// leader reaches.
+#[tokio::test]
+async fn second_successor_waits_for_the_leader_that_was_lost() {
+    let (store, address) = StoreStandin::start().await;
+    let ledger = OwnershipLedger::default();
+    let server = OwningServer::start("s-2", &ledger).await;
+    // No host reaches this server.
+    let unreached = entry("s-1", "keyed", ([127, 0, 0, 1], 9).into());
+    let mut state = owners_with(&unreached);
+    state.hosts = 2;
+    state.begin_term(LeaderRecord {
+        host: "lost".parse().expect("valid id"),
+        nonce: 7,
+        address: ([127, 0, 0, 1], 10).into(),
+    });
+    store.put(
+        "camphorcove",
+        "owners",
+        serde_json::to_value(&state).expect("plain"),
+    );
+    let entries = vec![unreached, entry("s-2", "keyed", server.address)];
+    let mut hosts = Vec::new();
+    for name in ["host-1", "host-2"] {
+        hosts.push(leader_host_with(name, address, entries.clone()).await);
+    }
+
+    until("taken over", || {
+        hosts.iter().any(|host| host.state.is_leader())
+    })
+    .await;
+    let taken_over_at = Instant::now();
+    let first = hosts
+        .iter()
+        .find(|host| host.state.is_leader())
+        .expect("a leader");
+    first.actor.tell(Resign).await.expect("actor lives");
+    until("moved", || {
+        let state = stored(&store).expect("an assignment");
+        owners_of(&state).values().any(|owner| owner == "s-2")
+    })
+    .await;
+
+    let waited = taken_over_at.elapsed();
+    assert!(stored(&store).is_some_and(|state| state.term > 2));
+    assert!(waited >= LOST_LEADER_LEASES, "{waited:?}");
+}
