--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,4 +4,5 @@
 pub mod fixtures;
 pub mod leader_hosts;
 pub mod owned_region;
+pub mod search_region;
 pub mod soak_region;
