--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod link_faults;
 pub mod owned_region;
 pub mod peer_relay;
+pub mod search_region;
 pub mod single_host;
 pub mod soak_callers;
 pub mod soak_host;
