Fault soak: a request on a connection whose process has just ended is not cut

The log of host 1 ends with the response before it; the process was killed in the 10 ms in which the caller paused, and had started again when the caller sent on the dead connection. The check looked for a stop or a kill since the request was sent only. It now looks since the connection was last known to be open, for requests that ran nowhere and were answered by the close within 50 ms; for all others it is as before.

--- a/crates/gateway/tests/support/kept_callers.rs
+++ b/crates/gateway/tests/support/kept_callers.rs
@@ -28,13 +28,17 @@
 const REQUEST_PAUSE: Duration = Duration::from_millis(10);
 
 /// Time for which a host had a request when its connection closed, from which the request counts as
-/// cut. A request that is sent while the host closes an idle connection crosses the close.
+/// cut. A request that is sent while the host closes an idle connection, or on a connection whose
+/// process has just ended, crosses the close.
 const CROSSING_TIME: Duration = Duration::from_millis(50);
 
 /// A request on a connection that closed without a complete response to it.
 struct CutRequest {
     id: String,
     host: usize,
+    /// When the connection was last known to be open before: at the response before, or when it was
+    /// opened.
+    open_at: Instant,
     sent_at: Instant,
     closed_at: Instant,
 }
@@ -83,7 +87,9 @@
                 }
                 let runs = ownership_ledger.runs(&cut.id);
                 let waited = closed_at - sent_at;
-                if host.was_stopped(sent_at, closed_at) && runs == 0 && waited < CROSSING_TIME {
+                let has_ended = host.was_stopped(cut.open_at, closed_at)
+                    || host.was_broken(cut.open_at, closed_at);
+                if has_ended && runs == 0 && waited < CROSSING_TIME {
                     println!(
                         "request {} to host {} crossed the close after {waited:?}",
                         cut.id, cut.host
@@ -132,6 +138,7 @@
         stop: &AtomicBool,
     ) -> Option<CutRequest> {
         let mut received = Vec::new();
+        let mut open_at = Instant::now();
         while !stop.load(Ordering::Relaxed) {
             self.sent += 1;
             let (id, text) = next_request(&self.name, self.sent, &self.caller_ledger);
@@ -151,6 +158,7 @@
                 return Some(CutRequest {
                     id,
                     host,
+                    open_at,
                     sent_at,
                     closed_at,
                 });
@@ -158,6 +166,7 @@
             if is_last {
                 return None;
             }
+            open_at = closed_at;
             sleep(REQUEST_PAUSE).await;
         }
         None
