--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -22,7 +22,9 @@
 /// With 139, half of the owners were lost, and every leader resigned instead of moving keys.
 /// With 20, a server that had started again under its id and address carried out a grant for its
 /// earlier incarnation, which the leader took for ended.
-const SEEDS: [u64; 3] = [1, 20, 139];
+/// With 9401, a stopping host reset a connection that waited in the backlog of its listener.
+/// With 9534, a stopping host closed the connection of a request that still waited for a server.
+const SEEDS: [u64; 5] = [1, 20, 139, 9_401, 9_534];
 
 fn seeds() -> Vec<u64> {
     let Ok(text) = env::var("SOAK_SEEDS") else {
