Take only later starts of a server for proof that an earlier one has ended

A fresh reader of the two-owners incident found it: a leader whose fleet is behind the assignment saw an earlier start of an owner in its entries, took the present one for ended and gave its keys to others at once. Class: a difference taken for an order. owner_that_has_started_after_the_known_entry_has_not_ended failed before (a grant to another server without a release) and passes. An address that belongs to another server in an outdated fleet remains a proof; listed in the incident as open.

--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -396,7 +396,8 @@
 /// its address, which is reused only after its end, belongs to another server.
 pub(super) fn instance_ended(fleet: &FleetView, instance: &ServerInstance) -> bool {
     if let Some(entry) = fleet.get(&instance.id) {
-        return entry.incarnation != instance.incarnation;
+        // An earlier incarnation shows that the host lacks the newest entry.
+        return entry.incarnation > instance.incarnation;
     }
     fleet
         .entries()
--- a/crates/core/tests/ownership_planner.rs
+++ b/crates/core/tests/ownership_planner.rs
@@ -292,3 +292,37 @@
     );
     assert_eq!(after.iter().filter(|action| is_grant(action)).count(), 2);
 }
+
+/// Guards against a leader whose fleet is behind the assignment: it took the present start of a server
+/// for one that had ended, and gave its keys to others without waiting for the lease.
+#[test]
+fn owner_that_has_started_after_the_known_entry_has_not_ended() {
+    let mut state = owned_state(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
+    let owners = state.services.get_mut(&service()).expect("a service");
+    let restarted = ServerInstance {
+        incarnation: 2,
+        address: ([127, 0, 0, 1], 8_000).into(),
+        ..instance(0)
+    };
+    owners.ranges[0].phase = RangePhase::Owned {
+        owner: restarted.clone(),
+        token: 7,
+    };
+    let mut driver = PlannerDriver::new(state, &[0, 1]);
+
+    let mut released = false;
+    for _ in 0..40 {
+        for action in driver.poll() {
+            match &action {
+                PlanAction::Release { server, .. } => released |= *server == restarted,
+                PlanAction::Grant { server, range, .. } if *server != restarted => {
+                    assert!(released || range.first > 32_767, "{action:?}");
+                }
+                PlanAction::Grant { .. } | PlanAction::Write(_) => {}
+            }
+            driver.finish(&action, None);
+        }
+    }
+
+    assert!(released);
+}
