Report what was heard of an assignment before one of the new epoch is adopted

A host that had heard of a later assignment reported only the one that it held until it adopted one of the store's new epoch, and so counted as a witness that there was none.

--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -426,10 +426,14 @@
     pub fn remembered_owners(&self) -> StoreVersion {
         let inner = self.lock();
         let held = inner.owner_state.as_ref().map(|(_, version)| *version);
+        let heard = inner.peer_versions.get(StoreKind::Owners);
         let epoch = inner.store_epoch.unwrap_or_default();
         // No assignment of the new epoch has been adopted yet.
-        let remembered = held.filter(|held| held.epoch < epoch);
-        remembered.unwrap_or(inner.remembered_owners)
+        let earlier = held.into_iter().chain([heard]);
+        let remembered = earlier.filter(|version| version.epoch < epoch).max();
+        remembered.map_or(inner.remembered_owners, |remembered| {
+            remembered.max(inner.remembered_owners)
+        })
     }
 
     /// Latest known assignment and its version.
