--- a/crates/core/src/quarantine/suspect_table.rs
+++ b/crates/core/src/quarantine/suspect_table.rs
@@ -34,6 +34,10 @@
 /// request is the only cause.
 const REPORT_TIME: Duration = Duration::from_millis(50);
 
+/// Age that a list of another host may have: it may have been sent before an answer that cleared a
+/// request, and arrive after it.
+const LIST_MAX_AGE: Duration = Duration::from_secs(5);
+
 /// Time without another crash after which a request is no longer suspected.
 const SUSPICION_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -96,6 +100,8 @@
     suspects: HashMap<RequestFingerprint, Suspect>,
     /// Recent crashes, oldest first.
     crashes: VecDeque<(CrashId, BootTime)>,
+    /// Suspected requests that were answered recently, oldest first.
+    answered: VecDeque<(RequestFingerprint, BootTime)>,
 }
 
 impl Suspect {
@@ -117,7 +123,7 @@
     fn expires_at(&self) -> BootTime {
         match self.quarantines {
             0 => self.crashed_at + SUSPICION_LIFETIME,
-            _ => self.quarantined_until + PROBATION,
+            _ => self.quarantined_until.max(self.crashed_at) + PROBATION,
         }
     }
 
@@ -190,9 +196,11 @@
 
     /// Quarantines a request that is the only cause of the recent crashes, once all reports are in.
     fn decide(&mut self, request: &RequestFingerprint, now: BootTime) {
+        // What another host has told does not name the other requests at these crashes.
         let is_undecided = |suspect: &Suspect| {
             suspect.quarantines == 0
                 && suspect.sequence >= CRASHES_ALONE
+                && suspect.crashes.len() >= CRASHES_ALONE as usize
                 && now.since(suspect.crashed_at) >= REPORT_TIME
         };
         if self.suspects.get(request).is_some_and(is_undecided)
@@ -204,7 +212,12 @@
     }
 
     /// Records that a server has answered the request; returns whether it was suspected.
-    pub fn record_answer(&mut self, request: &RequestFingerprint) -> bool {
+    pub fn record_answer(&mut self, request: &RequestFingerprint, now: BootTime) -> bool {
+        let is_old = |(_, at): &(RequestFingerprint, BootTime)| now.since(*at) >= LIST_MAX_AGE;
+        while self.answered.front().is_some_and(is_old) || self.answered.len() >= MAX_SHARED {
+            self.answered.pop_front();
+        }
+        self.answered.push_back((*request, now));
         self.suspects.remove(request).is_some()
     }
 
@@ -264,6 +277,12 @@
     /// Merges what another host knows.
     pub fn merge(&mut self, shared: &[SharedSuspect], now: BootTime) {
         for known in shared {
+            let is_same = |(request, at): &(RequestFingerprint, BootTime)| {
+                *request == known.request && now.since(*at) < LIST_MAX_AGE
+            };
+            if self.answered.iter().any(is_same) {
+                continue;
+            }
             if !self.suspects.contains_key(&known.request) {
                 self.make_room(now);
             }
@@ -305,7 +324,8 @@
         }
     }
 
-    fn expire(&mut self, now: BootTime) {
+    /// Drops requests that are no longer suspected.
+    pub fn expire(&mut self, now: BootTime) {
         self.suspects
             .retain(|_, suspect| now < suspect.expires_at());
     }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -18,7 +18,7 @@
 const MANY: u64 = 5_000;
 
 fn start() -> BootTime {
-    BootTime::from_millis(1_000_000)
+    BootTime::from_millis(10_000_000)
 }
 
 fn fingerprint(name: &str) -> RequestFingerprint {
@@ -112,7 +112,7 @@
     let mut table = SuspectTable::default();
     let now = crash_in_sequence(&mut table, "a");
 
-    let was_suspected = table.record_answer(&fingerprint("a"));
+    let was_suspected = table.record_answer(&fingerprint("a"), now);
     table.record_crash(&crash("a", 9, STEP / 10), now + STEP);
 
     assert!(was_suspected);
@@ -186,3 +186,54 @@
 
     assert!(!is_open(&mut other, "a", other_now));
 }
+
+/// Guards against a host that has just started and quarantines all suspects, as it does not know what
+/// else ran when servers crashed.
+#[test]
+fn told_suspects_are_not_quarantined_without_evidence() {
+    let mut table = SuspectTable::default();
+    let now = crash_in_sequence(&mut table, "ab ab");
+    let mut other = SuspectTable::default();
+
+    other.merge(&table.shared(now), now);
+    table.merge(&other.shared(now + STEP), now + STEP);
+
+    assert!(is_open(&mut other, "a", now + STEP));
+    assert!(is_open(&mut table, "b", now + STEP));
+}
+
+/// Guards against a list that was sent before a request was answered and brings its quarantine back.
+#[test]
+fn older_list_does_not_undo_an_answer() {
+    let (mut table, now) = quarantined();
+    let older = table.shared(now);
+
+    table.record_answer(&fingerprint("a"), now);
+    table.merge(&older, now);
+
+    assert!(is_open(&mut table, "a", now));
+}
+
+/// Guards against hosts that keep suspects, and compute fingerprints, long after the last crash.
+#[test]
+fn suspects_end_without_further_crashes() {
+    let mut table = SuspectTable::default();
+    let now = crash_in_sequence(&mut table, "a");
+
+    table.expire(now + STEP * 3_600);
+
+    assert!(table.is_empty());
+}
+
+/// Guards against a probation that ends at once on hosts that were told of it long after their start.
+#[test]
+fn probation_is_told() {
+    let (mut table, now) = quarantined();
+    let ended = now + table.quarantine_left(&fingerprint("a"), now) + STEP;
+    let mut other = SuspectTable::default();
+
+    other.merge(&table.shared(ended), ended);
+    other.record_crash(&crash("a", 9, NO_DELAY), ended + STEP);
+
+    assert!(!is_open(&mut other, "a", ended + STEP));
+}
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -197,6 +197,7 @@
     pub(super) fn tick(&mut self, actor: &ActorRef<Self>) -> Duration {
         let now = self.state.now();
         self.state.expire_fleet();
+        self.state.expire_suspects();
         self.state.expire_pauses();
         self.state.expire_remote_load();
         let is_leader = matches!(self.role, Role::Leader(_));
--- a/crates/gateway/src/serve/crash_check.rs
+++ b/crates/gateway/src/serve/crash_check.rs
@@ -36,14 +36,16 @@
     }
 
     /// Records a crash if the server, which has ended the connection of a request, has ended itself: it
-    /// accepts no connections either. A server that only closes connections does.
+    /// accepts no connections either. A server that only closes connections does. One that was about to
+    /// leave has ended as planned.
     pub(super) async fn check_for_crash(
         &self,
         routed: &RoutedRequest,
         server: &ServerEntry,
         sent_at: BootTime,
     ) {
-        if refuses_connections(server.address).await {
+        let was_leaving = self.state.is_leaving(&server.id);
+        if !was_leaving && refuses_connections(server.address).await {
             self.state
                 .record_crash(&routed.fingerprint(), server, sent_at);
         }
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -58,6 +58,8 @@
     may_have_run: bool,
     /// The next attempt has already been counted against the retry budget.
     retry_counted: bool,
+    /// The next attempt may be sent, as far as crashes of servers tell.
+    admitted: bool,
     /// Total time spent waiting for the key to change owner.
     waited: Duration,
     /// Response of the last attempt that ended with a server error.
@@ -80,8 +82,12 @@
             if time_left < MIN_ATTEMPT_TIME {
                 return self.give_up(&routed, history, Refusal::TooLate, None);
             }
-            match self.admit(&routed) {
-                Admittance::Open => {}
+            let admittance = match history.admitted {
+                true => Admittance::Open,
+                false => self.admit(&routed),
+            };
+            match admittance {
+                Admittance::Open => history.admitted = true,
                 Admittance::Wait(wait) => {
                     sleep(wait).await;
                     continue;
@@ -164,6 +170,7 @@
                     .last_start()
                     .filter(|_| !history.may_have_run),
             };
+            history.admitted = false;
             let sent_at = self.state.now();
             let sending = send_call(pool, target, permit, &routed.call, attempt_timeout);
             let outcome = sending.await;
@@ -193,7 +200,8 @@
                 let failed = response.status().is_server_error();
                 history.sent += 1;
                 history.may_have_run = true;
-                if !failed {
+                // A server may crash while it sends the rest of a long response.
+                if !failed && matches!(response.body(), ResponseBody::Buffered(_)) {
                     self.record_answer(routed);
                 }
                 if !failed || !idempotent {
--- a/crates/gateway/src/state/suspect_tracking.rs
+++ b/crates/gateway/src/state/suspect_tracking.rs
@@ -4,6 +4,7 @@
     super::{HostState, LogTopic, suspect_news::SuspectNews},
     camphorcove_core::{
         fleet::ServerEntry,
+        ids::ServerId,
         quarantine::{Admittance, CrashId, CrashReport, RequestFingerprint},
         time::BootTime,
     },
@@ -41,6 +42,11 @@
         admittance
     }
 
+    /// Whether the server has announced to leave, drains, or has lost its entry.
+    pub fn is_leaving(&self, server: &ServerId) -> bool {
+        self.lock().fleet.leaving_since(server).is_some()
+    }
+
     /// Records that a server crashed while it had a request that was sent at `sent_at`.
     pub fn record_crash(
         &self,
@@ -76,8 +82,9 @@
 
     /// Records that a server answered a request, which clears it of suspicion.
     pub fn record_answered_request(&self, request: &RequestFingerprint) {
+        let now = self.now();
         let mut inner = self.lock();
-        if !inner.suspects.record_answer(request) {
+        if !inner.suspects.record_answer(request, now) {
             return;
         }
         inner.suspect_outbox.push_answer(*request);
@@ -85,6 +92,12 @@
         self.suspects_changed.notify_one();
     }
 
+    /// Drops requests that are no longer suspected.
+    pub fn expire_suspects(&self) {
+        let now = self.now();
+        self.lock().suspects.expire(now);
+    }
+
     /// News for the other hosts, each to be sent twice as datagrams may be lost; `None` if there are none.
     pub fn take_suspect_news(&self) -> Option<SuspectNews> {
         let now = self.now();
@@ -114,7 +127,7 @@
             }
         }
         for request in &news.answered {
-            inner.suspects.record_answer(request);
+            inner.suspects.record_answer(request, now);
         }
         inner.suspects.merge(&news.known, now);
     }
