--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -15,3 +15,4 @@
 pub mod soak_region;
 pub mod soak_servers;
 pub mod stop_series;
+pub mod store_links;
--- a/crates/standin/src/proxy/proxy_connection.rs
+++ b/crates/standin/src/proxy/proxy_connection.rs
@@ -5,6 +5,7 @@
     super::{DirectionFaults, ProxySettings, proxy_state::ProxyState},
     bytes::{Bytes, BytesMut},
     std::{
+        future::pending,
         io,
         sync::atomic::{AtomicBool, AtomicU64, Ordering},
         time::Duration,
@@ -32,12 +33,17 @@
 
 /// Forwards bytes in both directions until the connection ends or is reset.
 pub(super) async fn run(state: &ProxyState, mut downstream: TcpStream) {
+    let mut silenced = state.silenced.subscribe();
     let target = *state.target.borrow();
     let Ok(mut upstream) = TcpStream::connect(target).await else {
         reset(&downstream);
         return;
     };
-    if relay(state, &mut downstream, &mut upstream).await.is_err() {
+    let ended = tokio::select! {
+        ended = relay(state, &mut downstream, &mut upstream) => ended,
+        _ = silenced.changed() => pending().await,
+    };
+    if ended.is_err() {
         reset(&downstream);
         reset(&upstream);
     }
--- a/crates/standin/src/proxy/proxy_standin.rs
+++ b/crates/standin/src/proxy/proxy_standin.rs
@@ -88,6 +88,11 @@
         self.state.settings.send_modify(change);
     }
 
+    /// Makes the connections that are open now carry nothing more and stay open, while new ones work.
+    pub fn silence_open_connections(&self) {
+        self.state.silenced.send_modify(|count| *count += 1);
+    }
+
     /// Current values of the counters.
     pub fn stats(&self) -> ProxyStats {
         self.state.stats()
--- a/crates/standin/src/proxy/proxy_state.rs
+++ b/crates/standin/src/proxy/proxy_state.rs
@@ -25,6 +25,8 @@
 pub(super) struct ProxyState {
     pub target: watch::Sender<SocketAddr>,
     pub settings: watch::Sender<ProxySettings>,
+    /// Rises each time that the connections which are open then fall silent for good.
+    pub silenced: watch::Sender<u64>,
     pub accepted: AtomicU64,
     pub bytes_up: AtomicU64,
     pub bytes_down: AtomicU64,
@@ -35,6 +37,7 @@
         Self {
             target: watch::Sender::new(target),
             settings: watch::Sender::default(),
+            silenced: watch::Sender::default(),
             accepted: AtomicU64::new(0),
             bytes_up: AtomicU64::new(0),
             bytes_down: AtomicU64::new(0),
