Do not wait for idle connections to the store that have gone silent

Callers got 404 for new routes: a host that does not watch the store reads a large configuration itself, over a connection that may have been idle for many seconds. If the open connections have gone silent, the read waits 2 s, and the next one takes another silent connection.

Ruled out: that the hosts had not heard of the version, as small configurations arrived.

--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -46,6 +46,8 @@
     sender: Sender,
     /// Whether it has carried a response that reports no success.
     carried_failure: bool,
+    /// When its last response was complete, or when it was opened.
+    used_at: Instant,
 }
 
 impl OpenConnection {
@@ -78,6 +80,7 @@
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<OpenConnection>>>>,
     idle_limit: usize,
     connect_limit: Option<Duration>,
+    idle_time_limit: Option<Duration>,
     response_limit: usize,
     abortive_close: bool,
     doubts_repeated_failures: bool,
@@ -96,6 +99,7 @@
             idle: Arc::default(),
             idle_limit,
             connect_limit: None,
+            idle_time_limit: None,
             response_limit: RESPONSE_LIMIT,
             abortive_close: false,
             doubts_repeated_failures: false,
@@ -109,6 +113,13 @@
         self
     }
 
+    /// Limits the time after which an idle connection is no longer used. One that has gone silent
+    /// meanwhile costs the call its whole timeout, which opening a new one does not.
+    pub fn with_idle_time_limit(mut self, limit: Duration) -> Self {
+        self.idle_time_limit = Some(limit);
+        self
+    }
+
     /// Limits the size of a response body, in bytes; a longer one counts as no response.
     pub fn with_response_limit(mut self, bytes: usize) -> Self {
         self.response_limit = bytes;
@@ -163,15 +174,19 @@
         }
         let request = with_host_header(request, address);
         let receiving = send_and_receive(&mut connection.sender, request, self.response_limit);
-        let reply = timeout_at(deadline, receiving)
-            .await
-            .unwrap_or_else(|_| no_reply("timed out"))?;
+        let Ok(reply) = timeout_at(deadline, receiving).await else {
+            // What has silenced this connection has most likely silenced the idle ones as well.
+            self.close_idle(address);
+            return no_reply("timed out");
+        };
+        let reply = reply?;
         if !reply.status().is_success() {
             if self.doubts_repeated_failures && connection.carried_failure {
                 return no_reply("may be an earlier response, sent once more");
             }
             connection.carried_failure = true;
         }
+        connection.used_at = Instant::now();
         if connection_use == ConnectionUse::Reused {
             self.store_idle(address, connection);
         }
@@ -217,14 +232,25 @@
         Ok(OpenConnection {
             sender,
             carried_failure: false,
+            used_at: Instant::now(),
         })
     }
 
+    /// Whether an idle connection may be used for another request.
+    fn is_usable(&self, connection: &OpenConnection) -> bool {
+        let limit = self.idle_time_limit;
+        !connection.is_closed() && limit.is_none_or(|limit| connection.used_at.elapsed() < limit)
+    }
+
+    fn close_idle(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if !connection.is_closed() {
+            if self.is_usable(&connection) {
                 return Some(connection);
             }
         }
@@ -238,7 +264,7 @@
         }
         let mut idle = self.lock();
         let connections = idle.entry(address).or_default();
-        connections.retain(|connection| !connection.is_closed());
+        connections.retain(|connection| self.is_usable(connection));
         if connections.len() < self.idle_limit {
             connections.push(connection);
         }
--- a/crates/net/tests/http_client.rs
+++ b/crates/net/tests/http_client.rs
@@ -11,7 +11,7 @@
     http::{Request, StatusCode},
     http_body_util::Full,
     std::time::Duration,
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -109,3 +109,46 @@
         "{result:?}"
     );
 }
+
+// Guards against calls that wait for idle connections which have gone silent, each for its whole
+// timeout.
+#[tokio::test]
+async fn a_timeout_closes_the_other_idle_connections() {
+    let backend = backend().await;
+    let proxy = ProxyStandin::to(backend.address()).await.unwrap();
+    let address = proxy.address();
+    let client = HttpClient::default();
+    let slow = || client.exchange(address, request("/?work_ms=100"), TIMEOUT);
+    let (first, second, third) = tokio::join!(slow(), slow(), slow());
+    first.and(second).and(third).unwrap();
+    proxy.silence_open_connections();
+
+    let silent = client
+        .exchange(address, request("/"), Duration::from_millis(300))
+        .await;
+    let next = client.exchange(address, request("/"), TIMEOUT).await;
+
+    assert!(
+        matches!(silent, Err(ExchangeError::NoReply { .. })),
+        "{silent:?}"
+    );
+    assert_eq!(next.unwrap().status(), StatusCode::OK);
+}
+
+// Guards against a first call after a quiet time that is lost on a connection which has gone
+// silent.
+#[tokio::test]
+async fn a_connection_is_not_used_after_its_idle_time_limit() {
+    let backend = backend().await;
+    let proxy = ProxyStandin::to(backend.address()).await.unwrap();
+    let limit = Duration::from_millis(50);
+    let client = HttpClient::default().with_idle_time_limit(limit);
+    let first = client.exchange(proxy.address(), request("/"), TIMEOUT);
+    first.await.unwrap();
+    proxy.silence_open_connections();
+    sleep(limit).await;
+
+    let next = client.exchange(proxy.address(), request("/"), TIMEOUT);
+
+    assert_eq!(next.await.unwrap().status(), StatusCode::OK);
+}
