Tell hosts at once when leader and watchers no longer reach the store

Callers of hosts whose way to the store was sound were served by an older version for up to 4 s: if the leader and the two hosts that watch with it are cut off from the store, its digests say for 3 s more that it reaches it, until two checks of its leadership have failed. Other hosts rely on that.

Ruled out: that the other hosts could not reach the store, as each has a connection of its own.

--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -94,6 +94,20 @@
         if let Some((address, _)) = leader {
             let message = PeerMessage::Report(report);
             self.link.send(&self.state, address, &message);
+            self.send_unknown_configuration(address);
+        }
+    }
+
+    /// Sends a configuration that no digest has shown yet to a leader which does not reach the store,
+    /// so that it sends it to all hosts.
+    fn send_unknown_configuration(&self, leader: SocketAddr) {
+        if self.leader_without_store.is_none() {
+            return;
+        }
+        let known = self.state.peer_version(StoreKind::Config);
+        if let Some(copy) = self.state.config_copy_after(known) {
+            let message = PeerMessage::Config(ConfigCopy::clone(&copy));
+            self.link.send(&self.state, leader, &message);
         }
     }
 
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -147,7 +147,8 @@
     pub fn set_is_leader(&self, is_leader: bool) {
         self.is_leader.store(is_leader, Ordering::Relaxed);
         if is_leader {
-            self.lock().feed.start_store_watch();
+            let now = self.now();
+            self.lock().feed.start_store_watch(now);
             self.versions_changed.notify_waiters();
         }
     }
@@ -159,7 +160,7 @@
 
     /// Whether this host has to watch the store although digests arrive.
     pub fn watches_store(&self) -> bool {
-        self.lock().feed.watches_store()
+        self.lock().feed.watching_since().is_some()
     }
 
     /// Time for which this host may rely on the leader's digests; zero if it has to watch the
@@ -171,7 +172,8 @@
 
     /// Records that the store has answered a call of this host.
     pub fn record_store_success(&self) {
-        self.lock().store_contact.record_success();
+        let now = self.now();
+        self.lock().store_contact.record_success(now);
     }
 
     /// Records that a call of this host to the store has failed.
@@ -183,7 +185,10 @@
     /// Whether the store is out of this host's reach, as far as its last calls tell.
     pub fn lacks_store(&self) -> bool {
         let now = self.now();
-        self.lock().store_contact.is_lost(now)
+        let inner = self.lock();
+        inner
+            .store_contact
+            .is_lost(inner.feed.watching_since(), now)
     }
 
     /// Records a version of the store; a later epoch than before means that it has lost writes, which
@@ -297,9 +302,9 @@
 impl StateInner {
     /// Earliest time at which a change that arrives now may have happened.
     fn earliest_change_at(&self, now: BootTime) -> BootTime {
-        match self.feed.watches_store() {
-            true => now,
-            false => now.minus(MAX_BACKDATE.min(now.since(self.last_in_sync_at))),
+        match self.feed.watching_since() {
+            Some(_) => now,
+            None => now.minus(MAX_BACKDATE.min(now.since(self.last_in_sync_at))),
         }
     }
 
--- a/crates/gateway/src/state/store_feed.rs
+++ b/crates/gateway/src/state/store_feed.rs
@@ -18,7 +18,8 @@
 /// Source from which this host learns of changes in the store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreFeed {
-    must_watch: bool,
+    /// Since when this host has to watch the store although digests arrive.
+    watching_since: Option<BootTime>,
     digests_valid_until: BootTime,
 }
 
@@ -26,33 +27,33 @@
     /// Creates the feed at process start; it waits for a first digest.
     pub fn new(now: BootTime) -> Self {
         Self {
-            must_watch: false,
+            watching_since: None,
             digests_valid_until: now + FIRST_DIGEST_TIMEOUT,
         }
     }
 
     /// Records a digest; `must_watch` says that it tells this host to watch the store.
     pub fn record_digest(&mut self, must_watch: bool, now: BootTime) {
-        self.must_watch = must_watch;
+        self.watching_since = must_watch.then(|| self.watching_since.unwrap_or(now));
         self.digests_valid_until = now + DIGEST_TIMEOUT;
     }
 
     /// Makes this host watch the store until the next digest from another host.
-    pub fn start_store_watch(&mut self) {
-        self.must_watch = true;
+    pub fn start_store_watch(&mut self, now: BootTime) {
+        self.watching_since.get_or_insert(now);
     }
 
-    /// Whether this host has to watch the store although digests arrive.
-    pub fn watches_store(&self) -> bool {
-        self.must_watch
+    /// Since when this host has to watch the store although digests arrive.
+    pub fn watching_since(&self) -> Option<BootTime> {
+        self.watching_since
     }
 
     /// Time for which this host may rely on the leader's digests; zero if it has to watch the
     /// store.
     pub fn time_left(&self, now: BootTime) -> Duration {
-        match self.must_watch {
-            true => Duration::ZERO,
-            false => self.digests_valid_until.since(now),
+        match self.watching_since {
+            Some(_) => Duration::ZERO,
+            None => self.digests_valid_until.since(now),
         }
     }
 }
--- a/crates/gateway/tests/late_configuration.rs
+++ b/crates/gateway/tests/late_configuration.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    rstest::rstest,
     std::time::Duration,
     support::store_links::{LinkedHost, configuration, linked_hosts},
     tokio::time::sleep,
@@ -60,10 +61,16 @@
     assert!(took < APPLY_LIMIT, "{took:?}");
 }
 
-/// Guards against hosts that rely on the digests of a leader which no longer reaches the store.
+/// Guards against hosts that rely on the digests of a leader which no longer reaches the store. With
+/// many hosts, not all of them are told to watch it instead.
+#[rstest]
+#[case::few(8)]
+#[case::many(20)]
 #[tokio::test]
-async fn configuration_is_in_force_in_time_while_leader_and_watchers_are_cut_from_the_store() {
-    let region = linked_hosts(8).await;
+async fn configuration_is_in_force_in_time_while_leader_and_watchers_are_cut_from_the_store(
+    #[case] count: usize,
+) {
+    let region = linked_hosts(count).await;
     let cut: Vec<bool> = region.hosts.iter().map(LinkedHost::reads_store).collect();
     assert!(cut.contains(&true) && cut.contains(&false), "{cut:?}");
 
