Count answers about the assignment as answers of the store

A leader that reads and writes the assignment alone, as in tests of the takeover, gave up its leadership again and again: three tests of lost_writes.rs failed, 'never owned' and '4 terms'. All pass now.

--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -66,6 +66,7 @@
         let object = match found {
             Ok(object) => object,
             Err(StoreError::Missing { epoch }) => {
+                self.state.record_store_success();
                 return Ok(StoredOwners {
                     state: None,
                     version: StoreVersion::new(epoch, 0),
@@ -190,6 +191,7 @@
     }
 
     fn update_host_state(&self, state: &OwnerState, version: StoreVersion) {
+        self.state.record_store_success();
         self.state.set_owners(state.clone(), version);
         self.state.record_store_epoch(version);
         self.state.record_version(StoreKind::Owners, version);
