Compress the configuration that hosts send each other

A host that starts after the store has lost its last writes reads an older configuration there. The leader sends it the newest one, but not if that does not fit into a datagram, as with 500 routes: callers of such a host were served by the older version for good ('came back older').

Ruled out: a lost datagram, as the leader sends again with each report.

--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -25,11 +25,9 @@
             return;
         }
         if apply_configuration(&self.state, object.version, &object.content) {
-            self.state.set_config_copy(ConfigCopy {
-                version: object.version,
-                config_version: self.state.config_version(),
-                text: object.content.to_string(),
-            });
+            let text = object.content.to_string();
+            let copy = ConfigCopy::pack(object.version, self.state.config_version(), &text);
+            self.state.set_config_copy(copy);
         }
     }
 }
@@ -40,7 +38,9 @@
     if is_seen && state.config_version() >= copy.config_version {
         return;
     }
-    let content: Value = match serde_json::from_str(&copy.text) {
+    let text = copy.unpack();
+    let content = text.and_then(|text| Ok(serde_json::from_str::<Value>(&text)?));
+    let content = match content {
         Ok(content) => content,
         Err(error) => {
             log::error!(revision:% = copy.version, reason:% = error; "copy of the configuration cannot be read");
--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -17,6 +17,7 @@
         entries::{config_entry, route_entry, server_entry},
         store_standin::StoreStandin,
     },
+    rstest::rstest,
     serde_json::Value,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     support::{
@@ -122,10 +123,21 @@
     tokio::spawn(follow(host.state.clone(), client, follower));
 }
 
+/// Configuration with this many routes.
+fn config_of(version: u32, routes: usize) -> Value {
+    let routes: Vec<Value> = (0..routes)
+        .map(|at| route_entry(&format!("route-{at}"), "safe", "plain"))
+        .collect();
+    config_entry(&format!("{version:08x}"), &routes)
+}
+
 /// Guards against a host that starts after lost writes and serves an older configuration than the
-/// others until the operator has written again.
+/// others until the operator has written again, because the newer one is large or in general.
+#[rstest]
+#[case::small(1)]
+#[case::large(500)]
 #[tokio::test]
-async fn host_that_starts_after_lost_writes_gets_the_newest_configuration() {
+async fn host_that_starts_after_lost_writes_gets_the_newest_configuration(#[case] routes: usize) {
     let OwnedRegion {
         store,
         address,
@@ -133,10 +145,10 @@
         hosts,
         ..
     } = owned_region().await;
-    store.put("config", "main", config(2));
+    store.put("config", "main", config_of(2, routes));
     raise_revision(&store, 50);
     let backup = store.back_up();
-    store.put("config", "main", config(3));
+    store.put("config", "main", config_of(3, routes));
     for host in &hosts {
         follow_configuration(host, address);
     }
--- a/crates/gateway/tests/malformed_input.rs
+++ b/crates/gateway/tests/malformed_input.rs
@@ -88,20 +88,25 @@
     state.set_table(table(7));
 
     for (revision, text) in [(3, "{"), (4, "{}"), (5, "[1]"), (6, "")] {
-        let text = text.into();
-        apply_config_copy(
-            &state,
-            ConfigCopy {
-                version: version(revision),
-                config_version: ConfigVersion(revision),
-                text,
-            },
-        );
+        let config_version = ConfigVersion(revision);
+        let copy = ConfigCopy::pack(version(revision), config_version, text);
+        apply_config_copy(&state, copy);
     }
 
     assert_eq!(state.table().map(|table| table.version.0), Some(7));
 }
 
+/// Guards against a small datagram that unpacks to more than the memory of a host.
+#[test]
+fn copy_of_a_configuration_that_unpacks_to_too_much_is_rejected() {
+    let text = "0".repeat(9 << 20);
+    let copy = ConfigCopy::pack(version(3), ConfigVersion(3), &text);
+
+    let unpacked = copy.unpack();
+
+    assert!(unpacked.is_err());
+}
+
 /// Guards against a task that ends for good with its first panic.
 #[tokio::test]
 async fn task_that_panics_starts_again() {
