--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod owned_region;
 pub mod peer_relay;
 pub mod search_region;
+pub mod server_links;
 pub mod single_host;
 pub mod soak_callers;
 pub mod soak_host;
--- a/crates/standin/src/proxy/proxy_settings.rs
+++ b/crates/standin/src/proxy/proxy_settings.rs
@@ -25,6 +25,8 @@
     pub refuse: bool,
     /// Open connections and new ones are reset.
     pub cut: bool,
+    /// Attempts to connect get no answer; open connections are kept.
+    pub ignore: bool,
     /// Direction from the connecting side to the target.
     pub up: DirectionFaults,
     /// Direction from the target to the connecting side.
--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -11,7 +11,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
@@ -269,3 +269,25 @@
     let settings = proxied.proxy.settings();
     assert!(settings.up.blackhole && !settings.down.blackhole);
 }
+
+// Guards against a fault that does not act: attempts to connect have to stay without an answer, and
+// open connections have to work.
+#[tokio::test]
+async fn ignored_attempts_to_connect_hang_until_the_fault_ends() {
+    let proxied = proxied_listener().await;
+    let (mut downstream, mut upstream) = proxied.connect().await;
+    proxied.proxy.change(|faults| faults.ignore = true);
+    sleep(Duration::from_millis(300)).await;
+
+    let address = proxied.proxy.address();
+    let ignored = timeout(Duration::from_millis(500), TcpStream::connect(address)).await;
+    downstream.write_all(b"open").await.unwrap();
+    let mut open = [0; 4];
+    upstream.read_exact(&mut open).await.unwrap();
+    proxied.proxy.change(|faults| faults.ignore = false);
+    let accepted = timeout(TEST_TIMEOUT, TcpStream::connect(address)).await;
+
+    assert!(ignored.is_err());
+    assert_eq!(&open, b"open");
+    assert!(accepted.is_ok_and(|accepted| accepted.is_ok()));
+}
