Hand requests to other hosts while this one reaches no servers

Cause: a host had one way to a server, and took the loss of its own network for trouble of the servers, one by one. Ruled out: readiness, as a zone in which most hosts are cut gets callers whatever they say.

Once two servers in a row cannot be reached, a host connects to three others; if none accepts, its own network is at fault. It then hands requests to other hosts over HTTP, on the address of their datagrams, with a proof of origin. A request takes one such hop at most, keeps its deadline and its number of attempts, runs once at most where it may not be repeated, and 'not run' is passed on only if the other host has said so. Reports and digests tell which hosts reach no servers.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod retry_window;
 mod server_choice;
 mod server_gauge;
+mod server_reach;
 
 use admission::bounded_retry_after;
 
@@ -20,4 +21,5 @@
     retry_window::{HostCount, RetryWindow},
     server_choice::{Candidate, choose_server},
     server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
+    server_reach::{ReachCheck, ServerReach},
 };
--- a/crates/gateway/src/forward/connection_pool.rs
+++ b/crates/gateway/src/forward/connection_pool.rs
@@ -139,14 +139,19 @@
         let opened = timeout(CONNECT_TIMEOUT, connect(entry.address, guard)).await;
         let sender = match opened {
             Ok(Ok(sender)) => sender,
-            Ok(Err(reason)) => return UnreachableSnafu { reason }.fail(),
+            Ok(Err(reason)) => {
+                self.state.record_unreachable_server(&entry.id);
+                return UnreachableSnafu { reason }.fail();
+            }
             Err(_) => {
+                self.state.record_unreachable_server(&entry.id);
                 return UnreachableSnafu {
                     reason: "timed out",
                 }
                 .fail();
             }
         };
+        self.state.record_server_connection();
         self.state
             .counters
             .connections
@@ -163,6 +168,16 @@
         self.state.may_send_to(entry)
     }
 
+    /// Records that a server has not answered a request in time.
+    pub fn record_silence(&self, entry: &ServerEntry) {
+        self.state.record_server_silence(&entry.id);
+    }
+
+    /// Records that a server has answered a request.
+    pub fn record_answer(&self) {
+        self.state.record_server_answer();
+    }
+
     /// Records what the head of a server's answer says about the requests that the server wants.
     pub fn record_hints(&self, entry: &ServerEntry, status: StatusCode, head: &ResponseHead) {
         if head.leaving {
@@ -212,6 +227,15 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        let mut by_server = self.lock();
+        by_server.retain(|_, server_connections| {
+            server_connections.idle.clear();
+            server_connections.open_count.load(Ordering::Relaxed) > 0
+        });
+    }
+
     /// Takes an idle connection that has carried no refusal of this request; without one, returns
     /// the counter of the server's open connections.
     fn take_idle(
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,12 +1,16 @@
 //! Forwards requests to backend servers over pooled connections.
 
 mod connection_pool;
+mod reach_check;
 mod refusal_history;
+mod relay_client;
 mod response_body;
 mod server_call;
 
 pub use {
     connection_pool::{ConnectionPool, PoolError},
+    reach_check::{check_reach, count_accepting},
+    relay_client::{RelayClient, RelayOutcome},
     response_body::{BodyError, ResponseBody},
     server_call::{AttemptTimeout, CallOutcome, CallRequest, CallTarget, send_call},
 };
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -136,6 +136,7 @@
                 match timeout(attempt_timeout.duration, &mut exchange).await {
                     Ok(result) => Some(result),
                     Err(_) if (attempt_timeout.may_retry)() => {
+                        pool.record_silence(entry);
                         permit.end(attempt_timeout.outcome, None);
                         return CallOutcome::AbandonedForRetry;
                     }
@@ -151,6 +152,7 @@
                 match timeout(remaining, exchange).await {
                     Ok(result) => result,
                     Err(_) => {
+                        pool.record_silence(entry);
                         permit.end(RequestOutcome::Abandoned, None);
                         return CallOutcome::TimedOut;
                     }
@@ -189,7 +191,7 @@
 }
 
 /// Body of a response: complete, or its first bytes and the part not yet read.
-enum ReadBody {
+pub(super) enum ReadBody {
     Buffered(Bytes),
     Partial(Bytes, Incoming),
 }
@@ -232,6 +234,7 @@
             });
         }
     };
+    pool.record_answer();
     let head = decode_response(response.headers());
     let status = response.status();
     match &head.id {
@@ -270,7 +273,7 @@
     head.not_run || status == StatusCode::MISDIRECTED_REQUEST
 }
 
-async fn read_body(mut body: Incoming) -> Result<ReadBody, hyper::Error> {
+pub(super) async fn read_body(mut body: Incoming) -> Result<ReadBody, hyper::Error> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame?.into_data() {
--- a/crates/gateway/src/leader/host_table.rs
+++ b/crates/gateway/src/leader/host_table.rs
@@ -32,6 +32,8 @@
     cpu_permille: u16,
     /// When the host last reported that it lacks the store.
     lacked_store_at: Option<BootTime>,
+    /// Whether the host reaches no servers.
+    lacks_servers: bool,
     in_flight: Vec<(ServerHash, u32)>,
 }
 
@@ -82,6 +84,7 @@
             reported_at: now,
             cpu_permille: report.cpu_permille,
             lacked_store_at,
+            lacks_servers: report.lacks_servers,
             in_flight,
         };
         self.hosts.insert(report.host.clone(), record);
@@ -109,6 +112,12 @@
         self.hosts.values().map(|record| record.address)
     }
 
+    /// Addresses of hosts that reach no servers.
+    pub fn without_servers(&self) -> Vec<SocketAddr> {
+        let lacking = self.hosts.values().filter(|record| record.lacks_servers);
+        lacking.map(|record| record.address).collect()
+    }
+
     /// Requests in flight at each server, summed over all hosts.
     pub fn in_flight_totals(&self) -> BTreeMap<ServerHash, u32> {
         let mut in_flight_totals = BTreeMap::new();
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -151,6 +151,8 @@
         }
         self.last_digest_sender = Some((from, digest.term));
         self.last_digest_at = Some(now);
+        self.state
+            .set_relay_peers(&digest.peers, &digest.without_servers);
         if !digest.peers.is_empty() {
             self.peers = digest.peers;
         }
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -79,6 +79,7 @@
             term,
             cpu_permille: self.state.settings.cpu_permille(),
             lacks_store: self.state.lacks_store(),
+            lacks_servers: self.state.lacks_servers(),
             versions: self.state.versions(),
             config_version: self.state.config_version(),
             remembered_owners: self.state.remembered_owners(),
@@ -335,11 +336,14 @@
             servers,
             limits,
             leaving: self.state.leaving_list(),
+            without_servers: self.hosts.without_servers(),
             peers: match lists_peers {
                 true => self.peers.clone(),
                 false => Vec::new(),
             },
         };
+        self.state
+            .set_relay_peers(&digest.peers, &digest.without_servers);
         let message = PeerMessage::Digest(digest);
         self.link
             .send_all(&self.state, &self.peer_addresses(), &message);
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -52,6 +52,16 @@
             "Requests refused because a server wants none for a time.",
             &counters.paused,
         ),
+        (
+            "relayed_total",
+            "Requests handed to other hosts.",
+            &counters.relayed,
+        ),
+        (
+            "relays_taken_total",
+            "Requests that other hosts have handed to this one.",
+            &counters.relays_taken,
+        ),
         ("repeated_total", "Repeats sent.", &counters.retries),
         (
             "connections_total",
@@ -104,6 +114,11 @@
             "Servers that have announced to leave.",
             state.leaving_servers() as u64,
         ),
+        (
+            "lacks_servers",
+            "1 while this host reaches no servers.",
+            u64::from(state.lacks_servers()),
+        ),
         (
             "paused_servers",
             "Servers that want no requests from this host.",
--- a/crates/gateway/src/node/run_host.rs
+++ b/crates/gateway/src/node/run_host.rs
@@ -5,6 +5,7 @@
     crate::{
         conf::GatewaySettings,
         error::{GatewayError, ListenSnafu, StartSnafu},
+        forward::check_reach,
         leader::{LeaderActor, OwnerStore, Resign, Tick},
         metrics::serve_probes,
         peers::{PeerLink, receive, share_suspects},
@@ -40,6 +41,7 @@
     let callers = bind("callers", settings.callers).await?;
     let readiness = bind("readiness", settings.readiness).await?;
     let metrics = bind("metrics", settings.metrics).await?;
+    let relays = bind("relays", settings.peers_listen).await?;
     let address = settings.peers_listen;
     let socket = UdpSocket::bind(address).await.context(ListenSnafu {
         listener: "peers",
@@ -70,7 +72,11 @@
 
     let (stop, stopped) = watch::channel(false);
     let handler = Arc::new(RequestHandler::new(state.clone()));
-    let listener = CallerListener::new(state.clone(), handler).run(callers, stopped);
+    let checked = (state.clone(), handler.pool());
+    let check = move || check_reach(checked.0.clone(), checked.1.clone());
+    tokio::spawn(supervise("reach of servers", check));
+    let listener = CallerListener::new(state.clone(), handler).with_relays(relays);
+    let listener = listener.run(callers, stopped);
     tokio::pin!(listener);
     loop {
         tokio::select! {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,11 +1,14 @@
-//! Datagrams between hosts: reports to the leader, digests and changes from it.
+//! Messages between hosts: datagrams with reports to the leader, its digests and changes, and proofs
+//! for requests that hosts hand to each other.
 
 mod peer_codec;
 mod peer_link;
+mod relay_tag;
 mod suspect_sender;
 
 pub use {
     peer_codec::{Digest, OwnerChange, PeerMessage, Report, open_message, seal_message},
     peer_link::{PeerLink, receive},
+    relay_tag::{ELSEWHERE_HEADER, RELAY_HEADER, RelayedHead},
     suspect_sender::share_suspects,
 };
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -20,7 +20,7 @@
 };
 
 /// Length of the authentication tag: 128 bits suffice against guessing.
-const MAC_BYTES: usize = 16;
+pub(super) const MAC_BYTES: usize = 16;
 
 /// Memory that a decoded message may take, in bytes: several times the largest datagram. A length
 /// in a malformed message could otherwise make the decoder reserve any amount.
@@ -39,6 +39,8 @@
     pub cpu_permille: u16,
     /// Whether the store is out of the host's reach; only a host that calls it can tell.
     pub lacks_store: bool,
+    /// Whether all servers are out of the host's reach.
+    pub lacks_servers: bool,
     /// Versions of the newest changes that the host has seen.
     pub versions: SeenVersions,
     /// Version of the configuration in force at the host.
@@ -73,6 +75,8 @@
     pub limits: Vec<SharedLimit>,
     /// Servers that have announced to leave.
     pub leaving: Vec<LeavingServer>,
+    /// Hosts that reach no servers.
+    pub without_servers: Vec<SocketAddr>,
     /// Addresses of all hosts, to which a later leader announces itself; empty in most
     /// digests.
     pub peers: Vec<SocketAddr>,
@@ -147,7 +151,7 @@
     tag
 }
 
-fn mac(secret: &[u8]) -> Hmac<Sha256> {
+pub(super) fn mac(secret: &[u8]) -> Hmac<Sha256> {
     Hmac::<Sha256>::new_from_slice(secret)
         .unwrap_or_else(|error| unreachable!("HMAC takes keys of any length: {error}"))
 }
--- a/crates/gateway/src/serve/caller_connection.rs
+++ b/crates/gateway/src/serve/caller_connection.rs
@@ -1,7 +1,7 @@
 //! Serves the requests of one caller connection.
 
 use {
-    super::{RequestHandler, request_pipeline::RequestPipeline},
+    super::{RequestHandler, request_origin::RequestOrigin, request_pipeline::RequestPipeline},
     camphorcove_net::http::CallerStream,
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -20,6 +20,7 @@
     handler: Arc<RequestHandler>,
     builder: http1::Builder,
     stream: TcpStream,
+    origin: RequestOrigin,
     mut closing: watch::Receiver<bool>,
 ) {
     let stream = CallerStream::new(stream);
@@ -28,7 +29,7 @@
     let service = service_fn(|request| {
         let handler = handler.clone();
         let pipeline = pipeline.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request, &pipeline).await) }
+        async move { Ok::<_, Infallible>(handler.handle(request, origin, &pipeline).await) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -47,7 +48,10 @@
             if read_ahead.poll_closed(cx).is_ready() {
                 return Poll::Ready(Ok(()));
             }
-            handler.start_pipelined(&pipeline, read_ahead.take_pipelined());
+            let pipelined = read_ahead.take_pipelined();
+            if origin == RequestOrigin::Caller {
+                handler.start_pipelined(&pipeline, pipelined);
+            }
             // Behind a running request, the response that closes the connection is not decided yet.
             if shutting_down || !must_close || read_ahead.has_unanswered() {
                 return Poll::Pending;
--- a/crates/gateway/src/serve/caller_listener.rs
+++ b/crates/gateway/src/serve/caller_listener.rs
@@ -1,7 +1,12 @@
 //! Listener for callers' connections.
 
 use {
-    super::{RequestHandler, caller_connection::serve_connection},
+    super::{
+        RequestHandler,
+        caller_connection::serve_connection,
+        relay_listener::{RelayContext, serve_relays},
+        request_origin::RequestOrigin,
+    },
     crate::state::HostState,
     hyper::server::conn::http1,
     hyper_util::rt::TokioTimer,
@@ -80,23 +85,44 @@
 pub struct CallerListener {
     state: Arc<HostState>,
     handler: Arc<RequestHandler>,
+    /// Accepts connections of other hosts.
+    relays: Option<TcpListener>,
 }
 
 impl CallerListener {
     /// Creates a listener whose requests `handler` answers.
     pub fn new(state: Arc<HostState>, handler: Arc<RequestHandler>) -> Self {
-        Self { state, handler }
+        Self {
+            state,
+            handler,
+            relays: None,
+        }
+    }
+
+    /// Serves also requests that other hosts hand to this one over `listener`.
+    pub fn with_relays(mut self, listener: TcpListener) -> Self {
+        self.relays = Some(listener);
+        self
     }
 
     /// Serves until `stop` is set, then until all requests have ended or the stop time limit
     /// has passed.
-    pub async fn run(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    pub async fn run(mut self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let limit = self.state.settings.descriptors;
         let limit = limit
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(MIN_CALLER_CONNECTIONS);
         let connection_slots = Arc::new(Semaphore::new(limit));
         let connections = ConnectionGroup::new();
+        if let Some(listener) = self.relays.take() {
+            let context = RelayContext {
+                handler: self.handler.clone(),
+                closing: connections.closing.subscribe(),
+                stop: stop.clone(),
+                open: connections.open.clone(),
+            };
+            tokio::spawn(serve_relays(listener, context));
+        }
         loop {
             tokio::select! {
                 _ = stop.wait_for(|stop| *stop) => break,
@@ -200,7 +226,7 @@
         let closing = connections.closing.subscribe();
         let open = connections.open.clone();
         tokio::spawn(async move {
-            serve_connection(handler, builder, stream, closing).await;
+            serve_connection(handler, builder, stream, RequestOrigin::Caller, closing).await;
             drop((slot, open));
         });
     }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -5,8 +5,11 @@
 mod connection_headers;
 mod crash_check;
 mod refusal;
+mod relay_attempts;
+mod relay_listener;
 mod request_attempts;
 mod request_handler;
+mod request_origin;
 mod request_pipeline;
 
 pub use {
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -13,6 +13,8 @@
     /// The request lacks its id, or the key that a keyed service needs, or its body cannot be
     /// read.
     Malformed,
+    /// Sent by another host, but without a valid proof of that.
+    NotAuthentic,
     /// No route matches the host and path.
     NoRoute,
     /// The body exceeds the configured limit or the host's own.
@@ -44,6 +46,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NotAuthentic => StatusCode::FORBIDDEN,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfiguration
@@ -64,6 +67,7 @@
 pub fn refusal_response(refusal: Refusal, retry_after: Option<Duration>) -> Response<ResponseBody> {
     let text = match refusal {
         Refusal::Malformed => "the request is not well-formed",
+        Refusal::NotAuthentic => "not sent by a host of this system",
         Refusal::NoRoute => "no route for this host and path",
         Refusal::TooLarge => "the body is too large",
         Refusal::NoConfiguration => "not run: no configuration yet",
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -4,6 +4,7 @@
     super::{
         Refusal, RequestHandler, refusal_response,
         request_handler::{RoutedRequest, STOP_RETRY_AFTER, log_topic, request_id},
+        request_origin::RequestOrigin,
         strip_connection_headers,
     },
     crate::{
@@ -35,7 +36,7 @@
 const OWNER_UPDATE_WAIT: Duration = Duration::from_millis(60);
 
 /// No attempt is started with less time than this before the request's deadline.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
+pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 
 /// Number of attempts that failed before anything was sent, after which the host gives up.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
@@ -49,10 +50,10 @@
 
 /// Attempts made so far for a request.
 #[derive(Default)]
-struct AttemptHistory {
+pub(super) struct AttemptHistory {
     /// Servers to which earlier attempts were made.
     tried: Vec<ServerId>,
-    sent: u32,
+    pub(super) sent: u32,
     unsent: u32,
     /// At least one attempt may have run on a server.
     may_have_run: bool,
@@ -66,6 +67,14 @@
     last: Option<Response<ResponseBody>>,
 }
 
+impl AttemptHistory {
+    /// Records an attempt that may have run.
+    pub(super) fn record_unknown(&mut self) {
+        self.sent += 1;
+        self.may_have_run = true;
+    }
+}
+
 impl RequestHandler {
     /// Tries servers until one answers or no further attempt is allowed.
     pub(super) async fn forward_with_retries(
@@ -82,6 +91,9 @@
             if time_left < MIN_ATTEMPT_TIME {
                 return self.give_up(&routed, history, Refusal::TooLate, None);
             }
+            if routed.origin == RequestOrigin::Caller && self.state.lacks_servers() {
+                return self.relay(&routed, history).await;
+            }
             let admittance = match history.admitted {
                 true => Admittance::Open,
                 false => self.admit(&routed),
@@ -198,8 +210,7 @@
         match outcome {
             CallOutcome::Answered(response) => {
                 let failed = response.status().is_server_error();
-                history.sent += 1;
-                history.may_have_run = true;
+                history.record_unknown();
                 // A server may crash while it sends the rest of a long response.
                 if !failed && matches!(response.body(), ResponseBody::Buffered(_)) {
                     self.record_answer(routed);
@@ -238,8 +249,7 @@
                 }
             }
             CallOutcome::Unknown(reason) | CallOutcome::ConnectionLost(reason) => {
-                history.sent += 1;
-                history.may_have_run = true;
+                history.record_unknown();
                 self.log_failed_attempt(routed, &entry, &reason);
                 if !idempotent {
                     return Some(self.give_up(
@@ -251,14 +261,12 @@
                 }
             }
             CallOutcome::AbandonedForRetry => {
-                history.sent += 1;
-                history.may_have_run = true;
+                history.record_unknown();
                 history.retry_counted = true;
                 self.log_failed_attempt(routed, &entry, "silent for longer than usual");
             }
             CallOutcome::TimedOut => {
-                history.sent += 1;
-                history.may_have_run = true;
+                history.record_unknown();
                 self.log_failed_attempt(routed, &entry, "no answer in time");
                 return Some(self.give_up(
                     routed,
@@ -287,8 +295,8 @@
 
     /// Whether a retry after `sent` attempts is allowed; if so, counts it against the retry
     /// budget.
-    fn may_retry(&self, routed: &RoutedRequest, sent: u32) -> bool {
-        sent < routed.rule.attempts
+    pub(super) fn may_retry(&self, routed: &RoutedRequest, sent: u32) -> bool {
+        sent < routed.attempts
             && routed.call.expires_at.since(self.state.now()) >= MIN_ATTEMPT_TIME
             && self.state.try_retry(&routed.service)
     }
@@ -317,7 +325,7 @@
 
     /// Ends the request without a successful response: forwards the last server error if there
     /// is one, otherwise logs and counts the refusal.
-    fn give_up(
+    pub(super) fn give_up(
         &self,
         routed: &RoutedRequest,
         history: AttemptHistory,
@@ -394,7 +402,7 @@
     }
 }
 
-fn forward_response(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+pub(super) fn forward_response(mut response: Response<ResponseBody>) -> Response<ResponseBody> {
     strip_connection_headers(response.headers_mut());
     response
 }
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -3,11 +3,14 @@
 use {
     super::{
         Refusal, refusal_response,
+        relay_attempts::MAX_RELAYS,
+        request_origin::RequestOrigin,
         request_pipeline::{EarlyCall, RequestPipeline, parse_bodyless},
         strip_connection_headers,
     },
     crate::{
-        forward::{CallRequest, ConnectionPool, ResponseBody},
+        forward::{CallRequest, ConnectionPool, RelayClient, ResponseBody},
+        peers::{ELSEWHERE_HEADER, RELAY_HEADER, RelayedHead},
         state::{BodyReservation, HostState, LogTopic},
     },
     bytes::{Bytes, BytesMut},
@@ -26,7 +29,11 @@
         sync::{Arc, OnceLock, atomic::Ordering},
         time::Duration,
     },
-    tokio::{sync::watch, task::yield_now, time::timeout},
+    tokio::{
+        sync::{Semaphore, watch},
+        task::yield_now,
+        time::timeout,
+    },
 };
 
 /// Deadline of a request that states none.
@@ -49,6 +56,9 @@
 pub struct RequestHandler {
     pub(super) state: Arc<HostState>,
     pub(super) pool: Arc<ConnectionPool>,
+    pub(super) relay_client: RelayClient,
+    /// Bounds the requests that are handed to other hosts at the same time.
+    pub(super) relays: Semaphore,
     /// Set when the stop time limit leaves no time to await servers.
     must_answer: watch::Sender<bool>,
 }
@@ -57,6 +67,9 @@
 pub(super) struct RoutedRequest {
     pub(super) call: CallRequest,
     pub(super) rule: Arc<RouteRule>,
+    pub(super) origin: RequestOrigin,
+    /// Most attempts at servers.
+    pub(super) attempts: u32,
     pub(super) service: ServiceName,
     pub(super) max_connections: u32,
     /// Only set for keyed services.
@@ -75,10 +88,17 @@
         Self {
             state,
             pool,
+            relay_client: RelayClient::default(),
+            relays: Semaphore::new(MAX_RELAYS),
             must_answer: watch::Sender::new(false),
         }
     }
 
+    /// Connections to servers.
+    pub fn pool(&self) -> Arc<ConnectionPool> {
+        self.pool.clone()
+    }
+
     /// Answers all requests that still wait for a server: they may have run.
     pub(super) fn answer_waiting_requests(&self) {
         self.must_answer.send_replace(true);
@@ -89,6 +109,7 @@
     pub async fn handle(
         self: &Arc<Self>,
         request: Request<Incoming>,
+        origin: RequestOrigin,
         pipeline: &RequestPipeline,
     ) -> Response<ResponseBody> {
         let started = self.state.now();
@@ -100,7 +121,7 @@
                 // On a busy host the caller may have left by the time its request is read. The
                 // connection reads on meanwhile and ends before the request is sent.
                 yield_now().await;
-                return self.route(request, started).await;
+                return self.route(request, origin, started).await;
             };
             let response = early_call.response().await;
             response.unwrap_or_else(|| self.refuse_request(&head, Refusal::AnswerLost, None))
@@ -114,6 +135,10 @@
             }
         };
         pipeline.end();
+        if origin == RequestOrigin::Host && self.is_unable(&response) {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert(ELSEWHERE_HEADER, value);
+        }
         // Closing now would cut off the requests behind this one that have been read.
         if self.state.is_stopping() && pipeline.is_drained() {
             let close = HeaderValue::from_static("close");
@@ -146,20 +171,50 @@
             let started = self.state.now();
             let handler = self.clone();
             let request = request.map(|()| Empty::new());
-            let task = tokio::spawn(async move { handler.route(request, started).await });
+            let task = tokio::spawn(async move {
+                handler.route(request, RequestOrigin::Caller, started).await
+            });
             pipeline.push(EarlyCall::new(id, task));
         }
     }
 
+    /// Whether this host refuses a request that another host may be able to send to a server.
+    fn is_unable(&self, response: &Response<ResponseBody>) -> bool {
+        let state = &self.state;
+        response.status() == StatusCode::SERVICE_UNAVAILABLE
+            && (state.lacks_servers() || state.is_stopping() || state.table().is_none())
+    }
+
+    /// Most attempts at servers that another host allows, if it proves that it is one.
+    fn relayed_attempts<B>(&self, request: &Request<B>, head: &RequestHead) -> Option<u32> {
+        let (owners, _) = self.state.owners()?;
+        let value = request.headers().get(RELAY_HEADER)?;
+        let (method, target) = (request.method(), request.uri());
+        let head = RelayedHead::of(method, target, request.headers(), head.id.as_ref())?;
+        head.open(owners.secret.as_bytes(), value)
+    }
+
     async fn route<B>(
         self: &Arc<Self>,
         request: Request<B>,
+        origin: RequestOrigin,
         started: BootTime,
     ) -> Response<ResponseBody>
     where
         B: Body<Data = Bytes> + Unpin,
     {
         let head = decode_request(request.headers());
+        let most_attempts = match origin {
+            RequestOrigin::Caller => u32::MAX,
+            RequestOrigin::Host => match self.relayed_attempts(&request, &head) {
+                Some(attempts) => {
+                    let counter = &self.state.counters.relays_taken;
+                    counter.fetch_add(1, Ordering::Relaxed);
+                    attempts
+                }
+                None => return self.refuse_request(&head, Refusal::NotAuthentic, None),
+            },
+        };
         if self.state.refuses_requests() {
             if !request.headers().contains_key(header::EXPECT) {
                 drop_body(request.into_body()).await;
@@ -177,7 +232,11 @@
             .read_request(&table, rule, &head, request, started)
             .await
         {
-            Ok(routed) => routed,
+            Ok(routed) => RoutedRequest {
+                origin,
+                attempts: routed.attempts.min(most_attempts),
+                ..routed
+            },
             Err(refusal) => {
                 let retry_after = match refusal {
                     Refusal::Stopping => Some(STOP_RETRY_AFTER),
@@ -247,7 +306,9 @@
                 expires_at,
                 caller_leaves_at: started + deadline,
             },
+            attempts: rule.attempts,
             rule,
+            origin: RequestOrigin::Caller,
             max_connections: config.map_or(1, |service| service.connections),
             service,
             key: head.key.filter(|_| keyed),
@@ -355,5 +416,6 @@
     strip_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
+    headers.remove(RELAY_HEADER);
     headers
 }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -6,13 +6,14 @@
 use {
     super::{
         BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, PlannedStop,
-        SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind, suspect_news::SuspectOutbox,
+        SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind, relay_peers::RelayPeers,
+        suspect_news::SuspectOutbox,
     },
     crate::conf::GatewaySettings,
     camphorcove_core::{
         dispatch::{
             GaugeReading, HostCount, PauseTable, ReportedLoad, RequestOutcome, RetryWindow,
-            ServerGauge,
+            ServerGauge, ServerReach,
         },
         fleet::{FleetView, OutageGuard},
         ids::{ConfigVersion, ServerId, ServiceName, StoreVersion},
@@ -63,6 +64,10 @@
     pub pauses: AtomicU64,
     /// Requests refused because a server wants none for a time.
     pub paused: AtomicU64,
+    /// Requests handed to other hosts, as this one reached no servers.
+    pub relayed: AtomicU64,
+    /// Requests that other hosts have handed to this one.
+    pub relays_taken: AtomicU64,
     /// Retries sent to servers.
     pub retries: AtomicU64,
     /// Connections opened to servers.
@@ -123,6 +128,10 @@
     /// Versions of the newest changes that other hosts have seen.
     pub(super) peer_versions: SeenVersions,
     pub(super) log_rate_limiter: LogRateLimiter,
+    /// Whether this host reaches servers.
+    pub(super) server_reach: ServerReach,
+    /// Hosts that may send requests to servers for this one.
+    pub(super) relay_peers: RelayPeers,
     pub(super) suspects: SuspectTable,
     pub(super) suspect_outbox: SuspectOutbox,
 }
@@ -146,6 +155,8 @@
     pub versions_changed: Notify,
     /// Wakes the task that sends news of suspected requests to other hosts.
     pub suspects_changed: Notify,
+    /// Wakes the task that checks whether this host reaches servers.
+    pub reach_doubted: Notify,
     /// Phases of the planned stop.
     pub stop: PlannedStop,
     pub(super) is_leader: AtomicBool,
@@ -190,6 +201,7 @@
             owners_changed: Notify::new(),
             versions_changed: Notify::new(),
             suspects_changed: Notify::new(),
+            reach_doubted: Notify::new(),
             stop,
             is_leader: AtomicBool::new(false),
             inner: Mutex::new(StateInner {
@@ -221,6 +233,8 @@
                 own_versions: SeenVersions::default(),
                 peer_versions: SeenVersions::default(),
                 log_rate_limiter: LogRateLimiter::default(),
+                server_reach: ServerReach::default(),
+                relay_peers: RelayPeers::default(),
                 suspects: SuspectTable::default(),
                 suspect_outbox: SuspectOutbox::default(),
             }),
--- a/crates/gateway/src/state/log_rate_limiter.rs
+++ b/crates/gateway/src/state/log_rate_limiter.rs
@@ -23,6 +23,8 @@
     Retry,
     /// An attempt of a request at a server failed.
     Server,
+    /// A request was handed to another host.
+    Relay,
     /// An order to a server failed.
     Order,
     /// A store entry cannot be decoded.
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -12,6 +12,8 @@
 mod log_rate_limiter;
 mod pause_tracking;
 mod planned_stop;
+mod reach_tracking;
+mod relay_peers;
 mod seen_versions;
 mod server_pick;
 mod store_contact;
--- a/crates/gateway/tests/candidacy.rs
+++ b/crates/gateway/tests/candidacy.rs
@@ -47,6 +47,7 @@
         term: 1,
         cpu_permille,
         lacks_store: false,
+        lacks_servers: false,
         versions: SeenVersions::default(),
         config_version: ConfigVersion(0),
         remembered_owners: version(0),
@@ -105,6 +106,7 @@
     let own = "host-1".parse().expect("valid id");
     let lacking = Report {
         lacks_store: true,
+        lacks_servers: false,
         ..report(2, 500)
     };
 
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -301,6 +301,7 @@
         watchers: Vec::new(),
         servers: Vec::new(),
         limits: Vec::new(),
+        without_servers: Vec::new(),
         leaving: Vec::new(),
         peers: Vec::new(),
     }
--- a/crates/gateway/tests/memory_check.rs
+++ b/crates/gateway/tests/memory_check.rs
@@ -77,6 +77,7 @@
         servers: Vec::new(),
         leaving: Vec::new(),
         limits: Vec::new(),
+        without_servers: Vec::new(),
         peers: (0..=OTHERS).map(nowhere).collect(),
     };
     DigestReceived {
@@ -92,6 +93,7 @@
         term,
         cpu_permille: 1_000,
         lacks_store: false,
+        lacks_servers: false,
         versions: SeenVersions::default(),
         config_version: Default::default(),
         remembered_owners: remembered,
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -9,6 +9,7 @@
     },
     camphorcove_gateway::{
         conf::GatewaySettings,
+        forward::check_reach,
         serve::{CallerListener, RequestHandler},
         state::{HostState, VersionSpan},
     },
@@ -186,7 +187,14 @@
     let address = listener.local_addr().expect("bound");
     let (stop, stopped) = watch::channel(false);
     let handler = Arc::new(RequestHandler::new(state.clone()));
-    tokio::spawn(CallerListener::new(state.clone(), handler).run(listener, stopped));
+    tokio::spawn(check_reach(state.clone(), handler.pool()));
+    let mut serving = CallerListener::new(state.clone(), handler);
+    // Hosts with a socket for datagrams take requests of other hosts at the same address.
+    if state.settings.peers.port() != 0 {
+        let relays = TcpListener::bind(state.settings.peers).await;
+        serving = serving.with_relays(relays.expect("a free port"));
+    }
+    tokio::spawn(serving.run(listener, stopped));
     TestHost {
         state,
         address,
--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -42,7 +42,7 @@
 
 /// An open connection that carries one request at a time.
 #[derive(Debug)]
-struct OpenConnection {
+pub struct OpenConnection {
     sender: Sender,
     /// Whether it has carried a response that reports no success.
     carried_failure: bool,
@@ -193,6 +193,32 @@
         Ok(reply)
     }
 
+    /// Sends a request and returns the head of the response, whose body is not limited by the client.
+    /// The connection goes back with [`finish_response`](Self::finish_response).
+    pub async fn begin_exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<(Response<Incoming>, OpenConnection), ExchangeError> {
+        let deadline = Instant::now() + timeout;
+        let mut connection = self.connection(address, deadline).await?;
+        let request = with_host_header(request, address);
+        match timeout_at(deadline, send(&mut connection.sender, request)).await {
+            Ok(response) => Ok((response?, connection)),
+            Err(_) => {
+                self.close_idle(address);
+                no_reply("timed out")
+            }
+        }
+    }
+
+    /// Lets a connection be used again after the whole body of its response has been read.
+    pub fn finish_response(&self, address: SocketAddr, mut connection: OpenConnection) {
+        connection.used_at = Instant::now();
+        self.store_idle(address, connection);
+    }
+
     /// Number of open connections to `address` that are idle.
     pub fn idle_connections(&self, address: SocketAddr) -> usize {
         let idle = self.lock();
@@ -305,20 +331,25 @@
     request: Request<Full<Bytes>>,
     response_limit: usize,
 ) -> Result<Response<Bytes>, ExchangeError> {
-    let response = match sender.try_send_request(request).await {
-        Ok(response) => response,
+    read_body(send(sender, request).await?, response_limit).await
+}
+
+async fn send(
+    sender: &mut Sender,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, ExchangeError> {
+    match sender.try_send_request(request).await {
+        Ok(response) => Ok(response),
         Err(mut failure) => {
             // hyper returns the request only if it has not started to send it.
             let unsent = failure.take_message().is_some();
             let reason = failure.into_error().to_string();
-            return if unsent {
-                not_sent(reason)
-            } else {
-                no_reply(reason)
-            };
+            match unsent {
+                true => not_sent(reason),
+                false => no_reply(reason),
+            }
         }
-    };
-    read_body(response, response_limit).await
+    }
 }
 
 async fn read_body(
