--- a/crates/gateway/tests/cut_hosts.rs
+++ b/crates/gateway/tests/cut_hosts.rs
@@ -3,9 +3,11 @@
 mod support;
 
 use {
+    camphorcove_platform_standin::caller::{call, request},
     rstest::rstest,
-    std::time::Duration,
-    support::server_links::{CuttableRegion, LinkCut, ServedShare, cuttable_region},
+    std::time::{Duration, Instant},
+    support::server_links::{CuttableHost, CuttableRegion, LinkCut, ServedShare, cuttable_region},
+    tokio::time::sleep,
 };
 
 /// Time after a cut from which callers of the host have to be served.
@@ -14,6 +16,9 @@
 /// Time for which requests are counted.
 const COUNT_TIME: Duration = Duration::from_secs(2);
 
+/// Longest time until a request is refused that no host can send to a server.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
 /// Callers for each kind of request and host after the cut: more than had open connections to servers.
 const CALLERS: usize = 3;
 
@@ -69,3 +74,87 @@
     );
     assert_eq!(region.violations(), Vec::<String>::new());
 }
+
+/// Guards against requests that go round between hosts, wait or run twice while no host reaches a server.
+#[tokio::test]
+async fn callers_are_refused_at_once_and_truly_while_no_host_reaches_a_server() {
+    let region = cuttable_region(3).await;
+    region.load(1, Duration::from_millis(500)).await;
+    for host in &region.hosts {
+        host.cut(LinkCut::Reset);
+    }
+    region.load(CALLERS, NOTICE_TIME).await;
+    let taken = |host: &CuttableHost| host.count(|counters| &counters.relays_taken);
+    let before: Vec<u64> = region.hosts.iter().map(taken).collect();
+    sleep(Duration::from_secs(1)).await;
+
+    let started = Instant::now();
+    let response = region.read_at(0).await;
+    let took = started.elapsed();
+
+    let after: Vec<u64> = region.hosts.iter().map(taken).collect();
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.head.contains("retry-after"), "{response:?}");
+    assert!(took < REFUSAL_TIME, "{took:?}");
+    assert_eq!(before, after);
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against hosts that cannot hand requests on once there is no leader, or do so unsafely.
+#[tokio::test]
+async fn hosts_without_a_leader_hand_requests_to_hosts_that_they_know() {
+    let region = cuttable_region(4).await;
+    region.load(1, Duration::from_millis(500)).await;
+    let is_cut = cut_followers(&region, 1, LinkCut::Reset);
+    region.load(CALLERS, NOTICE_TIME).await;
+    for host in &region.hosts {
+        host.leader.actor.kill();
+    }
+
+    let shares = region.load_plain(CALLERS, COUNT_TIME).await;
+
+    let (cut_share, other_share) = compare(&shares, &is_cut);
+    assert!(cut_share >= LEAST_SHARE * other_share, "{shares:?}");
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against hosts that stay without servers after a cut, or miss the next one.
+#[tokio::test]
+async fn hosts_that_are_cut_in_series_are_served_for_and_serve_again() {
+    let region = cuttable_region(4).await;
+    region.load(1, Duration::from_millis(500)).await;
+    for round in 0..3 {
+        let cut = [LinkCut::Reset, LinkCut::Hanging, LinkCut::NewRefused][round];
+        let is_cut = cut_followers(&region, 1 + round % 2, cut);
+        region.load(CALLERS, NOTICE_TIME).await;
+        let shares = region.load(CALLERS, COUNT_TIME).await;
+        let (cut_share, other_share) = compare(&shares, &is_cut);
+        assert!(
+            cut_share >= LEAST_SHARE * other_share,
+            "{cut:?}: {shares:?}"
+        );
+        for host in &region.hosts {
+            host.heal();
+        }
+        region.load(CALLERS, NOTICE_TIME).await;
+        let lacking = region.hosts.iter().filter(|host| host.lacks_servers());
+        assert_eq!(lacking.count(), 0, "after {cut:?}");
+    }
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against callers that pass for hosts, and against a second hop.
+#[rstest]
+#[case::without_proof("")]
+#[case::with_another_proof("camphorcove-relay: 2,00112233445566778899aabbccddeeff\r\n")]
+#[tokio::test]
+async fn request_without_proof_of_its_host_is_not_run(#[case] proof: &str) {
+    let region = cuttable_region(2).await;
+    let relays = region.hosts[0].host.state.settings.peers;
+    let text = request("GET", "/read/a", "forged", proof, "");
+
+    let response = call(relays, &text).await;
+
+    assert_eq!(response.status, 403, "{response:?}");
+    assert_eq!(region.ledger.runs("forged"), 0);
+}
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -181,6 +181,11 @@
 
 /// Starts the listener for callers of a host.
 pub async fn start_listener(state: Arc<HostState>) -> TestHost {
+    start_listeners(state, None).await
+}
+
+/// Starts the listener for callers of a host, and serves other hosts over `relays`.
+pub async fn start_listeners(state: Arc<HostState>, relays: Option<TcpListener>) -> TestHost {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("a port is free");
@@ -189,10 +194,8 @@
     let handler = Arc::new(RequestHandler::new(state.clone()));
     tokio::spawn(check_reach(state.clone(), handler.pool()));
     let mut serving = CallerListener::new(state.clone(), handler);
-    // Hosts with a socket for datagrams take requests of other hosts at the same address.
-    if state.settings.peers.port() != 0 {
-        let relays = TcpListener::bind(state.settings.peers).await;
-        serving = serving.with_relays(relays.expect("a free port"));
+    if let Some(relays) = relays {
+        serving = serving.with_relays(relays);
     }
     tokio::spawn(serving.run(listener, stopped));
     TestHost {
--- a/crates/gateway/tests/support/leader_hosts.rs
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -12,7 +12,10 @@
     camphorcove_platform::StoreClient,
     kameo::actor::{ActorRef, Spawn},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::UdpSocket, time::sleep},
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        time::sleep,
+    },
 };
 
 /// A host without a listener for callers.
@@ -40,6 +43,23 @@
     leader_host_at(name, store, entries, socket).await
 }
 
+/// Starts a host that knows these servers; returns also a listener at the address of its datagrams, over which
+/// other hosts hand it requests.
+pub async fn relaying_host(
+    name: &str,
+    store: SocketAddr,
+    entries: Vec<ServerEntry>,
+) -> (LeaderHost, TcpListener) {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        if let Ok(socket) = UdpSocket::bind(address).await {
+            let host = leader_host_at(name, store, entries, socket).await;
+            return (host, listener);
+        }
+    }
+}
+
 /// Starts a host that knows these servers and talks to other hosts over `socket`.
 pub async fn leader_host_at(
     name: &str,
--- a/crates/gateway/tests/support/server_links.rs
+++ b/crates/gateway/tests/support/server_links.rs
@@ -2,12 +2,13 @@
 
 use {
     super::{
-        fixtures::{TestHost, entry, start_listener},
-        leader_hosts::leader_host_with,
+        fixtures::{TestHost, entry, start_listeners},
+        leader_hosts::{LeaderHost, relaying_host},
     },
     camphorcove_core::fleet::ServerEntry,
+    camphorcove_gateway::state::HostCounters,
     camphorcove_platform_standin::{
-        caller::{call, key_header, request},
+        caller::{CallerResponse, call, key_header, request},
         owning_server::{OwnershipLedger, OwningServer},
         store_standin::StoreStandin,
     },
@@ -77,6 +78,7 @@
 /// A host and its ways to all servers.
 pub struct CuttableHost {
     pub host: TestHost,
+    pub leader: LeaderHost,
     links: Vec<ProxyStandin>,
 }
 
@@ -88,6 +90,16 @@
         }
     }
 
+    /// Value of a counter of the host.
+    pub fn count(&self, counter: impl Fn(&HostCounters) -> &AtomicU64) -> u64 {
+        counter(&self.host.state.counters).load(Ordering::Relaxed)
+    }
+
+    /// Whether the host knows that it reaches no servers.
+    pub fn lacks_servers(&self) -> bool {
+        self.host.state.lacks_servers()
+    }
+
     /// Ends the cut.
     pub fn heal(&self) {
         for link in &self.links {
@@ -148,9 +160,14 @@
             entries.push(entry(&server.id, service, link.address()));
             links.push(link);
         }
-        let host = leader_host_with(&format!("host-{number}"), store, entries).await;
-        let host = start_listener(host.state).await;
-        hosts.push(CuttableHost { host, links });
+        let name = format!("host-{number}");
+        let (leader, relays) = relaying_host(&name, store, entries).await;
+        let host = start_listeners(leader.state.clone(), Some(relays)).await;
+        hosts.push(CuttableHost {
+            host,
+            leader,
+            links,
+        });
     }
     sleep(SETTLE_TIME).await;
     CuttableRegion {
@@ -166,11 +183,35 @@
     /// Sends first tries to all hosts for some time, from this many callers for each kind of request and
     /// host; returns what each host has served.
     pub async fn load(&self, callers_per_kind: usize, duration: Duration) -> Vec<ServedShare> {
+        self.load_kinds(KINDS, callers_per_kind, duration).await
+    }
+
+    /// The same without requests that have keys, whose owners change with the leader.
+    pub async fn load_plain(
+        &self,
+        callers_per_kind: usize,
+        duration: Duration,
+    ) -> Vec<ServedShare> {
+        self.load_kinds(KINDS - 1, callers_per_kind, duration).await
+    }
+
+    /// Sends a read to a host.
+    pub async fn read_at(&self, host: usize) -> CallerResponse {
+        let text = request("GET", "/read/a", "single", "", "");
+        call(self.hosts[host].host.address, &text).await
+    }
+
+    async fn load_kinds(
+        &self,
+        kinds: usize,
+        callers_per_kind: usize,
+        duration: Duration,
+    ) -> Vec<ServedShare> {
         let end = Instant::now() + duration;
         let mut callers = JoinSet::new();
         for (at, host) in self.hosts.iter().enumerate() {
-            for caller in 0..callers_per_kind * KINDS {
-                let kind = caller % KINDS;
+            for caller in 0..callers_per_kind * kinds {
+                let kind = caller % kinds;
                 let address = host.host.address;
                 let next_id = self.next_id.clone();
                 let answers = self.answers.clone();
