Do not take the loss of this host's network for crashes of servers

Hosts that were cut off by resets told all others that servers had crashed under their requests, which withholds harmless requests for up to 30 s: eleven lines 'server crashed while it had a request' in the record, of servers that served other hosts.

Cause: a connection that ends and a port that refuses were taken for the end of the server. Evidence: the test, in which all three hosts came to suspect requests, now none. A crash now counts only if another server accepts a connection at that moment.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -9,7 +9,7 @@
 
 pub use {
     connection_pool::{ConnectionPool, PoolError},
-    reach_check::{check_reach, count_accepting},
+    reach_check::{any_accepts, check_reach},
     relay_client::{RelayClient, RelayOutcome},
     response_body::{BodyError, ResponseBody},
     server_call::{AttemptTimeout, CallOutcome, CallRequest, CallTarget, send_call},
--- a/crates/gateway/src/forward/reach_check.rs
+++ b/crates/gateway/src/forward/reach_check.rs
@@ -44,12 +44,29 @@
 }
 
 /// Number of addresses that accept a connection.
-pub async fn count_accepting(addresses: Vec<SocketAddr>) -> usize {
+async fn count_accepting(addresses: Vec<SocketAddr>) -> usize {
+    let results = start_connecting(addresses).join_all().await;
+    results.into_iter().filter(|accepts| *accepts).count()
+}
+
+/// Whether one of the addresses accepts a connection; does not wait for the others then.
+pub async fn any_accepts(addresses: Vec<SocketAddr>) -> bool {
+    let mut attempts = start_connecting(addresses);
+    while let Some(accepts) = attempts.join_next().await {
+        if accepts.unwrap_or(false) {
+            return true;
+        }
+    }
+    false
+}
+
+fn start_connecting(addresses: Vec<SocketAddr>) -> JoinSet<bool> {
     let mut attempts = JoinSet::new();
     for address in addresses {
-        attempts.spawn(timeout(CONNECT_TIMEOUT, TcpStream::connect(address)));
+        attempts.spawn(async move {
+            let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+            matches!(connected, Ok(Ok(_)))
+        });
     }
-    let results = attempts.join_all().await;
-    let accepted = results.iter().filter(|result| matches!(result, Ok(Ok(_))));
-    accepted.count()
+    attempts
 }
--- a/crates/gateway/src/serve/crash_check.rs
+++ b/crates/gateway/src/serve/crash_check.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{RequestHandler, request_handler::RoutedRequest},
+    crate::forward::any_accepts,
     camphorcove_core::{
         fleet::ServerEntry,
         quarantine::{Admittance, RequestFingerprint},
@@ -19,6 +20,9 @@
 /// that is only cut off does not answer.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Other servers of which one has to accept a connection, for a crash to count.
+const COMPARED_SERVERS: usize = 2;
+
 impl RequestHandler {
     /// Whether the request may be sent to a server now.
     pub(super) fn admit(&self, routed: &RoutedRequest) -> Admittance {
@@ -37,7 +41,8 @@
 
     /// Records a crash if the server, which has ended the connection of a request, has ended itself: it
     /// accepts no connections either. A server that only closes connections does. One that was about to
-    /// leave has ended as planned.
+    /// leave has ended as planned. If no other server accepts a connection, this host's own network is at
+    /// fault.
     pub(super) async fn check_for_crash(
         &self,
         routed: &RoutedRequest,
@@ -45,7 +50,11 @@
         sent_at: BootTime,
     ) {
         let was_leaving = self.state.is_leaving(&server.id);
-        if !was_leaving && refuses_connections(server.address).await {
+        if was_leaving || self.state.lacks_servers() || !refuses_connections(server.address).await {
+            return;
+        }
+        let others = self.state.other_servers(&server.id, COMPARED_SERVERS);
+        if others.is_empty() || any_accepts(others).await {
             self.state
                 .record_crash(&routed.fingerprint(), server, sent_at);
         }
--- a/crates/gateway/src/state/reach_tracking.rs
+++ b/crates/gateway/src/state/reach_tracking.rs
@@ -64,6 +64,19 @@
             .collect()
     }
 
+    /// Addresses of up to `count` random servers besides this one.
+    pub fn other_servers(&self, server: &ServerId, count: usize) -> Vec<SocketAddr> {
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        let fleet = inner.fleet.clone();
+        let mut entries: Vec<&ServerEntry> = fleet
+            .entries()
+            .filter(|entry| entry.phase == ServerPhase::Ready && entry.id != *server)
+            .collect();
+        let (chosen, _) = entries.partial_shuffle(&mut inner.random, count);
+        chosen.iter().map(|entry| entry.address).collect()
+    }
+
     /// Records the result of a check; returns whether this host has just lost its servers.
     pub fn record_reach_check(&self, check: ReachCheck) -> bool {
         let now = self.now();
--- a/crates/gateway/tests/cut_hosts.rs
+++ b/crates/gateway/tests/cut_hosts.rs
@@ -26,14 +26,14 @@
 const LEAST_SHARE: f64 = 2.0 / 3.0;
 
 /// Cuts the first hosts of a region that do not lead; returns which ones.
-fn cut_followers(region: &CuttableRegion, count: usize, cut: LinkCut) -> Vec<bool> {
+async fn cut_followers(region: &CuttableRegion, count: usize, cut: LinkCut) -> Vec<bool> {
     let mut left = count;
     let mut is_cut = Vec::new();
     for host in &region.hosts {
-        let cuts = left > 0 && !host.host.state.is_leader();
+        let cuts = left > 0 && !host.is_leader();
         left -= usize::from(cuts);
         if cuts {
-            host.cut(cut);
+            host.cut(cut).await;
         }
         is_cut.push(cuts);
     }
@@ -62,7 +62,7 @@
 ) {
     let region = cuttable_region(5).await;
     region.load(1, Duration::from_millis(500)).await;
-    let is_cut = cut_followers(&region, count, cut);
+    let is_cut = cut_followers(&region, count, cut).await;
     region.load(CALLERS, NOTICE_TIME).await;
 
     let shares = region.load(CALLERS, COUNT_TIME).await;
@@ -81,7 +81,7 @@
     let region = cuttable_region(3).await;
     region.load(1, Duration::from_millis(500)).await;
     for host in &region.hosts {
-        host.cut(LinkCut::Reset);
+        host.cut(LinkCut::Reset).await;
     }
     region.load(CALLERS, NOTICE_TIME).await;
     let taken = |host: &CuttableHost| host.count(|counters| &counters.relays_taken);
@@ -105,7 +105,7 @@
 async fn hosts_without_a_leader_hand_requests_to_hosts_that_they_know() {
     let region = cuttable_region(4).await;
     region.load(1, Duration::from_millis(500)).await;
-    let is_cut = cut_followers(&region, 1, LinkCut::Reset);
+    let is_cut = cut_followers(&region, 1, LinkCut::Reset).await;
     region.load(CALLERS, NOTICE_TIME).await;
     for host in &region.hosts {
         host.leader.actor.kill();
@@ -125,7 +125,7 @@
     region.load(1, Duration::from_millis(500)).await;
     for round in 0..3 {
         let cut = [LinkCut::Reset, LinkCut::Hanging, LinkCut::NewRefused][round];
-        let is_cut = cut_followers(&region, 1 + round % 2, cut);
+        let is_cut = cut_followers(&region, 1 + round % 2, cut).await;
         region.load(CALLERS, NOTICE_TIME).await;
         let shares = region.load(CALLERS, COUNT_TIME).await;
         let (cut_share, other_share) = compare(&shares, &is_cut);
@@ -158,3 +158,25 @@
     assert_eq!(response.status, 403, "{response:?}");
     assert_eq!(region.ledger.runs("forged"), 0);
 }
+
+/// Guards against a cut that passes for crashes of servers, so that all hosts withhold harmless requests.
+#[tokio::test]
+async fn cut_host_does_not_suspect_requests_of_crashing_servers() {
+    let region = cuttable_region(3).await;
+    region.load(CALLERS, Duration::from_millis(500)).await;
+
+    for _ in 0..3 {
+        let cutting = async {
+            sleep(Duration::from_millis(300)).await;
+            cut_followers(&region, 2, LinkCut::Reset).await;
+        };
+        tokio::join!(region.load(CALLERS, Duration::from_millis(900)), cutting);
+        for host in &region.hosts {
+            host.heal();
+        }
+        region.load(CALLERS, Duration::from_millis(700)).await;
+    }
+
+    let suspecting = region.hosts.iter().filter(|host| host.has_suspects());
+    assert_eq!(suspecting.count(), 0);
+}
--- a/crates/gateway/tests/support/server_links.rs
+++ b/crates/gateway/tests/support/server_links.rs
@@ -84,9 +84,15 @@
 
 impl CuttableHost {
     /// Cuts the host from all servers.
-    pub fn cut(&self, cut: LinkCut) {
+    pub async fn cut(&self, cut: LinkCut) {
+        let new = cut.settings();
         for link in &self.links {
-            link.change(|settings| *settings = cut.settings());
+            link.change(|settings| settings.refuse = new.refuse);
+        }
+        // The ports are closed before the open connections end.
+        sleep(Duration::from_millis(20)).await;
+        for link in &self.links {
+            link.change(|settings| *settings = new.clone());
         }
     }
 
@@ -95,6 +101,16 @@
         counter(&self.host.state.counters).load(Ordering::Relaxed)
     }
 
+    /// Whether the host leads.
+    pub fn is_leader(&self) -> bool {
+        self.host.state.is_leader()
+    }
+
+    /// Whether the host knows of requests under which servers have crashed.
+    pub fn has_suspects(&self) -> bool {
+        self.host.state.has_suspects()
+    }
+
     /// Whether the host knows that it reaches no servers.
     pub fn lacks_servers(&self) -> bool {
         self.host.state.lacks_servers()
@@ -255,8 +271,8 @@
 ) -> bool {
     let id = format!("r-{number}");
     let text = match kind {
-        0 => request("GET", "/read/a", &id, "", ""),
-        1 => request("POST", "/write/a", &id, "", "body"),
+        0 => request("GET", &format!("/read/{number}"), &id, "", ""),
+        1 => request("POST", &format!("/write/{number}"), &id, "", "body"),
         _ => request(
             "GET",
             "/key/a",
