A leader that reaches no servers resigns, and hosts without servers do not follow it

Requests with keys found no owners while the leader was cut off from the servers: it could neither grant nor renew keys, stayed the leader, and the largest hosts, which were cut off as well, were the first to take over. Ruled out: the check of silent owners, which needs answers of most silent servers to other hosts. A host that knows that it reaches no servers, while others do, now resigns and leaves the takeover to them; if no host reaches servers, takeovers go on as before.

--- a/crates/gateway/src/leader/host_table.rs
+++ b/crates/gateway/src/leader/host_table.rs
@@ -118,6 +118,11 @@
         lacking.map(|record| record.address).collect()
     }
 
+    /// Whether a host reports that reaches servers.
+    pub fn any_with_servers(&self) -> bool {
+        self.hosts.values().any(|record| !record.lacks_servers)
+    }
+
     /// Requests in flight at each server, summed over all hosts.
     pub fn in_flight_totals(&self) -> BTreeMap<ServerHash, u32> {
         let mut in_flight_totals = BTreeMap::new();
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -31,6 +31,10 @@
         if !idle || !self.candidacy.is_due(vacant, now) {
             return;
         }
+        // A host without servers cannot grant keys, and others are about to take over.
+        if self.state.lacks_servers() && !self.state.choose_relay_peers(1).is_empty() {
+            return;
+        }
         self.candidacy.record_attempt(now);
         self.role = Role::Candidate;
         self.announced.clone_from(&stored);
--- a/crates/gateway/tests/cut_hosts.rs
+++ b/crates/gateway/tests/cut_hosts.rs
@@ -16,6 +16,10 @@
 /// Time for which requests are counted.
 const COUNT_TIME: Duration = Duration::from_secs(2);
 
+/// Time after which keys have owners again whose leader has lost its servers: leases of its grants may
+/// have to end first.
+const KEY_TIME: Duration = Duration::from_secs(8);
+
 /// Longest time until a request is refused that no host can send to a server.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
@@ -180,3 +184,30 @@
     let suspecting = region.hosts.iter().filter(|host| host.has_suspects());
     assert_eq!(suspecting.count(), 0);
 }
+/// Guards against a leader that reaches no servers and goes on leading, or is followed by one like it:
+/// requests with keys find no owners then.
+#[rstest]
+#[tokio::test]
+async fn keys_are_served_while_the_leader_and_other_hosts_reach_no_servers(
+    #[values(LinkCut::Hanging, LinkCut::Reset)] cut: LinkCut,
+) {
+    let region = cuttable_region(5).await;
+    region.load(1, Duration::from_millis(500)).await;
+    let mut is_cut = cut_followers(&region, 2, cut).await;
+    let leader = region.hosts.iter().position(CuttableHost::is_leader);
+    let leader = leader.expect("a leader");
+    region.hosts[leader].cut(cut).await;
+    is_cut[leader] = true;
+    region.load(CALLERS, KEY_TIME).await;
+
+    let shares = region.load(CALLERS, COUNT_TIME).await;
+
+    let leads = region.hosts.iter().zip(&is_cut);
+    let leads = leads
+        .filter(|(host, _)| host.is_leader())
+        .map(|(_, cut)| *cut);
+    assert_eq!(leads.collect::<Vec<_>>(), [false]);
+    let (cut_share, other_share) = compare(&shares, &is_cut);
+    assert!(other_share >= LEAST_SHARE, "{shares:?}");
+    assert!(cut_share >= LEAST_SHARE * other_share, "{shares:?}");
+}
