Read the list of servers although one of its entries is odd

It happened here: a list or watch answer was decoded as a whole, so that no host learned of any change from then on, and one that started knew no servers.

Evidence: the test, in which eighteen odd contents come while a host follows the list and before another one starts; it stopped at the first one ('never nested lists'). Each object is now decoded by itself and its fault is logged with its name. Ruled out: the end of a process, as the decoder limits its depth.

--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -24,6 +24,12 @@
         if object.name != CONFIG_NAME {
             return;
         }
+        if let Some(fault) = &object.fault {
+            let counters = &self.state.counters;
+            counters.configs_rejected.fetch_add(1, Ordering::Relaxed);
+            log::error!(revision:% = object.version, reason = fault.as_str(); "configuration rejected, keeping the current one");
+            return;
+        }
         if apply_configuration(&self.state, object.version, &object.content) {
             let text = object.content.to_string();
             let copy = ConfigCopy::pack(object.version, self.state.config_version(), &text);
--- a/crates/gateway/src/watch/fleet_follower.rs
+++ b/crates/gateway/src/watch/fleet_follower.rs
@@ -23,12 +23,17 @@
     }
 
     fn decode(&self, object: &StoredObject) -> Option<ServerEntry> {
-        match decode_server(&object.name, &object.content) {
+        let decoded = match &object.fault {
+            Some(fault) => Err(fault.clone()),
+            None => decode_server(&object.name, &object.content).map_err(|error| error.to_string()),
+        };
+        match decoded {
             Ok(entry) => Some(entry),
             Err(fault) => {
                 if let Some(left_out) = self.state.may_log(LogTopic::Entry) {
                     let revision = object.version;
-                    log::warn!(revision:% = revision, left_out, reason:% = fault; "ignoring server entry that cannot be decoded");
+                    let name = object.name.as_str();
+                    log::warn!(name, revision:% = revision, left_out, reason:% = fault; "ignoring server entry that cannot be decoded");
                 }
                 None
             }
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -346,6 +346,7 @@
         name: "main".into(),
         version: at(70),
         content: config_entry(version, &[route_entry("read", "safe", "plain")]),
+        fault: None,
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/odd_entries.rs
@@ -0,0 +1,146 @@
+//! Entries among those of the servers that another writer has left.
+
+mod support;
+
+use {
+    camphorcove_core::fleet::ServerPhase,
+    camphorcove_gateway::{
+        state::HostState,
+        watch::{ConfigFollower, FleetFollower, follow},
+    },
+    camphorcove_platform::StoreClient,
+    camphorcove_platform_standin::{
+        entries::{config_entry, route_entry, server_entry},
+        store_standin::StoreStandin,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    support::{fixtures::host_state, owned_region::until},
+};
+
+/// Time within which a change has to be known.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+
+/// Nesting depth far beyond what a recursive decoder can bear.
+const DEPTH: usize = 100_000;
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn server(port: u16) -> serde_json::Value {
+    server_entry("plain", address(port), "ready", 5)
+}
+
+/// Entry of a server with another text in place of a part of it.
+fn changed(part: &str, replacement: &str) -> String {
+    let text = server(9_000).to_string();
+    assert!(text.contains(part), "{text}");
+    text.replacen(part, replacement, 1)
+}
+
+fn nested(open: &str, close: &str) -> String {
+    format!("{}{}", open.repeat(DEPTH), close.repeat(DEPTH))
+}
+
+/// Contents that no server writes.
+fn odd_contents() -> Vec<(&'static str, String)> {
+    let nested_field = format!("\"Slots\":4,\"x\":{}", nested("[", "]"));
+    vec![
+        ("nested lists", nested("[", "]")),
+        (
+            "nested objects",
+            format!("{}1{}", "{\"a\":".repeat(DEPTH), "}".repeat(DEPTH)),
+        ),
+        ("nested field", changed("\"Slots\":4", &nested_field)),
+        ("large number", changed("\"Slots\":4", "\"Slots\":1e999")),
+        (
+            "large number elsewhere",
+            changed("\"Sequence\":1", "\"Sequence\":-1e999"),
+        ),
+        (
+            "many digits",
+            changed("\"Slots\":4", &format!("\"Slots\":{}", "9".repeat(5_000))),
+        ),
+        (
+            "more slots than fit",
+            changed("\"Slots\":4", "\"Slots\":4294967296"),
+        ),
+        (
+            "large time",
+            changed("\"born\":5", "\"born\":18446744073709551616"),
+        ),
+        ("negative time", changed("\"born\":5", "\"born\":-1")),
+        (
+            "endless warm-up",
+            changed("\"WarmupLeftS\":0", "\"WarmupLeftS\":1e400"),
+        ),
+        (
+            "port out of range",
+            changed("127.0.0.1:9000", "127.0.0.1:99999"),
+        ),
+        ("negative port", changed("127.0.0.1:9000", "127.0.0.1:-1")),
+        ("port 0", changed("127.0.0.1:9000", "127.0.0.1:0")),
+        (
+            "no address of a host",
+            changed("127.0.0.1:9000", "0.0.0.0:9000"),
+        ),
+        ("half a character", changed("\"ready\"", "\"\\ud800\"")),
+        ("unknown state", changed("\"ready\"", "\"resting\"")),
+        ("other types", "[1,2,3]".into()),
+        ("nothing", "null".into()),
+    ]
+}
+
+async fn following_host(store: SocketAddr) -> Arc<HostState> {
+    let state = host_state();
+    let client = StoreClient::new(store, Duration::from_millis(400));
+    let follower = ConfigFollower::new(state.clone());
+    tokio::spawn(follow(state.clone(), client.clone(), follower));
+    let follower = FleetFollower::new(state.clone());
+    tokio::spawn(follow(state.clone(), client, follower));
+    state
+}
+
+/// Ids of the servers that get requests.
+fn servers(state: &HostState) -> Vec<String> {
+    state.expire_fleet();
+    let fleet = state.fleet();
+    let ready = fleet
+        .entries()
+        .filter(|entry| entry.phase == ServerPhase::Ready);
+    ready.map(|entry| entry.id.to_string()).collect()
+}
+
+async fn store_with_server() -> (StoreStandin, SocketAddr) {
+    let (store, address) = StoreStandin::start().await;
+    let routes = [route_entry("a", "safe", "plain")];
+    store.put("config", "main", config_entry("00000002", &routes));
+    store.put("servers", "s-1", server(9_001));
+    (store, address)
+}
+
+/// Guards against one odd entry that keeps hosts from following the list of servers, or ends them:
+/// those that follow it when the entry comes, and those that start later.
+#[tokio::test]
+async fn odd_entry_keeps_no_host_from_following_the_servers() {
+    for (what, content) in odd_contents() {
+        let (store, address) = store_with_server().await;
+        let early = following_host(address).await;
+        until("listed", || servers(&early) == ["s-1"]).await;
+
+        store.put_raw("servers", "s-0", &content);
+        store.put("servers", "s-2", server(9_002));
+        let late = following_host(address).await;
+
+        let known = || servers(&early) == ["s-1", "s-2"] && servers(&late) == ["s-1", "s-2"];
+        let took = until(what, known).await;
+        assert!(took < APPLY_LIMIT, "{what}: {took:?}");
+        assert!(!early.lacks_store() && !late.lacks_store(), "{what}");
+        store.remove("servers", "s-1");
+        let took = until(what, || {
+            servers(&early) == ["s-2"] && servers(&late) == ["s-2"]
+        })
+        .await;
+        assert!(took < APPLY_LIMIT, "{what}: {took:?}");
+    }
+}
