Stop using a server whose entry no longer names one

A host that watched kept a server in use after its entry had become odd, while hosts that listed the servers did not know it: the hosts disagreed until the entry changed again. A watch now treats such an entry like a list does.

--- a/crates/gateway/src/watch/fleet_follower.rs
+++ b/crates/gateway/src/watch/fleet_follower.rs
@@ -57,19 +57,24 @@
         let mut put: BTreeMap<ServerId, ServerEntry> = BTreeMap::new();
         let mut removed: BTreeSet<ServerId> = BTreeSet::new();
         for change in changes {
-            match change {
+            let (object, entry) = match change {
                 KindChange::Changed(object) => {
-                    let Some(entry) = self.decode(&object) else {
-                        continue;
-                    };
-                    removed.remove(&entry.id);
-                    put.insert(entry.id.clone(), entry);
+                    let entry = self.decode(&object);
+                    (object, entry)
                 }
-                KindChange::Removed(object) => {
-                    // An object whose name is not a valid id was never used as a server.
-                    let Ok(id) = object.name.parse::<ServerId>() else {
-                        continue;
-                    };
+                KindChange::Removed(object) => (object, None),
+            };
+            // An object whose name is not a valid id was never used as a server.
+            let Ok(id) = object.name.parse::<ServerId>() else {
+                continue;
+            };
+            match entry {
+                Some(entry) => {
+                    removed.remove(&id);
+                    put.insert(id, entry);
+                }
+                // An entry that cannot be decoded names no server, as in a list.
+                None => {
                     put.remove(&id);
                     removed.insert(id);
                 }
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -13,8 +13,10 @@
         entries::{config_entry, route_entry, server_entry},
         store_standin::StoreStandin,
     },
+    rstest::rstest,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     support::{fixtures::host_state, owned_region::until},
+    tokio::time::sleep,
 };
 
 /// Time within which a change has to be known.
@@ -144,3 +146,28 @@
         assert!(took < APPLY_LIMIT, "{what}: {took:?}");
     }
 }
+
+/// Guards against a server that stays in use although its entry no longer names one, at hosts that
+/// watch, while hosts that list do not use it.
+#[rstest]
+#[case::large_number("{\"Slots\":1e999}")]
+#[case::other_types("7")]
+#[tokio::test]
+async fn server_whose_entry_becomes_odd_is_used_by_no_host_until_it_writes_again(
+    #[case] content: &str,
+) {
+    let (store, address) = store_with_server().await;
+    store.put("servers", "s-2", server(9_002));
+    let early = following_host(address).await;
+    until("listed", || servers(&early) == ["s-1", "s-2"]).await;
+
+    store.put_raw("servers", "s-1", content);
+    sleep(APPLY_LIMIT).await;
+    let late = following_host(address).await;
+    until("listed", || servers(&late) == ["s-2"]).await;
+    let odd = servers(&early);
+    store.put("servers", "s-1", server(9_001));
+    until("written again", || servers(&early) == ["s-1", "s-2"]).await;
+
+    assert_eq!(odd, ["s-2"]);
+}
