Count keys of relayed requests once; a host that nobody can stand in for is not ready

Follow-up to the relays, no caller was seen to be hurt: keys of requests that are handed over were counted at both hosts, a host without servers that knows no other host stayed ready, and a port in use at the address for other hosts would have kept a host from starting.

--- a/crates/gateway/src/node/run_host.rs
+++ b/crates/gateway/src/node/run_host.rs
@@ -41,7 +41,7 @@
     let callers = bind("callers", settings.callers).await?;
     let readiness = bind("readiness", settings.readiness).await?;
     let metrics = bind("metrics", settings.metrics).await?;
-    let relays = bind("relays", settings.peers_listen).await?;
+    let relays = bind_relays(settings.peers_listen).await;
     let address = settings.peers_listen;
     let socket = UdpSocket::bind(address).await.context(ListenSnafu {
         listener: "peers",
@@ -75,7 +75,10 @@
     let checked = (state.clone(), handler.pool());
     let check = move || check_reach(checked.0.clone(), checked.1.clone());
     tokio::spawn(supervise("reach of servers", check));
-    let listener = CallerListener::new(state.clone(), handler).with_relays(relays);
+    let mut listener = CallerListener::new(state.clone(), handler);
+    if let Some(relays) = relays {
+        listener = listener.with_relays(relays);
+    }
     let listener = listener.run(callers, stopped);
     tokio::pin!(listener);
     loop {
@@ -142,6 +145,17 @@
         .context(ListenSnafu { listener, address })
 }
 
+/// Listener for requests of other hosts. Without it this host serves its own callers all the same.
+async fn bind_relays(address: SocketAddr) -> Option<TcpListener> {
+    match TcpListener::bind(address).await {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            log::error!(address:% = address, reason:% = error; "cannot listen for other hosts, taking no requests of theirs");
+            None
+        }
+    }
+}
+
 async fn run_leader_ticks(leader: ActorRef<LeaderActor>) {
     loop {
         let pause = match leader.ask(Tick).await {
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -4,7 +4,7 @@
     super::{
         Refusal, refusal_response,
         relay_attempts::MAX_RELAYS,
-        request_origin::RequestOrigin,
+        request_origin::{RequestOrigin, RequestTerms},
         request_pipeline::{EarlyCall, RequestPipeline, parse_bodyless},
         strip_connection_headers,
     },
@@ -228,15 +228,13 @@
         let Some(rule) = find_rule(&table, &request).cloned() else {
             return self.refuse_request(&head, Refusal::NoRoute, None);
         };
-        let routed = match self
-            .read_request(&table, rule, &head, request, started)
-            .await
-        {
-            Ok(routed) => RoutedRequest {
-                origin,
-                attempts: routed.attempts.min(most_attempts),
-                ..routed
-            },
+        let terms = RequestTerms {
+            origin,
+            most_attempts,
+            started,
+        };
+        let routed = match self.read_request(&table, rule, &head, request, terms).await {
+            Ok(routed) => routed,
             Err(refusal) => {
                 let retry_after = match refusal {
                     Refusal::Stopping => Some(STOP_RETRY_AFTER),
@@ -273,11 +271,12 @@
         rule: Arc<RouteRule>,
         head: &RequestHead,
         request: Request<B>,
-        started: BootTime,
+        terms: RequestTerms,
     ) -> Result<RoutedRequest, Refusal>
     where
         B: Body<Data = Bytes> + Unpin,
     {
+        let started = terms.started;
         let id = head.id.clone().ok_or(Refusal::Malformed)?;
         let deadline = head.deadline.unwrap_or(DEFAULT_DEADLINE);
         let expires_at = started + deadline.min(rule.time_limit);
@@ -293,7 +292,11 @@
         let service = self.state.route_request(&rule);
         let config = table.services.get(&service);
         let keyed = config.is_some_and(|service| service.keyed);
-        if keyed && let Some(key) = head.key {
+        // The host that sent a relayed request has counted its key.
+        if keyed
+            && terms.origin == RequestOrigin::Caller
+            && let Some(key) = head.key
+        {
             self.state.count_key(&service, key);
         }
         Ok(RoutedRequest {
@@ -306,9 +309,9 @@
                 expires_at,
                 caller_leaves_at: started + deadline,
             },
-            attempts: rule.attempts,
+            attempts: rule.attempts.min(terms.most_attempts),
             rule,
-            origin: RequestOrigin::Caller,
+            origin: terms.origin,
             max_connections: config.map_or(1, |service| service.connections),
             service,
             key: head.key.filter(|_| keyed),
--- a/crates/gateway/src/serve/request_origin.rs
+++ b/crates/gateway/src/serve/request_origin.rs
@@ -1,4 +1,6 @@
-//! Who sends the requests of a connection.
+//! Who sends the requests of a connection, and what that allows.
+
+use camphorcove_core::time::BootTime;
 
 /// Sender of the requests of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -8,3 +10,14 @@
     /// Another host that reaches no servers. Its requests are not handed on once more.
     Host,
 }
+
+/// What decides how a request is forwarded, besides its route.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestTerms {
+    /// Who sent the request.
+    pub origin: RequestOrigin,
+    /// Most attempts at servers that its sender allows.
+    pub most_attempts: u32,
+    /// When the request was read.
+    pub started: BootTime,
+}
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -282,8 +282,11 @@
         self.stop.last_start().is_some_and(|end| self.now() >= end)
     }
 
-    /// Whether this host can serve new callers.
+    /// Whether this host can serve new callers. One that reaches no servers needs other hosts for that.
     pub fn is_ready(&self) -> bool {
+        if self.lacks_servers() && self.choose_relay_peers(1).is_empty() {
+            return false;
+        }
         let inner = self.lock();
         let Some(table) = &inner.table else {
             return false;
