Hand requests only to hosts with the same configuration or a newer one, and count them once

A request that a host with a newer configuration had read could be decided by an older one at the host that took it: the test had it served there, now that host is left out. The retry limit counted a relayed request at both hosts. A leader without servers resigns only if another host reports that it reaches some, not on its own last report.

--- a/crates/gateway/src/forward/relay_client.rs
+++ b/crates/gateway/src/forward/relay_client.rs
@@ -6,7 +6,7 @@
         response_body::StreamedBody,
         server_call::{ReadBody, read_body},
     },
-    crate::peers::{ELSEWHERE_HEADER, RELAY_HEADER, RelayedHead},
+    crate::peers::{ELSEWHERE_HEADER, RELAY_HEADER, RelayGrant, RelayedHead},
     bytes::Bytes,
     camphorcove_core::time::BootTime,
     camphorcove_net::{
@@ -60,18 +60,17 @@
 }
 
 impl RelayClient {
-    /// Hands a request to a host, which may send it to servers `attempts` times and has to answer
-    /// before `answer_by`.
+    /// Hands a request to a host, which has to answer before `answer_by`.
     pub async fn send(
         &self,
         host: SocketAddr,
         call: &CallRequest,
-        attempts: u32,
+        grant: RelayGrant,
         secret: &[u8],
         answer_by: BootTime,
     ) -> RelayOutcome {
         let time_left = answer_by.since(BootClock.now());
-        let Some(request) = build_request(call, attempts, secret, time_left) else {
+        let Some(request) = build_request(call, grant, secret, time_left) else {
             return RelayOutcome::Elsewhere("request cannot be built".into());
         };
         let begun = self.client.begin_exchange(host, request, time_left).await;
@@ -136,12 +135,12 @@
 
 fn build_request(
     call: &CallRequest,
-    attempts: u32,
+    grant: RelayGrant,
     secret: &[u8],
     time_left: Duration,
 ) -> Option<Request<Full<Bytes>>> {
     let head = RelayedHead::of(&call.method, &call.target, &call.headers, Some(&call.id))?;
-    let seal = HeaderValue::try_from(head.seal(secret, attempts)).ok()?;
+    let seal = HeaderValue::try_from(head.seal(secret, grant)).ok()?;
     let mut request = Request::builder()
         .method(call.method.clone())
         .uri(call.target.clone())
--- a/crates/gateway/src/leader/host_table.rs
+++ b/crates/gateway/src/leader/host_table.rs
@@ -118,9 +118,10 @@
         lacking.map(|record| record.address).collect()
     }
 
-    /// Whether a host reports that reaches servers.
-    pub fn any_with_servers(&self) -> bool {
-        self.hosts.values().any(|record| !record.lacks_servers)
+    /// Whether a host other than `own` reports that reaches servers.
+    pub fn other_has_servers(&self, own: &HostId) -> bool {
+        let mut others = self.hosts.iter().filter(|(host, _)| *host != own);
+        others.any(|(_, record)| !record.lacks_servers)
     }
 
     /// Requests in flight at each server, summed over all hosts.
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -275,7 +275,9 @@
             && self.confirm_failures == 0;
         if superseded {
             self.step_down("a server has seen a higher token", now);
-        } else if self.state.lacks_servers() && self.hosts.any_with_servers() {
+        } else if self.state.lacks_servers()
+            && self.hosts.other_has_servers(&self.state.settings.host)
+        {
             log::warn!("this host reaches no servers and other hosts do, resigning");
             self.resign(actor, now);
         } else if has_larger_host && settled && !moving {
--- a/crates/gateway/src/serve/relay_attempts.rs
+++ b/crates/gateway/src/serve/relay_attempts.rs
@@ -11,6 +11,7 @@
     },
     crate::{
         forward::{RelayOutcome, ResponseBody},
+        peers::RelayGrant,
         state::LogTopic,
     },
     camphorcove_core::{routing::RetryPolicy, time::BootTime},
@@ -50,7 +51,10 @@
             if history.sent > 0 && !self.may_retry(routed, history.sent) {
                 return self.give_up(routed, history, Refusal::Overloaded, None);
             }
-            let attempts = routed.attempts.saturating_sub(history.sent).max(1);
+            let grant = RelayGrant {
+                attempts: routed.attempts.saturating_sub(history.sent).max(1),
+                config_version: self.state.config_version(),
+            };
             let answer_by = match idempotent && at + 1 < count {
                 true => self.host_answer_time(routed, now),
                 false => routed.call.expires_at,
@@ -58,7 +62,7 @@
             self.state.counters.relayed.fetch_add(1, Ordering::Relaxed);
             let sending =
                 self.relay_client
-                    .send(host, &routed.call, attempts, secret.as_bytes(), answer_by);
+                    .send(host, &routed.call, grant, secret.as_bytes(), answer_by);
             match sending.await {
                 RelayOutcome::Answered(response) => {
                     self.log_relay(routed, host, "answered");
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -10,7 +10,7 @@
     },
     crate::{
         forward::{CallRequest, ConnectionPool, RelayClient, ResponseBody},
-        peers::{ELSEWHERE_HEADER, RELAY_HEADER, RelayedHead},
+        peers::{ELSEWHERE_HEADER, RELAY_HEADER, RelayGrant, RelayedHead},
         state::{BodyReservation, HostState, LogTopic},
     },
     bytes::{Bytes, BytesMut},
@@ -182,11 +182,11 @@
     fn is_unable(&self, response: &Response<ResponseBody>) -> bool {
         let state = &self.state;
         response.status() == StatusCode::SERVICE_UNAVAILABLE
-            && (state.lacks_servers() || state.is_stopping() || state.table().is_none())
+            && (state.lacks_servers() || state.is_stopping())
     }
 
-    /// Most attempts at servers that another host allows, if it proves that it is one.
-    fn relayed_attempts<B>(&self, request: &Request<B>, head: &RequestHead) -> Option<u32> {
+    /// What the host that hands over a request allows, if it proves that it is one.
+    fn relay_grant<B>(&self, request: &Request<B>, head: &RequestHead) -> Option<RelayGrant> {
         let (owners, _) = self.state.owners()?;
         let value = request.headers().get(RELAY_HEADER)?;
         let (method, target) = (request.method(), request.uri());
@@ -206,14 +206,20 @@
         let head = decode_request(request.headers());
         let most_attempts = match origin {
             RequestOrigin::Caller => u32::MAX,
-            RequestOrigin::Host => match self.relayed_attempts(&request, &head) {
-                Some(attempts) => {
-                    let counter = &self.state.counters.relays_taken;
-                    counter.fetch_add(1, Ordering::Relaxed);
-                    attempts
+            RequestOrigin::Host => {
+                let Some(grant) = self.relay_grant(&request, &head) else {
+                    return self.refuse_request(&head, Refusal::NotAuthentic, None);
+                };
+                if self.state.config_version() < grant.config_version {
+                    let mut response = self.refuse_request(&head, Refusal::NoConfiguration, None);
+                    let value = HeaderValue::from_static("1");
+                    response.headers_mut().insert(ELSEWHERE_HEADER, value);
+                    return response;
                 }
-                None => return self.refuse_request(&head, Refusal::NotAuthentic, None),
-            },
+                let counter = &self.state.counters.relays_taken;
+                counter.fetch_add(1, Ordering::Relaxed);
+                grant.attempts
+            }
         };
         if self.state.refuses_requests() {
             if !request.headers().contains_key(header::EXPECT) {
@@ -289,7 +295,11 @@
             read = reading => read.unwrap_or(Err(Refusal::TooLate))?,
             () = self.state.stop.last_start_passed() => return Err(Refusal::Stopping),
         };
-        let service = self.state.route_request(&rule);
+        // A request that another host will send counts for the retry limit there.
+        let service = match terms.origin == RequestOrigin::Caller && self.state.lacks_servers() {
+            true => self.state.choose_service(&rule),
+            false => self.state.route_request(&rule),
+        };
         let config = table.services.get(&service);
         let keyed = config.is_some_and(|service| service.keyed);
         // The host that sent a relayed request has counted its key.
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -335,6 +335,11 @@
         self.config_copy().filter(|copy| copy.version > version)
     }
 
+    /// Selects the service for a request by weighted round robin.
+    pub fn choose_service(&self, rule: &RouteRule) -> ServiceName {
+        self.lock().round_robin.next(rule)
+    }
+
     /// Selects the service for a request by weighted round robin, and counts the request.
     pub fn route_request(&self, rule: &RouteRule) -> ServiceName {
         let now = self.now();
--- a/crates/gateway/tests/cut_hosts.rs
+++ b/crates/gateway/tests/cut_hosts.rs
@@ -6,7 +6,10 @@
     camphorcove_platform_standin::caller::{call, request},
     rstest::rstest,
     std::time::{Duration, Instant},
-    support::server_links::{CuttableHost, CuttableRegion, LinkCut, ServedShare, cuttable_region},
+    support::{
+        fixtures::table,
+        server_links::{CuttableHost, CuttableRegion, LinkCut, ServedShare, cuttable_region},
+    },
     tokio::time::sleep,
 };
 
@@ -20,6 +23,9 @@
 /// have to end first.
 const KEY_TIME: Duration = Duration::from_secs(8);
 
+/// Time after which a host is asked again that could not take a request.
+const LEFT_OUT_TIME: Duration = Duration::from_millis(1_200);
+
 /// Longest time until a request is refused that no host can send to a server.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
@@ -150,7 +156,7 @@
 /// Guards against callers that pass for hosts, and against a second hop.
 #[rstest]
 #[case::without_proof("")]
-#[case::with_another_proof("camphorcove-relay: 2,00112233445566778899aabbccddeeff\r\n")]
+#[case::with_another_proof("camphorcove-relay: 2,1,00112233445566778899aabbccddeeff\r\n")]
 #[tokio::test]
 async fn request_without_proof_of_its_host_is_not_run(#[case] proof: &str) {
     let region = cuttable_region(2).await;
@@ -211,3 +217,27 @@
     assert!(other_share >= LEAST_SHARE, "{shares:?}");
     assert!(cut_share >= LEAST_SHARE * other_share, "{shares:?}");
 }
+
+/// Guards against a request that an older configuration decides, because the host that gets it has not heard
+/// of the one in force at its first host.
+#[tokio::test]
+async fn request_is_not_handed_to_a_host_with_an_older_configuration() {
+    let region = cuttable_region(3).await;
+    region.load(1, Duration::from_millis(500)).await;
+    let is_cut = cut_followers(&region, 1, LinkCut::Reset).await;
+    let cut = is_cut
+        .iter()
+        .position(|is_cut| *is_cut)
+        .expect("a follower");
+    region.load(CALLERS, NOTICE_TIME).await;
+    region.hosts[cut].host.state.set_table(table(2));
+
+    let before = region.read_at(cut).await;
+    for host in &region.hosts {
+        host.host.state.set_table(table(2));
+    }
+    sleep(LEFT_OUT_TIME).await;
+    let after = region.read_at(cut).await;
+
+    assert_eq!((before.status, after.status), (503, 200), "{before:?}");
+}
