Take one server that accepts for a working network, and let leaders wait before they resign for lost servers

From reading the change once more, no caller was seen to be hurt: with more than half of all servers down, a host would have handed its requests away for seconds, as most of a check had to accept, and a leader could have resigned for three servers that were down by chance. A retry that had been counted was counted again when the request was handed over.

--- a/crates/core/src/dispatch/server_reach.rs
+++ b/crates/core/src/dispatch/server_reach.rs
@@ -89,13 +89,10 @@
     }
 
     /// Records the result of a check; returns whether it changes what [`is_lost`](Self::is_lost)
-    /// says. While servers are out of reach, most of them have to accept.
+    /// says. One server that accepts shows that the network works.
     pub fn record_check(&mut self, check: ReachCheck, now: BootTime) -> bool {
         let was_lost = self.lost_since.is_some();
-        let is_lost = match was_lost {
-            true => check.accepted * 2 <= check.tried,
-            false => check.tried > 0 && check.accepted == 0,
-        };
+        let is_lost = check.tried > 0 && check.accepted == 0;
         if !is_lost {
             self.failed.clear();
         }
@@ -107,4 +104,10 @@
     pub fn is_lost(&self) -> bool {
         self.lost_since.is_some()
     }
+
+    /// Time for which this host has reached no servers; zero if it reaches some.
+    pub fn lost_for(&self, now: BootTime) -> Duration {
+        let since = self.lost_since;
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
 }
--- a/crates/gateway/src/forward/reach_check.rs
+++ b/crates/gateway/src/forward/reach_check.rs
@@ -13,7 +13,7 @@
 
 /// Servers to which a check connects at the same time. A partition of the host concerns all
 /// of them, while the chance that all of them have failed is small.
-const CHECKED_SERVERS: usize = 3;
+const CHECKED_SERVERS: usize = 4;
 
 /// Longest wait for a connection, as for those of requests.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -53,6 +53,10 @@
 /// host's own network is at fault.
 const MIN_OWNERS_FOR_NETWORK_CHECK: usize = 4;
 
+/// Time without servers after which this host resigns: several checks have failed by then, which
+/// servers that have failed at the same moment rarely explain.
+const MIN_SERVER_LOSS: Duration = Duration::from_millis(1_000);
+
 /// Role of this host in the election.
 pub(super) enum Role {
     /// Another host leads, or no host does.
@@ -275,7 +279,7 @@
             && self.confirm_failures == 0;
         if superseded {
             self.step_down("a server has seen a higher token", now);
-        } else if self.state.lacks_servers()
+        } else if self.state.servers_lost_for() >= MIN_SERVER_LOSS
             && self.hosts.other_has_servers(&self.state.settings.host)
         {
             log::warn!("this host reaches no servers and other hosts do, resigning");
--- a/crates/gateway/src/serve/relay_attempts.rs
+++ b/crates/gateway/src/serve/relay_attempts.rs
@@ -16,7 +16,7 @@
     },
     camphorcove_core::{routing::RetryPolicy, time::BootTime},
     http::Response,
-    std::{net::SocketAddr, sync::atomic::Ordering, time::Duration},
+    std::{net::SocketAddr, sync::atomic::Ordering},
 };
 
 /// Most hosts that one request is handed to, one after the other.
@@ -48,7 +48,10 @@
             if routed.call.expires_at.since(now) < MIN_ATTEMPT_TIME {
                 return self.give_up(routed, history, Refusal::TooLate, None);
             }
-            if history.sent > 0 && !self.may_retry(routed, history.sent) {
+            let allowed = history.sent == 0
+                || std::mem::take(&mut history.retry_counted)
+                || self.may_retry(routed, history.sent);
+            if !allowed {
                 return self.give_up(routed, history, Refusal::Overloaded, None);
             }
             let grant = RelayGrant {
@@ -101,7 +104,7 @@
     fn host_answer_time(&self, routed: &RoutedRequest, now: BootTime) -> BootTime {
         let time = routed.rule.target_latency.mul_f64(HOST_TIMEOUT_FACTOR);
         let latest = routed.call.expires_at;
-        (now + time.max(Duration::from_millis(1))).min(latest)
+        (now + time).min(latest)
     }
 
     fn log_relay(&self, routed: &RoutedRequest, host: SocketAddr, outcome: &str) {
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -58,7 +58,7 @@
     /// At least one attempt may have run on a server.
     may_have_run: bool,
     /// The next attempt has already been counted against the retry budget.
-    retry_counted: bool,
+    pub(super) retry_counted: bool,
     /// The next attempt may be sent, as far as crashes of servers tell.
     admitted: bool,
     /// Total time spent waiting for the key to change owner.
--- a/crates/gateway/src/state/reach_tracking.rs
+++ b/crates/gateway/src/state/reach_tracking.rs
@@ -8,7 +8,7 @@
         ids::ServerId,
     },
     rand::seq::SliceRandom,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 impl HostState {
@@ -41,6 +41,12 @@
         self.lock().server_reach.is_lost()
     }
 
+    /// Time for which this host has reached no servers; zero if it reaches some.
+    pub fn servers_lost_for(&self) -> Duration {
+        let now = self.now();
+        self.lock().server_reach.lost_for(now)
+    }
+
     /// Addresses of up to `count` servers to check whether this host reaches servers, if that is to
     /// be checked now: random ones, first those that nothing is known against.
     pub fn begin_reach_check(&self, count: usize) -> Vec<SocketAddr> {
