A leader that writes its assignment again waits for grants of a lost successor

For the length of a lease and one order, keys go to other servers only if their owner gives them back: the end of an owner, of its lease, or a range without owner proves nothing about a lost successor. Ruled out: to withdraw all keys, as renewals are refused by owners that have seen the successor's tokens.

--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -159,7 +159,9 @@
                     && now > self.lease_bounds.latest_end(service, owner, record.range)
                     && !self.has_renewal_in_flight(service, record.range)
             };
-            if !(released || self.has_ended(plan_context.fleet, owner) || expired()) {
+            // Only an owner that gives its range back shows that no lost successor has granted it.
+            let has_lost_range = || self.has_ended(plan_context.fleet, owner) || expired();
+            if !(released || now > self.lost_successor_end && has_lost_range()) {
                 continue;
             }
             let handover = progress.and_then(|progress| progress.handover.clone());
@@ -198,6 +200,9 @@
         assignable: &[AssignableServer],
         now: BootTime,
     ) -> bool {
+        if now <= self.lost_successor_end {
+            return false;
+        }
         for record in &mut owners.ranges {
             if let RangePhase::Owned { owner, .. } = &record.phase
                 && self.has_ended(plan_context.fleet, owner)
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -11,6 +11,7 @@
         AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, LeaseBounds, MAJORITY_REPORT_MAX_AGE,
         OrderFailure, OwnerState, PlanAction, PlanInput, RangeLoad, RangePhase, RecoveryPhase,
         ServerInstance,
+        lease_bounds::{LEASE_DURATION, ORDER_TIMEOUT, max_lease_duration},
         lease_orders::{GrantProgress, RangeId, RevocationProgress},
     },
     crate::{
@@ -57,6 +58,8 @@
     pub(super) started_at: BootTime,
     /// Latest time at which the store is known to have named this leader.
     pub(super) confirmed_at: BootTime,
+    /// Time by which grants of a successor have ended whose takeover the store has lost.
+    pub(super) lost_successor_end: BootTime,
     /// When a majority of hosts was last known to report to this leader.
     pub(super) majority_reported_at: BootTime,
     pub(super) balanced_at: BootTime,
@@ -121,6 +124,7 @@
             lease_bounds: LeaseBounds::new(predecessor_end),
             started_at: now,
             confirmed_at: now,
+            lost_successor_end: BootTime::default(),
             majority_reported_at: BootTime::default(),
             balanced_at: now,
             moves_chosen_at: BootTime::default(),
@@ -287,6 +291,7 @@
             PlanInput::WritesLost(epoch) => {
                 self.pending = None;
                 self.lost_in = Some(epoch);
+                self.lost_successor_end = now + ORDER_TIMEOUT + max_lease_duration(LEASE_DURATION);
             }
             PlanInput::Confirmed(sent_at) => self.confirmed_at = self.confirmed_at.max(sent_at),
             PlanInput::MajorityReports => self.majority_reported_at = now,
--- a/crates/gateway/tests/lost_successor.rs
+++ b/crates/gateway/tests/lost_successor.rs
@@ -15,7 +15,7 @@
     std::{net::SocketAddr, time::Duration},
     support::{
         fixtures::entry,
-        owned_region::{OwnedRegion, owned_region, stored},
+        owned_region::{OwnedRegion, is_owned, owned_region, stored, until},
     },
     tokio::time::sleep,
 };
@@ -36,6 +36,16 @@
     ranges
 }
 
+/// Number of ranges of the earlier start of the server.
+fn ranges_of_earlier_start(state: &OwnerState) -> usize {
+    let records = state.services.values().flat_map(|owners| &owners.ranges);
+    let earlier = records.filter(|record| {
+        matches!(&record.phase, RangePhase::Owned { owner, .. }
+            if owner.id.as_str() == "s-0" && owner.incarnation == 1)
+    });
+    earlier.count()
+}
+
 fn next_token(state: &OwnerState) -> u64 {
     let tokens = state.services.values().map(|owners| owners.next_token);
     tokens.max().unwrap_or_default()
@@ -91,6 +101,12 @@
         .state
         .apply_watched_changes(vec![entry], Vec::new(), version);
     sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(ledger.violations(), Vec::<String>::new());
+    until("owned by servers that live", || {
+        stored(&store).is_some_and(|state| is_owned(&state) && ranges_of_earlier_start(&state) == 0)
+    })
+    .await;
+    sleep(Duration::from_millis(500)).await;
 
     assert_eq!(ledger.violations(), Vec::<String>::new());
 }
