--- a/review/harness/caller.rs
+++ b/review/harness/caller.rs
@@ -39,20 +39,6 @@
     status
 }
 
-/// A request for a key.
-pub fn keyed_request(id: &str, key: u32, deadline: Duration) -> Message {
-    Message {
-        first: "GET /key/a HTTP/1.1".into(),
-        headers: vec![
-            ("Host".into(), "rafts.example".into()),
-            ("X-Request-Id".into(), id.into()),
-            ("X-Deadline-Ms".into(), deadline.as_millis().to_string()),
-            ("X-Shard-Key".into(), key.to_string()),
-        ],
-        body: Vec::new(),
-    }
-}
-
 /// Sends one request on a new connection, its body in parts with pauses between them. Returns the
 /// status of the answer, or 0 without one.
 pub fn send_slowly(
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -7,7 +7,6 @@
 mod json;
 mod network;
 mod record;
-mod regrown_fleet;
 mod smuggled;
 mod split_route;
 mod store;
@@ -30,7 +29,6 @@
     };
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let verdict = match case.as_str() {
-        "regrown-fleet" => regrown_fleet::run(Path::new(folder), trouble),
         "smuggled" => smuggled::run(Path::new(folder), trouble),
         "split-route" => split_route::run(Path::new(folder), trouble),
         _ => {
--- a/review/harness/record.rs
+++ b/review/harness/record.rs
@@ -33,10 +33,6 @@
         self.line(text);
     }
 
-    pub fn seconds(&self, at: Instant) -> f64 {
-        at.saturating_duration_since(self.start).as_secs_f64()
-    }
-
     pub fn flush(&self) {
         let _ = self.file.lock().unwrap().flush();
     }
--- a/review/harness/smuggled.rs
+++ b/review/harness/smuggled.rs
@@ -3,12 +3,11 @@
 use crate::{
     Verdict,
     caller::call,
-    host::{Host, end_all, relay_datagrams},
+    host::{Host, end_all},
     http::Message,
-    network::Network,
     record::Record,
     store::Store,
-    upstream::{Upstream, UpstreamKind},
+    upstream::Upstream,
 };
 use std::{
     collections::BTreeSet,
@@ -45,20 +44,14 @@
 }
 
 fn play(files: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let network = Arc::new(Network::default());
     let store = Arc::new(Store::default());
+    let address = store.serve();
     store.put("config", "main", configuration());
-    let kind = UpstreamKind {
-        service: "hamnplan",
-        keyed: false,
-        work: Duration::from_millis(20),
-    };
     let servers: Vec<Arc<Upstream>> = (0..SERVERS)
-        .map(|index| Upstream::start(index, &kind, 1_790_000_000_000, (&network, &store, record)))
+        .map(|index| Upstream::start(index, "hamnplan", &store, record))
         .collect();
-    let hosts = vec![Host::new(0, files, &store, &network)];
-    relay_datagrams(&hosts, &network);
-    hosts[0].start(&network);
+    let hosts = vec![Host::new(0, files, address)];
+    hosts[0].start();
     let callers = hosts[0].callers;
     let started = Instant::now();
     let mut sent = BTreeSet::new();
@@ -95,10 +88,7 @@
     sleep(WAIT_TIME);
     end_all(&hosts, record);
     let runs = servers.iter().flat_map(|server| server.runs());
-    let unasked: Vec<String> = runs
-        .map(|run| run.id)
-        .filter(|id| !sent.contains(id))
-        .collect();
+    let unasked: Vec<String> = runs.filter(|id| !sent.contains(id)).collect();
     record.note(&format!(
         "{} runs of requests that no caller sent: {unasked:?}",
         unasked.len()
--- a/review/harness/split_route.rs
+++ b/review/harness/split_route.rs
@@ -3,12 +3,11 @@
 use crate::{
     Verdict,
     caller::{call, send_slowly},
-    host::{Host, end_all, relay_datagrams},
+    host::{Host, end_all},
     http::Message,
-    network::Network,
     record::Record,
     store::Store,
-    upstream::{Upstream, UpstreamKind},
+    upstream::Upstream,
 };
 use std::{
     env, fs,
@@ -95,32 +94,20 @@
 }
 
 fn play(files: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let network = Arc::new(Network::default());
     let store = Arc::new(Store::default());
+    let address = store.serve();
     store.put("config", "main", &configuration(1, &[]));
     let mut servers = Vec::new();
     for service in SERVICES {
-        let kind = UpstreamKind {
-            service,
-            keyed: false,
-            work: Duration::from_millis(20),
-        };
         for _ in 0..SERVERS_PER_SERVICE {
-            let (index, born) = (servers.len(), 1_790_000_000_000);
-            servers.push(Upstream::start(
-                index,
-                &kind,
-                born,
-                (&network, &store, record),
-            ));
+            servers.push(Upstream::start(servers.len(), service, &store, record));
         }
     }
     let hosts: Vec<Host> = (0..HOSTS)
-        .map(|index| Host::new(index, files, &store, &network))
+        .map(|index| Host::new(index, files, address))
         .collect();
-    relay_datagrams(&hosts, &network);
     for host in &hosts {
-        host.start(&network);
+        host.start();
     }
     let started = Instant::now();
     for host in &hosts {
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -1,10 +1,10 @@
 //! The platform's store: objects by kind and name with revisions, lists, watches and conditional
-//! writes. It listens on one address for each host, so that hosts can be cut off from it.
+//! writes.
 
 use crate::{
     http::{Connection, Message, json_response},
     json,
-    network::{Member, Network},
+    network::free_port,
 };
 use std::{
     collections::BTreeMap,
@@ -29,8 +29,6 @@
     /// Revision and content by kind and name.
     objects: BTreeMap<(String, String), (u64, String)>,
     events: Vec<Event>,
-    /// When each host last read the assignment.
-    owner_reads: BTreeMap<usize, Instant>,
 }
 
 #[derive(Default)]
@@ -40,32 +38,27 @@
 }
 
 impl Store {
-    /// Serves a host at `address`.
-    pub fn serve(self: &Arc<Self>, address: SocketAddr, host: usize, network: &Arc<Network>) {
+    /// Starts to serve; returns the address.
+    pub fn serve(self: &Arc<Self>) -> SocketAddr {
+        let address = free_port();
         let listener = TcpListener::bind(address).expect("a free port");
-        let (store, network) = (self.clone(), network.clone());
+        let store = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, network) = (store.clone(), network.clone());
+                let store = store.clone();
                 thread::spawn(move || {
                     let Ok(mut connection) = Connection::new(stream) else {
                         return;
                     };
                     while let Ok(Some(request)) = connection.read() {
-                        // What a partition holds up is lost with its connection.
-                        if network.wait(Member::Host(host), Member::Store) {
-                            return;
-                        }
-                        let response = store.respond(&request, host);
-                        if network.wait(Member::Host(host), Member::Store)
-                            || connection.write(&response).is_err()
-                        {
+                        if connection.write(&store.respond(&request)).is_err() {
                             return;
                         }
                     }
                 });
             }
         });
+        address
     }
 
     /// Creates or replaces an object, as the operator and the servers do.
@@ -77,36 +70,7 @@
         self.changed.notify_all();
     }
 
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut content = self.content.lock().unwrap();
-        let Some((_, spec)) = content.objects.remove(&(kind.into(), name.into())) else {
-            return;
-        };
-        content.revision += 1;
-        let revision = content.revision;
-        let object = object_text(name, revision, &spec);
-        let text = format!("{{\"Object\":{object},\"Removed\":true}}");
-        content.events.push(Event {
-            revision,
-            kind: kind.into(),
-            text,
-        });
-        drop(content);
-        self.changed.notify_all();
-    }
-
-    pub fn get(&self, kind: &str, name: &str) -> Option<String> {
-        let content = self.content.lock().unwrap();
-        let (_, spec) = content.objects.get(&(kind.to_owned(), name.to_owned()))?;
-        Some(spec.clone())
-    }
-
-    /// When this host last read the assignment.
-    pub fn owner_read(&self, host: usize) -> Option<Instant> {
-        self.content.lock().unwrap().owner_reads.get(&host).copied()
-    }
-
-    fn respond(&self, request: &Message, host: usize) -> Message {
+    fn respond(&self, request: &Message) -> Message {
         let (path, query) = request
             .target()
             .split_once('?')
@@ -118,13 +82,7 @@
                 Some(from) => self.watch(kind, from, parameter(query, "WaitMs").unwrap_or(0)),
                 None => self.content.lock().unwrap().list(kind),
             },
-            ("GET", [kind, name]) => {
-                let mut content = self.content.lock().unwrap();
-                if *kind == "camphorcove" {
-                    content.owner_reads.insert(host, Instant::now());
-                }
-                content.read(kind, name)
-            }
+            ("GET", [kind, name]) => self.content.lock().unwrap().read(kind, name),
             ("POST", [kind]) => {
                 let name = json::string(&body, "Name").unwrap_or_default();
                 self.content.lock().unwrap().create(kind, &name, &body)
