A server that started earlier at the address of an owner no longer proves the owner's end (OWNER)

Cause: a host that had been cut off took over as the cut ended, with the fleet from before the cut. A server that had crashed was back under a new id at its old address and owned keys. The successor did not know the new id, found the earlier server at the owner's address, and took that for proof that the owner had ended: its keys became free without a release or the end of the lease.

The proof now is the start of a later server: `EndProof` compares the times of the starts, which is right whatever the age of the fleet, also for entries from a copy of the store and for addresses that went to another service. The leader logs each owner that it counts as ended, with the proof.

--- a/crates/core/src/ownership/lease_orders.rs
+++ b/crates/core/src/ownership/lease_orders.rs
@@ -4,7 +4,7 @@
     super::{
         KeyRange, LEASE_DURATION, ORDER_TIMEOUT, OrderFailure, OwnerState, OwnershipPlanner,
         PlanAction, PlanContext, RENEW_INTERVAL, RangePhase, RangeRecord, ServerInstance,
-        ownership_planner::{TOKENS_PER_MOVE, current_range_ids, instance_ended},
+        ownership_planner::{TOKENS_PER_MOVE, current_range_ids},
     },
     crate::{ids::ServiceName, time::BootTime},
     std::time::Duration,
@@ -137,8 +137,7 @@
                 if !is_unchanged(self.pending.as_ref(), service, record) {
                     continue;
                 }
-                if self.ended_instances.contains(owner) || instance_ended(plan_context.fleet, owner)
-                {
+                if self.end_proof(plan_context.fleet, owner).is_some() {
                     continue;
                 }
                 // An unresponsive server gets no renewals: each could extend its lease.
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -6,6 +6,7 @@
 //! moving, the second names the new owner. Between the two, the leader makes sure that
 //! the old owner's lease has ended, so no key ever has two owners.
 
+mod end_proof;
 mod key_range;
 mod lease_bounds;
 mod lease_orders;
@@ -19,6 +20,7 @@
 mod range_moves;
 
 pub use {
+    end_proof::EndProof,
     key_range::{KeyRange, LAST_KEY},
     lease_bounds::{
         AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, LEASE_DURATION, LeaseBounds,
--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -160,11 +160,15 @@
                     && !self.has_renewal_in_flight(service, record.range)
             };
             // Only an owner that gives its range back shows that no lost successor has granted it.
-            let has_lost_range = || self.has_ended(plan_context.fleet, owner) || expired();
+            let proof = self.freeing_proof(plan_context.fleet, owner);
+            let has_lost_range = || proof.is_some() || expired();
             if !(released || now > self.lost_successor_end && has_lost_range()) {
                 continue;
             }
             let handover = progress.and_then(|progress| progress.handover.clone());
+            if let Some(proof) = proof.filter(|_| !released) {
+                self.ended_owners.insert(owner.clone(), proof);
+            }
             let is_assignable = |instance: &ServerInstance| {
                 assignable
                     .iter()
@@ -205,8 +209,9 @@
         }
         for record in &mut owners.ranges {
             if let RangePhase::Owned { owner, .. } = &record.phase
-                && self.has_ended(plan_context.fleet, owner)
+                && let Some(proof) = self.freeing_proof(plan_context.fleet, owner)
             {
+                self.ended_owners.insert(owner.clone(), proof);
                 record.phase = RangePhase::Free;
             }
         }
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -8,9 +8,9 @@
 
 use {
     super::{
-        AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, LeaseBounds, MAJORITY_REPORT_MAX_AGE,
-        OrderFailure, OwnerState, PlanAction, PlanInput, RangeLoad, RangePhase, RecoveryPhase,
-        ServerInstance,
+        AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, EndProof, LeaseBounds,
+        MAJORITY_REPORT_MAX_AGE, OrderFailure, OwnerState, PlanAction, PlanInput, RangeLoad,
+        RangePhase, RecoveryPhase, ServerInstance,
         lease_bounds::{LEASE_DURATION, ORDER_TIMEOUT, max_lease_duration},
         lease_orders::{GrantProgress, RangeId, RevocationProgress},
     },
@@ -77,6 +77,8 @@
     /// Instances at whose address another server answered. They are known to have ended,
     /// because an address is reused only after its previous server has ended.
     pub(super) ended_instances: HashSet<ServerInstance>,
+    /// Owners whose keys were given up because they have ended, not yet taken to be logged.
+    pub(super) ended_owners: BTreeMap<ServerInstance, EndProof>,
     pub(super) fleet_size: usize,
     pub(super) fleet_grew_at: BootTime,
     /// A server has seen a token of a later leader.
@@ -135,6 +137,7 @@
             loads: BTreeMap::new(),
             responsiveness: HashMap::new(),
             ended_instances: HashSet::new(),
+            ended_owners: BTreeMap::new(),
             fleet_size: 0,
             fleet_grew_at: now,
             superseded: false,
@@ -246,11 +249,33 @@
         responsiveness.failed = !answered;
     }
 
-    /// Whether the server instance is known to have ended, and no server can hold keys through
-    /// orders to it.
-    pub(super) fn has_ended(&self, fleet: &FleetView, instance: &ServerInstance) -> bool {
-        self.ended_instances.contains(instance)
-            || (instance_ended(fleet, instance) && !has_restarted_in_place(fleet, instance))
+    /// What shows that the server instance has ended.
+    pub(super) fn end_proof(
+        &self,
+        fleet: &FleetView,
+        instance: &ServerInstance,
+    ) -> Option<EndProof> {
+        match self.ended_instances.contains(instance) {
+            true => Some(EndProof::OtherServerAnswered),
+            false => EndProof::find(fleet, instance),
+        }
+    }
+
+    /// Like [`end_proof`](Self::end_proof), if also no server can hold keys through orders to the
+    /// instance.
+    pub(super) fn freeing_proof(
+        &self,
+        fleet: &FleetView,
+        instance: &ServerInstance,
+    ) -> Option<EndProof> {
+        let proof = self.end_proof(fleet, instance)?;
+        (!proof.leaves_keys_held(instance)).then_some(proof)
+    }
+
+    /// Owners whose keys were given up without a release or the end of their leases since the last
+    /// call, each with the proof that it has ended.
+    pub fn take_ended_owners(&mut self) -> BTreeMap<ServerInstance, EndProof> {
+        std::mem::take(&mut self.ended_owners)
     }
 
     /// Whether no order may be sent yet, as servers that the assignment does not name may hold keys.
@@ -396,24 +421,3 @@
     }
     range_ids
 }
-
-/// Whether the fleet shows that the instance has ended: its id has a new incarnation, or
-/// its address, which is reused only after its end, belongs to another server.
-pub(super) fn instance_ended(fleet: &FleetView, instance: &ServerInstance) -> bool {
-    if let Some(entry) = fleet.get(&instance.id) {
-        // An earlier incarnation shows that the host lacks the newest entry.
-        return entry.incarnation > instance.incarnation;
-    }
-    fleet
-        .entries()
-        .any(|entry| entry.address == instance.address)
-}
-
-/// Whether the id of the instance has a new incarnation at the same address. Orders name the id
-/// only, so the new incarnation may have carried out orders for the earlier one, and holds the
-/// keys until it has released them or the leases have ended.
-fn has_restarted_in_place(fleet: &FleetView, instance: &ServerInstance) -> bool {
-    fleet
-        .get(&instance.id)
-        .is_some_and(|entry| entry.address == instance.address)
-}
--- a/crates/core/tests/ownership_planner.rs
+++ b/crates/core/tests/ownership_planner.rs
@@ -10,6 +10,7 @@
         },
         time::BootTime,
     },
+    rstest::rstest,
     std::{
         collections::{HashMap, VecDeque},
         time::Duration,
@@ -33,21 +34,23 @@
     }
 }
 
+fn entry(instance: ServerInstance, service: ServiceName) -> ServerEntry {
+    ServerEntry {
+        id: instance.id,
+        incarnation: instance.incarnation,
+        service,
+        address: instance.address,
+        zone: "z".parse().expect("valid name"),
+        slots: 3,
+        phase: ServerPhase::Ready,
+        warmup: Duration::ZERO,
+    }
+}
+
 fn fleet(numbers: &[u16]) -> FleetView {
     let mut fleet = FleetView::default();
     for number in numbers {
-        let instance = instance(*number);
-        let entry = ServerEntry {
-            id: instance.id,
-            incarnation: instance.incarnation,
-            service: service(),
-            address: instance.address,
-            zone: "z".parse().expect("valid name"),
-            slots: 3,
-            phase: ServerPhase::Ready,
-            warmup: Duration::ZERO,
-        };
-        fleet.upsert(entry, START);
+        fleet.upsert(entry(instance(*number), service()), START);
     }
     fleet
 }
@@ -73,6 +76,15 @@
     state
 }
 
+/// Server with another id and start at the address of server 0.
+fn other_start(incarnation: u64) -> ServerInstance {
+    ServerInstance {
+        id: "s-other".parse().expect("valid id"),
+        incarnation,
+        address: instance(0).address,
+    }
+}
+
 /// Drives a planner with a fixed fleet and simulated time.
 struct PlannerDriver {
     planner: OwnershipPlanner,
@@ -89,6 +101,28 @@
         }
     }
 
+    /// Polls for the time of two leases, while all servers answer. Returns the grants that gave keys of
+    /// `owner`, up to `last_key`, to another server before `owner` had released them.
+    fn early_grants(&mut self, owner: &ServerInstance, last_key: u16) -> Vec<PlanAction> {
+        let mut released = false;
+        let mut early = Vec::new();
+        for _ in 0..120 {
+            for action in self.poll() {
+                match &action {
+                    PlanAction::Release { server, .. } => released |= server == owner,
+                    PlanAction::Grant { server, range, .. }
+                        if server != owner && range.first <= last_key && !released =>
+                    {
+                        early.push(action.clone());
+                    }
+                    PlanAction::Grant { .. } | PlanAction::Write(_) => {}
+                }
+                self.finish(&action, None);
+            }
+        }
+        early
+    }
+
     fn poll(&mut self) -> Vec<PlanAction> {
         self.advance_and_poll(STEP)
     }
@@ -326,3 +360,65 @@
 
     assert!(released);
 }
+
+/// Guards against a leader whose fleet is behind the assignment, as after a partition: it took a server
+/// that had ended before the owner started at its address for one that had followed the owner, and
+/// gave the keys to others while the owner held them.
+#[rstest]
+#[case::same_service(service())]
+#[case::other_service("rooms".parse().expect("valid name"))]
+fn owner_at_the_address_of_an_earlier_server_has_not_ended(#[case] earlier_service: ServiceName) {
+    let mut state = owned_state(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
+    let owner = other_start(5);
+    let owners = state.services.get_mut(&service()).expect("a service");
+    owners.ranges[0].phase = RangePhase::Owned {
+        owner: owner.clone(),
+        token: 7,
+    };
+    let mut driver = PlannerDriver::new(state, &[1]);
+    driver
+        .fleet
+        .upsert(entry(instance(0), earlier_service), START);
+
+    let early = driver.early_grants(&owner, 32_767);
+
+    assert_eq!(early, []);
+}
+
+/// Guards against the same for keys that are being taken from such an owner when the leader changes.
+#[test]
+fn moving_keys_of_an_owner_at_the_address_of_an_earlier_server_await_their_release() {
+    let mut state = owned_state(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
+    let owner = other_start(5);
+    let owners = state.services.get_mut(&service()).expect("a service");
+    owners.ranges[0].phase = RangePhase::Moving {
+        owner: owner.clone(),
+        token: 9,
+        target: Some(instance(1)),
+    };
+    let mut driver = PlannerDriver::new(state, &[0, 1]);
+
+    let early = driver.early_grants(&owner, 32_767);
+
+    assert_eq!(early, []);
+}
+
+/// Guards against keys that wait for the lease of an owner although a later server has its address.
+#[test]
+fn owner_at_the_address_of_a_later_server_has_ended() {
+    let state = owned_state(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
+    let mut driver = PlannerDriver::new(state, &[1]);
+    driver.fleet.upsert(entry(other_start(5), service()), START);
+
+    let first = driver.poll();
+
+    let written = first.iter().find_map(|action| match action {
+        PlanAction::Write(state) => Some(state),
+        _ => None,
+    });
+    assert_ne!(written.and_then(|state| owner_of(state, 0)), None);
+    assert_ne!(
+        written.and_then(|state| owner_of(state, 0)),
+        Some(instance(0).id)
+    );
+}
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -255,6 +255,16 @@
             capacity: &capacity,
         };
         let actions = planner.poll(plan_context, now);
+        for (owner, proof) in planner.take_ended_owners() {
+            log::info!(
+                term,
+                server = owner.id.as_str(),
+                incarnation = owner.incarnation,
+                address:% = owner.address,
+                proof:% = proof;
+                "owner has ended, its keys need no release"
+            );
+        }
         let (owners, silent) = planner.unresponsive_owners(now);
         let superseded = planner.is_superseded();
         let moving = planner.has_moves();
