A new leader's digests go to the hosts of its predecessor until the hosts had time to report

Cause: the first digest of a leader lists the hosts, and for that replaced the list that the predecessor had sent by the host table, which is empty at the begin of a term. The digest went to nobody. Usually hosts learn of the leader from the change of the assignment; this one had an outdated base, so that no host could apply it. Ruled out: lost datagrams (the link had healed at 11.0; calls to the store and orders went through), a digest that says the store is out of reach (no watch had been silent for 1.5 s).

Test, failed before: new_leader_sends_digests_to_the_hosts_of_its_predecessor.

--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -318,7 +318,10 @@
         let lists_peers = self.digests_sent.is_multiple_of(DIGESTS_PER_PEER_LIST);
         self.digests_sent = self.digests_sent.wrapping_add(1);
         if lists_peers {
-            self.peers = self.hosts.addresses().collect();
+            // A new leader knows the hosts from its predecessor's digests until they report to it.
+            if hosts.is_some() {
+                self.peers = self.hosts.addresses().collect();
+            }
             if let Some(known) = self.state.known_suspects() {
                 self.send_suspects(known);
             }
