A new leader keeps keys with owners that its fleet does not show yet, until it has read the servers

In between it took keys from servers that lived, as its fleet lacked them, and gave some to servers that had ended seconds before; callers of these keys were refused until they had moved again.

The fleet is behind while the host has not read the servers as of its takeover (one counter of the store orders both), for 1 s at most. An owner that the fleet has neither shown nor seen leave then keeps its keys; its leases are renewed. Owners that are known to have left, and all moves of others, go on as before.

Tests: owner_that_the_fleet_does_not_show_yet_keeps_its_keys (two cases, fail without the rule) and owner_that_has_left_is_not_awaited.

--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -280,6 +280,13 @@
         self.servers.get(id).map(|server| &server.entry)
     }
 
+    /// Whether this start of the server, or a later one, is in the fleet or has left it.
+    pub fn has_known(&self, id: &ServerId, incarnation: u64) -> bool {
+        let listed = self.get(id).map(|entry| entry.incarnation);
+        let left = self.departures.get(id).map(|(incarnation, _)| *incarnation);
+        listed.max(left).is_some_and(|known| known >= incarnation)
+    }
+
     /// Time at which the server began to drain, announced to leave or removed its entry; `None` if
     /// it did none of these.
     pub fn leaving_since(&self, id: &ServerId) -> Option<BootTime> {
--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -3,11 +3,11 @@
 use {
     super::{
         AssignableServer, KeyRange, OwnerState, OwnershipPlanner, PlanContext, RangeLoad,
-        RangePhase, ServerInstance, ServiceOwners, choose_moves, lease_orders::RevocationStep,
-        ownership_planner::TOKENS_PER_MOVE,
+        RangePhase, RangeRecord, ServerInstance, ServiceOwners, choose_moves,
+        lease_orders::RevocationStep, ownership_planner::TOKENS_PER_MOVE,
     },
     crate::{fleet::ServerPhase, ids::ServiceName, time::BootTime},
-    std::{collections::HashSet, time::Duration},
+    std::{borrow::Cow, collections::HashSet, time::Duration},
 };
 
 /// Time without a new server after which a service gets its first assignment, so that the
@@ -215,7 +215,8 @@
                 record.phase = RangePhase::Free;
             }
         }
-        let has_unowned = owners.ranges.iter().any(|record| match &record.phase {
+        let movable = movable_records(plan_context, owners);
+        let has_unowned = movable.iter().any(|record| match &record.phase {
             RangePhase::Free => true,
             RangePhase::Owned { owner, .. } => !assignable
                 .iter()
@@ -231,7 +232,7 @@
         }
         let no_load = RangeLoad::new(now);
         let load = self.loads.get(service).unwrap_or(&no_load);
-        for planned in choose_moves(&owners.ranges, load, assignable) {
+        for planned in choose_moves(&movable, load, assignable) {
             Self::start_move(owners, planned.range, &planned.target);
         }
         true
@@ -258,3 +259,19 @@
         }
     }
 }
+
+/// Records that may be moved. An owner that the fleet does not show yet most likely lives, and its
+/// leases are renewed meanwhile.
+fn movable_records<'a>(
+    plan_context: PlanContext<'_>,
+    owners: &'a ServiceOwners,
+) -> Cow<'a, [RangeRecord]> {
+    if !plan_context.fleet_is_behind {
+        return Cow::Borrowed(&owners.ranges);
+    }
+    let may_move = |record: &&RangeRecord| match &record.phase {
+        RangePhase::Owned { owner, .. } => !plan_context.awaits_entry(owner),
+        RangePhase::Moving { .. } | RangePhase::Free => true,
+    };
+    owners.ranges.iter().filter(may_move).cloned().collect()
+}
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -98,6 +98,8 @@
 pub struct PlanContext<'a> {
     /// Servers that have registered.
     pub fleet: &'a FleetView,
+    /// Whether the fleet may lack servers that registered before this leader's term.
+    pub fleet_is_behind: bool,
     /// Keyed services of the configuration.
     pub services: &'a [ServiceName],
     /// Load that fully uses a server, in the unit of [`RangeLoad`], by server id. The number of
@@ -105,6 +107,13 @@
     pub capacity: &'a HashMap<ServerId, f32>,
 }
 
+impl PlanContext<'_> {
+    /// Whether the entry of an owner has to be awaited: the fleet is behind and has not shown it yet.
+    pub(super) fn awaits_entry(&self, owner: &ServerInstance) -> bool {
+        self.fleet_is_behind && !self.fleet.has_known(&owner.id, owner.incarnation)
+    }
+}
+
 impl ServerResponsiveness {
     pub(super) fn is_unresponsive(self, now: BootTime) -> bool {
         self.failed && now.since(self.answered_at) >= UNRESPONSIVE_TIMEOUT
--- a/crates/core/tests/ownership_planner.rs
+++ b/crates/core/tests/ownership_planner.rs
@@ -2,7 +2,7 @@
 
 use {
     camphorcove_core::{
-        fleet::{FleetView, ServerEntry, ServerPhase},
+        fleet::{FleetView, RemovalRule, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName},
         ownership::{
             KeyRange, OrderFailure, OwnerState, OwnershipPlanner, PlanAction, PlanContext,
@@ -89,6 +89,7 @@
 struct PlannerDriver {
     planner: OwnershipPlanner,
     fleet: FleetView,
+    fleet_is_behind: bool,
     now: BootTime,
 }
 
@@ -97,6 +98,7 @@
         Self {
             planner: OwnershipPlanner::new(state, BootTime::default(), START),
             fleet: fleet(servers),
+            fleet_is_behind: false,
             now: START,
         }
     }
@@ -123,6 +125,18 @@
         early
     }
 
+    /// Polls several times, while all orders and writes succeed; returns the actions.
+    fn poll_and_finish(&mut self, polls: usize) -> Vec<PlanAction> {
+        let mut done = Vec::new();
+        for _ in 0..polls {
+            for action in self.poll() {
+                self.finish(&action, None);
+                done.push(action);
+            }
+        }
+        done
+    }
+
     fn poll(&mut self) -> Vec<PlanAction> {
         self.advance_and_poll(STEP)
     }
@@ -134,6 +148,7 @@
         let capacity: HashMap<ServerId, f32> = HashMap::new();
         let plan_context = PlanContext {
             fleet: &self.fleet,
+            fleet_is_behind: self.fleet_is_behind,
             services: &[service()],
             capacity: &capacity,
         };
@@ -422,3 +437,50 @@
         Some(instance(0).id)
     );
 }
+
+/// Guards against a new leader that takes keys from servers which its host does not know yet, as after a
+/// partition: callers of these keys were refused while the keys moved away and back again.
+#[rstest]
+#[case::unknown_id(other_start(5))]
+#[case::later_start(ServerInstance { incarnation: 2, ..instance(0) })]
+fn owner_that_the_fleet_does_not_show_yet_keeps_its_keys(#[case] owner: ServerInstance) {
+    let mut state = owned_state(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
+    let owners = state.services.get_mut(&service()).expect("a service");
+    owners.ranges[0].phase = RangePhase::Owned {
+        owner: owner.clone(),
+        token: 7,
+    };
+    let mut driver = PlannerDriver::new(state, &[0, 1]);
+    driver.fleet_is_behind = true;
+
+    let behind = driver.poll_and_finish(10);
+    driver.fleet_is_behind = false;
+    let caught_up = driver.poll_and_finish(10);
+
+    let renews = |action: &PlanAction| matches!(action, PlanAction::Grant { server, token: 7, .. } if *server == owner);
+    let moves = |action: &PlanAction| matches!(action, PlanAction::Write(state) if owner_of(state, 0) != Some(owner.id.clone()));
+    assert!(behind.iter().any(renews));
+    assert_eq!(behind.iter().find(|action| moves(action)), None);
+    assert!(caught_up.iter().any(moves));
+}
+
+/// Guards against keys that wait for the entry of a server which is known to have left.
+#[test]
+fn owner_that_has_left_is_not_awaited() {
+    let state = owned_state(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
+    let mut driver = PlannerDriver::new(state, &[0, 1]);
+    let leaving = ServerEntry {
+        phase: ServerPhase::Draining,
+        ..entry(instance(0), service())
+    };
+    driver.fleet.upsert(leaving, START);
+    driver
+        .fleet
+        .remove(&instance(0).id, RemovalRule::Leaves, START);
+    driver.fleet_is_behind = true;
+
+    let actions = driver.poll_and_finish(10);
+
+    let moves = |action: &PlanAction| matches!(action, PlanAction::Write(state) if owner_of(state, 0) != Some(instance(0).id));
+    assert!(actions.iter().any(moves));
+}
--- a/crates/core/tests/support/range_simulation.rs
+++ b/crates/core/tests/support/range_simulation.rs
@@ -392,6 +392,7 @@
                 .handle_input(PlanInput::MajorityReports, self.now);
             let plan_context = PlanContext {
                 fleet: &fleet,
+                fleet_is_behind: false,
                 services: &services,
                 capacity: &capacity,
             };
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         peers::{OwnerChange, PeerLink},
-        state::{ChangeLog, HostState, SeenVersions, ServerHash},
+        state::{ChangeLog, HostState, SeenVersions, ServerHash, StoreKind},
     },
     camphorcove_core::{
         ids::{ServerId, ServiceName, StoreVersion},
@@ -57,6 +57,10 @@
 /// servers that have failed at the same moment rarely explain.
 const MIN_SERVER_LOSS: Duration = Duration::from_millis(1_000);
 
+/// Longest time for which a new leader waits for the list of servers as of its takeover: several
+/// retries of a list call that fails.
+const FLEET_CATCH_UP_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// Role of this host in the election.
 pub(super) enum Role {
     /// Another host leads, or no host does.
@@ -137,6 +141,8 @@
     /// Highest term read from the store.
     pub(super) seen_term: u64,
     pub(super) term_started_at: BootTime,
+    /// Version of the assignment that began this host's term.
+    pub(super) takeover_version: StoreVersion,
     /// Assignment and version that all hosts were last told; at first, those known to this
     /// host before it became the leader.
     pub(super) announced: Option<(Arc<OwnerState>, StoreVersion)>,
@@ -186,6 +192,7 @@
             predecessor: Predecessor::Ended,
             seen_term: 0,
             term_started_at: now,
+            takeover_version: StoreVersion::default(),
             announced: None,
             versions: SeenVersions::default(),
             reported_term: None,
@@ -239,18 +246,26 @@
         names
     }
 
+    /// Whether this new leader may lack servers that have registered before its takeover.
+    fn fleet_is_behind(&self, now: BootTime) -> bool {
+        now.since(self.term_started_at) < FLEET_CATCH_UP_LIMIT
+            && self.state.seen_through(StoreKind::Fleet) < self.takeover_version
+    }
+
     /// Runs a planning round and starts its actions, if this host leads. Then checks whether
     /// this host has to give up the leadership.
     pub(super) fn run_leader_round(&mut self, actor: &ActorRef<Self>, now: BootTime) {
         let services = self.keyed_services();
         let fleet = self.state.fleet();
         let capacity = self.capacity();
+        let fleet_is_behind = self.fleet_is_behind(now);
         let Role::Leader(planner) = &mut self.role else {
             return;
         };
         let term = planner.state().term;
         let plan_context = PlanContext {
             fleet: &fleet,
+            fleet_is_behind,
             services: &services,
             capacity: &capacity,
         };
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -187,6 +187,7 @@
         self.term_started_at = now;
         log::info!(term = planner.state().term, revision:% = version; "this host is now the leader");
         self.version = version;
+        self.takeover_version = version;
         self.confirm_started_at = now;
         self.confirm_failures = 0;
         self.confirming = false;
