End a server's connection after too many interim responses; test hosts with servers that send without end

An operator of a similar system reports bytes that are no answer, without end, in a head or a body: the host kept them and ran out of memory, and the requests of its other callers ended with it.

A server's connection now counts the bytes that arrive before the head of an awaited response is complete, and fails after 256 KiB: four times the largest head that is accepted, so that no valid response is affected. This holds for requests, orders and calls of the store alike, as they share the stream.

Test: bytes_without_end_leave_other_callers_served, with the host as a process of its own, whose peak memory has to stay below its 128 MB, and with callers that do not read.

--- a/crates/gateway/src/forward/connection_pool.rs
+++ b/crates/gateway/src/forward/connection_pool.rs
@@ -5,6 +5,7 @@
     crate::state::HostState,
     bytes::Bytes,
     camphorcove_core::{fleet::ServerEntry, ids::ServerId, time::BootTime},
+    camphorcove_net::http::{HeadLimit, ServerStream},
     camphorcove_platform::ResponseHead,
     http::{HeaderValue, StatusCode},
     http_body_util::Full,
@@ -61,6 +62,8 @@
 pub struct PooledConnection {
     /// hyper's handle for sending requests.
     pub sender: Sender,
+    /// Limit for what arrives before the head of a response.
+    pub head_limit: HeadLimit,
     /// Refusals that it has carried.
     pub refusals: RefusalHistory,
     key: ConnectionKey,
@@ -78,6 +81,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
+    head_limit: HeadLimit,
     refusals: RefusalHistory,
     reusable_until: BootTime,
 }
@@ -137,8 +141,8 @@
         open_count.fetch_add(1, Ordering::Relaxed);
         let guard = OpenConnectionGuard(open_count.clone());
         let opened = timeout(CONNECT_TIMEOUT, connect(entry.address, guard)).await;
-        let sender = match opened {
-            Ok(Ok(sender)) => sender,
+        let (sender, head_limit) = match opened {
+            Ok(Ok(connected)) => connected,
             Ok(Err(reason)) => {
                 self.state.record_unreachable_server(&entry.id);
                 return UnreachableSnafu { reason }.fail();
@@ -158,6 +162,7 @@
             .fetch_add(1, Ordering::Relaxed);
         Ok(PooledConnection {
             sender,
+            head_limit,
             refusals: RefusalHistory::default(),
             key,
         })
@@ -209,6 +214,7 @@
             .retain(|idle| idle.reusable_until > now && !idle.sender.is_closed());
         server_connections.idle.push(IdleConnection {
             sender: pooled.sender,
+            head_limit: pooled.head_limit,
             refusals: pooled.refusals,
             reusable_until,
         });
@@ -259,6 +265,7 @@
                 let idle = server_connections.idle.remove(index);
                 Ok(PooledConnection {
                     sender: idle.sender,
+                    head_limit: idle.head_limit,
                     refusals: idle.refusals,
                     key: key.clone(),
                 })
@@ -274,13 +281,18 @@
     }
 }
 
-async fn connect(address: SocketAddr, guard: OpenConnectionGuard) -> Result<Sender, String> {
+async fn connect(
+    address: SocketAddr,
+    guard: OpenConnectionGuard,
+) -> Result<(Sender, HeadLimit), String> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| error.to_string())?;
     stream
         .set_nodelay(true)
         .map_err(|error| error.to_string())?;
+    let stream = ServerStream::new(stream);
+    let head_limit = stream.head_limit();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(RECEIVE_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -292,5 +304,5 @@
             log::debug!(address:% = address, reason:% = error; "server connection ended");
         }
     });
-    Ok(sender)
+    Ok((sender, head_limit))
 }
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -220,7 +220,8 @@
     request: Request<Full<Bytes>>,
     call: &CallRequest,
 ) -> Result<ServerResponse, ExchangeFailure> {
-    let response = match pooled.sender.try_send_request(request).await {
+    let head = pooled.sender.try_send_request(request);
+    let response = match pooled.head_limit.apply(head).await {
         Ok(response) => response,
         Err(mut failure) => {
             // hyper returns the request only if it never started to send it.
@@ -229,7 +230,9 @@
             let reason = error.to_string();
             return Err(match unsent {
                 true => ExchangeFailure::NotSent(reason),
-                false if error.is_parse() => ExchangeFailure::Unknown(reason),
+                false if error.is_parse() || pooled.head_limit.is_exceeded() => {
+                    ExchangeFailure::Unknown(reason)
+                }
                 false => ExchangeFailure::ConnectionLost(reason),
             });
         }
--- a/crates/gateway/tests/support/soak_host.rs
+++ b/crates/gateway/tests/support/soak_host.rs
@@ -31,6 +31,9 @@
 /// Distance between the first ports of test processes with consecutive ids.
 const PORTS_PER_PROCESS: u32 = 97;
 
+/// Memory that the settings give to a host, in MB: somewhat more than the smallest hosts have.
+pub const MEMORY_MB: u64 = 128;
+
 /// Pause between checks whether a process has ended.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -91,7 +94,7 @@
         let text = format!(
             "host = \"host-{number}\"\nzone = \"zone-a\"\ncallers = \"{callers}\"\n\
              readiness = \"{readiness}\"\npeers = \"{public}\"\npeers_listen = \"{own}\"\nmetrics = \"{metrics}\"\n\
-             store = \"{}\"\ncpu_share = 1\nmemory_mb = 128\ndescriptors = 1024\nstop_limit_s = 5\n\
+             store = \"{}\"\ncpu_share = 1\nmemory_mb = {MEMORY_MB}\ndescriptors = 1024\nstop_limit_s = 5\n\
              repeat_ratio = 0.2\nrepeat_slack = 60\nrepeat_window_s = 10\n",
             proxy.address()
         );
@@ -109,6 +112,17 @@
         }
     }
 
+    /// Most memory that the process has had resident so far, in bytes; `None` if it has ended.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let id = self.process.lock().expect("not poisoned").child.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kibibytes: u64 = line.trim().trim_end_matches(" kB").parse().ok()?;
+        Some(kibibytes << 10)
+    }
+
     /// Sends a signal, unless the process has ended.
     pub fn signal(&self, signal: Signal) {
         let mut process = self.process.lock().expect("not poisoned");
--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client that reuses idle connections by address.
 
 use {
+    super::{HeadLimit, ServerStream},
     bytes::Bytes,
     http::{HeaderValue, Request, Response, header::HOST},
     http_body_util::{BodyExt, Full, Limited},
@@ -44,6 +45,7 @@
 #[derive(Debug)]
 pub struct OpenConnection {
     sender: Sender,
+    head_limit: HeadLimit,
     /// Whether it has carried a response that reports no success.
     carried_failure: bool,
     /// When its last response was complete, or when it was opened.
@@ -173,7 +175,7 @@
             return not_sent("timed out before sending");
         }
         let request = with_host_header(request, address);
-        let receiving = send_and_receive(&mut connection.sender, request, self.response_limit);
+        let receiving = send_and_receive(&mut connection, request, self.response_limit);
         let Ok(reply) = timeout_at(deadline, receiving).await else {
             // What has silenced this connection has most likely silenced the idle ones as well.
             self.close_idle(address);
@@ -204,7 +206,7 @@
         let deadline = Instant::now() + timeout;
         let mut connection = self.connection(address, deadline).await?;
         let request = with_host_header(request, address);
-        match timeout_at(deadline, send(&mut connection.sender, request)).await {
+        match timeout_at(deadline, send(&mut connection, request)).await {
             Ok(response) => Ok((response?, connection)),
             Err(_) => {
                 self.close_idle(address);
@@ -252,11 +254,12 @@
         let connect_deadline = self.connect_limit.map(|limit| Instant::now() + limit);
         let deadline =
             connect_deadline.map_or(deadline, |connect_deadline| connect_deadline.min(deadline));
-        let sender = timeout_at(deadline, connect(address, self.abortive_close))
+        let (sender, head_limit) = timeout_at(deadline, connect(address, self.abortive_close))
             .await
             .unwrap_or_else(|_| not_sent("timed out connecting"))?;
         Ok(OpenConnection {
             sender,
+            head_limit,
             carried_failure: false,
             used_at: Instant::now(),
         })
@@ -301,7 +304,10 @@
     }
 }
 
-async fn connect(address: SocketAddr, abortive_close: bool) -> Result<Sender, ExchangeError> {
+async fn connect(
+    address: SocketAddr,
+    abortive_close: bool,
+) -> Result<(Sender, HeadLimit), ExchangeError> {
     let stream = TcpStream::connect(address)
         .await
         .or_else(|error| not_sent(error.to_string()))?;
@@ -313,6 +319,8 @@
             .set_zero_linger()
             .or_else(|error| not_sent(error.to_string()))?;
     }
+    let stream = ServerStream::new(stream);
+    let head_limit = stream.head_limit();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(RECEIVE_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -323,22 +331,23 @@
             log::debug!("HTTP connection to {address} ended with an error: {error}");
         }
     });
-    Ok(sender)
+    Ok((sender, head_limit))
 }
 
 async fn send_and_receive(
-    sender: &mut Sender,
+    connection: &mut OpenConnection,
     request: Request<Full<Bytes>>,
     response_limit: usize,
 ) -> Result<Response<Bytes>, ExchangeError> {
-    read_body(send(sender, request).await?, response_limit).await
+    read_body(send(connection, request).await?, response_limit).await
 }
 
 async fn send(
-    sender: &mut Sender,
+    connection: &mut OpenConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, ExchangeError> {
-    match sender.try_send_request(request).await {
+    let head = connection.sender.try_send_request(request);
+    match connection.head_limit.apply(head).await {
         Ok(response) => Ok(response),
         Err(mut failure) => {
             // hyper returns the request only if it has not started to send it.
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -7,10 +7,12 @@
 mod caller_stream;
 mod framing_guard;
 mod http_client;
+mod server_stream;
 
 pub use {
     body_framing::{ends_with_connection, has_other_coding},
     caller_stream::{CallerStream, ReadAhead, ReceivedHeads},
     framing_guard::{FramingGuard, PipelinedHead},
     http_client::{ConnectionUse, ExchangeError, HttpClient, OpenConnection},
+    server_stream::{HeadLimit, ServerStream},
 };
