The daemon ends connections of servers that send interim responses or a clock reply without end

Requests to a server that sent interim responses without end ended with 504 at their deadline, and the host was busy with them until then (4 of 4 cases). The reply to a request that reads a server's clock was collected without a limit until the deadline: from a server that sends without end, everything was kept (504 at the deadline in one of two cases, 502 then in the other).

Tests, failed before: interim_responses_without_end_end_the_request (4 of 4) and clock_reply_without_end_is_not_kept (1 of 2; the other failed its time limit only after this was added to the test, which was not run on the old code).

--- a/crates/daemon/src/forward/server_connection.rs
+++ b/crates/daemon/src/forward/server_connection.rs
@@ -2,7 +2,15 @@
 
 use {
     super::{RequestBody, server_handle::ServerMessage},
-    hyper::client::conn::http1::{self, SendRequest},
+    camphorcove_net::http::{HeadLimit, ServerStream},
+    http::{Request, Response},
+    hyper::{
+        body::Incoming,
+        client::conn::{
+            TrySendError,
+            http1::{self, SendRequest},
+        },
+    },
     hyper_util::rt::TokioIo,
     snafu::{ResultExt, Snafu},
     std::{net::SocketAddr, time::Duration},
@@ -58,6 +66,8 @@
 #[derive(Debug)]
 pub(super) struct ServerConnection {
     sender: SendRequest<RequestBody>,
+    /// Limit for what arrives before the head of a reply.
+    head_limit: HeadLimit,
     /// Task that reads and writes the socket; aborting it closes the connection.
     driver: AbortHandle,
 }
@@ -71,6 +81,8 @@
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connecting.await.context(TimeoutSnafu)?.context(IoSnafu)?;
         stream.set_nodelay(true).context(IoSnafu)?;
+        let stream = ServerStream::new(stream);
+        let head_limit = stream.head_limit();
         let handshake = http1::Builder::new()
             .max_header_size(MAX_REPLY_HEADER_BYTES)
             .handshake(TokioIo::new(stream));
@@ -82,6 +94,7 @@
         });
         Ok(Self {
             sender,
+            head_limit,
             driver: driver.abort_handle(),
         })
     }
@@ -91,9 +104,18 @@
         self.sender.is_closed()
     }
 
-    /// HTTP client that sends requests on this connection.
-    pub(super) fn sender(&mut self) -> &mut SendRequest<RequestBody> {
-        &mut self.sender
+    /// Waits until the connection can carry the next request.
+    pub(super) async fn ready(&mut self) -> Result<(), hyper::Error> {
+        self.sender.ready().await
+    }
+
+    /// Sends a request and returns the head of the reply.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<RequestBody>>> {
+        let head = self.sender.try_send_request(request);
+        self.head_limit.apply(head).await
     }
 
     /// Handle that closes the connection when aborted.
--- a/crates/daemon/src/forward/server_exchange.rs
+++ b/crates/daemon/src/forward/server_exchange.rs
@@ -19,7 +19,7 @@
         servers::{ServerClock, ServerTime},
     },
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, Version},
-    http_body_util::BodyExt,
+    http_body_util::{BodyExt, Limited},
     hyper::{body::Incoming, client::conn::TrySendError},
     std::{fmt::Display, net::SocketAddr, sync::atomic::Ordering::Relaxed, time::Duration},
     tokio::time::{Instant, timeout_at},
@@ -32,6 +32,10 @@
 /// write lock.
 const CLOCK_REFRESH_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Limit of the body of a reply from which only the server's clock is read, in bytes: a server that
+/// does not know the request may explain that.
+const CLOCK_REPLY_LIMIT: usize = 16 << 10;
+
 /// Converts a time of the boot-time clock to an instant of the runtime's clock.
 pub fn runtime_instant(context: &RequestContext, end: BootTime) -> Instant {
     Instant::now() + end.since(context.clock.now())
@@ -48,7 +52,7 @@
     deadline: Instant,
 ) -> Result<bool, ResultCode> {
     if let Some(mut connection) = permit.take_connection() {
-        let ready = timeout_at(deadline, connection.sender().ready()).await;
+        let ready = timeout_at(deadline, connection.ready()).await;
         let usable = matches!(ready, Ok(Ok(())));
         permit.bind(connection);
         return Ok(usable);
@@ -86,16 +90,17 @@
         .body(RequestBody::Empty)
         .map_err(|_| ResultCode::ClockUnknown)?;
     let connection = permit.connection().ok_or(ResultCode::ServerUnreachable)?;
-    let reply = timeout_at(deadline, connection.sender().try_send_request(request)).await;
+    let reply = timeout_at(deadline, connection.send(request)).await;
     let reply = reply
         .map_err(|_| ResultCode::DeadlineTooShort)?
         .map_err(|_| ResultCode::ServerUnreachable)?;
     record_clock(context, server, reply.headers());
-    let body = timeout_at(deadline, reply.into_body().collect()).await;
+    let body = Limited::new(reply.into_body(), CLOCK_REPLY_LIMIT);
+    let body = timeout_at(deadline, body.collect()).await;
     if !matches!(body, Ok(Ok(_))) {
         return Err(ResultCode::ServerUnreachable);
     }
-    let ready = timeout_at(deadline, connection.sender().ready()).await;
+    let ready = timeout_at(deadline, connection.ready()).await;
     match ready {
         Ok(Ok(())) if context.clocks.latest(server).is_some() => Ok(()),
         Ok(Ok(())) => Err(ResultCode::ClockUnknown),
@@ -136,7 +141,7 @@
     let deadline = runtime_instant(context, plan.deadline);
     let connection = permit.connection().ok_or(ResultCode::ServerUnreachable)?;
     plan.mark_sent();
-    let sending = connection.sender().try_send_request(request);
+    let sending = connection.send(request);
     let reply = match timeout_at(deadline, sending).await {
         Err(_) => return Err(ResultCode::DeadlinePassed),
         Ok(Err(error)) => return Err(send_failure(plan, error)),
--- a/crates/daemon/tests/server_faults.rs
+++ b/crates/daemon/tests/server_faults.rs
@@ -7,7 +7,10 @@
     camphorcove_core::conf::{FencingMode, RoutingMode, ServiceConfig},
     rstest::rstest,
     socket2::{Domain, Socket, Type},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     support::{Cluster, FakeServer, MapSpec, ServerAction, call, get, ok_reply, service},
     tokio::time::sleep,
 };
@@ -15,6 +18,9 @@
 /// Timeout of requests that are meant to exceed it, in milliseconds.
 const SHORT_TIMEOUT_MS: u64 = 150;
 
+/// Timeout of requests that are meant to end before it, in milliseconds.
+const LONG_TIMEOUT_MS: u64 = 5_000;
+
 fn post(path: &str, headers: &str, body: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nhost: t\r\nconnection: close\r\ncontent-length: {}\r\n{headers}\r\n{body}",
@@ -310,6 +316,62 @@
     assert!((5_000_000..=6_000_000).contains(&deadline), "{deadline}");
 }
 
+/// Guards against a server that keeps a host busy with interim responses until the request's deadline.
+#[rstest]
+#[case::nothing_else("")]
+#[case::half_a_head("HTTP/1.1 100 Continue\r\n")]
+#[tokio::test]
+async fn interim_responses_without_end_end_the_request(
+    #[case] start: &str,
+    #[values(0, 1)] forwarder: usize,
+) {
+    let start = start.to_owned();
+    let server = FakeServer::start(move |_, _| {
+        let part = match start.is_empty() {
+            true => "HTTP/1.1 100 Continue\r\n\r\n",
+            false => "\r\nHTTP/1.1 103 Early Hints\r\n",
+        };
+        ServerAction::ReplyWithoutEnd(start.clone(), part)
+    })
+    .await;
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let cluster = Cluster::start(2, service(RoutingMode::Keyed), &spec).await;
+    let timeout = format!("x-request-timeout-ms: {LONG_TIMEOUT_MS}\r\n");
+
+    let answer = call(cluster.caller(), post("/s/k", &timeout, "booking")).await;
+
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert_eq!(answer.execution(), Some("may-have-run"));
+    server.wait_dropped(1).await;
+}
+
+/// Guards against a host that keeps the body of an answer which only serves to read the server's clock,
+/// and which does not end, until the request's deadline.
+#[rstest]
+#[tokio::test]
+async fn clock_reply_without_end_is_not_kept(#[values(0, 1)] forwarder: usize) {
+    let server = FakeServer::start(|_, _| ServerAction::Reply(ok_reply("ok"))).await;
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-server-clock: 5000000\r\n\r\n";
+    server.set_clock_action(ServerAction::ReplyWithoutEnd(
+        head.into(),
+        "10\r\n0123456789abcdef\r\n",
+    ));
+    let spec = MapSpec::new(&[(server.address, forwarder)]);
+    let mut service = service(RoutingMode::Keyed);
+    service.fencing = FencingMode::Unchecked;
+    let cluster = Cluster::start(2, service, &spec).await;
+    let timeout = format!("x-request-timeout-ms: {LONG_TIMEOUT_MS}\r\n");
+
+    let started = Instant::now();
+
+    let answer = get(cluster.caller(), "/s/k", &timeout).await;
+
+    // The head of the reply has told the clock, and a new connection carries the request.
+    assert_eq!(answer.code(), Some(200), "{answer:?}");
+    assert!(started.elapsed() < Duration::from_millis(LONG_TIMEOUT_MS) / 2);
+    server.wait_dropped(1).await;
+}
+
 /// A request to an unkeyed service is sent to another server if the first refuses connections.
 #[rstest]
 #[tokio::test]
--- a/crates/daemon/tests/support/fake_server.rs
+++ b/crates/daemon/tests/support/fake_server.rs
@@ -27,6 +27,9 @@
     ReplyThenClose(String),
     /// Runs the request, writes these bytes and resets the connection.
     ReplyThenReset(String),
+    /// Runs the request, writes the first text and then the second one again and again until the
+    /// router closes the connection.
+    ReplyWithoutEnd(String, &'static str),
     /// Runs the request and sends nothing until the router closes the connection.
     Stall,
     /// Does not run the request and says so in the reply.
@@ -64,6 +67,8 @@
 /// State shared by the connections of a server and the test.
 struct Shared {
     script: Script,
+    /// What is done with requests that read the clock.
+    clock_action: Mutex<ServerAction>,
     seen: Mutex<Vec<ReceivedRequest>>,
     seen_count: watch::Sender<usize>,
     /// Connections that the router closed before it got a reply.
@@ -99,6 +104,7 @@
         let address = listener.local_addr().expect("address");
         let shared = Arc::new(Shared {
             script: Arc::new(script),
+            clock_action: Mutex::new(ServerAction::Reply(ok_reply(""))),
             seen: Mutex::default(),
             seen_count: watch::Sender::new(0),
             dropped: watch::Sender::new(0),
@@ -119,6 +125,11 @@
         }
     }
 
+    /// Changes what is done with requests that read the clock.
+    pub fn set_clock_action(&self, action: ServerAction) {
+        *self.shared.clock_action.lock().expect("clock action") = action;
+    }
+
     /// Requests received so far, without the `OPTIONS` requests that read the clock.
     pub fn seen(&self) -> Vec<ReceivedRequest> {
         self.shared.seen.lock().expect("seen").clone()
@@ -186,7 +197,8 @@
         return false;
     };
     if head.starts_with("OPTIONS *") {
-        return stream.write_all(ok_reply("").as_bytes()).await.is_ok();
+        let action = shared.clock_action.lock().expect("clock action").clone();
+        return perform(shared, stream, action).await;
     }
     let mut request = ReceivedRequest {
         head,
@@ -226,6 +238,14 @@
             reset(stream);
             false
         }
+        ServerAction::ReplyWithoutEnd(start, part) => {
+            let mut written = stream.write_all(start.as_bytes()).await;
+            while written.is_ok() {
+                written = stream.write_all(part.as_bytes()).await;
+            }
+            shared.dropped.send_modify(|count| *count += 1);
+            false
+        }
         ServerAction::Stall => {
             let _ = stream.read(&mut [0; 64]).await;
             shared.dropped.send_modify(|count| *count += 1);
