A split keeps its own cycle, also beside requests that were read under an earlier configuration (CONFIG)

Cause: the round robin kept one list of weights for each route name. A request that had chosen its rule before the configuration changed was divided after that, once its body had arrived, and left the weights of two parts; each request under the new rule then indexed a third one and panicked. With as many or fewer parts nothing panicked, but the shares were off. Ruled out: a configuration that some hosts lack (all hosts logged the version, and the first route was served throughout).

The weights now belong to the split that they count for. Cycles of earlier splits go with the next configuration.

Test: split_keeps_its_weights_beside_requests_of_an_earlier_split, failed before (9 of 9 cases).

--- a/crates/core/src/routing/weighted_round_robin.rs
+++ b/crates/core/src/routing/weighted_round_robin.rs
@@ -19,9 +19,18 @@
 pub struct WeightedRoundRobin {
     /// Point of the cycle at which a route starts, in 0..1.
     phase: f64,
-    /// For each route the current weight of each part: it rises by the configured weight with every
-    /// request, and falls by the sum of all weights when the part is chosen.
-    current_weights: HashMap<String, Vec<i64>>,
+    /// Cycles of each route. There are several while requests that were read under an earlier
+    /// configuration still have to be divided.
+    cycles: HashMap<String, Vec<SplitCycle>>,
+}
+
+/// Point that the requests of a route have reached in the cycle of one split.
+#[derive(Debug)]
+struct SplitCycle {
+    split: Vec<SplitPart>,
+    /// Current weight of each part: it rises by the configured weight with every request, and falls by
+    /// the sum of all weights when the part is chosen.
+    current_weights: Vec<i64>,
 }
 
 impl WeightedRoundRobin {
@@ -29,7 +38,7 @@
     pub fn with_phase(phase: f64) -> Self {
         Self {
             phase,
-            current_weights: HashMap::new(),
+            cycles: HashMap::new(),
         }
     }
 
@@ -38,44 +47,49 @@
         if let [single] = rule.split.as_slice() {
             return single.service.clone();
         }
-        let phase = self.phase;
-        let current_weights = self
-            .current_weights
-            .entry(rule.name.clone())
-            .or_insert_with(|| start_weights(&rule.split, phase));
-        let best = advance(&rule.split, current_weights);
-        rule.split[best].service.clone()
+        let cycles = self.cycles.entry(rule.name.clone()).or_default();
+        let known = cycles.iter().position(|cycle| cycle.split == rule.split);
+        let at = known.unwrap_or_else(|| {
+            cycles.push(SplitCycle::new(&rule.split, self.phase));
+            cycles.len() - 1
+        });
+        cycles[at].advance().service.clone()
     }
 
     /// Clears the state of all routes, for a new configuration.
     pub fn reset(&mut self) {
-        self.current_weights.clear();
+        self.cycles.clear();
     }
 }
 
-/// Weights after the part of a cycle that `phase` tells.
-fn start_weights(split: &[SplitPart], phase: f64) -> Vec<i64> {
-    let mut current_weights = vec![0; split.len()];
-    let cycle = split
-        .iter()
-        .fold(0_u32, |sum, part| sum.saturating_add(part.weight));
-    let skipped = phase * f64::from(cycle.min(MAX_SKIPPED));
-    for _ in 0..skipped as u32 {
-        advance(split, &mut current_weights);
+impl SplitCycle {
+    /// Starts at the point of the cycle that `phase` tells.
+    fn new(split: &[SplitPart], phase: f64) -> Self {
+        let mut cycle = Self {
+            split: split.to_vec(),
+            current_weights: vec![0; split.len()],
+        };
+        let requests = split
+            .iter()
+            .fold(0_u32, |sum, part| sum.saturating_add(part.weight));
+        let skipped = phase * f64::from(requests.min(MAX_SKIPPED));
+        for _ in 0..skipped as u32 {
+            cycle.advance();
+        }
+        cycle
     }
-    current_weights
-}
 
-/// Chooses the next part; returns its index.
-fn advance(split: &[SplitPart], current_weights: &mut [i64]) -> usize {
-    let total: i64 = split.iter().map(|part| i64::from(part.weight)).sum();
-    let mut best = 0;
-    for (index, part) in split.iter().enumerate() {
-        current_weights[index] += i64::from(part.weight);
-        if current_weights[index] > current_weights[best] {
-            best = index;
+    /// Chooses the next part.
+    fn advance(&mut self) -> &SplitPart {
+        let total: i64 = self.split.iter().map(|part| i64::from(part.weight)).sum();
+        let mut best = 0;
+        for (index, part) in self.split.iter().enumerate() {
+            self.current_weights[index] += i64::from(part.weight);
+            if self.current_weights[index] > self.current_weights[best] {
+                best = index;
+            }
         }
+        self.current_weights[best] -= total;
+        &self.split[best]
     }
-    current_weights[best] -= total;
-    best
 }
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -109,3 +109,36 @@
     let share = f64::from(ones) / f64::from(HOSTS * requests_per_host);
     assert!((share - expected_share).abs() <= 0.05, "{share}");
 }
+
+/// Guards against a route that is no longer answered after its split has changed: a request whose body
+/// was on its way had still been divided by the earlier split, and its weights were used for the new one.
+#[rstest]
+#[case::more_parts(&[("one", 1), ("two", 1)], &[("one", 1), ("two", 1), ("three", 2)], [0.25, 0.25, 0.5])]
+#[case::fewer_parts(&[("one", 1), ("two", 1), ("three", 2)], &[("one", 3), ("two", 1)], [0.75, 0.25, 0.0])]
+#[case::other_weights(&[("one", 1_000), ("two", 1)], &[("one", 1), ("two", 1)], [0.5, 0.5, 0.0])]
+fn split_keeps_its_weights_beside_requests_of_an_earlier_split(
+    #[case] earlier: &[(&str, u32)],
+    #[case] current: &[(&str, u32)],
+    #[case] expected: [f64; 3],
+    #[values(0.0, 0.5, 0.99)] phase: f64,
+) {
+    const REQUESTS: u32 = 400;
+    let (earlier, current) = (rule("r", "/a/", earlier), rule("r", "/a/", current));
+    let mut round_robin = WeightedRoundRobin::with_phase(phase);
+    round_robin.next(&earlier);
+    let mut counts: HashMap<String, u32> = HashMap::new();
+
+    round_robin.reset();
+    for _ in 0..REQUESTS {
+        round_robin.next(&earlier);
+        *counts
+            .entry(round_robin.next(&current).to_string())
+            .or_default() += 1;
+    }
+
+    for (name, expected) in ["one", "two", "three"].into_iter().zip(expected) {
+        let count = counts.get(name).copied().unwrap_or_default();
+        let share = f64::from(count) / f64::from(REQUESTS);
+        assert!((share - expected).abs() <= 0.02, "{counts:?}");
+    }
+}
