--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -115,7 +115,8 @@
         let started = self.state.now();
         self.state.counters.requests.fetch_add(1, Ordering::Relaxed);
         let head = decode_request(request.headers());
-        let early_call = pipeline.begin(request.method(), head.id.as_ref());
+        let has_body = !request.body().is_end_stream();
+        let early_call = pipeline.begin(request.method(), has_body, head.id.as_ref());
         let answering = async {
             let Some(early_call) = early_call else {
                 // On a busy host the caller may have left by the time its request is read. The
--- a/crates/gateway/src/serve/request_pipeline.rs
+++ b/crates/gateway/src/serve/request_pipeline.rs
@@ -3,7 +3,8 @@
 //! hyper hands over the requests of a connection one at a time and writes the responses in
 //! order. To keep a request from waiting for the one in front of it, idempotent requests
 //! without a body are started when their head arrives, and their responses are kept until
-//! hyper reaches them. Other requests, and those behind them, wait for their turn.
+//! hyper reaches them. Other requests, and those behind them or behind a body, wait for their
+//! turn.
 
 use {
     crate::forward::ResponseBody,
@@ -84,10 +85,17 @@
 
     /// Records that hyper handed over the next request. Returns the call that was started for
     /// it, if there is one.
-    pub fn begin(&self, method: &Method, id: Option<&HeaderValue>) -> Option<EarlyCall> {
+    ///
+    /// Only hyper decides where a body ends, so that what follows one is not started early.
+    pub fn begin(
+        &self,
+        method: &Method,
+        has_body: bool,
+        id: Option<&HeaderValue>,
+    ) -> Option<EarlyCall> {
         let mut inner = self.lock();
         inner.begun += 1;
-        inner.parallel = method.is_safe();
+        inner.parallel = method.is_safe() && !has_body;
         let call = inner.early_calls.pop_front()?;
         if call.id.as_ref() == id {
             return Some(call);
--- a/crates/gateway/tests/pipelining.rs
+++ b/crates/gateway/tests/pipelining.rs
@@ -7,6 +7,7 @@
         caller::{CallerResponse, read_response, request},
         scripted_server::{ScriptedServer, Step, response},
     },
+    rstest::rstest,
     std::time::{Duration, Instant},
     support::fixtures::{TestHost, entry, start_host_with},
     tokio::{
@@ -238,3 +239,50 @@
     assert_eq!(outcomes(&responses), [(200, "r1")]);
     assert!(responses[0].head.contains("connection: close"));
 }
+
+/// Guards against a request that is started while the body in front of it is still being read, and may
+/// turn out to be a part of that body: it ran at a server, though its caller had not sent it.
+#[rstest]
+#[case::trailers_with_line_feeds("0\r\n\n")]
+#[case::chunk_size_with_a_line_feed("0\n\n")]
+#[case::chunk_without_an_end("1\r\nx\n0\r\n\r\n")]
+#[tokio::test]
+async fn request_inside_a_chunked_body_does_not_run(#[case] end_of_body: &str) {
+    let server = slow_server().await;
+    let host = start_host(&server).await;
+    let hidden = "GET /read/hidden HTTP/1.1\nHost: boats.example\nX-Request-Id: hidden\n\n";
+    let text = format!(
+        "GET /read/a HTTP/1.1\r\nHost: boats.example\r\nX-Request-Id: r1\r\n\
+         Transfer-Encoding: chunked\r\n\r\n{end_of_body}{hidden}"
+    );
+
+    let mut stream = send(&host, &[text]).await;
+    let mut received = Vec::new();
+    let response = read_response(&mut stream, &mut received).await;
+    sleep(WORK_TIME).await;
+
+    assert_eq!(response.status, 400);
+    assert_eq!(server.log().requests, []);
+}
+
+/// Guards against the same for requests behind a body that is read whole: they run when it is their turn.
+#[tokio::test]
+async fn request_behind_a_chunked_body_is_answered() {
+    let server = slow_server().await;
+    let host = start_host(&server).await;
+    let chunked = "GET /read/a HTTP/1.1\r\nHost: boats.example\r\nX-Request-Id: r1\r\n\
+                   Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Sum: 1\r\n\r\n";
+    let requests = [
+        chunked.to_owned(),
+        request("GET", "/read/a", "r2", "", ""),
+        request("GET", "/read/a", "r3", "", ""),
+    ];
+
+    let mut stream = send(&host, &requests).await;
+    let responses = read_responses(&mut stream, 3).await;
+
+    assert_eq!(
+        outcomes(&responses),
+        [(200, "r1"), (200, "r2"), (200, "r3")]
+    );
+}
--- a/crates/net/src/http/framing_guard.rs
+++ b/crates/net/src/http/framing_guard.rs
@@ -3,7 +3,7 @@
 //! If a request has both `Transfer-Encoding` and `Content-Length`, or repeats
 //! `Content-Length`, hyper silently chooses one before a service sees the headers. A
 //! proxy in front of this host may choose another one and see other request
-//! boundaries. The guard follows the framing in the received bytes and overwrites the
+//! boundaries. In a chunked body, a line feed without a carriage return is as ambiguous. The guard follows the framing in the received bytes and overwrites the
 //! end of the line that makes it ambiguous with an invalid byte, so that hyper's
 //! parser answers 400 and closes the connection.
 
@@ -55,6 +55,8 @@
     line: Vec<u8>,
     /// Length of the current line, including what is not kept.
     line_length: usize,
+    /// The last byte of the current line so far is a carriage return.
+    line_ends_with_return: bool,
     /// The request line of the current request has ended.
     request_line_seen: bool,
     /// `Content-Length` of the current request.
@@ -161,6 +163,7 @@
     fn process_byte(&mut self, byte: u8) -> bool {
         if byte != b'\n' {
             self.line_length += 1;
+            self.line_ends_with_return = byte == b'\r';
             if self.line.len() < LINE_LIMIT {
                 self.line.push(byte);
             }
@@ -169,10 +172,14 @@
         let mut line = std::mem::take(&mut self.line);
         let complete = self.line_length == line.len();
         self.line_length = 0;
+        let has_carriage_return = self.line_ends_with_return;
         if line.last() == Some(&b'\r') {
             line.pop();
         }
-        let unambiguous = self.process_line(&line, complete);
+        // hyper takes a line feed alone for the end of a line in a head, but not in a chunked body.
+        let ends_line = has_carriage_return || self.state == GuardState::Head;
+        self.line_ends_with_return = false;
+        let unambiguous = ends_line && self.process_line(&line, complete);
         line.clear();
         self.line = line;
         unambiguous
