--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -167,7 +167,7 @@
             }
             let handover = progress.and_then(|progress| progress.handover.clone());
             if let Some(proof) = proof.filter(|_| !released) {
-                self.ended_owners.insert(owner.clone(), proof);
+                self.record_end(owner, proof);
             }
             let is_assignable = |instance: &ServerInstance| {
                 assignable
@@ -211,7 +211,7 @@
             if let RangePhase::Owned { owner, .. } = &record.phase
                 && let Some(proof) = self.freeing_proof(plan_context.fleet, owner)
             {
-                self.ended_owners.insert(owner.clone(), proof);
+                self.record_end(owner, proof);
                 record.phase = RangePhase::Free;
             }
         }
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -77,8 +77,10 @@
     /// Instances at whose address another server answered. They are known to have ended,
     /// because an address is reused only after its previous server has ended.
     pub(super) ended_instances: HashSet<ServerInstance>,
-    /// Owners whose keys were given up because they have ended, not yet taken to be logged.
-    pub(super) ended_owners: BTreeMap<ServerInstance, EndProof>,
+    /// Owners whose keys were given up because they have ended.
+    pub(super) ended_owners: HashSet<ServerInstance>,
+    /// Those of them that have not been logged, each with the proof.
+    pub(super) unlogged_ends: Vec<(ServerInstance, EndProof)>,
     pub(super) fleet_size: usize,
     pub(super) fleet_grew_at: BootTime,
     /// A server has seen a token of a later leader.
@@ -146,7 +148,8 @@
             loads: BTreeMap::new(),
             responsiveness: HashMap::new(),
             ended_instances: HashSet::new(),
-            ended_owners: BTreeMap::new(),
+            ended_owners: HashSet::new(),
+            unlogged_ends: Vec::new(),
             fleet_size: 0,
             fleet_grew_at: now,
             superseded: false,
@@ -281,10 +284,17 @@
         (!proof.leaves_keys_held(instance)).then_some(proof)
     }
 
-    /// Owners whose keys were given up without a release or the end of their leases since the last
-    /// call, each with the proof that it has ended.
-    pub fn take_ended_owners(&mut self) -> BTreeMap<ServerInstance, EndProof> {
-        std::mem::take(&mut self.ended_owners)
+    /// Records that keys are given up without a release or the end of their leases. Each owner is
+    /// logged once a term, as the write that follows may fail and be planned again.
+    pub(super) fn record_end(&mut self, owner: &ServerInstance, proof: EndProof) {
+        if self.ended_owners.insert(owner.clone()) {
+            self.unlogged_ends.push((owner.clone(), proof));
+        }
+    }
+
+    /// Owners that were found to have ended since the last call, each with the proof.
+    pub fn take_unlogged_ends(&mut self) -> Vec<(ServerInstance, EndProof)> {
+        std::mem::take(&mut self.unlogged_ends)
     }
 
     /// Whether no order may be sent yet, as servers that the assignment does not name may hold keys.
--- a/crates/core/tests/ownership_planner.rs
+++ b/crates/core/tests/ownership_planner.rs
@@ -5,8 +5,8 @@
         fleet::{FleetView, RemovalRule, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName},
         ownership::{
-            KeyRange, OrderFailure, OwnerState, OwnershipPlanner, PlanAction, PlanContext,
-            PlanInput, RangePhase, RangeRecord, ServerInstance, ServiceOwners,
+            EndProof, KeyRange, OrderFailure, OwnerState, OwnershipPlanner, PlanAction,
+            PlanContext, PlanInput, RangePhase, RangeRecord, ServerInstance, ServiceOwners,
         },
         time::BootTime,
     },
@@ -484,3 +484,29 @@
     let moves = |action: &PlanAction| matches!(action, PlanAction::Write(state) if owner_of(state, 0) != Some(instance(0).id));
     assert!(actions.iter().any(moves));
 }
+
+/// Guards against a log line in each planning round while the write that frees the keys fails.
+#[test]
+fn end_of_an_owner_is_logged_once() {
+    let state = owned_state(&[(0, 32_767, 0, 7), (32_768, 65_535, 1, 8)]);
+    let mut driver = PlannerDriver::new(state, &[1]);
+    let successor = other_start(5);
+    driver
+        .fleet
+        .upsert(entry(successor.clone(), service()), START);
+
+    let mut logged = Vec::new();
+    for _ in 0..10 {
+        driver.poll();
+        driver
+            .planner
+            .handle_input(PlanInput::WriteNotApplied, driver.now);
+        logged.extend(driver.planner.take_unlogged_ends());
+    }
+
+    let proof = EndProof::Replaced {
+        by: successor.id,
+        incarnation: successor.incarnation,
+    };
+    assert_eq!(logged, [(instance(0), proof)]);
+}
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -270,7 +270,7 @@
             capacity: &capacity,
         };
         let actions = planner.poll(plan_context, now);
-        for (owner, proof) in planner.take_ended_owners() {
+        for (owner, proof) in planner.take_unlogged_ends() {
             log::info!(
                 term,
                 server = owner.id.as_str(),
