--- a/crates/gateway/tests/late_successor.rs
+++ b/crates/gateway/tests/late_successor.rs
@@ -7,13 +7,12 @@
     camphorcove_gateway::{
         leader::DigestReceived,
         peers::{Digest, PeerMessage, open_message},
-        state::SeenVersions,
     },
     camphorcove_platform_standin::store_standin::StoreStandin,
     std::{net::SocketAddr, time::Duration},
     support::{
         fixtures::entry,
-        leader_hosts::{leader_host, leader_host_with},
+        leader_hosts::{digest, leader_host, leader_host_with},
         owned_region::{OwnedRegion, is_owned, owned_region, stored, until},
     },
     tokio::{
@@ -40,23 +39,6 @@
     state
 }
 
-fn digest_of_lost_leader(peers: Vec<SocketAddr>) -> Digest {
-    Digest {
-        nonce: 7,
-        term: 1,
-        has_store: true,
-        largest_cpu: 1_000,
-        hosts: None,
-        versions: SeenVersions::default(),
-        watchers: Vec::new(),
-        servers: Vec::new(),
-        limits: Vec::new(),
-        leaving: Vec::new(),
-        without_servers: Vec::new(),
-        peers,
-    }
-}
-
 /// Waits for a digest of this term.
 async fn digest_arrives(socket: &UdpSocket, term: u64, limit: Duration) -> bool {
     let deadline = Instant::now() + limit;
@@ -89,7 +71,10 @@
         .expect("a port is free");
     until("read", || host.state.owners().is_some()).await;
     let message = DigestReceived {
-        digest: digest_of_lost_leader(vec![peer.local_addr().expect("bound")]),
+        digest: Digest {
+            peers: vec![peer.local_addr().expect("bound")],
+            ..digest(7, 1, true)
+        },
         from: nowhere(),
     };
     host.actor.ask(message).await.expect("actor lives");
--- a/crates/gateway/tests/leadership.rs
+++ b/crates/gateway/tests/leadership.rs
@@ -9,8 +9,7 @@
     },
     camphorcove_gateway::{
         leader::{DigestReceived, Resign},
-        peers::Digest,
-        state::{SeenVersions, StoreKind, VersionSpan},
+        state::{StoreKind, VersionSpan},
         watch::{ConfigFollower, KindChange, KindFollower},
     },
     camphorcove_platform::StoredObject,
@@ -24,7 +23,7 @@
     std::time::{Duration, Instant},
     support::{
         fixtures::{entry, version as at},
-        leader_hosts::{LeaderHost, leader_host, leader_host_at, leader_host_with},
+        leader_hosts::{LeaderHost, digest, leader_host, leader_host_at, leader_host_with},
     },
     tokio::{net::UdpSocket, time::sleep},
 };
@@ -290,23 +289,6 @@
     .await;
 }
 
-fn digest(nonce: u64, term: u64, has_store: bool) -> Digest {
-    Digest {
-        nonce,
-        term,
-        has_store,
-        largest_cpu: 1_000,
-        hosts: None,
-        versions: SeenVersions::default(),
-        watchers: Vec::new(),
-        servers: Vec::new(),
-        limits: Vec::new(),
-        without_servers: Vec::new(),
-        leaving: Vec::new(),
-        peers: Vec::new(),
-    }
-}
-
 /// A removed server stays in use for a while only after a store outage, as its entry may come back.
 /// If only the leader lost the store, the digests of its successor must not count as the end of an
 /// outage: all hosts once used a server for another 2.2 s after it had left.
--- a/crates/gateway/tests/memory_check.rs
+++ b/crates/gateway/tests/memory_check.rs
@@ -21,7 +21,7 @@
     },
     support::{
         fixtures::{entry, owners_with, version},
-        leader_hosts::{LeaderHost, leader_host_with},
+        leader_hosts::{LeaderHost, digest, leader_host_with},
         owned_region::{stored, until},
     },
     tokio::time::sleep,
@@ -65,20 +65,10 @@
     state
 }
 
-fn digest() -> DigestReceived {
+fn digest_of_lost_leader() -> DigestReceived {
     let digest = Digest {
-        nonce: 7,
-        term: 1,
-        has_store: true,
-        largest_cpu: 1_000,
-        hosts: None,
-        versions: SeenVersions::default(),
-        watchers: Vec::new(),
-        servers: Vec::new(),
-        leaving: Vec::new(),
-        limits: Vec::new(),
-        without_servers: Vec::new(),
         peers: (0..=OTHERS).map(nowhere).collect(),
+        ..digest(7, 1, true)
     };
     DigestReceived {
         digest,
@@ -115,7 +105,10 @@
     host.state.set_owners(assignment(9), version(9));
     let backup = store.back_up();
     store.set_down(true);
-    host.actor.ask(digest()).await.expect("actor lives");
+    host.actor
+        .ask(digest_of_lost_leader())
+        .await
+        .expect("actor lives");
     sleep(silence).await;
     store.restore(backup);
     store.set_down(false);
--- a/crates/gateway/tests/support/leader_hosts.rs
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -5,8 +5,8 @@
     camphorcove_core::fleet::ServerEntry,
     camphorcove_gateway::{
         leader::{LeaderActor, OwnerStore, Tick},
-        peers::{PeerLink, receive, share_suspects},
-        state::HostState,
+        peers::{Digest, PeerLink, receive, share_suspects},
+        state::{HostState, SeenVersions},
         watch::read_owners,
     },
     camphorcove_platform::StoreClient,
@@ -18,6 +18,24 @@
     },
 };
 
+/// Digest of the leader process with this nonce, which lists no hosts.
+pub fn digest(nonce: u64, term: u64, has_store: bool) -> Digest {
+    Digest {
+        nonce,
+        term,
+        has_store,
+        largest_cpu: 1_000,
+        hosts: None,
+        versions: SeenVersions::default(),
+        watchers: Vec::new(),
+        servers: Vec::new(),
+        limits: Vec::new(),
+        leaving: Vec::new(),
+        without_servers: Vec::new(),
+        peers: Vec::new(),
+    }
+}
+
 /// A host without a listener for callers.
 pub struct LeaderHost {
     /// State that the actor updates.
