--- /dev/null
+++ b/review/standins-2/split.rs
@@ -0,0 +1,192 @@
+//! Most hosts lose power for 2 s; as they come back, the leader, two other hosts and some servers are cut
+//! off together from the store and from all others.
+
+use {
+    crate::{
+        hosts::{Answers, Host, name_hosts, start_readers, wait_until_served, write_record},
+        links::{Links, start_datagrams},
+        servers::{Ledger, Server},
+        store::Store,
+        wire::Json,
+    },
+    std::{
+        fs, io,
+        path::Path,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+const HOSTS: usize = 10;
+const SERVERS: usize = 12;
+const READERS: usize = 10;
+const READER_PAUSE: Duration = Duration::from_millis(700);
+
+/// Six hosts in ten lose power, for 2 s.
+const LOST_HOSTS: usize = 6;
+const DARK_TIME: Duration = Duration::from_millis(2_000);
+
+/// Three hosts in ten and 22 in 100 servers are cut off, for 9 s.
+const CUT_HOSTS: usize = 3;
+const CUT_SERVERS: usize = 2;
+const CUT_DELAY: Duration = Duration::from_millis(400);
+const CUT_TIME: Duration = Duration::from_secs(9);
+
+/// Time after which the entry of a server that does not reach the store is removed.
+const ENTRY_TIME: Duration = Duration::from_millis(2_610);
+
+/// Time after which it is back when the partition has ended.
+const RETURN_TIME: Duration = Duration::from_millis(1_000);
+
+const ROUNDS: usize = 6;
+const ROUND_PAUSE: Duration = Duration::from_secs(3);
+
+/// Time by which the last round has to begin.
+const LAST_START: Duration = Duration::from_secs(100);
+
+const CONFIG: &str = r#"{"Version":"0000000c","Routes":[{"Name":"read","Host":"rafts.example","PathPrefix":"/ledig/",
+"Kind":"safe","TimeoutS":1.2,"TargetLatencyS":0.4,"MaxAttempts":2,"Priority":2,"Service":"ledig"}],
+"Services":[{"Name":"ledig","MaxConnections":120,"Sharded":true}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutS":5,"IdleTimeoutS":15}}"#;
+
+/// Host that the stored assignment names as the leader.
+fn leader(store: &Store) -> Option<String> {
+    let owners = store.spec("camphorcove", "owners")?;
+    let host = owners.get("leader")?.get("host")?.text()?;
+    Some(host.to_owned())
+}
+
+pub fn run(folder: &Path, trouble: bool, seed: u64) -> io::Result<bool> {
+    let temporary = std::env::temp_dir().join(format!("camphorcove-review-{}", std::process::id()));
+    fs::create_dir_all(&temporary)?;
+    let ledger = Arc::new(Ledger::new(seed));
+    let store = Store::start()?;
+    let links = Links::default();
+    store.put("config", "main", Json::parse(CONFIG).expect("valid JSON"));
+    let mut servers = Vec::new();
+    for _ in 0..SERVERS {
+        let server = Server::start("ledig", &ledger, &links)?;
+        server.register(&store, "ready");
+        servers.push(server);
+    }
+    let peers = name_hosts(HOSTS)?;
+    start_datagrams(&peers, &links)?;
+    let mut hosts = Vec::new();
+    for peers in &peers {
+        let address = store.address_for(&peers.host, &links)?;
+        hosts.push(Host::start(peers, address, &temporary, &links)?);
+    }
+    let callers: Vec<_> = hosts.iter().map(|host| host.callers).collect();
+    if !wait_until_served(&callers, Duration::from_secs(40)) {
+        return Err(io::Error::other("the hosts do not serve"));
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let answers = Arc::new(Answers::default());
+    let readers = std::env::var("READERS")
+        .ok()
+        .and_then(|count| count.parse().ok());
+    start_readers(
+        readers.unwrap_or(READERS),
+        READER_PAUSE,
+        &callers,
+        &ledger,
+        &answers,
+        &stop,
+    );
+    let (watched, watch_stop) = (ledger.clone(), stop.clone());
+    thread::spawn(move || watched.watch_holds(&watch_stop));
+    thread::sleep(Duration::from_secs(4));
+    for round in 1..=ROUNDS {
+        if ledger.elapsed() > LAST_START {
+            break;
+        }
+        let Some(leader) = leader(&store) else {
+            return Err(io::Error::other("no leader"));
+        };
+        ledger.log(&format!("round {round}: {leader} leads"));
+        // The leader first, then the others in random order.
+        let mut order: Vec<usize> = (0..HOSTS).collect();
+        for at in (1..HOSTS).rev() {
+            order.swap(at, ledger.random.below(at as u64 + 1) as usize);
+        }
+        order.sort_by_key(|at| hosts[*at].name != leader);
+        let lost = &order[HOSTS - LOST_HOSTS..];
+        let mut cut: Vec<String> = order[..CUT_HOSTS]
+            .iter()
+            .map(|at| hosts[*at].name.clone())
+            .collect();
+        let first = ledger.random.below(SERVERS as u64) as usize;
+        let cut_servers: Vec<&Server> = (0..CUT_SERVERS)
+            .map(|at| &servers[(first + at) % SERVERS])
+            .collect();
+        cut.extend(cut_servers.iter().map(|server| server.id.clone()));
+        if trouble {
+            for at in lost {
+                hosts[*at].kill();
+                ledger.log(&format!("{} loses power", hosts[*at].name));
+            }
+        }
+        thread::sleep(DARK_TIME);
+        if trouble {
+            for at in lost {
+                hosts[*at].spawn()?;
+                ledger.log(&format!("{} starts", hosts[*at].name));
+            }
+        }
+        thread::sleep(CUT_DELAY);
+        if trouble {
+            links.cut_off(&cut);
+            ledger.log(&format!(
+                "cut off from the store and all others: {}",
+                cut.join(" ")
+            ));
+        }
+        thread::sleep(ENTRY_TIME);
+        if trouble {
+            for server in &cut_servers {
+                server.lapse(&store);
+            }
+        }
+        thread::sleep(CUT_TIME - ENTRY_TIME);
+        links.cut_off(&[]);
+        ledger.log("the partition has ended");
+        thread::sleep(RETURN_TIME);
+        for server in &cut_servers {
+            server.register(&store, "ready");
+        }
+        if !ledger.violations.lock().expect("not poisoned").is_empty() {
+            break;
+        }
+        thread::sleep(ROUND_PAUSE);
+    }
+    stop.store(true, Ordering::Relaxed);
+    thread::sleep(Duration::from_secs(1));
+    let mut lines = ledger.lines();
+    let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+    lines.push(format!(
+        "requests {}, served {}, refused {}, failed {}; {} runs, {} grants, {} releases",
+        count(&answers.sent),
+        count(&answers.served),
+        count(&answers.refused),
+        count(&answers.failed),
+        count(&ledger.runs),
+        count(&ledger.grants),
+        count(&ledger.releases),
+    ));
+    let violations = ledger.violations.lock().expect("not poisoned").clone();
+    lines.push(format!("broken: {}", violations.len()));
+    lines.extend(violations.iter().take(20).cloned());
+    write_record(folder, &lines)?;
+    for host in &hosts {
+        if std::env::var("KEEP_LOGS").is_ok() {
+            fs::write(folder.join(format!("{}.log", host.name)), host.log_text())?;
+        }
+        host.kill();
+    }
+    let _ = fs::remove_dir_all(&temporary);
+    Ok(violations.is_empty())
+}
