--- a/review/standins-2/hosts.rs
+++ b/review/standins-2/hosts.rs
@@ -121,29 +121,6 @@
         }
     }
 
-    /// Sends a signal by its name to the process that runs now.
-    pub fn signal(&self, signal: &str) {
-        let id = self
-            .child
-            .lock()
-            .expect("not poisoned")
-            .as_ref()
-            .map(Child::id);
-        if let Some(id) = id {
-            let _ = Command::new("kill")
-                .args([signal, &id.to_string()])
-                .status();
-        }
-    }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&self) -> bool {
-        let mut child = self.child.lock().expect("not poisoned");
-        child
-            .as_mut()
-            .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/review/standins-2/links.rs
+++ b/review/standins-2/links.rs
@@ -19,8 +19,8 @@
 struct Sides {
     /// Process of each host, by its name.
     processes: HashMap<String, u32>,
-    /// Hosts and servers that are cut off together from all others and from the store.
-    cut_off: HashSet<String>,
+    /// Pairs of hosts, servers and the store between which nothing passes, in the order of their names.
+    cuts: HashSet<(String, String)>,
 }
 
 /// Who reaches whom; clones share it.
@@ -33,16 +33,22 @@
         sides.processes.insert(host.to_owned(), process);
     }
 
-    /// Cuts these off; none ends the partition.
-    pub fn cut_off(&self, names: &[String]) {
+    /// Cuts the paths between `one` and each of the others, or mends them.
+    pub fn set_cut(&self, one: &str, others: &[&str], is_cut: bool) {
         let mut sides = self.0.lock().expect("not poisoned");
-        sides.cut_off = names.iter().cloned().collect();
+        for other in others {
+            let pair = pair_of(one, other);
+            match is_cut {
+                true => sides.cuts.insert(pair),
+                false => sides.cuts.remove(&pair),
+            };
+        }
     }
 
-    /// Whether a partition lies between the two; the store is `store`.
+    /// Whether nothing passes between the two; the store is `store`.
     pub fn is_cut(&self, one: &str, other: &str) -> bool {
         let sides = self.0.lock().expect("not poisoned");
-        sides.cut_off.contains(one) != sides.cut_off.contains(other)
+        sides.cuts.contains(&pair_of(one, other))
     }
 
     /// Host that has opened a connection: the one whose process owns its socket.
@@ -76,10 +82,7 @@
 
     /// Whether the peer of a connection still waits, after a partition between `host` and `other` has
     /// ended. What a peer has given up on during the partition never arrives.
-    pub fn wait_for(&self, host: Option<&str>, other: &str, stream: &TcpStream) -> bool {
-        let Some(host) = host else {
-            return true;
-        };
+    pub fn wait_for(&self, host: &str, other: &str, stream: &TcpStream) -> bool {
         let mut was_cut = false;
         while self.is_cut(host, other) {
             was_cut = true;
@@ -89,6 +92,15 @@
     }
 }
 
+fn pair_of(one: &str, other: &str) -> (String, String) {
+    let (first, last) = if one < other {
+        (one, other)
+    } else {
+        (other, one)
+    };
+    (first.to_owned(), last.to_owned())
+}
+
 fn is_open(stream: &TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
     let peeked = stream.peek(&mut [0]);
--- a/review/standins-2/servers.rs
+++ b/review/standins-2/servers.rs
@@ -94,7 +94,6 @@
     ended: Condvar,
     lines: Mutex<Vec<String>>,
     pub violations: Mutex<Vec<String>>,
-    pub copies: AtomicU64,
     pub grants: AtomicU64,
     pub releases: AtomicU64,
     pub runs: AtomicU64,
@@ -110,7 +109,6 @@
             ended: Condvar::new(),
             lines: Mutex::default(),
             violations: Mutex::default(),
-            copies: AtomicU64::new(0),
             grants: AtomicU64::new(0),
             releases: AtomicU64::new(0),
             runs: AtomicU64::new(0),
@@ -277,9 +275,6 @@
     pub address: SocketAddr,
     service: String,
     born: u64,
-    stop: Arc<AtomicBool>,
-    /// The server is in trouble: of its answers, this many in a thousand come a second time, late.
-    pub copied_permille: Arc<AtomicU64>,
     ledger: Arc<Ledger>,
 }
 
@@ -287,8 +282,6 @@
     id: String,
     links: Links,
     ledger: Arc<Ledger>,
-    stop: Arc<AtomicBool>,
-    copied_permille: Arc<AtomicU64>,
 }
 
 impl Server {
@@ -316,22 +309,15 @@
             address: listener.local_addr()?,
             service: service.to_owned(),
             born: since_epoch.map_or(0, |time| time.as_millis() as u64),
-            stop: Arc::default(),
-            copied_permille: Arc::default(),
             ledger: ledger.clone(),
         };
         let context = Arc::new(Context {
             id: server.id.clone(),
             links: links.clone(),
             ledger: ledger.clone(),
-            stop: server.stop.clone(),
-            copied_permille: server.copied_permille.clone(),
         });
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if context.stop.load(Ordering::Relaxed) {
-                    return;
-                }
                 let context = context.clone();
                 thread::spawn(move || {
                     let _ = serve(&context, &stream);
@@ -359,90 +345,43 @@
         store.remove("servers", &self.id);
         self.ledger.log(&format!("the entry of {} lapses", self.id));
     }
-
-    /// Ends the server.
-    pub fn end(&self, store: &Store) {
-        store.remove("servers", &self.id);
-        self.stop.store(true, Ordering::Relaxed);
-        let mut servers = self.ledger.servers.lock().expect("not poisoned");
-        if let Some(record) = servers.get_mut(&self.id) {
-            record.up = false;
-            record.held.clear();
-        }
-        drop(servers);
-        self.ledger.ended.notify_all();
-        let _ = TcpStream::connect(self.address);
-        self.ledger.log(&format!("{} has ended", self.id));
-    }
 }
 
 fn serve(context: &Context, stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let port = stream.peer_addr()?.port();
     let mut reader = Reader::new(stream)?;
-    let host = context.links.host_of(stream);
-    let reaches = || context.links.wait_for(host.as_deref(), &context.id, stream);
-    // An answer that comes a second time, where the next one is expected.
-    let mut copy: Option<Vec<u8>> = None;
+    let Some(host) = context.links.host_of(stream) else {
+        return Ok(());
+    };
+    let reaches = || context.links.wait_for(&host, &context.id, stream);
     loop {
         let request = reader.message()?;
         thread::sleep(WAY);
         if !reaches() {
             return Ok(());
         }
-        if context.stop.load(Ordering::Relaxed) {
-            return Ok(());
-        }
-        if let Some(copy) = copy.take() {
-            let first_line = String::from_utf8_lossy(&copy);
-            let first_line = first_line.lines().next().unwrap_or("").to_owned();
-            context.ledger.copies.fetch_add(1, Ordering::Relaxed);
-            context.ledger.log(&format!(
-                "{} :{port} writes its last answer ({first_line}) once more, as {} is read",
-                context.id, request.first_line
-            ));
-            send_later(stream, copy);
-        }
-        let bytes = respond(context, port, &request);
-        if context.stop.load(Ordering::Relaxed) {
-            return Ok(());
-        }
+        let bytes = respond(context, &host, &request);
         thread::sleep(WAY);
         if !reaches() {
             return Ok(());
         }
         send(stream, &bytes)?;
-        let permille = context.copied_permille.load(Ordering::Relaxed);
-        if context.ledger.random.below(1000) < permille {
-            copy = Some(bytes);
-        }
     }
 }
 
-/// Sends an answer that is under way while the server goes on.
-fn send_later(stream: &TcpStream, bytes: Vec<u8>) {
-    let Ok(stream) = stream.try_clone() else {
-        return;
-    };
-    thread::spawn(move || {
-        thread::sleep(WAY);
-        let _ = send(&stream, &bytes);
-    });
-}
-
-fn respond(context: &Context, port: u16, request: &Message) -> Vec<u8> {
+fn respond(context: &Context, host: &str, request: &Message) -> Vec<u8> {
     let id = &context.id;
     let expected = request.header("x-expected-instance");
     if expected.is_some_and(|expected| expected != id) {
         return not_run("421 Misdirected Request", request);
     }
     match request.word(1) {
-        "/grant" | "/release" => order(context, port, request),
+        "/grant" | "/release" => order(context, host, request),
         _ => run(context, request),
     }
 }
 
-fn order(context: &Context, port: u16, request: &Message) -> Vec<u8> {
+fn order(context: &Context, host: &str, request: &Message) -> Vec<u8> {
     let Context { id, ledger, .. } = context;
     let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
     let number = |name: &str| body.get(name).and_then(Json::number);
@@ -456,19 +395,20 @@
         let granted = ledger.grant(id, from, to, fence, hold);
         ledger.grants.fetch_add(1, Ordering::Relaxed);
         if !granted {
-            ledger.log(&format!("{id} :{port} refuses {from}-{to}, fence {fence}"));
+            ledger.log(&format!(
+                "{id} refuses {from}-{to}, fence {fence}, to {host}"
+            ));
             return answer("409 Conflict", &[], "");
         }
-        let handover = body.get("Handover").and_then(Json::text).unwrap_or("none");
         ledger.log(&format!(
-            "{id} :{port} is granted {from}-{to}, fence {fence}, handover {handover}"
+            "{id} is granted {from}-{to}, fence {fence}, by {host}"
         ));
         thread::sleep(Duration::from_millis(ledger.random.below(GRANT_TIME_MS)));
         return answer("200 OK", &[], "");
     }
     ledger.releases.fetch_add(1, Ordering::Relaxed);
     ledger.log(&format!(
-        "{id} :{port} reads the release of {from}-{to}, fence {fence}"
+        "{id} reads the release of {from}-{to}, fence {fence}, of {host}"
     ));
     ledger.release(id, from, to, fence);
     let name = format!("{id} {from}-{to} {fence}");
@@ -479,7 +419,7 @@
         .clone();
     drop(handovers);
     ledger.log(&format!(
-        "{id} :{port} has released {from}-{to}, handover {handover}"
+        "{id} has released {from}-{to}, handover {handover}"
     ));
     answer("200 OK", &[("X-Handover", handover)], "")
 }
--- a/review/standins-2/split.rs
+++ b/review/standins-2/split.rs
@@ -1,5 +1,5 @@
-//! Most hosts lose power for 2 s; as they come back, the leader, two other hosts and some servers are cut
-//! off together from the store and from all others.
+//! All hosts but the leader lose power in two steps; as they are back, the leader is cut off from them and
+//! from the store, and then some servers lose the store and a part of the hosts, the successor among them.
 
 use {
     crate::{
@@ -17,7 +17,7 @@
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -26,27 +26,37 @@
 const READERS: usize = 10;
 const READER_PAUSE: Duration = Duration::from_millis(700);
 
-/// Six hosts in ten lose power, for 2 s.
-const LOST_HOSTS: usize = 6;
-const DARK_TIME: Duration = Duration::from_millis(2_000);
+/// Six hosts in ten lose power at once, and shortly after three more; each is dark for 5 s.
+const FIRST_LOST: usize = 6;
+const SECOND_LOST: usize = 3;
+const SECOND_DELAY: Duration = Duration::from_millis(20);
+const DARK_TIME: Duration = Duration::from_millis(5_000);
 
-/// Three hosts in ten and 22 in 100 servers are cut off, for 9 s.
-const CUT_HOSTS: usize = 3;
+/// The leader is cut off from all other hosts and from the store, while servers and callers reach it.
+const CUT_DELAY: Duration = Duration::from_millis(50);
+const CUT_TIME: Duration = Duration::from_millis(11_000);
+
+/// Two servers in twelve lose the path to the store and to three hosts in ten.
 const CUT_SERVERS: usize = 2;
-const CUT_DELAY: Duration = Duration::from_millis(400);
-const CUT_TIME: Duration = Duration::from_secs(9);
+const CUT_SERVER_HOSTS: usize = 3;
+const SERVER_CUT_DELAY: Duration = Duration::from_millis(200);
+
+/// Longest wait for a successor of the leader.
+const SUCCESSOR_LIMIT: Duration = Duration::from_secs(3);
 
 /// Time after which the entry of a server that does not reach the store is removed.
 const ENTRY_TIME: Duration = Duration::from_millis(2_610);
 
-/// Time after which it is back when the partition has ended.
+/// Time after which it is back when the cut has ended.
 const RETURN_TIME: Duration = Duration::from_millis(1_000);
 
-const ROUNDS: usize = 6;
-const ROUND_PAUSE: Duration = Duration::from_secs(3);
+const ROUNDS: usize = 3;
+/// Pause between rounds, and the longest random addition to it.
+const ROUND_PAUSE: Duration = Duration::from_millis(1_500);
+const ROUND_SPREAD_MS: u64 = 1_000;
 
 /// Time by which the last round has to begin.
-const LAST_START: Duration = Duration::from_secs(100);
+const LAST_START: Duration = Duration::from_secs(95);
 
 const CONFIG: &str = r#"{"Version":"0000000c","Routes":[{"Name":"read","Host":"rafts.example","PathPrefix":"/ledig/",
 "Kind":"safe","TimeoutS":1.2,"TargetLatencyS":0.4,"MaxAttempts":2,"Priority":2,"Service":"ledig"}],
@@ -64,7 +74,7 @@
     let temporary = std::env::temp_dir().join(format!("camphorcove-review-{}", std::process::id()));
     fs::create_dir_all(&temporary)?;
     let ledger = Arc::new(Ledger::new(seed));
-    let store = Store::start()?;
+    let store = Store::start();
     let links = Links::default();
     store.put("config", "main", Json::parse(CONFIG).expect("valid JSON"));
     let mut servers = Vec::new();
@@ -114,46 +124,73 @@
             order.swap(at, ledger.random.below(at as u64 + 1) as usize);
         }
         order.sort_by_key(|at| hosts[*at].name != leader);
-        let lost = &order[HOSTS - LOST_HOSTS..];
-        let mut cut: Vec<String> = order[..CUT_HOSTS]
-            .iter()
-            .map(|at| hosts[*at].name.clone())
-            .collect();
-        let first = ledger.random.below(SERVERS as u64) as usize;
-        let cut_servers: Vec<&Server> = (0..CUT_SERVERS)
-            .map(|at| &servers[(first + at) % SERVERS])
-            .collect();
-        cut.extend(cut_servers.iter().map(|server| server.id.clone()));
+        let (first, second) = order[1..].split_at(FIRST_LOST);
+        let lost = [&first[..], &second[..SECOND_LOST]];
         if trouble {
-            for at in lost {
-                hosts[*at].kill();
-                ledger.log(&format!("{} loses power", hosts[*at].name));
+            for lost in lost {
+                for at in lost {
+                    hosts[*at].kill();
+                    ledger.log(&format!("{} loses power", hosts[*at].name));
+                }
+                thread::sleep(SECOND_DELAY);
             }
         }
-        thread::sleep(DARK_TIME);
+        thread::sleep(DARK_TIME - SECOND_DELAY * 2);
         if trouble {
-            for at in lost {
-                hosts[*at].spawn()?;
-                ledger.log(&format!("{} starts", hosts[*at].name));
+            for lost in lost {
+                for at in lost {
+                    hosts[*at].spawn()?;
+                    ledger.log(&format!("{} starts", hosts[*at].name));
+                }
+                thread::sleep(SECOND_DELAY);
             }
         }
         thread::sleep(CUT_DELAY);
+        let others = hosts.iter().map(|host| host.name.as_str());
+        let mut others: Vec<&str> = others.filter(|name| *name != leader).collect();
+        others.push("store");
+        let cut_at = Instant::now();
         if trouble {
-            links.cut_off(&cut);
+            links.set_cut(&leader, &others, true);
             ledger.log(&format!(
-                "cut off from the store and all others: {}",
-                cut.join(" ")
+                "{leader} is cut off from all other hosts and from the store"
             ));
         }
-        thread::sleep(ENTRY_TIME);
-        if trouble {
+        let mut successor = None;
+        while trouble && successor.is_none() && cut_at.elapsed() < SUCCESSOR_LIMIT {
+            thread::sleep(Duration::from_millis(20));
+            successor = self::leader(&store).filter(|name| *name != leader);
+        }
+        thread::sleep(SERVER_CUT_DELAY);
+        let at = ledger.random.below(SERVERS as u64) as usize;
+        let cut_servers = (0..CUT_SERVERS).map(|next| &servers[(at + next) % SERVERS]);
+        let cut_servers: Vec<&Server> = cut_servers.collect();
+        let mut unreached: Vec<&str> = others
+            .iter()
+            .copied()
+            .filter(|name| *name != "store")
+            .collect();
+        unreached.sort_by_key(|name| Some(*name) != successor.as_deref());
+        unreached.truncate(CUT_SERVER_HOSTS);
+        unreached.push("store");
+        if let Some(successor) = &successor {
+            ledger.log(&format!("{successor} leads"));
+            for server in &cut_servers {
+                links.set_cut(&server.id, &unreached, true);
+                let from = unreached.join(", ");
+                ledger.log(&format!("{} is cut off from {from}", server.id));
+            }
+            thread::sleep(ENTRY_TIME);
             for server in &cut_servers {
                 server.lapse(&store);
             }
         }
-        thread::sleep(CUT_TIME - ENTRY_TIME);
-        links.cut_off(&[]);
-        ledger.log("the partition has ended");
+        thread::sleep(CUT_TIME.saturating_sub(cut_at.elapsed()));
+        links.set_cut(&leader, &others, false);
+        for server in &cut_servers {
+            links.set_cut(&server.id, &unreached, false);
+        }
+        ledger.log("all cuts have ended");
         thread::sleep(RETURN_TIME);
         for server in &cut_servers {
             server.register(&store, "ready");
@@ -161,7 +198,8 @@
         if !ledger.violations.lock().expect("not poisoned").is_empty() {
             break;
         }
-        thread::sleep(ROUND_PAUSE);
+        let spread = Duration::from_millis(ledger.random.below(ROUND_SPREAD_MS));
+        thread::sleep(ROUND_PAUSE + spread);
     }
     stop.store(true, Ordering::Relaxed);
     thread::sleep(Duration::from_secs(1));
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -34,7 +34,6 @@
 #[derive(Clone)]
 pub struct Store {
     inner: Arc<(Mutex<Inner>, Condvar)>,
-    pub address: SocketAddr,
 }
 
 fn object(name: &str, revision: u64, spec: &Json) -> Json {
@@ -56,37 +55,32 @@
 }
 
 impl Store {
-    pub fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
+    pub fn start() -> Self {
         let inner = Inner {
             revision: 100,
             era: 1,
             ..Inner::default()
         };
-        let store = Self {
+        Self {
             inner: Arc::new((Mutex::new(inner), Condvar::new())),
-            address,
-        };
-        store.accept(listener, None);
-        Ok(store)
+        }
     }
 
-    /// Another address of the store, which only this host uses; a partition may lie between them.
+    /// Address at which one host reaches the store; a partition may lie between them.
     pub fn address_for(&self, host: &str, links: &Links) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        self.accept(listener, Some((host.to_owned(), links.clone())));
+        self.accept(listener, (host.to_owned(), links.clone()));
         Ok(address)
     }
 
-    fn accept(&self, listener: TcpListener, host: Option<(String, Links)>) {
+    fn accept(&self, listener: TcpListener, host: (String, Links)) {
         let shared = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (store, host) = (shared.clone(), host.clone());
                 thread::spawn(move || {
-                    let _ = store.serve(&stream, host.as_ref());
+                    let _ = store.serve(&stream, &host);
                 });
             }
         });
@@ -111,11 +105,10 @@
         found.map(|(_, spec)| spec.clone())
     }
 
-    fn serve(&self, stream: &TcpStream, host: Option<&(String, Links)>) -> io::Result<()> {
+    fn serve(&self, stream: &TcpStream, (host, links): &(String, Links)) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = Reader::new(stream)?;
-        let reaches =
-            || host.is_none_or(|(host, links)| links.wait_for(Some(host), "store", stream));
+        let reaches = || links.wait_for(host, "store", stream);
         loop {
             let call = reader.message()?;
             if !reaches() {
