Logs tell on which hosts' reports a leader without the store relies

A line tells when the number of hosts changes of which a majority has to report, and one when a leader begins to act without the store.

--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -136,6 +136,8 @@
     /// Number of hosts of which a majority has to report. Not updated while the store is
     /// unreachable.
     pub(super) quorum_base: usize,
+    /// Authority rests on the reports of most hosts, as the store has not confirmed it recently.
+    pub(super) majority_needed: bool,
     /// The previous leader, until it is known to have stopped acting as leader.
     pub(super) predecessor: Predecessor,
     /// Highest term read from the store.
@@ -189,6 +191,7 @@
             confirm_failures: 0,
             confirming: false,
             quorum_base: 0,
+            majority_needed: false,
             predecessor: Predecessor::Ended,
             seen_term: 0,
             term_started_at: now,
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -100,7 +100,11 @@
                 self.confirm_failures = 0;
                 // The base changes only while the store is reachable.
                 if self.predecessor == Predecessor::Ended {
-                    self.quorum_base = self.hosts.count();
+                    let base = self.hosts.count();
+                    if base != self.quorum_base {
+                        log::info!(term = ended.term, before = self.quorum_base, base; "number of hosts changed of which a majority has to report");
+                    }
+                    self.quorum_base = base;
                     let hosts = u32::try_from(self.quorum_base).unwrap_or(u32::MAX);
                     planner.handle_input(PlanInput::Hosts(hosts), now);
                 }
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -281,6 +281,13 @@
             return;
         }
         planner.handle_input(PlanInput::MajorityReports, now);
+        let age = planner.confirmed_age(now);
+        let needs_majority = age >= AUTHORITY_LIMIT_WITHOUT_MAJORITY;
+        if needs_majority && !std::mem::replace(&mut self.majority_needed, needs_majority) {
+            let age_ms = age.as_millis();
+            log::info!(term = planner.state().term, age_ms:%, reporting, base; "acting without the store, as most hosts report");
+        }
+        self.majority_needed = needs_majority;
         let is_passed = |check: &MemoryCheck| check.is_passed(reporting, base);
         if self.unverified.as_ref().is_some_and(is_passed) {
             self.unverified = None;
