Both leaders count the same hosts: the electors are a part of the stored assignment (OWNER)

Cause: each leader counted a majority of a number of hosts that it kept in memory. The leader's number followed the hosts that reported in the last 1.5 s, so it was 1 while the others were dark, and its own report was most of them: it renewed leases for 12 s without the store. The successor had the number of the last digest, 10; 7 hosts reported, so it ended its wait early.

Now the assignment names the electors. Only the leader changes them, by its conditional write; a takeover reads them and its own conditional write keeps the earlier leader from changing them later. While a change is pending, a leader needs a majority of both lists, since a successor may find either. A leader changes them only when no earlier leader can get support any more. A host reports to one leader, that of the highest term it knows, so no two leaders have most of the same electors. Related paths, by the same cause: - After the store has lost writes the list may be outdated. Then a majority proves nothing: earlier leaders are taken for ended if all electors report, or if most hosts have shown that they remember no later assignment. - If an older build wrote the assignment, the electors are unknown: no leader acts without the store then, and successors wait the whole time. - A new leader with a number from a copy or from no digest (0 or the copy's) is gone with the number itself.

Messages and stored objects: the field of the assignment is optional, and older builds ignore it. Changes of the electors go out as a new message, which older builds drop; they read the assignment instead.

--- a/crates/core/src/ownership/lease_bounds.rs
+++ b/crates/core/src/ownership/lease_bounds.rs
@@ -20,14 +20,14 @@
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Longest time for which a leader renews grants without confirmation by the store while a
-/// majority of hosts reports to it. Keys keep their owners in store outages up to this length.
+/// majority of the electors reports to it. Keys keep their owners in store outages up to this length.
 pub const AUTHORITY_LIMIT: Duration = Duration::from_secs(12);
 
-/// [`AUTHORITY_LIMIT`] for a leader without reports from a majority of hosts: two confirmation
+/// [`AUTHORITY_LIMIT`] for a leader without reports from a majority of the electors: two confirmation
 /// requests to the store may fail. A successor with a majority waits only this long.
 pub const AUTHORITY_LIMIT_WITHOUT_MAJORITY: Duration = Duration::from_millis(2_500);
 
-/// Age up to which reports from a majority of hosts count as support for the leader.
+/// Age up to which reports from a majority of the electors count as support for the leader.
 pub const MAJORITY_REPORT_MAX_AGE: Duration = Duration::from_millis(1_000);
 
 /// How slow a server's clock may run, in thousandths.
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -6,6 +6,7 @@
 //! moving, the second names the new owner. Between the two, the leader makes sure that
 //! the old owner's lease has ended, so no key ever has two owners.
 
+mod elector_list;
 mod end_proof;
 mod key_range;
 mod lease_bounds;
@@ -16,10 +17,12 @@
 mod owner_state;
 mod ownership_planner;
 mod plan_events;
+mod predecessor_watch;
 mod range_load;
 mod range_moves;
 
 pub use {
+    elector_list::ElectorList,
     end_proof::EndProof,
     key_range::{KeyRange, LAST_KEY},
     lease_bounds::{
@@ -33,6 +36,7 @@
     },
     ownership_planner::{OwnershipPlanner, PlanContext},
     plan_events::{OrderFailure, PlanAction, PlanInput, RecoveryPhase},
+    predecessor_watch::{ElectorSource, FRESH_REPORT_LIMIT, Predecessor, PredecessorWatch},
     range_load::RangeLoad,
     range_moves::{AssignableServer, RangeMove, choose_moves},
 };
--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -58,11 +58,17 @@
         if self.balance_due(now) {
             self.balanced_at = now;
         }
-        if next_state == self.state && self.lost_in.is_none() {
+        let is_changed = next_state != self.state || self.lost_in.is_some();
+        if let Some(electors) = &self.next_electors {
+            if !is_changed && !next_state.electors.is_outdated(electors.hosts()) {
+                return None;
+            }
+            next_state.electors.clone_from(electors);
+            next_state.hosts = u32::try_from(electors.len()).unwrap_or(u32::MAX);
+        } else if !is_changed {
             return None;
         }
         next_state.change += 1;
-        next_state.hosts = self.hosts;
         Some(next_state)
     }
 
--- a/crates/core/src/ownership/owner_state.rs
+++ b/crates/core/src/ownership/owner_state.rs
@@ -1,7 +1,7 @@
 //! The assignment of keys to servers, as kept in the store.
 
 use {
-    super::{KeyRange, ownership_planner::TOKENS_PER_MOVE},
+    super::{ElectorList, KeyRange, ownership_planner::TOKENS_PER_MOVE},
     crate::ids::{HostId, ServerId, ServiceName},
     bincode::{Decode, Encode},
     serde::{Deserialize, Serialize},
@@ -102,9 +102,13 @@
     pub change: u64,
     /// Current leader; `None` before the first takeover and after a leader has resigned.
     pub leader: Option<LeaderRecord>,
-    /// Number of hosts that reported to the leader at the last write; 0 if unknown.
+    /// Number of electors, for hosts of a build that does not know their list; 0 if unknown.
     #[serde(default)]
     pub hosts: u32,
+    /// Hosts whose reports decide which leader may act; empty if a version of the program wrote the
+    /// assignment that did not know them.
+    #[serde(default)]
+    pub electors: ElectorList,
     /// Key that authenticates messages between hosts, as hexadecimal digits.
     pub secret: String,
     /// Ownership records by service.
@@ -122,6 +126,7 @@
             change: 0,
             leader: None,
             hosts: 0,
+            electors: ElectorList::default(),
             secret,
             services: BTreeMap::new(),
         }
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -8,7 +8,7 @@
 
 use {
     super::{
-        AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, EndProof, LeaseBounds,
+        AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, ElectorList, EndProof, LeaseBounds,
         MAJORITY_REPORT_MAX_AGE, OrderFailure, OwnerState, PlanAction, PlanInput, RangeLoad,
         RangePhase, RecoveryPhase, ServerInstance,
         lease_bounds::{LEASE_DURATION, ORDER_TIMEOUT, max_lease_duration},
@@ -16,7 +16,7 @@
     },
     crate::{
         fleet::FleetView,
-        ids::{ServerId, ServiceName},
+        ids::{HostId, ServerId, ServiceName},
         time::BootTime,
     },
     std::{
@@ -47,8 +47,8 @@
     pub(super) pending: Option<OwnerState>,
     /// Epoch in which the acknowledged assignment has to be written again, as the store has lost it.
     pub(super) lost_in: Option<u64>,
-    /// Number of hosts of which a majority has to report, for the next write.
-    pub(super) hosts: u32,
+    /// Electors for the next write, if they are to change.
+    pub(super) next_electors: Option<ElectorList>,
     /// Whether servers that the assignment does not name may hold keys, until all leases of earlier
     /// leaders have ended.
     pub(super) recovery: Option<RecoveryPhase>,
@@ -60,7 +60,7 @@
     pub(super) confirmed_at: BootTime,
     /// Time by which grants of a successor have ended whose takeover the store has lost.
     pub(super) lost_successor_end: BootTime,
-    /// When a majority of hosts was last known to report to this leader.
+    /// When a majority of the electors was last known to report to this leader.
     pub(super) majority_reported_at: BootTime,
     pub(super) balanced_at: BootTime,
     /// When moves for a service were last chosen.
@@ -128,7 +128,7 @@
     /// Earlier leaders may renew grants until `predecessor_end`.
     pub fn new(state: OwnerState, predecessor_end: BootTime, now: BootTime) -> Self {
         Self {
-            hosts: state.hosts,
+            next_electors: None,
             state,
             pending: None,
             lost_in: None,
@@ -191,13 +191,22 @@
     }
 
     /// Whether grants may be renewed: the store has confirmed this leader recently, or a
-    /// majority of hosts still reports to it, so that no successor can have a majority.
+    /// majority of the electors still reports to it, so that no successor can have a majority.
     pub fn has_authority(&self, now: BootTime) -> bool {
         let age = now.since(self.confirmed_at);
         let supported = now.since(self.majority_reported_at) < MAJORITY_REPORT_MAX_AGE;
         age < AUTHORITY_LIMIT_WITHOUT_MAJORITY || (supported && age < AUTHORITY_LIMIT)
     }
 
+    /// Whether most electors are among `reporting`. While a write that changes the electors is
+    /// pending, a successor may find either list in the store.
+    pub fn is_supported_by(&self, reporting: &BTreeSet<HostId>) -> bool {
+        let mut states = [Some(&self.state), self.pending.as_ref()]
+            .into_iter()
+            .flatten();
+        states.all(|state| state.electors.has_majority(reporting))
+    }
+
     /// Time since the store last confirmed this leader.
     pub fn confirmed_age(&self, now: BootTime) -> Duration {
         now.since(self.confirmed_at)
@@ -338,8 +347,11 @@
                 self.lost_successor_end = now + ORDER_TIMEOUT + max_lease_duration(LEASE_DURATION);
             }
             PlanInput::Confirmed(sent_at) => self.confirmed_at = self.confirmed_at.max(sent_at),
-            PlanInput::MajorityReports => self.majority_reported_at = now,
-            PlanInput::Hosts(hosts) => self.hosts = hosts,
+            PlanInput::Reports(reporting) if self.is_supported_by(&reporting) => {
+                self.majority_reported_at = now;
+            }
+            PlanInput::Reports(_) => {}
+            PlanInput::Electors(electors) => self.next_electors = Some(electors),
             PlanInput::AssignmentVerified if self.recovery == Some(RecoveryPhase::Unverified) => {
                 self.recovery = None;
             }
--- a/crates/core/src/ownership/plan_events.rs
+++ b/crates/core/src/ownership/plan_events.rs
@@ -1,9 +1,12 @@
 //! What the planner learns, and what it asks the leader to do.
 
 use {
-    super::{KeyRange, OwnerState, ServerInstance},
-    crate::{ids::ServiceName, time::BootTime},
-    std::time::Duration,
+    super::{ElectorList, KeyRange, OwnerState, ServerInstance},
+    crate::{
+        ids::{HostId, ServiceName},
+        time::BootTime,
+    },
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Why the assignment may not name all owners, after the store has lost writes.
@@ -42,10 +45,10 @@
     WritesLost(u64),
     /// The store confirmed this host as the leader; holds the time at which the call was sent.
     Confirmed(BootTime),
-    /// A majority of hosts has reported to this leader recently.
-    MajorityReports,
-    /// Number of hosts of which a majority has to report.
-    Hosts(u32),
+    /// Hosts that have reported to this leader recently.
+    Reports(BTreeSet<HostId>),
+    /// Electors for the next write. Only to be changed when no earlier leader can get support.
+    Electors(ElectorList),
     /// A majority of hosts remembers no later assignment than this leader.
     AssignmentVerified,
     /// Another host remembers a later assignment than this leader.
--- a/crates/core/tests/support/range_simulation.rs
+++ b/crates/core/tests/support/range_simulation.rs
@@ -321,7 +321,11 @@
         };
         let (mut state, revision) = match self.store.take() {
             Some(stored) => stored,
-            None => (OwnerState::new(String::new()), 0),
+            None => {
+                let mut state = OwnerState::new(String::new());
+                state.electors = ["h-1".parse().expect("valid id")].into_iter().collect();
+                (state, 0)
+            }
         };
         let before = state.begin_term(record);
         self.store = Some((state.clone(), revision + 1));
@@ -387,9 +391,10 @@
             }
             // All hosts report to every leader. This is the worst case: former leaders keep
             // their authority for the longest time.
+            let electors = leader.planner.state().electors.hosts().clone();
             leader
                 .planner
-                .handle_input(PlanInput::MajorityReports, self.now);
+                .handle_input(PlanInput::Reports(electors), self.now);
             let plan_context = PlanContext {
                 fleet: &fleet,
                 fleet_is_behind: false,
--- a/crates/gateway/src/leader/host_table.rs
+++ b/crates/gateway/src/leader/host_table.rs
@@ -5,7 +5,7 @@
     camphorcove_core::{ids::HostId, time::BootTime},
     std::{
         cmp::Reverse,
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         time::Duration,
     },
@@ -101,10 +101,16 @@
         self.hosts.len()
     }
 
-    /// Number of hosts that reported within `limit`.
-    pub fn fresh_count(&self, limit: Duration, now: BootTime) -> usize {
-        let fresh = |record: &&HostRecord| now.since(record.reported_at) < limit;
-        self.hosts.values().filter(fresh).count()
+    /// Ids of all hosts that reported recently.
+    pub fn ids(&self) -> impl Iterator<Item = HostId> {
+        self.hosts.keys().cloned()
+    }
+
+    /// Ids of the hosts that reported within `limit`.
+    pub fn fresh_ids(&self, limit: Duration, now: BootTime) -> BTreeSet<HostId> {
+        let hosts = self.hosts.iter();
+        let fresh = hosts.filter(|(_, record)| now.since(record.reported_at) < limit);
+        fresh.map(|(host, _)| host.clone()).collect()
     }
 
     /// Addresses to which digests are sent.
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -9,16 +9,17 @@
         memory_check::MemoryCheck,
         order_sender::OrderSender,
         owner_store::OwnerStore,
+        owner_update::OwnerUpdate,
     },
     crate::{
-        peers::{OwnerChange, PeerLink},
+        peers::PeerLink,
         state::{ChangeLog, HostState, SeenVersions, ServerHash, StoreKind},
     },
     camphorcove_core::{
         ids::{ServerId, ServiceName, StoreVersion},
         ownership::{
-            LeaderRecord, OwnerState, OwnershipPlanner, PlanAction, PlanContext, RangeLoad,
-            ServerInstance,
+            ElectorList, ElectorSource, OwnerState, OwnershipPlanner, PlanAction, PlanContext,
+            Predecessor, PredecessorWatch, RangeLoad, ServerInstance,
         },
         time::BootTime,
     },
@@ -71,18 +72,6 @@
     Leader(Box<OwnershipPlanner>),
 }
 
-/// What is known of the leader before this one.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Predecessor {
-    /// It has stopped acting as leader.
-    Ended,
-    /// It may act still.
-    Known(LeaderRecord),
-    /// Leaders may act still whose takeovers the store has lost, or which the previous leader had not
-    /// outlasted.
-    Unknown,
-}
-
 /// Pause until the next [`Tick`].
 #[derive(Debug, Reply)]
 pub struct NextTick(pub Duration);
@@ -124,7 +113,7 @@
     /// Version of the last configuration that this leader sent.
     pub(super) config_version_sent: StoreVersion,
     /// Recent changes of the assignment that this leader sent.
-    pub(super) owner_log: ChangeLog<OwnerChange>,
+    pub(super) owner_log: ChangeLog<OwnerUpdate>,
     /// Counts the digests of this process; wraps around.
     pub(super) digests_sent: u32,
     /// Value of `digests_sent` when the store was last reachable.
@@ -133,13 +122,10 @@
     pub(super) confirm_failures: u32,
     /// Such a check is running.
     pub(super) confirming: bool,
-    /// Number of hosts of which a majority has to report. Not updated while the store is
-    /// unreachable.
-    pub(super) quorum_base: usize,
-    /// Authority rests on the reports of most hosts, as the store has not confirmed it recently.
+    /// Authority rests on the reports of most electors, as the store has not confirmed it recently.
     pub(super) majority_needed: bool,
-    /// The previous leader, until it is known to have stopped acting as leader.
-    pub(super) predecessor: Predecessor,
+    /// Watch for the end of the leaders before this one.
+    pub(super) predecessors: PredecessorWatch,
     /// Highest term read from the store.
     pub(super) seen_term: u64,
     pub(super) term_started_at: BootTime,
@@ -190,9 +176,13 @@
             digests_at_store_loss: 0,
             confirm_failures: 0,
             confirming: false,
-            quorum_base: 0,
             majority_needed: false,
-            predecessor: Predecessor::Ended,
+            predecessors: PredecessorWatch::new(
+                Predecessor::Ended,
+                ElectorList::default(),
+                ElectorSource::Store,
+                now,
+            ),
             seen_term: 0,
             term_started_at: now,
             takeover_version: StoreVersion::default(),
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -2,17 +2,21 @@
 
 use {
     super::{
-        leader_actor::{CONFIRM_FAILURES, LeaderActor, NextTick, Predecessor, Role},
+        leader_actor::{CONFIRM_FAILURES, LeaderActor, NextTick, Role},
         leader_messages::{
-            ConfirmEnded, ConfirmOutcome, DigestReceived, OwnerChangeReceived, OwnersRead,
-            PlanEvent, ReportReceived, ResendRequested, Resign, ShareSuspects, Tick, WriteEnded,
+            ConfirmEnded, ConfirmOutcome, DigestReceived, ElectorChangeReceived,
+            OwnerChangeReceived, OwnersRead, PlanEvent, ReportReceived, ResendRequested, Resign,
+            ShareSuspects, Tick, WriteEnded,
         },
         owner_store::WriteOutcome,
         takeover::TakeoverEnded,
     },
-    crate::{peers::PeerMessage, state::StoreKind},
+    crate::{
+        peers::{ElectorChange, PeerMessage},
+        state::StoreKind,
+    },
     camphorcove_core::{
-        ownership::{AUTHORITY_LIMIT, ORDER_TIMEOUT, PlanInput},
+        ownership::{AUTHORITY_LIMIT, ORDER_TIMEOUT, PlanInput, Predecessor},
         time::{BootTime, with_drift},
     },
     kameo::message::{Context, Message},
@@ -58,24 +62,17 @@
     type Reply = ();
 
     async fn handle(&mut self, message: OwnerChangeReceived, _: &mut Context<Self, Self::Reply>) {
-        let now = self.state.now();
         let OwnerChangeReceived(change) = message;
-        let Some((known, version)) = self.state.owners() else {
-            return;
-        };
-        // A host with another version skips the change. The digests show it the newest one, and it
-        // reads the store.
-        if version != change.from {
-            return;
-        }
-        let Some(state) = change.delta.apply(&known) else {
-            log::warn!(from:% = change.from, to:% = change.to; "cannot apply change of the assignment");
-            return;
-        };
-        if self.state.set_owners(state, change.to) {
-            self.state.record_version(StoreKind::Owners, change.to);
-            self.update_role(now);
-        }
+        self.apply_owner_change(&change, None);
+    }
+}
+
+impl Message<ElectorChangeReceived> for LeaderActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: ElectorChangeReceived, _: &mut Context<Self, Self::Reply>) {
+        let ElectorChangeReceived(ElectorChange { change, electors }) = message;
+        self.apply_owner_change(&change, Some(electors));
     }
 }
 
@@ -98,17 +95,8 @@
                     self.state.record_store_recovery();
                 }
                 self.confirm_failures = 0;
-                // The base changes only while the store is reachable.
-                if self.predecessor == Predecessor::Ended {
-                    let base = self.hosts.count();
-                    if base != self.quorum_base {
-                        log::info!(term = ended.term, before = self.quorum_base, base; "number of hosts changed of which a majority has to report");
-                    }
-                    self.quorum_base = base;
-                    let hosts = u32::try_from(self.quorum_base).unwrap_or(u32::MAX);
-                    planner.handle_input(PlanInput::Hosts(hosts), now);
-                }
                 planner.handle_input(PlanInput::Confirmed(sent_at), now);
+                self.choose_electors(now);
             }
             ConfirmOutcome::Unconfirmed => self.confirm_failures += 1,
             ConfirmOutcome::WritesLost(stored) => {
@@ -277,7 +265,12 @@
         match ended.outcome {
             WriteOutcome::Written { version } => {
                 self.version = version;
+                let electors = planner.state().electors.len();
                 planner.handle_input(PlanInput::WriteAcked(ended.sent_at), now);
+                let written = planner.state().electors.len();
+                if electors != written {
+                    log::info!(term = ended.term, before = electors, electors = written; "number of electors changed");
+                }
                 self.announce();
             }
             WriteOutcome::WritesLost { stored } => self.write_again(stored, now),
@@ -320,6 +313,7 @@
             (state, version),
             ended.predecessor,
             ended.recovery,
+            ended.elector_source,
             predecessor_end,
         );
         let actor = context.actor_ref().clone();
--- a/crates/gateway/src/leader/leader_messages.rs
+++ b/crates/gateway/src/leader/leader_messages.rs
@@ -3,7 +3,7 @@
 use {
     super::owner_store::WriteOutcome,
     crate::{
-        peers::{Digest, OwnerChange, Report},
+        peers::{Digest, ElectorChange, OwnerChange, Report},
         state::SeenVersions,
     },
     camphorcove_core::{ids::StoreVersion, ownership::PlanInput, time::BootTime},
@@ -40,6 +40,10 @@
 #[derive(Debug)]
 pub struct OwnerChangeReceived(pub OwnerChange);
 
+/// The same with new electors.
+#[derive(Debug)]
+pub struct ElectorChangeReceived(pub ElectorChange);
+
 /// A host missed changes and asks the leader to send them again.
 #[derive(Debug)]
 pub struct ResendRequested {
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        leader_actor::{CONFIRM_FAILURES, LeaderActor, Predecessor, Role},
+        leader_actor::{CONFIRM_FAILURES, LeaderActor, Role},
         memory_check::{HostMemory, MemoryCheck},
+        owner_update::OwnerUpdate,
     },
     crate::{
         peers::{Digest, OwnerChange, PeerMessage, Report},
@@ -11,8 +12,8 @@
     },
     camphorcove_core::{
         ownership::{
-            AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, MAJORITY_REPORT_MAX_AGE,
-            ORDER_TIMEOUT, OwnerDelta, PlanInput,
+            AUTHORITY_LIMIT_WITHOUT_MAJORITY, ElectorList, FRESH_REPORT_LIMIT, OwnerDelta,
+            PlanInput,
         },
         time::BootTime,
     },
@@ -137,8 +138,10 @@
             to: version,
             delta: OwnerDelta::between(&old, &owners),
         };
-        self.owner_log.push(change.clone());
-        let message = PeerMessage::Owners(change);
+        let electors = (old.electors != owners.electors).then(|| owners.electors.clone());
+        let update = OwnerUpdate { change, electors };
+        let message = update.message();
+        self.owner_log.push(update);
         self.link
             .send_all(&self.state, &self.peer_addresses(), &message);
     }
@@ -207,8 +210,34 @@
             self.link.send(&self.state, to, &message);
         }
         for change in self.owner_log.since(versions.get(StoreKind::Owners)) {
-            let message = PeerMessage::Owners(OwnerChange::clone(&change));
-            self.link.send(&self.state, to, &message);
+            self.link.send(&self.state, to, &change.message());
+        }
+    }
+
+    /// Applies a change that the leader has sent.
+    pub(super) fn apply_owner_change(
+        &mut self,
+        change: &OwnerChange,
+        electors: Option<ElectorList>,
+    ) {
+        let Some((known, version)) = self.state.owners() else {
+            return;
+        };
+        // A host with another version skips the change. The digests show it the newest one, and it
+        // reads the store.
+        if version != change.from {
+            return;
+        }
+        let Some(mut state) = change.delta.apply(&known) else {
+            log::warn!(from:% = change.from, to:% = change.to; "cannot apply change of the assignment");
+            return;
+        };
+        if let Some(electors) = electors {
+            state.electors = electors;
+        }
+        if self.state.set_owners(state, change.to) {
+            self.state.record_version(StoreKind::Owners, change.to);
+            self.update_role(self.state.now());
         }
     }
 
@@ -235,11 +264,6 @@
                 planner.record_requests(service, *key, *requests, now);
             }
         }
-        // A leader sends no reports, so the previous one has stepped down or restarted.
-        let is_predecessor = match &self.predecessor {
-            Predecessor::Known(record) => record.host == report.host && record.address == from,
-            Predecessor::Unknown | Predecessor::Ended => false,
-        };
         let memory = self
             .unverified
             .as_mut()
@@ -253,10 +277,9 @@
             self.limits.record_report(limit, now);
         }
         self.state.record_leaving_servers(&report.load.leaving);
-        if is_predecessor {
+        if let Some(end) = self.predecessors.record_report(&report.host, from, now) {
             log::info!(host = report.host.as_str(); "previous leader has stopped acting");
-            self.predecessor = Predecessor::Ended;
-            planner.handle_input(PlanInput::PredecessorEnds(now + ORDER_TIMEOUT), now);
+            planner.handle_input(PlanInput::PredecessorEnds(end), now);
         }
         let own = report.host == self.state.settings.host;
         if !own {
@@ -265,44 +288,49 @@
         self.hosts.record_report(&report, from, own, now);
     }
 
-    /// Tells the planner if a majority of the hosts reports to this leader, and when the
-    /// authority of the previous leader ends because of that.
+    /// Tells the planner which hosts report to this leader, and when the authority of earlier leaders ends
+    /// because of that.
     pub(super) fn check_majority(&mut self, now: BootTime) {
-        let limit = self.report_interval() * 2;
-        let reporting = self.hosts.fresh_count(limit, now);
-        let base = self.quorum_base;
+        let limit = FRESH_REPORT_LIMIT.min(self.report_interval() * 2);
+        let reporting = self.hosts.fresh_ids(limit, now);
         let Role::Leader(planner) = &mut self.role else {
             return;
         };
-        if now.since(self.term_started_at) >= AUTHORITY_LIMIT {
-            self.predecessor = Predecessor::Ended;
-        }
-        if base == 0 || reporting * 2 <= base {
-            return;
-        }
-        planner.handle_input(PlanInput::MajorityReports, now);
-        let age = planner.confirmed_age(now);
-        let needs_majority = age >= AUTHORITY_LIMIT_WITHOUT_MAJORITY;
-        if needs_majority && !std::mem::replace(&mut self.majority_needed, needs_majority) {
-            let age_ms = age.as_millis();
-            log::info!(term = planner.state().term, age_ms:%, reporting, base; "acting without the store, as most hosts report");
+        let electors = planner.state().electors.len();
+        let needs_majority = planner.confirmed_age(now) >= AUTHORITY_LIMIT_WITHOUT_MAJORITY
+            && planner.is_supported_by(&reporting);
+        if needs_majority && !self.majority_needed {
+            log::info!(term = planner.state().term, reporting = reporting.len(), electors; "acting without the store, as most electors report");
         }
         self.majority_needed = needs_majority;
-        let is_passed = |check: &MemoryCheck| check.is_passed(reporting, base);
-        if self.unverified.as_ref().is_some_and(is_passed) {
+        // The last digest of the previous leader lists the hosts that it knew.
+        let known_hosts = electors.max(self.peers.len());
+        let count = reporting.len();
+        let is_passed =
+            |check: &MemoryCheck| known_hosts > 0 && check.is_passed(count, known_hosts);
+        let verified = self.unverified.as_ref().is_some_and(is_passed);
+        if verified {
             self.unverified = None;
-            log::info!(reporting, base; "no host remembers a later assignment");
+            log::info!(reporting = count, known_hosts; "no host remembers a later assignment");
             planner.handle_input(PlanInput::AssignmentVerified, now);
         }
-        // The previous leader has lost its majority, so its authority ends early.
-        if std::mem::replace(&mut self.predecessor, Predecessor::Ended) != Predecessor::Ended {
-            let no_majority_end = self.term_started_at + AUTHORITY_LIMIT_WITHOUT_MAJORITY;
-            // The previous leader may have received reports of these hosts until now.
-            let majority_end = now + MAJORITY_REPORT_MAX_AGE + MAX_REPORT_INTERVAL * 2;
-            let end = no_majority_end.max(majority_end) + ORDER_TIMEOUT;
-            log::info!(reporting, base; "majority of hosts has left the previous leader");
+        if let Some(end) = self.predecessors.check(&reporting, verified, now) {
+            let electors = self.predecessors.electors().len();
+            log::info!(reporting = count, electors, verified; "earlier leaders have lost their support");
             planner.handle_input(PlanInput::PredecessorEnds(end), now);
         }
+        planner.handle_input(PlanInput::Reports(reporting), now);
+    }
+
+    /// Makes the hosts that report the electors for the next write, once no earlier leader counts the
+    /// present ones. Is called while the store is reachable.
+    pub(super) fn choose_electors(&mut self, now: BootTime) {
+        if !self.predecessors.has_ended() || self.complete_host_count(now).is_none() {
+            return;
+        }
+        if let Role::Leader(planner) = &mut self.role {
+            planner.handle_input(PlanInput::Electors(self.hosts.ids().collect()), now);
+        }
     }
 
     /// Sends a digest of the reports to all hosts. It lists only busy servers.
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         host_table::HostTable,
-        leader_actor::{LeaderActor, Predecessor, Role},
+        leader_actor::{LeaderActor, Role},
         leader_handlers::Announce,
         limit_table::LimitTable,
         memory_check::MemoryCheck,
@@ -12,7 +12,10 @@
     crate::state::StoreKind,
     camphorcove_core::{
         ids::StoreVersion,
-        ownership::{LeaderRecord, OwnerState, OwnershipPlanner, PlanInput, RecoveryPhase},
+        ownership::{
+            ElectorSource, LeaderRecord, OwnerState, OwnershipPlanner, PlanInput, Predecessor,
+            PredecessorWatch, RecoveryPhase,
+        },
         time::BootTime,
     },
     kameo::actor::ActorRef,
@@ -157,15 +160,12 @@
         (state, version): (OwnerState, StoreVersion),
         predecessor: Predecessor,
         recovery: Option<RecoveryPhase>,
+        elector_source: ElectorSource,
         predecessor_end: BootTime,
     ) {
         let now = self.state.now();
-        // The last digest of the previous leader lists the hosts; a host that got none has just
-        // started.
-        self.quorum_base = match self.peers.len() {
-            0 => usize::try_from(state.hosts).unwrap_or(0),
-            listed => listed,
-        };
+        let electors = state.electors.clone();
+        self.predecessors = PredecessorWatch::new(predecessor, electors, elector_source, now);
         let planner = match recovery {
             Some(recovery) => {
                 OwnershipPlanner::after_lost_writes(state, recovery, predecessor_end, now)
@@ -183,7 +183,6 @@
             )),
             (Some(_), _) | (None, _) => None,
         };
-        self.predecessor = predecessor;
         self.term_started_at = now;
         log::info!(term = planner.state().term, revision:% = version; "this host is now the leader");
         self.version = version;
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -14,6 +14,7 @@
 mod memory_check;
 mod order_sender;
 mod owner_store;
+mod owner_update;
 mod panic_guard;
 mod takeover;
 
@@ -22,8 +23,8 @@
     host_table::HostTable,
     leader_actor::LeaderActor,
     leader_messages::{
-        DigestReceived, OwnerChangeReceived, OwnersRead, ReportReceived, ResendRequested, Resign,
-        ShareSuspects, Tick,
+        DigestReceived, ElectorChangeReceived, OwnerChangeReceived, OwnersRead, ReportReceived,
+        ResendRequested, Resign, ShareSuspects, Tick,
     },
     owner_store::{OwnerStore, WriteOutcome},
 };
--- a/crates/gateway/src/leader/takeover.rs
+++ b/crates/gateway/src/leader/takeover.rs
@@ -1,13 +1,10 @@
 //! The conditional write that makes this host the leader.
 
 use {
-    super::{
-        leader_actor::Predecessor,
-        owner_store::{OwnerStore, WriteOutcome},
-    },
+    super::owner_store::{OwnerStore, WriteOutcome},
     camphorcove_core::{
         ids::StoreVersion,
-        ownership::{LeaderRecord, OwnerState, RecoveryPhase},
+        ownership::{ElectorSource, LeaderRecord, OwnerState, Predecessor, RecoveryPhase},
     },
     camphorcove_platform::FIRST_STORE_EPOCH,
 };
@@ -32,6 +29,8 @@
     pub predecessor: Predecessor,
     /// Whether the assignment may not name all owners.
     pub recovery: Option<RecoveryPhase>,
+    /// Whether earlier leaders count the electors that the assignment names.
+    pub elector_source: ElectorSource,
     /// Whether the attempt failed because of another leader.
     pub other_leader: bool,
     /// Epoch in which the assignment was lost and is left to hosts that know more of it.
@@ -44,6 +43,7 @@
             won: None,
             predecessor: Predecessor::Ended,
             recovery: None,
+            elector_source: ElectorSource::Store,
             other_leader,
             deferred_epoch: None,
         }
@@ -141,6 +141,10 @@
             won: Some((state, version)),
             predecessor,
             recovery,
+            elector_source: match lacks_writes {
+                true => ElectorSource::Copy,
+                false => ElectorSource::Store,
+            },
             other_leader: false,
             deferred_epoch: None,
         },
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,7 +7,9 @@
 mod suspect_sender;
 
 pub use {
-    peer_codec::{Digest, OwnerChange, PeerMessage, Report, open_message, seal_message},
+    peer_codec::{
+        Digest, ElectorChange, OwnerChange, PeerMessage, Report, open_message, seal_message,
+    },
     peer_link::{PeerLink, receive},
     relay_tag::{ELSEWHERE_HEADER, RELAY_HEADER, RelayGrant, RelayedHead},
     suspect_sender::share_suspects,
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -7,12 +7,12 @@
 use {
     crate::state::{
         ConfigCopy, FleetUpdate, LeavingServer, LoadReport, SeenVersions, ServerHash, SharedLimit,
-        SuspectNews, VersionedChange,
+        SuspectNews,
     },
     bincode::{Decode, Encode, config},
     camphorcove_core::{
         ids::{ConfigVersion, HostId, StoreVersion},
-        ownership::OwnerDelta,
+        ownership::{ElectorList, OwnerDelta},
     },
     hmac::{Hmac, KeyInit, Mac},
     sha2::Sha256,
@@ -93,17 +93,17 @@
     pub delta: OwnerDelta,
 }
 
-impl VersionedChange for OwnerChange {
-    fn start_version(&self) -> StoreVersion {
-        self.from
-    }
-
-    fn end_version(&self) -> StoreVersion {
-        self.to
-    }
+/// Change of the assignment that also replaces the electors.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct ElectorChange {
+    /// All else that changes.
+    pub change: OwnerChange,
+    /// Electors after the change.
+    pub electors: ElectorList,
 }
 
-/// Message in a datagram.
+/// Message in a datagram. A build that does not know a variant drops the datagram, so variants are only
+/// added at the end.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum PeerMessage {
     /// To the leader: load and versions of a host.
@@ -120,6 +120,9 @@
     ResendRequest(SeenVersions),
     /// To all hosts: requests under which servers have crashed.
     Suspects(SuspectNews),
+    /// From the leader: a change of the assignment with new electors. A host of an earlier build reads the
+    /// assignment from the store instead.
+    Electors(ElectorChange),
 }
 
 /// Encodes a message and prepends its authentication tag.
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -4,7 +4,8 @@
     super::{PeerMessage, open_message, seal_message},
     crate::{
         leader::{
-            DigestReceived, LeaderActor, OwnerChangeReceived, ReportReceived, ResendRequested,
+            DigestReceived, ElectorChangeReceived, LeaderActor, OwnerChangeReceived,
+            ReportReceived, ResendRequested,
         },
         state::{FleetUpdate, HostState, LogTopic},
         watch::apply_config_copy,
@@ -102,6 +103,10 @@
             PeerMessage::Owners(change) => {
                 leader.tell(OwnerChangeReceived(change)).try_send().is_ok()
             }
+            PeerMessage::Electors(change) => leader
+                .tell(ElectorChangeReceived(change))
+                .try_send()
+                .is_ok(),
             PeerMessage::Fleet(update) => {
                 apply_fleet_update(&state, update);
                 true
--- a/crates/gateway/tests/missed_changes.rs
+++ b/crates/gateway/tests/missed_changes.rs
@@ -4,7 +4,7 @@
 
 use {
     camphorcove_gateway::{
-        leader::{DigestReceived, OwnerChangeReceived, ReportReceived},
+        leader::{DigestReceived, ElectorChangeReceived, OwnerChangeReceived, ReportReceived},
         peers::{PeerMessage, open_message},
     },
     camphorcove_platform_standin::store_standin::StoreStandin,
@@ -66,10 +66,17 @@
         };
         let message = open_message(owners.secret.as_bytes(), &buffer[..length]);
         let delivered = match message.expect("an authentic message") {
-            PeerMessage::Owners(_) if misses_changes.load(Ordering::Relaxed) => continue,
+            PeerMessage::Owners(_) | PeerMessage::Electors(_)
+                if misses_changes.load(Ordering::Relaxed) =>
+            {
+                continue;
+            }
             PeerMessage::Owners(change) => {
                 host.actor.tell(OwnerChangeReceived(change)).await.is_ok()
             }
+            PeerMessage::Electors(change) => {
+                host.actor.tell(ElectorChangeReceived(change)).await.is_ok()
+            }
             PeerMessage::Report(report) => {
                 host.state.set_peer_versions(&report.versions);
                 host.actor
