Tests: no process starts while a port is tried

Cause: free_port tries a port with a listener and closes it; a process that another case starts at that moment has a copy of the listener until it runs its program, so the host meets a port in use. Cases of one test run side by side and start a process each.

The product starts no processes.

--- a/crates/gateway/tests/support/soak_host.rs
+++ b/crates/gateway/tests/support/soak_host.rs
@@ -47,6 +47,9 @@
 /// Number of ports that this process has tried.
 static PORTS_TAKEN: AtomicU32 = AtomicU32::new(0);
 
+/// Held while a port is tried or a process starts.
+static PORT_TRIAL: Mutex<()> = Mutex::new(());
+
 /// A running host.
 pub struct SoakHost {
     /// Address of the listener for callers.
@@ -260,20 +263,27 @@
     fn spawn(settings: &Path, log: &Path) -> Self {
         let log_start = fs::read(log).map_or(0, |earlier| earlier.len());
         let log = fs::File::options().create(true).append(true).open(log);
-        let child = Command::new(env!("CARGO_BIN_EXE_camphorcove-gateway"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_camphorcove-gateway"));
+        command
             .arg("--settings")
             .arg(settings)
-            .stdout(Stdio::from(log.expect("a log file")))
-            .spawn()
-            .expect("the program starts");
+            .stdout(Stdio::from(log.expect("a log file")));
+        let child = spawn(&mut command);
         Self { child, log_start }
     }
 }
 
+/// Starts a process, while no port is being tried: until it runs its program, it holds all sockets of this process.
+pub fn spawn(command: &mut Command) -> Child {
+    let _untried = PORT_TRIAL.lock().expect("not poisoned");
+    command.spawn().expect("the program starts")
+}
+
 /// A port that no other host or server of this process gets and that no outgoing connection takes,
 /// as it lies below the range from which the system chooses. Ports from that range were handed out
 /// twice.
 pub fn free_port() -> SocketAddr {
+    let _trial = PORT_TRIAL.lock().expect("not poisoned");
     loop {
         let offset = PORTS_TAKEN.fetch_add(1, Ordering::Relaxed);
         let start = std::process::id() * PORTS_PER_PROCESS + offset;
