--- a/crates/core/tests/leader_split.rs
+++ b/crates/core/tests/leader_split.rs
@@ -6,6 +6,8 @@
 
 #[path = "support/leader_model.rs"]
 mod leader_model;
+#[path = "support/model_leader.rs"]
+mod model_leader;
 
 use {
     leader_model::LeaderModel,
--- a/crates/core/tests/owner_state.rs
+++ b/crates/core/tests/owner_state.rs
@@ -57,3 +57,15 @@
     assert_eq!(next_token(&second), next_token(&first));
     assert_eq!(second.term, first.term + 1);
 }
+
+/// Guards against hosts of this build that cannot read what the build without electors has written.
+#[test]
+fn assignment_without_electors_is_read() {
+    let text = r#"{"epoch":1,"may_lack_owners":false,"earlier_leaders_may_act":false,"term":3,"change":7,
+        "leader":null,"hosts":10,"secret":"00","services":{}}"#;
+
+    let state: OwnerState = serde_json::from_str(text).expect("readable");
+
+    assert!(state.electors.is_empty());
+    assert_eq!((state.term, state.hosts), (3, 10));
+}
--- a/crates/core/tests/support/leader_model.rs
+++ b/crates/core/tests/support/leader_model.rs
@@ -4,13 +4,13 @@
 //! After each step, no leader may have authority at a time at which a later leader takes it for ended.
 
 use {
+    super::model_leader::{ModelLeader, PendingWrite},
     camphorcove_core::{
         fleet::FleetView,
         ids::HostId,
         ownership::{
-            AUTHORITY_LIMIT, ElectorSource, FRESH_REPORT_LIMIT, LeaderRecord, LeaseBounds,
-            ORDER_TIMEOUT, OwnerState, OwnershipPlanner, PlanAction, PlanContext, PlanInput,
-            Predecessor, PredecessorWatch,
+            AUTHORITY_LIMIT, ElectorSource, LeaderRecord, LeaseBounds, ORDER_TIMEOUT, OwnerState,
+            OwnershipPlanner, PlanAction, PlanContext, PlanInput, Predecessor, PredecessorWatch,
         },
         time::{BootTime, with_drift},
     },
@@ -41,34 +41,9 @@
 const LEADER_TIMEOUT_MS: u64 = 800;
 const TAKEOVER_SPREAD_MS: u64 = 600;
 
-/// Time without a report after which a leader forgets a host.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Age of a term from which the leader may change the electors.
-const HOST_COUNT_DELAY: Duration = Duration::from_millis(2_000);
-
 /// Most hosts of a run at the begin; others are added.
 const MOST_HOSTS: usize = 20;
 
-/// A write of the assignment that is not known to have ended.
-struct PendingWrite {
-    state: OwnerState,
-    revision: u64,
-    due_at: BootTime,
-    sent_at: BootTime,
-}
-
-struct ModelLeader {
-    planner: OwnershipPlanner,
-    watch: PredecessorWatch,
-    bounds: LeaseBounds,
-    revision: u64,
-    started_at: BootTime,
-    confirmed_at: BootTime,
-    reported_at: BTreeMap<HostId, BootTime>,
-    write: Option<PendingWrite>,
-}
-
 struct ModelHost {
     id: HostId,
     address: SocketAddr,
@@ -581,43 +556,3 @@
         }
     }
 }
-
-impl ModelLeader {
-    fn take_report(&mut self, host: HostId, address: SocketAddr, now: BootTime) {
-        if let Some(end) = self.watch.record_report(&host, address, now) {
-            self.end_predecessors(end, now);
-        }
-        self.reported_at.insert(host, now);
-    }
-
-    fn check_reports(&mut self, interval: Duration, now: BootTime) {
-        self.reported_at
-            .retain(|_, at| now.since(*at) < REPORT_TIMEOUT);
-        let limit = FRESH_REPORT_LIMIT.min(interval * 2);
-        let fresh = self
-            .reported_at
-            .iter()
-            .filter(|(_, at)| now.since(**at) < limit);
-        let reporting = fresh.map(|(host, _)| host.clone()).collect();
-        if let Some(end) = self.watch.check(&reporting, false, now) {
-            self.end_predecessors(end, now);
-        }
-        self.planner
-            .handle_input(PlanInput::Reports(reporting), now);
-    }
-
-    fn end_predecessors(&mut self, end: BootTime, now: BootTime) {
-        self.bounds.limit_predecessor(end);
-        self.planner
-            .handle_input(PlanInput::PredecessorEnds(end), now);
-    }
-
-    fn confirm(&mut self, now: BootTime) {
-        self.planner.handle_input(PlanInput::Confirmed(now), now);
-        if self.watch.has_ended() && now.since(self.started_at) >= HOST_COUNT_DELAY {
-            let electors = self.reported_at.keys().cloned().collect();
-            self.planner
-                .handle_input(PlanInput::Electors(electors), now);
-        }
-    }
-}
--- a/crates/gateway/tests/memory_check.rs
+++ b/crates/gateway/tests/memory_check.rs
@@ -11,7 +11,6 @@
     camphorcove_gateway::{
         leader::{DigestReceived, ReportReceived},
         peers::{Digest, Report},
-        state::{LoadReport, SeenVersions},
     },
     camphorcove_platform_standin::store_standin::StoreStandin,
     rstest::rstest,
@@ -20,7 +19,7 @@
         time::{Duration, Instant},
     },
     support::{
-        fixtures::{entry, owners_with, version},
+        fixtures::{entry, idle_report, owners_with, version},
         leader_hosts::{LeaderHost, digest, leader_host_with},
         owned_region::{stored, until},
     },
@@ -78,16 +77,8 @@
 
 fn report(number: u64, term: u64, remembered: StoreVersion) -> ReportReceived {
     let report = Report {
-        host: host_id(number),
-        nonce: number,
-        term,
-        cpu_permille: 1_000,
-        lacks_store: false,
-        lacks_servers: false,
-        versions: SeenVersions::default(),
-        config_version: Default::default(),
         remembered_owners: remembered,
-        load: LoadReport::default(),
+        ..idle_report(host_id(number), number, term)
     };
     ReportReceived {
         report,
--- a/crates/gateway/tests/split_majority.rs
+++ b/crates/gateway/tests/split_majority.rs
@@ -6,8 +6,7 @@
     camphorcove_core::ids::HostId,
     camphorcove_gateway::{
         leader::{DigestReceived, ReportReceived},
-        peers::{Digest, Report},
-        state::{LoadReport, SeenVersions},
+        peers::Digest,
     },
     camphorcove_platform_standin::{
         owning_server::{OwnershipLedger, OwningServer},
@@ -17,7 +16,7 @@
     rstest::rstest,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     support::{
-        fixtures::entry,
+        fixtures::{entry, idle_report},
         leader_hosts::{LeaderHost, deaf_leader_host, digest},
         owned_region::{is_owned, owners_of, owning_servers, stored, until},
     },
@@ -61,18 +60,7 @@
     tokio::spawn(async move {
         loop {
             for number in 0..OTHERS {
-                let report = Report {
-                    host: host_id(number),
-                    nonce: number,
-                    term,
-                    cpu_permille: 1_000,
-                    lacks_store: false,
-                    lacks_servers: false,
-                    versions: SeenVersions::default(),
-                    config_version: Default::default(),
-                    remembered_owners: Default::default(),
-                    load: LoadReport::default(),
-                };
+                let report = idle_report(host_id(number), number, term);
                 let from = address_of(number);
                 if actor.tell(ReportReceived { report, from }).await.is_err() {
                     return;
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -3,15 +3,16 @@
 use {
     camphorcove_core::{
         fleet::{ServerEntry, ServerPhase},
-        ids::{ConfigVersion, StoreVersion},
+        ids::{ConfigVersion, HostId, StoreVersion},
         ownership::{KeyRange, OwnerState, RangePhase, RangeRecord, ServerInstance, ServiceOwners},
         routing::{CallerLimits, RetryPolicy, RouteRule, RouteTable, ServiceRule, SplitPart},
     },
     camphorcove_gateway::{
         conf::GatewaySettings,
         forward::check_reach,
+        peers::Report,
         serve::{CallerListener, RequestHandler},
-        state::{HostState, VersionSpan},
+        state::{HostState, LoadReport, SeenVersions, VersionSpan},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, sync::watch},
@@ -132,6 +133,22 @@
     }
 }
 
+/// Report of a host that measures nothing and reaches everything.
+pub fn idle_report(host: HostId, nonce: u64, term: u64) -> Report {
+    Report {
+        host,
+        nonce,
+        term,
+        cpu_permille: 1_000,
+        lacks_store: false,
+        lacks_servers: false,
+        versions: SeenVersions::default(),
+        config_version: ConfigVersion::default(),
+        remembered_owners: StoreVersion::default(),
+        load: LoadReport::default(),
+    }
+}
+
 /// Ownership state in which one server owns all keys.
 pub fn owners_with(entry: &ServerEntry) -> OwnerState {
     let mut state = OwnerState::new("secret".into());
