--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Dispatch of requests: choice of a server, admission control and the retry limit.
 
 mod admission;
+mod key_share;
 mod limit_control;
 mod limit_gate;
 mod pause_table;
@@ -9,11 +10,14 @@
 mod server_choice;
 mod server_gauge;
 mod server_reach;
+mod work_time;
+mod zone_transfer;
 
 use admission::bounded_retry_after;
 
 pub use {
     admission::{Admission, AdmissionRule, retry_after},
+    key_share::KeyShare,
     limit_control::LimitControl,
     limit_gate::{AdmittedShare, LimitGate, LimitedRequests},
     pause_table::{PauseTable, retry_after_pause},
@@ -22,4 +26,6 @@
     server_choice::{Candidate, choose_server},
     server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
     server_reach::{ReachCheck, ServerReach},
+    work_time::WorkTime,
+    zone_transfer::{ServiceDemand, ZoneTransfer},
 };
--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -1,7 +1,7 @@
 //! This host's estimate of the load, speed and failure rate of one server.
 
 use {
-    super::{LimitGate, RequestRate},
+    super::{LimitGate, RequestRate, WorkTime},
     crate::time::BootTime,
     bincode::{Decode, Encode},
     std::time::Duration,
@@ -37,6 +37,8 @@
     pub waiting: u32,
     /// Number of requests that the server can run at once.
     pub slots: u32,
+    /// How long work takes at present.
+    pub work_time: WorkTime,
 }
 
 /// How a request to the server ended, as far as it tells something about the server.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -5,7 +5,9 @@
 mod weighted_round_robin;
 
 pub use {
-    route_rule::{CallerLimits, RetryPolicy, RouteRule, ServiceRule, SplitPart},
+    route_rule::{
+        CallerLimits, RetryPolicy, RouteRank, RouteRule, ServiceRule, SplitPart, WarmupRule,
+    },
     route_table::{RouteTable, RouteTableError},
     weighted_round_robin::WeightedRoundRobin,
 };
--- a/crates/core/src/routing/route_rule.rs
+++ b/crates/core/src/routing/route_rule.rs
@@ -1,6 +1,14 @@
 //! Configuration of routes, services and the limits on callers.
 
-use {crate::ids::ServiceName, std::time::Duration};
+use {
+    crate::{dispatch::RequestRate, ids::ServiceName},
+    std::time::Duration,
+};
+
+value_type! {
+    /// Rank of a route among those of its service; 0 is the most urgent.
+    RouteRank(u32)
+}
 
 /// Whether a request may be retried when it is unknown whether it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,12 +43,23 @@
     pub time_limit: Duration,
     /// Latency objective.
     pub target_latency: Duration,
+    /// How urgent its requests are.
+    pub rank: RouteRank,
     /// Maximum number of servers that one request may be sent to.
     pub attempts: u32,
     /// Services that share the traffic, at least one.
     pub split: Vec<SplitPart>,
 }
 
+/// What a server takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WarmupRule {
+    /// Time for which a server is cold after it has started.
+    pub duration: Duration,
+    /// Requests that a cold server takes from all hosts together.
+    pub rate: RequestRate,
+}
+
 /// A configured service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceRule {
@@ -50,6 +69,8 @@
     pub connections: u32,
     /// Whether each server owns key ranges exclusively.
     pub keyed: bool,
+    /// Limit of cold servers; `None` if they take as many requests as warm ones.
+    pub warmup: Option<WarmupRule>,
 }
 
 /// Limits on what callers send.
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -4,7 +4,7 @@
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, Candidate, HostCount, PauseTable, ReportedLoad,
-            RequestOutcome, RetryWindow, ServerGauge, choose_server, retry_after,
+            RequestOutcome, RetryWindow, ServerGauge, WorkTime, choose_server, retry_after,
         },
         time::BootTime,
     },
@@ -165,6 +165,7 @@
         running: 3,
         waiting: 4,
         slots: 3,
+        work_time: WorkTime::USUAL,
     };
 
     gauge.record_reported_load(reported, at(0));
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -4,7 +4,7 @@
     camphorcove_core::{
         ids::ConfigVersion,
         routing::{
-            CallerLimits, RetryPolicy, RouteRule, RouteTable, ServiceRule, SplitPart,
+            CallerLimits, RetryPolicy, RouteRank, RouteRule, RouteTable, ServiceRule, SplitPart,
             WeightedRoundRobin,
         },
     },
@@ -24,6 +24,7 @@
         retry: RetryPolicy::Idempotent,
         time_limit: Duration::from_secs(1),
         target_latency: Duration::from_millis(300),
+        rank: RouteRank(0),
         attempts: 2,
         split: parts.iter().map(part).collect(),
     }
@@ -40,6 +41,7 @@
         name: name.parse().expect("valid name"),
         connections: 10,
         keyed: false,
+        warmup: None,
     };
     let services = vec![service("one"), service("two")];
     RouteTable::new(ConfigVersion(1), limits, services, rules).expect("valid table")
--- a/crates/gateway/src/conf/gateway_settings.rs
+++ b/crates/gateway/src/conf/gateway_settings.rs
@@ -41,6 +41,16 @@
     pub retry_slack: f64,
     /// Time window over which requests and retries are counted for the retry budget.
     pub retry_window: Duration,
+    /// Factor on the requests a second that a cold server states to take; `None` if the deployment
+    /// does not limit cold servers.
+    pub warmup_overage: Option<f64>,
+    /// Requests that a cold server takes in addition within one second.
+    pub warmup_slack: Option<f64>,
+    /// Time within which servers of a zone that is to be emptied get no more requests; `None` if the
+    /// deployment does not empty zones.
+    pub evacuation_limit: Option<Duration>,
+    /// Whether the leader decides which share of requests leaves an availability zone.
+    pub zone_transfer: bool,
 }
 
 impl GatewaySettings {
@@ -67,6 +77,11 @@
     repeat_ratio: Spanned<FileNumber>,
     repeat_slack: Spanned<FileNumber>,
     repeat_window_s: Spanned<FileNumber>,
+    warmup_overage: Option<Spanned<FileNumber>>,
+    warmup_slack: Option<Spanned<FileNumber>>,
+    evacuate_s: Option<Spanned<FileNumber>>,
+    #[serde(default)]
+    zone_transfer: bool,
 }
 
 /// A float or an integer; the platform writes numbers in both forms.
@@ -134,6 +149,19 @@
         retry_ratio: source.non_negative("repeat_ratio", &table.repeat_ratio)?,
         retry_slack: source.non_negative("repeat_slack", &table.repeat_slack)?,
         retry_window: source.seconds("repeat_window_s", &table.repeat_window_s)?,
+        warmup_overage: match &table.warmup_overage {
+            Some(value) => Some(source.non_negative("warmup_overage", value)?),
+            None => None,
+        },
+        warmup_slack: match &table.warmup_slack {
+            Some(value) => Some(source.non_negative("warmup_slack", value)?),
+            None => None,
+        },
+        evacuation_limit: match &table.evacuate_s {
+            Some(value) => Some(source.seconds("evacuate_s", value)?),
+            None => None,
+        },
+        zone_transfer: table.zone_transfer,
     })
 }
 
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -7,7 +7,7 @@
         owner_update::OwnerUpdate,
     },
     crate::{
-        peers::{Digest, OwnerChange, PeerMessage, Report},
+        peers::{Digest, OwnerChange, PeerMessage, Report, ReportAddition, Trailing},
         state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind, SuspectNews},
     },
     camphorcove_core::{
@@ -85,6 +85,10 @@
             config_version: self.state.config_version(),
             remembered_owners: self.state.remembered_owners(),
             load,
+            addition: Trailing(ReportAddition {
+                zone: Some(self.state.settings.zone.clone()),
+                ..ReportAddition::default()
+            }),
         };
         if matches!(self.role, Role::Leader(_)) {
             let own = self.state.settings.peers;
@@ -379,6 +383,7 @@
                 true => self.peers.clone(),
                 false => Vec::new(),
             },
+            addition: Trailing::default(),
         };
         self.state
             .set_relay_peers(&digest.peers, &digest.without_servers);
--- a/crates/gateway/src/peers/peer_codec.rs
+++ b/crates/gateway/src/peers/peer_codec.rs
@@ -5,6 +5,7 @@
 //! this system read.
 
 use {
+    super::{DigestAddition, ReportAddition, Trailing},
     crate::state::{
         ConfigCopy, FleetUpdate, LeavingServer, LoadReport, SeenVersions, ServerHash, SharedLimit,
         SuspectNews,
@@ -49,6 +50,8 @@
     pub remembered_owners: StoreVersion,
     /// Load at the servers as the host measures it.
     pub load: LoadReport,
+    /// Facts that earlier builds do not know.
+    pub addition: Trailing<ReportAddition>,
 }
 
 /// Summary of the reports, which the leader sends to all hosts at short intervals. A host that
@@ -80,6 +83,8 @@
     /// Addresses of all hosts, to which a later leader announces itself; empty in most
     /// digests.
     pub peers: Vec<SocketAddr>,
+    /// Facts that earlier builds do not know.
+    pub addition: Trailing<DigestAddition>,
 }
 
 /// Change of the assignment.
--- a/crates/gateway/src/state/load_report.rs
+++ b/crates/gateway/src/state/load_report.rs
@@ -47,6 +47,15 @@
     pub requests: LimitedRequests,
 }
 
+/// Requests of one host for a cold server.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct WarmupReport {
+    /// The cold server.
+    pub server: ServerHash,
+    /// Requests since the last report.
+    pub requests: LimitedRequests,
+}
+
 /// What a report has to contain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportScope {
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -30,7 +30,7 @@
     host_state::{HostCounters, HostState},
     leaving_tracking::LeavingServer,
     limit_tracking::SharedLimit,
-    load_report::{LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad},
+    load_report::{LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad, WarmupReport},
     log_rate_limiter::{LogRateLimiter, LogTopic},
     planned_stop::PlannedStop,
     seen_versions::{SeenVersions, StoreKind, VersionSpan},
--- a/crates/gateway/tests/candidacy.rs
+++ b/crates/gateway/tests/candidacy.rs
@@ -6,7 +6,7 @@
     camphorcove_core::{ids::ConfigVersion, time::BootTime},
     camphorcove_gateway::{
         leader::{Candidacy, HostTable},
-        peers::Report,
+        peers::{Report, Trailing},
         state::{LoadReport, SeenVersions},
     },
     rstest::rstest,
@@ -52,6 +52,7 @@
         config_version: ConfigVersion(0),
         remembered_owners: version(0),
         load: LoadReport::default(),
+        addition: Trailing::default(),
     }
 }
 
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -5,12 +5,14 @@
         fleet::{ServerEntry, ServerPhase},
         ids::{ConfigVersion, HostId, StoreVersion},
         ownership::{KeyRange, OwnerState, RangePhase, RangeRecord, ServerInstance, ServiceOwners},
-        routing::{CallerLimits, RetryPolicy, RouteRule, RouteTable, ServiceRule, SplitPart},
+        routing::{
+            CallerLimits, RetryPolicy, RouteRank, RouteRule, RouteTable, ServiceRule, SplitPart,
+        },
     },
     camphorcove_gateway::{
         conf::GatewaySettings,
         forward::check_reach,
-        peers::Report,
+        peers::{Report, Trailing},
         serve::{CallerListener, RequestHandler},
         state::{HostState, LoadReport, SeenVersions, VersionSpan},
     },
@@ -55,6 +57,10 @@
         retry_ratio: 0.2,
         retry_slack: 60.0,
         retry_window: Duration::from_secs(10),
+        warmup_overage: None,
+        warmup_slack: None,
+        evacuation_limit: None,
+        zone_transfer: false,
     }
 }
 
@@ -93,6 +99,7 @@
         name: name.parse().expect("valid name"),
         connections: 100,
         keyed,
+        warmup: None,
     };
     let rule = |prefix: &str, name: &str, retry| RouteRule {
         name: prefix.into(),
@@ -101,6 +108,7 @@
         retry,
         time_limit,
         target_latency: TARGET_LATENCY,
+        rank: RouteRank(0),
         attempts: 2,
         split: vec![SplitPart {
             service: name.parse().expect("valid name"),
@@ -146,6 +154,7 @@
         config_version: ConfigVersion::default(),
         remembered_owners: StoreVersion::default(),
         load: LoadReport::default(),
+        addition: Trailing::default(),
     }
 }
 
--- a/crates/gateway/tests/support/leader_hosts.rs
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -5,7 +5,7 @@
     camphorcove_core::fleet::ServerEntry,
     camphorcove_gateway::{
         leader::{LeaderActor, OwnerStore, Tick},
-        peers::{Digest, PeerLink, receive, share_suspects},
+        peers::{Digest, PeerLink, Trailing, receive, share_suspects},
         state::{HostState, SeenVersions},
         watch::read_owners,
     },
@@ -33,6 +33,7 @@
         leaving: Vec::new(),
         without_servers: Vec::new(),
         peers: Vec::new(),
+        addition: Trailing::default(),
     }
 }
 
