--- a/crates/gateway/src/forward/connection_pool.rs
+++ b/crates/gateway/src/forward/connection_pool.rs
@@ -4,7 +4,9 @@
     super::{refusal_history::RefusalHistory, server_call::CallTarget},
     crate::state::HostState,
     bytes::Bytes,
-    camphorcove_core::{fleet::ServerEntry, ids::ServerId, time::BootTime},
+    camphorcove_core::{
+        dispatch::ConnectionLimit, fleet::ServerEntry, ids::ServerId, time::BootTime,
+    },
     camphorcove_net::http::{HeadLimit, ServerStream},
     camphorcove_platform::ResponseHead,
     http::{HeaderValue, StatusCode},
@@ -14,6 +16,7 @@
     snafu::Snafu,
     std::{
         collections::HashMap,
+        io,
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -38,8 +41,10 @@
 /// Receive buffer of a connection, in bytes; it limits the size of a response's headers.
 const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 
-/// Number of connections that a host may always open to a server, whatever its share.
-const MIN_CONNECTIONS: u32 = 2;
+/// Time for which a new connection is checked for a reset, in addition to twice the time that it took
+/// to open: the reset follows the acceptance after one round trip and the server's own work of some 1 ms,
+/// which may wait for a slot.
+const RESET_CHECK_MARGIN: Duration = Duration::from_millis(5);
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
@@ -49,6 +54,12 @@
     /// This host's share of the server's connection limit is in use.
     #[snafu(display("all connections are in use"))]
     Full,
+    /// The server has reset the connection, as it has too many.
+    #[snafu(display("connection reset before use: {reason}"))]
+    Rejected {
+        /// How the connection ended.
+        reason: String,
+    },
     /// The server did not accept a connection in time.
     #[snafu(display("no connection: {reason}"))]
     Unreachable {
@@ -67,6 +78,8 @@
     /// Refusals that it has carried.
     pub refusals: RefusalHistory,
     key: ConnectionKey,
+    /// Whether it has carried no response yet.
+    is_new: bool,
 }
 
 /// Identifies the server process, so that a connection to one incarnation of a server is
@@ -90,6 +103,7 @@
 struct ServerConnections {
     idle: Vec<IdleConnection>,
     open_count: Arc<AtomicU32>,
+    limit: ConnectionLimit,
 }
 
 /// Connections of this host to backend servers.
@@ -130,21 +144,27 @@
             incarnation: entry.incarnation,
             address: entry.address,
         };
-        let open_count = match self.take_idle(&key, request_id) {
+        let (open_count, limit) = match self.take_idle(&key, request_id) {
             Ok(pooled) => return Ok(pooled),
-            Err(open_count) => open_count,
+            Err(counted) => counted,
         };
-        let host_share = (target.max_connections / self.state.hosts().max(1)).max(MIN_CONNECTIONS);
-        if open_count.load(Ordering::Relaxed) >= host_share {
+        let started = self.state.now();
+        let open = open_count.load(Ordering::Relaxed);
+        if !limit.may_open(open, target.max_connections, self.state.hosts(), started) {
             return FullSnafu.fail();
         }
         open_count.fetch_add(1, Ordering::Relaxed);
         let guard = OpenConnectionGuard(open_count.clone());
-        let opened = timeout(CONNECT_TIMEOUT, connect(entry.address, guard)).await;
-        let (sender, head_limit) = match opened {
-            Ok(Ok(connected)) => connected,
-            Ok(Err(reason)) => {
+        let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address)).await;
+        let stream = match opened {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => {
                 self.state.record_unreachable_server(&entry.id);
+                let reason = error.to_string();
+                if error.kind() == io::ErrorKind::ConnectionReset {
+                    self.record_reset(&key);
+                    return RejectedSnafu { reason }.fail();
+                }
                 return UnreachableSnafu { reason }.fail();
             }
             Err(_) => {
@@ -155,6 +175,17 @@
                 .fail();
             }
         };
+        if limit.has_reset(started) {
+            let wait = self.state.now().since(started) * 2 + RESET_CHECK_MARGIN;
+            if let Some(reason) = find_reset(&stream, wait).await {
+                self.record_reset(&key);
+                return RejectedSnafu { reason }.fail();
+            }
+        }
+        let (sender, head_limit) = match start_http(stream, entry.address, guard).await {
+            Ok(connected) => connected,
+            Err(reason) => return UnreachableSnafu { reason }.fail(),
+        };
         self.state.record_server_connection();
         self.state
             .counters
@@ -165,6 +196,7 @@
             head_limit,
             refusals: RefusalHistory::default(),
             key,
+            is_new: true,
         })
     }
 
@@ -220,6 +252,22 @@
         });
     }
 
+    /// Records that a connection has ended without a response to the request on it. A new one was most
+    /// likely above the server's limit.
+    pub fn record_lost(&self, pooled: &PooledConnection) {
+        if pooled.is_new {
+            self.record_reset(&pooled.key);
+        }
+    }
+
+    fn record_reset(&self, key: &ConnectionKey) {
+        let now = self.state.now();
+        let mut by_server = self.lock();
+        if let Some(server_connections) = by_server.get_mut(key) {
+            server_connections.limit.record_reset(now);
+        }
+    }
+
     /// Closes all idle connections to a server.
     pub fn close_idle(&self, server: &ServerId) {
         let mut by_server = self.lock();
@@ -243,12 +291,12 @@
     }
 
     /// Takes an idle connection that has carried no refusal of this request; without one, returns
-    /// the counter of the server's open connections.
+    /// the counter of the server's open connections and what limits them.
     fn take_idle(
         &self,
         key: &ConnectionKey,
         request_id: &HeaderValue,
-    ) -> Result<PooledConnection, Arc<AtomicU32>> {
+    ) -> Result<PooledConnection, (Arc<AtomicU32>, ConnectionLimit)> {
         let now = self.state.now();
         let mut by_server = self.lock();
         let server_connections = by_server.entry(key.clone()).or_default();
@@ -268,9 +316,13 @@
                     head_limit: idle.head_limit,
                     refusals: idle.refusals,
                     key: key.clone(),
+                    is_new: false,
                 })
             }
-            None => Err(server_connections.open_count.clone()),
+            None => Err((
+                server_connections.open_count.clone(),
+                server_connections.limit,
+            )),
         }
     }
 
@@ -281,13 +333,22 @@
     }
 }
 
-async fn connect(
+/// How the server ended a connection within `wait`; `None` if it has kept it. A server sends nothing
+/// before the first request.
+async fn find_reset(stream: &TcpStream, wait: Duration) -> Option<String> {
+    let mut byte = [0; 1];
+    match timeout(wait, stream.peek(&mut byte)).await {
+        Ok(Ok(0)) => Some("closed".into()),
+        Ok(Err(error)) => Some(error.to_string()),
+        Ok(Ok(_)) | Err(_) => None,
+    }
+}
+
+async fn start_http(
+    stream: TcpStream,
     address: SocketAddr,
     guard: OpenConnectionGuard,
 ) -> Result<(Sender, HeadLimit), String> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|error| error.to_string())?;
     stream
         .set_nodelay(true)
         .map_err(|error| error.to_string())?;
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -106,6 +106,10 @@
             permit.end(RequestOutcome::Abandoned, None);
             return CallOutcome::NotSent(PoolError::Full.to_string());
         }
+        Err(rejected @ PoolError::Rejected { .. }) => {
+            permit.end(RequestOutcome::Refused, None);
+            return CallOutcome::NotSent(rejected.to_string());
+        }
         Err(pool_error) => {
             permit.end(RequestOutcome::Unresponsive, None);
             pool.close_idle(&entry.id);
@@ -171,6 +175,7 @@
             CallOutcome::Unknown(reason)
         }
         Err(ExchangeFailure::ConnectionLost(reason)) => {
+            pool.record_lost(&pooled);
             permit.end(RequestOutcome::Failure, None);
             CallOutcome::ConnectionLost(reason)
         }
