--- a/crates/daemon/tests/server_faults.rs
+++ b/crates/daemon/tests/server_faults.rs
@@ -58,6 +58,10 @@
 #[case::reset_after_head(ServerAction::ResetAfterHead, (502, 301, "may-have-run", 0))]
 #[case::reply_head_cut(ServerAction::ReplyThenClose("HTTP/1.1 200 O".into()), (502, 301, "may-have-run", 1))]
 #[case::reply_malformed(ServerAction::ReplyThenClose("nonsense\r\n\r\n".into()), (502, 303, "may-have-run", 1))]
+#[case::reply_with_status_000(
+    ServerAction::ReplyThenClose("HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nok".into()),
+    (502, 303, "may-have-run", 1)
+)]
 #[case::reply_without_end(ServerAction::ReplyThenClose("HTTP/1.1 200 OK\r\n\r\nx".into()), (502, 303, "may-have-run", 1))]
 #[case::reply_with_two_lengths(
     ServerAction::ReplyThenClose("HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nxy".into()),
--- /dev/null
+++ b/crates/gateway/tests/odd_status.rs
@@ -0,0 +1,53 @@
+//! Servers in trouble that answer with a status that HTTP does not have.
+
+mod support;
+
+use {
+    camphorcove_platform_standin::{
+        caller::{CallerResponse, read_response, request},
+        scripted_server::{ScriptedServer, response},
+    },
+    rstest::rstest,
+    support::fixtures::{entry, start_host_with},
+    tokio::{io::AsyncWriteExt, net::TcpStream},
+};
+
+/// Size of a body that is streamed to the caller, in bytes: more than 128 KiB.
+const LONG_BODY: usize = 140_000;
+
+/// Calls a host whose only server answers each request with this status line and body.
+async fn call_server(status: &str, signed: bool, lines: &str, method: &str) -> CallerResponse {
+    let size = match lines.is_empty() {
+        true => LONG_BODY,
+        false => 2,
+    };
+    let lines = format!("{lines}Content-Length: {size}\r\n");
+    let script = response(status, signed, &lines, &"x".repeat(size));
+    let server = ScriptedServer::start(vec![script]).await;
+    let host = start_host_with(vec![entry("s-1", "plain", server.address)]).await;
+    let text = match method {
+        "GET" => request("GET", "/read/a", "r1", "", ""),
+        _ => request("POST", "/write/a", "r1", "", "x"),
+    };
+    let mut stream = TcpStream::connect(host.address).await.expect("listens");
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    read_response(&mut stream, &mut Vec::new()).await
+}
+
+/// Guards against an answer with the status 000, or another one that is none, that reaches the caller as an
+/// answer, and against one that counts as "not run".
+#[rstest]
+#[tokio::test]
+async fn answer_without_a_valid_status_is_no_answer(
+    #[values(
+        "000 OK", "000", "00 OK", "0 OK", "099 OK", "1000 OK", "2OO OK", "-200 OK"
+    )]
+    status: &str,
+    #[values(true, false)] signed: bool,
+    #[values("", "X-Upstream-Load: 1,0,3\r\n", "X-Not-Executed: 1\r\n")] lines: &str,
+    #[values("GET", "POST")] method: &str,
+) {
+    let response = call_server(status, signed, lines, method).await;
+
+    assert_eq!(response.status, 502);
+}
