--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -11,6 +11,8 @@
 mod key_range;
 mod lease_bounds;
 mod lease_orders;
+mod load_estimate;
+mod load_relief;
 mod move_planning;
 mod owner_delta;
 mod owner_map;
@@ -20,6 +22,8 @@
 mod predecessor_watch;
 mod range_load;
 mod range_moves;
+mod target_queue;
+mod zone_load;
 
 pub use {
     elector_list::ElectorList,
--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -112,6 +112,7 @@
                 instance,
                 capacity,
                 empty,
+                zone: entry.zone.clone(),
             });
         }
         assignable
--- a/crates/core/tests/range_moves.rs
+++ b/crates/core/tests/range_moves.rs
@@ -24,6 +24,7 @@
         instance: instance(number),
         capacity,
         empty: false,
+        zone: "a".parse().expect("valid zone"),
     }
 }
 
