--- a/crates/core/src/ownership/load_relief.rs
+++ b/crates/core/src/ownership/load_relief.rs
@@ -106,12 +106,16 @@
             if is_filled_by_key && !is_overloaded {
                 continue;
             }
-            let gave_all = self.move_hot_keys(from, hot_keys, &mut targets, &mut queue);
-            self.move_quiet_keys(from, !gave_all, &mut targets);
+            self.move_hot_keys(from, &hot_keys, &mut targets, &mut queue);
+            let has_hot_key = self.gets_range[from]
+                || hot_keys
+                    .iter()
+                    .any(|(_, key)| self.owned_range(from, *key).is_some());
+            self.move_quiet_keys(from, has_hot_key, &mut targets);
         }
     }
 
-    /// Hot keys of a server with their weights.
+    /// Hot keys of a server with their weights, in key order.
     fn hot_keys(&self, at: usize) -> Vec<(f32, u16)> {
         let least = (self.servers[at].capacity * HOT_KEY_SHARE).max(MIN_HOT_WEIGHT);
         let mut hot_keys: Vec<(f32, u16)> = Vec::new();
@@ -123,6 +127,7 @@
                 }
             }
         }
+        hot_keys.sort_by_key(|(_, key)| *key);
         hot_keys
     }
 
@@ -133,23 +138,23 @@
     }
 
     /// Moves the hot keys that server `from` has no room for, the hottest one by one and the others
-    /// together with their neighbours. Returns `false` if the server keeps a hot key or gets one.
+    /// together with their neighbours.
     fn move_hot_keys(
         &mut self,
         from: usize,
-        hot_keys: Vec<(f32, u16)>,
+        hot_keys: &[(f32, u16)],
         targets: &mut MoveTargets,
         overfull: &mut VecDeque<usize>,
-    ) -> bool {
+    ) {
         let capacity = self.servers[from].capacity;
-        let mut gave_all = !self.gets_range[from];
-        let mut singles: Vec<(f32, u16)> = hot_keys.clone();
-        singles.retain(|(weight, _)| *weight >= targets.single_weight);
+        let is_single = |(weight, _): &&(f32, u16)| *weight >= targets.single_weight;
+        let mut singles: Vec<(f32, u16)> = hot_keys.iter().filter(is_single).copied().collect();
         singles.sort_by(|(left, _), (right, _)| right.total_cmp(left));
         let mut kept: Vec<u16> = Vec::new();
         for (weight, key) in singles {
-            if self.loads[from] <= targets.hot_fill * capacity {
-                return false;
+            let is_relieved = self.loads[from] <= targets.hot_fill * capacity;
+            if is_relieved || self.moves.len() >= self.move_limit() {
+                return;
             }
             let range = KeyRange {
                 first: key,
@@ -160,13 +165,12 @@
                 .single
                 .best(Some(from), zone, self.servers, &self.loads);
             let Some((to, _)) = best else {
-                return false;
+                return;
             };
             let after = (self.loads[to] + weight) / self.servers[to].capacity;
             let fits = after <= targets.hot_key_fill;
             if !fits && after > self.utilization(from) * MIN_IMPROVEMENT {
                 kept.push(key);
-                gave_all = false;
                 continue;
             }
             if !fits && weight > targets.hot_fill * self.servers[to].capacity {
@@ -217,7 +221,6 @@
             self.take_from(from, group);
             self.assign(group, to);
         }
-        gave_all
     }
 
     /// Moves keys from the ends of the ranges of server `from` until the rest fits.
@@ -235,17 +238,16 @@
             if excess <= 0.0 {
                 return;
             }
-            let zone = self.owned[from].first();
-            let zone = zone.and_then(|range| self.load.main_zone(*range));
             let best = targets
                 .quiet
-                .best(Some(from), zone, self.servers, &self.loads);
+                .best(Some(from), None, self.servers, &self.loads);
             let Some((to, headroom)) = best else {
                 return;
             };
             let Some(subrange) = self.best_subrange(from, excess.min(headroom)) else {
                 return;
             };
+            let to = self.nearer_target(&mut targets.quiet, Some(from), subrange, to);
             self.take_from(from, subrange);
             self.assign(subrange, to);
         }
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -16,7 +16,7 @@
     },
     crate::{
         fleet::FleetView,
-        ids::{HostId, ServerId, ServiceName},
+        ids::{HostId, ServerId, ServiceName, ZoneName},
         time::BootTime,
     },
     std::{
@@ -322,18 +322,23 @@
         self.must_withdraw = true;
     }
 
-    /// Adds requests for a key to the load of its range.
+    /// Adds requests for a key that hosts of `zone` have received to the load of its range. Hosts of an
+    /// earlier build do not name their zone.
     pub fn record_requests(
         &mut self,
         service: &ServiceName,
-        key: u16,
-        requests: u32,
+        zone: Option<&ZoneName>,
+        (key, requests): (u16, u32),
         now: BootTime,
     ) {
-        self.loads
+        let load = self
+            .loads
             .entry(service.clone())
-            .or_insert_with(|| RangeLoad::new(now))
-            .add(key, requests);
+            .or_insert_with(|| RangeLoad::new(now));
+        match zone {
+            Some(zone) => load.add_from(zone, key, requests),
+            None => load.add(key, requests),
+        }
     }
 
     /// Applies an event to the state of the planner.
--- a/crates/core/src/ownership/range_moves.rs
+++ b/crates/core/src/ownership/range_moves.rs
@@ -162,19 +162,38 @@
         for unowned_range in unowned {
             let mut rest = Some(unowned_range);
             while let Some(range) = rest {
-                let zone = self.load.main_zone(range);
-                let Some((to, headroom)) = targets.best(None, zone, self.servers, &self.loads)
+                let Some((to, headroom)) = targets.best(None, None, self.servers, &self.loads)
                 else {
                     return;
                 };
                 let least = fill * self.servers[to].capacity * MIN_PLACED_SHARE;
                 let (subrange, left) = self.split_front(range, headroom.max(least));
+                let to = self.nearer_target(&mut targets, None, subrange, to);
                 self.assign(subrange, to);
                 rest = left;
             }
         }
     }
 
+    /// Server in the zone from which most requests for the range come, if it has room for the range
+    /// and nearly as much headroom as `target`; otherwise `target`.
+    pub(super) fn nearer_target(
+        &self,
+        targets: &mut TargetQueue,
+        from: Option<usize>,
+        range: KeyRange,
+        target: usize,
+    ) -> usize {
+        let Some(zone) = self.load.main_zone(range) else {
+            return target;
+        };
+        let nearest = targets.best(from, Some(zone), self.servers, &self.loads);
+        match nearest {
+            Some((at, headroom)) if headroom >= self.estimate.of(range) => at,
+            _ => target,
+        }
+    }
+
     /// Splits `range` after its longest prefix that weighs at most `headroom`, but at least one
     /// key. Returns the prefix and the rest.
     fn split_front(&self, range: KeyRange, headroom: f32) -> (KeyRange, Option<KeyRange>) {
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -263,9 +263,10 @@
         if report.term != planner.state().term {
             return;
         }
+        let zone = report.addition.0.zone.as_ref();
         for (service, keys) in &report.load.keys {
-            for (key, requests) in keys {
-                planner.record_requests(service, *key, *requests, now);
+            for counted in keys {
+                planner.record_requests(service, zone, *counted, now);
             }
         }
         let memory = self
