--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -22,6 +22,7 @@
 mod predecessor_watch;
 mod range_load;
 mod range_moves;
+mod refusal_table;
 mod target_queue;
 mod zone_load;
 
@@ -43,4 +44,5 @@
     predecessor_watch::{ElectorSource, FRESH_REPORT_LIMIT, Predecessor, PredecessorWatch},
     range_load::RangeLoad,
     range_moves::{AssignableServer, RangeMove, choose_moves},
+    refusal_table::{RefusalScope, RefusalTable},
 };
--- a/crates/core/src/ownership/owner_map.rs
+++ b/crates/core/src/ownership/owner_map.rs
@@ -46,17 +46,7 @@
 
     /// Looks up the owner of `key` of `service`.
     pub fn lookup(&self, service: &ServiceName, key: u16) -> OwnerLookup {
-        let owners = self
-            .state
-            .as_ref()
-            .and_then(|state| state.services.get(service));
-        let Some(owners) = owners else {
-            return OwnerLookup::Unassigned;
-        };
-        let index = owners
-            .ranges
-            .partition_point(|record| record.range.last < key);
-        match owners.ranges.get(index).map(|record| &record.phase) {
+        match self.phase(service, key) {
             Some(RangePhase::Owned { owner, .. }) => OwnerLookup::Owner(owner.clone()),
             Some(RangePhase::Moving { token, .. }) => {
                 let since = self.moves.get(&(service.clone(), *token));
@@ -65,4 +55,19 @@
             Some(RangePhase::Free) | None => OwnerLookup::Unassigned,
         }
     }
+    /// Fencing token under which `key` of `service` is owned.
+    pub fn token(&self, service: &ServiceName, key: u16) -> Option<u64> {
+        match self.phase(service, key)? {
+            RangePhase::Owned { token, .. } => Some(*token),
+            RangePhase::Moving { .. } | RangePhase::Free => None,
+        }
+    }
+
+    fn phase(&self, service: &ServiceName, key: u16) -> Option<&RangePhase> {
+        let owners = self.state.as_ref()?.services.get(service)?;
+        let index = owners
+            .ranges
+            .partition_point(|record| record.range.last < key);
+        owners.ranges.get(index).map(|record| &record.phase)
+    }
 }
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -225,13 +225,13 @@
             CallOutcome::NotRun(status) => {
                 history.sent += 1;
                 self.log_failed_attempt(routed, &entry, "request refused by server");
-                if status == StatusCode::MISDIRECTED_REQUEST && routed.key.is_some() {
+                if let (StatusCode::MISDIRECTED_REQUEST, Some(key)) = (status, routed.key) {
                     let time_left = routed.call.expires_at.since(self.state.now());
                     if !self
                         .await_owner(history, OWNER_UPDATE_WAIT.min(time_left))
                         .await
                     {
-                        self.state.record_not_owner(&entry.id);
+                        self.state.record_not_owner(&routed.service, key, &entry);
                     }
                 }
             }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -17,7 +17,7 @@
         },
         fleet::{FleetView, OutageGuard},
         ids::{ServerId, ServiceName, StoreVersion},
-        ownership::{OwnerMap, OwnerState},
+        ownership::{OwnerMap, OwnerState, RefusalTable},
         quarantine::SuspectTable,
         routing::{RouteRule, RouteTable, WeightedRoundRobin},
         time::BootTime,
@@ -113,8 +113,8 @@
     pub(super) remembered_owners: StoreVersion,
     /// Requests per service and key since the last report.
     pub(super) key_counts: BTreeMap<ServiceName, BTreeMap<u16, u32>>,
-    /// Servers that refused a key as not their own, and until when they get no keyed request.
-    pub(super) not_owner_until: HashMap<ServerId, BootTime>,
+    /// Keys that servers have refused as not their own.
+    pub(super) owner_refusals: RefusalTable,
     /// Servers that want no requests from this host for a time.
     pub(super) pauses: PauseTable,
     pub(super) random: ChaCha8Rng,
@@ -224,7 +224,7 @@
                 owner_state: None,
                 remembered_owners: StoreVersion::default(),
                 key_counts: BTreeMap::new(),
-                not_owner_until: HashMap::new(),
+                owner_refusals: RefusalTable::default(),
                 pauses: PauseTable::default(),
                 random,
                 host_count: HostCount::default(),
@@ -397,7 +397,7 @@
         }
         let state = Arc::new(state);
         inner.owners.update(state.clone(), now);
-        inner.not_owner_until.clear();
+        inner.owner_refusals.clear();
         inner.owner_state = Some((state, version));
         drop(inner);
         self.owners_changed.notify_waiters();
@@ -474,5 +474,8 @@
         if let Some(load) = load {
             gauge.record_reported_load(load, now);
         }
+        if outcome == RequestOutcome::Success {
+            inner.owner_refusals.record_served(server);
+        }
     }
 }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -11,6 +11,7 @@
 mod limit_tracking;
 mod load_report;
 mod log_rate_limiter;
+mod owner_refusals;
 mod pause_tracking;
 mod planned_stop;
 mod reach_tracking;
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -28,9 +28,6 @@
 /// two writes to the store and a grant. Requests wait this long for a move and no longer.
 const EXPECTED_MOVE_DURATION: Duration = Duration::from_millis(1_200);
 
-/// Time for which a server gets no keyed requests after it refused a key as not its own.
-const NOT_OWNER_PAUSE: Duration = Duration::from_millis(200);
-
 /// Limited servers that a request is tried at before it goes to a server without a limit. Each
 /// choice looks at all servers of the service.
 const MAX_CLOSED_GATES: u32 = 2;
@@ -272,8 +269,9 @@
             Some(entry) if entry.incarnation == owner.incarnation => entry.clone(),
             _ => return inner.refuse_unowned(),
         };
-        let not_owner_until = inner.not_owner_until.get(&owner.id);
-        if !inner.is_in_service(&entry, now) || not_owner_until.is_some_and(|until| now < *until) {
+        if !inner.is_in_service(&entry, now)
+            || inner.has_refused(query.service, key, &owner.id, now)
+        {
             return inner.refuse_unowned();
         }
         if let Some(left) = inner.pauses.time_left(&entry, now) {
@@ -318,12 +316,6 @@
         self.lock().pauses.time_left(entry, now).is_some()
     }
 
-    /// Records that a server refused a key that it does not own.
-    pub fn record_not_owner(&self, server: &ServerId) {
-        let until = self.now() + NOT_OWNER_PAUSE;
-        self.lock().not_owner_until.insert(server.clone(), until);
-    }
-
     /// Selects one of the ready servers of a service without keys.
     fn pick_any(self: &Arc<Self>, query: PickQuery<'_>) -> ServerPick {
         let now = self.now();
