--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -11,6 +11,8 @@
 mod key_range;
 mod lease_bounds;
 mod lease_orders;
+mod load_estimate;
+mod load_relief;
 mod move_planning;
 mod owner_delta;
 mod owner_map;
@@ -20,6 +22,9 @@
 mod predecessor_watch;
 mod range_load;
 mod range_moves;
+mod refusal_table;
+mod target_queue;
+mod zone_load;
 
 pub use {
     elector_list::ElectorList,
@@ -39,4 +44,5 @@
     predecessor_watch::{ElectorSource, FRESH_REPORT_LIMIT, Predecessor, PredecessorWatch},
     range_load::RangeLoad,
     range_moves::{AssignableServer, RangeMove, choose_moves},
+    refusal_table::{RefusalScope, RefusalTable},
 };
