--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -76,7 +76,7 @@
         now.since(self.balanced_at) >= BALANCE_INTERVAL
     }
 
-    /// Servers of the service that can take keys: ready, responsive and not ended.
+    /// Servers of the service that can take keys: ready, responsive, not ended and in no evacuated zone.
     pub(super) fn assignable_servers(
         &self,
         plan_context: PlanContext<'_>,
@@ -97,6 +97,9 @@
             if entry.service != *service || entry.phase != ServerPhase::Ready {
                 continue;
             }
+            if plan_context.evacuations.is_evacuated(&entry.zone) {
+                continue;
+            }
             let instance = ServerInstance {
                 id: entry.id.clone(),
                 incarnation: entry.incarnation,
@@ -198,8 +201,8 @@
         }
     }
 
-    /// Starts moving ranges whose owner is draining, unresponsive or overloaded, and assigns
-    /// free ranges.
+    /// Starts moving ranges whose owner is draining, in an evacuated zone, unresponsive or overloaded,
+    /// and assigns free ranges.
     ///
     /// Returns `false` if it was too early to choose moves.
     pub(super) fn start_moves(
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -15,7 +15,7 @@
         lease_orders::{GrantProgress, RangeId, RevocationProgress},
     },
     crate::{
-        fleet::FleetView,
+        fleet::{EvacuationTable, FleetView},
         ids::{HostId, ServerId, ServiceName},
         time::BootTime,
     },
@@ -100,6 +100,8 @@
 pub struct PlanContext<'a> {
     /// Servers that have registered.
     pub fleet: &'a FleetView,
+    /// Zones whose servers get no keys.
+    pub evacuations: &'a EvacuationTable,
     /// Whether the fleet may lack servers that registered before this leader's term.
     pub fleet_is_behind: bool,
     /// Keyed services of the configuration.
--- a/crates/core/tests/support/leader_model.rs
+++ b/crates/core/tests/support/leader_model.rs
@@ -6,7 +6,7 @@
 use {
     super::model_leader::{ModelLeader, PendingWrite},
     camphorcove_core::{
-        fleet::FleetView,
+        fleet::{EvacuationTable, FleetView},
         ids::HostId,
         ownership::{
             AUTHORITY_LIMIT, ElectorSource, LeaderRecord, LeaseBounds, ORDER_TIMEOUT, OwnerState,
@@ -470,6 +470,7 @@
     fn poll(&mut self, leader: &mut ModelLeader) {
         let plan_context = PlanContext {
             fleet: &FleetView::default(),
+            evacuations: &EvacuationTable::default(),
             fleet_is_behind: false,
             services: &[],
             capacity: &HashMap::new(),
--- a/crates/core/tests/support/planner_driver.rs
+++ b/crates/core/tests/support/planner_driver.rs
@@ -3,7 +3,7 @@
 
 use {
     camphorcove_core::{
-        fleet::{FleetView, ServerEntry, ServerPhase},
+        fleet::{EvacuationTable, FleetView, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName},
         ownership::{
             KeyRange, OrderFailure, OwnerState, OwnershipPlanner, PlanAction, PlanContext,
@@ -86,6 +86,7 @@
 pub struct PlannerDriver {
     pub planner: OwnershipPlanner,
     pub fleet: FleetView,
+    pub evacuations: EvacuationTable,
     pub fleet_is_behind: bool,
     pub now: BootTime,
 }
@@ -95,6 +96,7 @@
         Self {
             planner: OwnershipPlanner::new(state, BootTime::default(), START),
             fleet: fleet(servers),
+            evacuations: EvacuationTable::default(),
             fleet_is_behind: false,
             now: START,
         }
@@ -145,6 +147,7 @@
         let capacity: HashMap<ServerId, f32> = HashMap::new();
         let plan_context = PlanContext {
             fleet: &self.fleet,
+            evacuations: &self.evacuations,
             fleet_is_behind: self.fleet_is_behind,
             services: &[service()],
             capacity: &capacity,
--- a/crates/core/tests/support/range_simulation.rs
+++ b/crates/core/tests/support/range_simulation.rs
@@ -6,7 +6,7 @@
 
 use {
     camphorcove_core::{
-        fleet::{FleetView, ServerEntry, ServerPhase},
+        fleet::{EvacuationTable, FleetView, ServerEntry, ServerPhase},
         ids::{HostId, ServerId, ServiceName},
         ownership::{
             AUTHORITY_LIMIT, KeyRange, LeaderRecord, ORDER_TIMEOUT, OrderFailure, OwnerState,
@@ -397,6 +397,7 @@
                 .handle_input(PlanInput::Reports(electors), self.now);
             let plan_context = PlanContext {
                 fleet: &fleet,
+                evacuations: &EvacuationTable::default(),
                 fleet_is_behind: false,
                 services: &services,
                 capacity: &capacity,
