--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -221,6 +221,11 @@
         self.published
     }
 
+    /// Number of this host's requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.own_in_flight
+    }
+
     /// Returns the number of this host's requests in flight, and records it as reported to the
     /// leader.
     pub fn publish_in_flight(&mut self) -> u32 {
--- a/crates/core/tests/evacuations.rs
+++ b/crates/core/tests/evacuations.rs
@@ -242,10 +242,7 @@
 }
 
 /// Planner for servers in these zones.
-fn planner_with_zones(
-    state: OwnerState,
-    zones: &[&str],
-) -> PlannerDriver {
+fn planner_with_zones(state: OwnerState, zones: &[&str]) -> PlannerDriver {
     let numbers: Vec<u16> = (0..).take(zones.len()).collect();
     let mut driver = PlannerDriver::new(state, &numbers);
     for (number, name) in numbers.iter().zip(zones) {
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -203,6 +203,7 @@
         self.state.expire_fleet();
         self.state.expire_suspects();
         self.state.expire_pauses();
+        self.state.expire_evacuations();
         self.state.expire_remote_load();
         let is_leader = matches!(self.role, Role::Leader(_));
         if is_leader {
@@ -250,6 +251,7 @@
     pub(super) fn run_leader_round(&mut self, actor: &ActorRef<Self>, now: BootTime) {
         let services = self.keyed_services();
         let fleet = self.state.fleet();
+        let evacuations = self.state.evacuations();
         let capacity = self.capacity();
         let fleet_is_behind = self.fleet_is_behind(now);
         let Role::Leader(planner) = &mut self.role else {
@@ -258,6 +260,7 @@
         let term = planner.state().term;
         let plan_context = PlanContext {
             fleet: &fleet,
+            evacuations: &evacuations,
             fleet_is_behind,
             services: &services,
             capacity: &capacity,
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -164,6 +164,8 @@
         }
         self.leader_without_store = (!digest.has_store).then_some(digest.nonce);
         self.state.record_digest(watches);
+        self.state
+            .record_digest_evacuations(digest.addition.0.evacuations.as_ref());
         self.state.set_remote_load(digest.hosts, &digest.servers);
         self.state.set_shared_limits(&digest.limits);
         self.state.record_leaving_servers(&digest.leaving);
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -7,10 +7,13 @@
         owner_update::OwnerUpdate,
     },
     crate::{
-        peers::{Digest, OwnerChange, PeerMessage, Report, ReportAddition, Trailing},
+        peers::{
+            Digest, DigestAddition, OwnerChange, PeerMessage, Report, ReportAddition, Trailing,
+        },
         state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind, SuspectNews},
     },
     camphorcove_core::{
+        fleet::EvacuationSource,
         ownership::{
             AUTHORITY_LIMIT_WITHOUT_MAJORITY, ElectorList, FRESH_REPORT_LIMIT, OwnerDelta,
             PlanInput,
@@ -87,6 +90,7 @@
             load,
             addition: Trailing(ReportAddition {
                 zone: Some(self.state.settings.zone.clone()),
+                evacuations: self.state.evacuation_news(),
                 ..ReportAddition::default()
             }),
         };
@@ -259,6 +263,10 @@
             return;
         };
         self.versions.merge(&report.versions);
+        if let Some(list) = report.addition.0.evacuations.clone() {
+            let source = EvacuationSource::Snapshot;
+            self.state.apply_evacuations(list, source);
+        }
         // A report for another term does not show that its host follows this leader.
         if report.term != planner.state().term {
             return;
@@ -383,7 +391,10 @@
                 true => self.peers.clone(),
                 false => Vec::new(),
             },
-            addition: Trailing::default(),
+            addition: Trailing(DigestAddition {
+                evacuations: self.state.evacuation_list(),
+                ..DigestAddition::default()
+            }),
         };
         self.state
             .set_relay_peers(&digest.peers, &digest.without_servers);
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -1,6 +1,7 @@
 //! Metrics in the Prometheus text format.
 
 use {
+    super::evacuation_metrics::register_evacuations,
     crate::state::HostState,
     prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder},
     std::sync::atomic::Ordering,
@@ -52,6 +53,11 @@
             "Requests refused because a server wants none for a time.",
             &counters.paused,
         ),
+        (
+            "evacuated_total",
+            "Requests refused because the owner of their key is in an evacuated zone.",
+            &counters.evacuated,
+        ),
         (
             "relayed_total",
             "Requests handed to other hosts.",
@@ -130,6 +136,7 @@
         gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         registry.register(Box::new(gauge))?;
     }
+    register_evacuations(&registry, state)?;
     let mut page = Vec::new();
     TextEncoder::new().encode(&registry.gather(), &mut page)?;
     Ok(page)
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Serves the readiness check and the metrics page over HTTP.
 
+mod evacuation_metrics;
 mod metric_page;
 mod probe_listener;
 
--- a/crates/gateway/src/node/run_host.rs
+++ b/crates/gateway/src/node/run_host.rs
@@ -11,7 +11,7 @@
         peers::{PeerLink, receive, share_suspects},
         serve::{CallerListener, RequestHandler},
         state::HostState,
-        watch::{ConfigFollower, FleetFollower, follow, read_owners},
+        watch::{ConfigFollower, EvacuationFollower, FleetFollower, follow, read_owners},
     },
     camphorcove_platform::StoreClient,
     kameo::actor::{ActorRef, Spawn},
@@ -111,6 +111,13 @@
         let (state, store) = context.clone();
         follow(state.clone(), store, FleetFollower::new(state))
     }));
+    if state.follows_evacuations() {
+        let context = (state.clone(), store.clone());
+        tokio::spawn(supervise("evacuated zones", move || {
+            let (state, store) = context.clone();
+            follow(state.clone(), store, EvacuationFollower::new(state))
+        }));
+    }
     let context = (state.clone(), store.clone(), leader.clone());
     tokio::spawn(supervise("assignment", move || {
         let (state, store, leader) = context.clone();
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -136,6 +136,7 @@
                         PickRefusal::TooLate => Refusal::TooLate,
                         PickRefusal::NoServer
                         | PickRefusal::OwnerUnresponsive
+                        | PickRefusal::OwnerEvacuated
                         | PickRefusal::NoOwner => Refusal::Unavailable,
                     };
                     return self.give_up(&routed, history, refusal, Some(retry_after));
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -163,11 +163,15 @@
         self.lock().feed.watching_since().is_some()
     }
 
-    /// Time for which this host may rely on the leader's digests; zero if it has to watch the
-    /// store.
-    pub fn feed_time_left(&self) -> Duration {
+    /// Time for which this host may rely on the leader's digests for changes of a kind; zero if it has
+    /// to watch the store.
+    pub fn feed_time_left(&self, kind: StoreKind) -> Duration {
         let now = self.now();
-        self.lock().feed.time_left(now)
+        let inner = self.lock();
+        match kind {
+            StoreKind::Evacuations if !inner.evacuations.in_digests() => Duration::ZERO,
+            _ => inner.feed.time_left(now),
+        }
     }
 
     /// Records that the store has answered a call of this host.
@@ -240,7 +244,11 @@
 
     /// Records that all changes of a kind within the span have been seen.
     pub fn record_seen(&self, kind: StoreKind, span: VersionSpan) {
+        let now = self.now();
         let mut inner = self.lock();
+        if kind == StoreKind::Evacuations {
+            inner.evacuations.confirm(span, now);
+        }
         inner.seen_through.advance(kind, span.through);
         inner.own_versions.advance(kind, span.newest);
     }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -6,7 +6,8 @@
 use {
     super::{
         BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, PlannedStop,
-        SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind, relay_peers::RelayPeers,
+        SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind,
+        evacuation_tracking::EvacuationTracking, relay_peers::RelayPeers,
         suspect_news::SuspectOutbox,
     },
     crate::conf::GatewaySettings,
@@ -64,6 +65,8 @@
     pub pauses: AtomicU64,
     /// Requests refused because a server wants none for a time.
     pub paused: AtomicU64,
+    /// Requests refused because the owner of their key is in an evacuated zone.
+    pub evacuated: AtomicU64,
     /// Requests handed to other hosts, as this one reached no servers.
     pub relayed: AtomicU64,
     /// Requests that other hosts have handed to this one.
@@ -88,6 +91,7 @@
     pub(super) round_robin: WeightedRoundRobin,
     pub(super) fleet: Arc<FleetView>,
     pub(super) outage_guard: OutageGuard,
+    pub(super) evacuations: EvacuationTracking,
     /// Recent fleet updates, for hosts that missed one.
     pub(super) fleet_log: ChangeLog<FleetUpdate>,
     /// Version at which `fleet_log` ends and the next fleet update starts.
@@ -192,6 +196,7 @@
         let round_robin = WeightedRoundRobin::with_phase(rand::RngExt::random(&mut random));
         let body_budget = Arc::new(BodyBudget::new(settings.memory_mb));
         let stop = PlannedStop::new(settings.stop_limit);
+        let evacuations = EvacuationTracking::new(settings.evacuation_limit, BootClock.now());
         Self {
             settings,
             clock: BootClock,
@@ -210,6 +215,7 @@
                 round_robin,
                 fleet: Arc::default(),
                 outage_guard: OutageGuard::default(),
+                evacuations,
                 fleet_log: ChangeLog::default(),
                 fleet_log_end: StoreVersion::default(),
                 feed: StoreFeed::new(BootClock.now()),
@@ -293,7 +299,8 @@
         };
         let keyed = table.services.values().any(|service| service.keyed);
         let owners = !keyed || inner.owner_state.is_some();
-        !self.is_stopping() && inner.fleet_listed && owners
+        let evacuations = inner.evacuations.is_ready(self.now());
+        !self.is_stopping() && inner.fleet_listed && owners && evacuations
     }
 
     /// Selects the service for a request by weighted round robin.
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod change_log;
 mod config_copy;
 mod config_tracking;
+mod evacuation_tracking;
 mod fleet_tracking;
 mod fleet_update;
 mod host_state;
@@ -26,6 +27,7 @@
     body_budget::{BodyBudget, BodyReservation},
     change_log::{ChangeLog, VersionedChange},
     config_copy::ConfigCopy,
+    evacuation_tracking::EvacuationStatus,
     fleet_update::FleetUpdate,
     host_state::{HostCounters, HostState},
     leaving_tracking::LeavingServer,
--- a/crates/gateway/src/state/seen_versions.rs
+++ b/crates/gateway/src/state/seen_versions.rs
@@ -5,7 +5,12 @@
 //! behind reads the kind again.
 
 use {
-    bincode::{Decode, Encode},
+    bincode::{
+        Decode, Encode,
+        de::Decoder,
+        enc::Encoder,
+        error::{DecodeError, EncodeError},
+    },
     camphorcove_core::ids::StoreVersion,
 };
 
@@ -18,6 +23,8 @@
     Fleet,
     /// Assignment of keys to servers.
     Owners,
+    /// Zones that are evacuated. Other hosts learn their version from the list itself.
+    Evacuations,
 }
 
 /// Range of versions that one answer of the store covers.
@@ -31,12 +38,14 @@
     pub newest: StoreVersion,
 }
 
-/// One version for each kind of object.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+/// One version for each kind of object. Messages contain those of the first three kinds, which all
+/// builds know.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SeenVersions {
     config: StoreVersion,
     fleet: StoreVersion,
     owners: StoreVersion,
+    evacuations: StoreVersion,
 }
 
 impl SeenVersions {
@@ -46,6 +55,7 @@
             StoreKind::Config => self.config,
             StoreKind::Fleet => self.fleet,
             StoreKind::Owners => self.owners,
+            StoreKind::Evacuations => self.evacuations,
         }
     }
 
@@ -55,6 +65,7 @@
             StoreKind::Config => &mut self.config,
             StoreKind::Fleet => &mut self.fleet,
             StoreKind::Owners => &mut self.owners,
+            StoreKind::Evacuations => &mut self.evacuations,
         };
         *current = version.max(*current);
     }
@@ -66,3 +77,24 @@
         }
     }
 }
+
+impl Encode for SeenVersions {
+    fn encode<E: Encoder>(&self, encoder: &mut E) -> Result<(), EncodeError> {
+        self.config.encode(encoder)?;
+        self.fleet.encode(encoder)?;
+        self.owners.encode(encoder)
+    }
+}
+
+impl<C> Decode<C> for SeenVersions {
+    fn decode<D: Decoder<Context = C>>(decoder: &mut D) -> Result<Self, DecodeError> {
+        Ok(Self {
+            config: StoreVersion::decode(decoder)?,
+            fleet: StoreVersion::decode(decoder)?,
+            owners: StoreVersion::decode(decoder)?,
+            evacuations: StoreVersion::default(),
+        })
+    }
+}
+
+bincode::impl_borrow_decode!(SeenVersions);
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -63,6 +63,8 @@
     TooLate,
     /// The server that owns the key does not respond.
     OwnerUnresponsive,
+    /// The server that owns the key is in an evacuated zone, and the time for its keys to move is over.
+    OwnerEvacuated,
     /// The key has no usable owner, and none is expected soon enough to wait for.
     NoOwner,
     /// The request has no key, but the service is keyed.
@@ -187,6 +189,9 @@
             if entry.service != *query.service || !is_offered(entry) {
                 continue;
             }
+            if self.evacuations.is_evacuated(&entry.zone) {
+                continue;
+            }
             let Some(gauge) = self.gauges.get(&entry.id) else {
                 continue;
             };
@@ -230,6 +235,11 @@
         ServerPick::Refuse(PickRefusal::Paused, retry_after_pause(left, spread))
     }
 
+    fn refuse_evacuated(&mut self) -> ServerPick {
+        let jitter = rand::RngExt::random(&mut self.random);
+        ServerPick::Refuse(PickRefusal::OwnerEvacuated, retry_after(None, jitter))
+    }
+
     fn refuse_unowned(&mut self) -> ServerPick {
         let jitter = rand::RngExt::random(&mut self.random);
         ServerPick::Refuse(PickRefusal::NoOwner, retry_after(None, jitter))
@@ -276,6 +286,10 @@
         if !inner.is_in_service(&entry, now) || not_owner_until.is_some_and(|until| now < *until) {
             return inner.refuse_unowned();
         }
+        if !inner.evacuations.may_use_owner(&entry.zone, now) {
+            self.counters.evacuated.fetch_add(1, Ordering::Relaxed);
+            return inner.refuse_evacuated();
+        }
         if let Some(left) = inner.pauses.time_left(&entry, now) {
             return inner.refuse_paused(left);
         }
@@ -304,12 +318,14 @@
     }
 
     /// Whether a request assigned to the server may still be sent there: the server has not
-    /// restarted since, has not been leaving for longer than `LEAVING_SERVER_GRACE`, and is not
-    /// paused.
+    /// restarted since, has not been leaving for longer than `LEAVING_SERVER_GRACE`, is not paused,
+    /// and its zone is not evacuated.
     pub fn may_send_to(&self, entry: &ServerEntry) -> bool {
         let now = self.now();
         let inner = self.lock();
-        inner.is_in_service(entry, now) && inner.pauses.time_left(entry, now).is_none()
+        inner.is_in_service(entry, now)
+            && inner.pauses.time_left(entry, now).is_none()
+            && inner.zone_allows(entry, now)
     }
 
     /// Whether the server wants no requests from this host for a time.
--- /dev/null
+++ b/crates/gateway/src/watch/evacuation_follower.rs
@@ -0,0 +1,74 @@
+//! Follows the evacuated zones in the store.
+
+use {
+    super::{CatchUp, KindChange, KindFollower},
+    crate::state::{HostState, LogTopic, StoreKind, VersionSpan},
+    camphorcove_core::{
+        fleet::{EvacuationList, EvacuationSource},
+        ids::ZoneName,
+    },
+    camphorcove_platform::{EVACUATION_KIND, StoredObject},
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+/// Applies changes of the evacuated zones. Only the names of the objects matter, so one whose content
+/// cannot be read counts like any other.
+pub struct EvacuationFollower {
+    state: Arc<HostState>,
+}
+
+impl EvacuationFollower {
+    /// Creates a follower that updates `state`.
+    pub fn new(state: Arc<HostState>) -> Self {
+        Self { state }
+    }
+
+    fn zone_of(&self, object: &StoredObject) -> Option<ZoneName> {
+        match object.name.parse() {
+            Ok(zone) => Some(zone),
+            Err(fault) => {
+                if let Some(left_out) = self.state.may_log(LogTopic::Entry) {
+                    log::warn!(revision:% = object.version, left_out, reason:% = fault; "ignoring evacuation of an invalid zone name");
+                }
+                None
+            }
+        }
+    }
+
+    fn apply(&self, zones: BTreeSet<ZoneName>, source: EvacuationSource, span: VersionSpan) {
+        let list = EvacuationList {
+            version: span.through,
+            zones,
+        };
+        self.state.apply_evacuations(list, source);
+        self.state.record_seen(Self::STORE_KIND, span);
+    }
+}
+
+impl KindFollower for EvacuationFollower {
+    const STORE_KIND: StoreKind = StoreKind::Evacuations;
+    const KIND_NAME: &'static str = EVACUATION_KIND;
+    const CATCH_UP: CatchUp = CatchUp::Watch;
+
+    fn apply_list(&mut self, objects: Vec<StoredObject>, span: VersionSpan) {
+        let zones = objects.iter().filter_map(|object| self.zone_of(object));
+        let zones = zones.collect();
+        self.apply(zones, EvacuationSource::Snapshot, span);
+    }
+
+    fn apply_changes(&mut self, changes: Vec<KindChange>, span: VersionSpan) {
+        let known = self.state.evacuation_list().unwrap_or_default();
+        let mut zones = known.zones;
+        for change in changes {
+            match change {
+                KindChange::Changed(object) => zones.extend(self.zone_of(&object)),
+                KindChange::Removed(object) => {
+                    if let Some(zone) = self.zone_of(&object) {
+                        zones.remove(&zone);
+                    }
+                }
+            }
+        }
+        self.apply(zones, EvacuationSource::Watch, span);
+    }
+}
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -192,7 +192,7 @@
                     store_unavailable = true;
                 }
                 sleep(pause.mul_f64(0.5 + state.random_fraction())).await;
-                let has_feed = !state.feed_time_left().is_zero();
+                let has_feed = !state.feed_time_left(F::STORE_KIND).is_zero();
                 if has_feed && purpose == ListPurpose::CatchUp && !state.is_behind(F::STORE_KIND) {
                     return;
                 }
@@ -238,7 +238,7 @@
 async fn wait_until_read_needed(state: &HostState, kind: StoreKind) -> StoreRead {
     loop {
         let changed = state.versions_changed.notified();
-        let left = state.feed_time_left();
+        let left = state.feed_time_left(kind);
         if left.is_zero() {
             return StoreRead::Watch;
         }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps this host's state in step with the platform's store.
 
 mod config_follower;
+mod evacuation_follower;
 mod fleet_follower;
 mod kind_follower;
 mod owner_reader;
@@ -8,6 +9,7 @@
 pub use kind_follower::{CatchUp, KindChange, KindFollower, follow};
 pub use {
     config_follower::{ConfigFollower, apply_config_copy},
+    evacuation_follower::EvacuationFollower,
     fleet_follower::FleetFollower,
     owner_reader::read_owners,
 };
