--- /dev/null
+++ b/crates/gateway/tests/evacuations.rs
@@ -0,0 +1,431 @@
+//! Evacuation of availability zones: servers of the zone lose their keys and get no requests.
+
+mod support;
+
+use {
+    camphorcove_core::fleet::{EvacuationList, EvacuationSource},
+    camphorcove_gateway::{
+        state::{HostState, SeenVersions, StoreKind},
+        watch::{EvacuationFollower, follow},
+    },
+    camphorcove_platform::StoreClient,
+    camphorcove_platform_standin::{
+        scripted_server::{ScriptedServer, Step, complete_response},
+        store_standin::StoreStandin,
+    },
+    rstest::rstest,
+    serde_json::json,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    support::{
+        evacuation_region::{
+            LIMIT, ZONES, evacuated, evacuating_host, evacuation_region, region_without_hosts,
+            until,
+        },
+        fixtures::{
+            TIME_LIMIT, TestHost, entry, first_listing_span, host_state, owners_with, settings,
+            start_listener, table, version,
+        },
+        single_host::read,
+    },
+    tokio::time::sleep,
+};
+
+/// Time after the object was written within which the keys of an idle zone move; the page allows 5 s.
+const MOVE_TIME: Duration = Duration::from_secs(4);
+
+/// Time for which callers go on after the time allowed, to show that no request reaches the zone.
+const OBSERVATION_TIME: Duration = Duration::from_millis(1_500);
+
+fn list(revision: u64, zones: &[&str]) -> EvacuationList {
+    EvacuationList {
+        version: version(revision),
+        zones: zones
+            .iter()
+            .map(|zone| zone.parse().expect("valid name"))
+            .collect(),
+    }
+}
+
+/// A host without a store, which knows that no zone is evacuated and one server of the service, in
+/// `zone-a`, that owns all keys.
+async fn host_with(server: SocketAddr, service: &str) -> TestHost {
+    let mut settings = settings(([127, 0, 0, 1], 1).into());
+    settings.evacuation_limit = Some(LIMIT);
+    let state = Arc::new(HostState::new(settings));
+    state.set_table(table(1));
+    let owner = entry("s-1", service, server);
+    state.replace_fleet(vec![owner.clone()], first_listing_span());
+    if service == "keyed" {
+        state.set_owners(owners_with(&owner), version(1));
+    }
+    state.apply_evacuations(list(1, &[]), EvacuationSource::Snapshot);
+    start_listener(state).await
+}
+
+/// Guards against keys that stay in an evacuated zone, requests that reach it after the time allowed, and
+/// keys that are not served meanwhile: most requests were to be answered throughout.
+#[tokio::test]
+async fn keys_of_an_evacuated_zone_move_and_no_request_reaches_it_afterwards() {
+    let mut region = evacuation_region().await;
+    region.start_callers();
+    sleep(Duration::from_secs(1)).await;
+
+    region.evacuate("zone-a");
+    let moved = until("moved", || !region.owner_zones().contains("zone-a")).await;
+    sleep(LIMIT.saturating_sub(moved)).await;
+    let at_limit = region.requests(&["zone-a"]);
+    sleep(OBSERVATION_TIME).await;
+
+    assert!(moved < MOVE_TIME, "{moved:?}");
+    assert_eq!(region.requests(&["zone-a"]), at_limit);
+    for service in ["keyed", "plain"] {
+        let statuses = region.statuses(service);
+        let served = statuses.get(&200).copied().unwrap_or_default();
+        let all: u32 = statuses.values().sum();
+        assert!(served * 10 >= all * 9, "{service}: {statuses:?}");
+    }
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against an evacuation that ends or starts anew with the leader that began it.
+#[tokio::test]
+async fn successor_of_a_killed_leader_completes_the_evacuation() {
+    let mut region = evacuation_region().await;
+    region.start_callers();
+    sleep(Duration::from_secs(1)).await;
+    let leader = region.leader();
+
+    region.evacuate("zone-b");
+    until("begun", || {
+        let state = &region.hosts[leader].leader.state;
+        !evacuated(state).is_empty()
+    })
+    .await;
+    region.hosts[leader].leader.actor.kill();
+    sleep(LIMIT).await;
+    let at_limit = region.requests(&["zone-b"]);
+    sleep(OBSERVATION_TIME).await;
+    let later = region.requests(&["zone-b"]);
+    until("moved", || !region.owner_zones().contains("zone-b")).await;
+
+    assert_eq!(later, at_limit);
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against a restart of everything that forgets an evacuation: the first assignment must not
+/// use the zone.
+#[tokio::test]
+async fn zone_that_was_evacuated_before_the_start_gets_nothing() {
+    let (mut region, store) = region_without_hosts().await;
+    region.evacuate("zone-c");
+
+    region.start_hosts(store).await;
+    let owners = region.owner_zones();
+    region.start_callers();
+    sleep(Duration::from_secs(3)).await;
+
+    assert!(!owners.contains("zone-c"), "{owners:?}");
+    let reached = region.requests(&["zone-c"]);
+    assert!(reached.values().all(|count| *count == 0), "{reached:?}");
+    assert!(region.statuses("keyed").contains_key(&200));
+    assert!(region.statuses("plain").contains_key(&200));
+}
+
+/// Guards against requests to the zone while keys cannot move because the store is away, and against
+/// refusals that are not true; the keys have to move once it is back.
+#[tokio::test]
+async fn hosts_stop_in_time_while_the_store_is_away() {
+    let mut region = evacuation_region().await;
+    region.start_callers();
+    sleep(Duration::from_secs(1)).await;
+    let leader = region.leader();
+
+    region.evacuate("zone-a");
+    until("begun", || {
+        let state = &region.hosts[leader].leader.state;
+        !evacuated(state).is_empty()
+    })
+    .await;
+    region.store.set_down(true);
+    sleep(LIMIT).await;
+    let at_limit = region.requests(&["zone-a"]);
+    sleep(OBSERVATION_TIME).await;
+    let later = region.requests(&["zone-a"]);
+    region.store.set_down(false);
+    until("moved", || {
+        region.all_keys_owned() && !region.owner_zones().contains("zone-a")
+    })
+    .await;
+
+    assert_eq!(later, at_limit);
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against a second evacuation that moves keys into the first zone, or is not noticed.
+#[tokio::test]
+async fn two_zones_are_evacuated_at_once() {
+    let mut region = evacuation_region().await;
+    region.start_callers();
+
+    region.evacuate("zone-a");
+    sleep(Duration::from_millis(300)).await;
+    region.evacuate("zone-b");
+    sleep(LIMIT).await;
+    let at_limit = region.requests(&["zone-a", "zone-b"]);
+    sleep(OBSERVATION_TIME).await;
+
+    assert_eq!(region.requests(&["zone-a", "zone-b"]), at_limit);
+    assert_eq!(region.owner_zones(), ["zone-c".to_owned()].into());
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against requests that are sent to an evacuated zone because no other is left, and against
+/// a zone that is not used again once its evacuation is lifted.
+#[tokio::test]
+async fn all_zones_are_refused_until_one_is_lifted() {
+    let mut region = evacuation_region().await;
+    region.start_callers();
+
+    for zone in ZONES {
+        region.evacuate(zone);
+    }
+    sleep(LIMIT).await;
+    let at_limit = region.requests(&ZONES);
+    let refused = region.read_key(7).await;
+    sleep(OBSERVATION_TIME).await;
+    let later = region.requests(&ZONES);
+    region.lift("zone-c");
+    region.until_known(&["zone-a", "zone-b"]).await;
+    until("moved", || {
+        region.owner_zones() == ["zone-c".to_owned()].into()
+    })
+    .await;
+
+    assert_eq!(later, at_limit);
+    for response in refused {
+        assert_eq!(response.status, 503);
+        assert!(response.body.starts_with("not run"), "{}", response.body);
+    }
+    until("served", || {
+        let served = region.requests(&["zone-c"]);
+        served.iter().all(|(id, count)| *count > later[id])
+    })
+    .await;
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against a zone that gets no requests after its evacuation is lifted halfway, and against
+/// hosts that keep an earlier list because a digest or report repeats it.
+#[tokio::test]
+async fn lifted_evacuation_ends_at_all_hosts() {
+    let mut region = evacuation_region().await;
+    region.start_callers();
+    region.evacuate("zone-a");
+    region.until_known(&["zone-a"]).await;
+
+    region.lift("zone-a");
+    region.until_known(&[]).await;
+    let before = region.requests(&["zone-a"]);
+    sleep(OBSERVATION_TIME).await;
+
+    region.until_known(&[]).await;
+    let plain_servers = region.requests(&["zone-a"]);
+    let plain = plain_servers.iter().filter(|(id, _)| id.starts_with("p-"));
+    let used = plain.filter(|(id, count)| **count > before[*id]).count();
+    assert!(used > 0, "{before:?}");
+    assert_eq!(region.violations(), Vec::<String>::new());
+}
+
+/// Guards against requests without a key that reach an evacuated zone while owners there still serve.
+#[tokio::test]
+async fn server_without_keys_gets_no_requests_at_once() {
+    let server = ScriptedServer::start(vec![complete_response("ok")]).await;
+    let host = host_with(server.address, "plain").await;
+
+    host.state
+        .apply_evacuations(list(2, &["zone-a"]), EvacuationSource::Watch);
+    let response = read(&host, "plain").await;
+
+    assert_eq!(response.status, 503);
+    assert!(response.body.starts_with("not run"), "{}", response.body);
+    assert!(server.log().requests.is_empty());
+}
+
+/// Guards against keyed requests that are refused before the keys can have moved, or sent after the
+/// time is up.
+#[tokio::test]
+async fn owner_serves_until_the_time_is_up() {
+    let scripts = vec![complete_response("ok"); 3];
+    let server = ScriptedServer::start(scripts).await;
+    let host = host_with(server.address, "keyed").await;
+
+    host.state
+        .apply_evacuations(list(2, &["zone-a"]), EvacuationSource::Watch);
+    let meanwhile = read(&host, "keyed").await;
+    sleep(LIMIT / 2).await;
+    let later = read(&host, "keyed").await;
+
+    assert_eq!((meanwhile.status, later.status), (200, 503));
+    assert!(later.body.starts_with("not run"), "{}", later.body);
+    assert_eq!(server.log().requests.len(), 1);
+}
+
+/// Guards against a retry that reaches the zone after the time is up, as the first attempt was sent
+/// within it.
+#[tokio::test]
+async fn retry_is_not_sent_after_the_time_is_up() {
+    let silent = vec![Step::Wait(TIME_LIMIT * 4)];
+    let scripts = vec![silent, complete_response("late")];
+    let server = ScriptedServer::start(scripts).await;
+    let host = host_with(server.address, "keyed").await;
+    host.state
+        .apply_evacuations(list(2, &["zone-a"]), EvacuationSource::Watch);
+    // The host waits for at least the target latency before it sends a request again.
+    sleep(LIMIT / 2 - Duration::from_millis(250)).await;
+
+    let response = read(&host, "keyed").await;
+
+    assert!(matches!(response.status, 502 | 504), "{}", response.status);
+    assert_eq!(server.log().requests.len(), 1);
+}
+
+/// Guards against a request that was assigned to a server of the zone before the host learned of the
+/// evacuation and is sent afterwards, as opening the connection took time.
+#[rstest]
+#[case::without_key("plain", Duration::ZERO)]
+#[case::keyed("keyed", LIMIT / 2)]
+#[tokio::test]
+async fn request_is_checked_again_before_it_is_sent(#[case] service: &str, #[case] wait: Duration) {
+    let server = ScriptedServer::start(Vec::new()).await;
+    let host = host_with(server.address, service).await;
+    let server = entry("s-1", service, server.address);
+    let before = host.state.may_send_to(&server);
+
+    host.state
+        .apply_evacuations(list(2, &["zone-a"]), EvacuationSource::Watch);
+    sleep(wait).await;
+
+    assert!(before);
+    assert!(!host.state.may_send_to(&server));
+}
+
+/// Guards against an evacuation that is ignored because of the content of its object, and against an
+/// invalid name that hides the other zones.
+#[tokio::test]
+async fn only_the_names_of_the_objects_matter() {
+    let (store, address) = StoreStandin::start().await;
+    store.put("evacuations", "Not A Zone", json!({}));
+    store.put_raw("evacuations", "zone-a", "{\"Since\": 1e999}");
+    store.put("evacuations", "zone-b", json!(7));
+
+    let host = evacuating_host("host-1", address, Vec::new()).await;
+    until("listed", || !evacuated(&host.state).is_empty()).await;
+    store.put("evacuations", "zone-c", json!([]));
+    store.put("evacuations", "Not A Zone", json!({}));
+    until("watched", || evacuated(&host.state).len() == 3).await;
+
+    let zones = evacuated(&host.state);
+    let zones: Vec<&str> = zones.iter().map(|zone| zone.as_str()).collect();
+    assert_eq!(zones, ZONES);
+}
+
+/// A host without a leader actor that follows the evacuated zones in the store.
+fn following_host(store: SocketAddr) -> Arc<HostState> {
+    let mut settings = settings(store);
+    settings.evacuation_limit = Some(LIMIT);
+    let state = Arc::new(HostState::new(settings));
+    let client = StoreClient::new(store, Duration::from_millis(400));
+    let follower = EvacuationFollower::new(state.clone());
+    tokio::spawn(follow(state.clone(), client, follower));
+    state
+}
+
+/// Guards against watches of all hosts, which are billed, while the leader's digests carry the list; and
+/// against hosts that learn nothing because a leader of an earlier build sends none.
+#[rstest]
+#[case::list_in_digests(true)]
+#[case::earlier_build(false)]
+#[tokio::test]
+async fn host_watches_the_store_only_if_digests_carry_no_list(#[case] has_list: bool) {
+    let (store, address) = StoreStandin::start().await;
+    let state = following_host(address);
+    until("listed", || state.evacuation_list().is_some()).await;
+    let evacuations = has_list.then(|| list(1, &[]));
+
+    for _ in 0..20 {
+        state.record_digest(false);
+        state.record_digest_evacuations(evacuations.as_ref());
+        sleep(Duration::from_millis(100)).await;
+    }
+
+    let calls = store.calls();
+    let is_watch = |call: &String| call.contains("/evacuations?Watch=");
+    assert_eq!(calls.iter().any(is_watch), !has_list, "{calls:?}");
+}
+
+/// Guards against a host that has lost its leader and learns of no evacuation.
+#[tokio::test]
+async fn host_without_digests_learns_from_the_store() {
+    let (store, address) = StoreStandin::start().await;
+    let state = following_host(address);
+    until("listed", || state.evacuation_list().is_some()).await;
+
+    store.put("evacuations", "zone-a", json!({}));
+    let learned = until("learned", || !evacuated(&state).is_empty()).await;
+
+    // 1.5 s pass until a host that has just started misses the first digest.
+    assert!(learned < LIMIT / 2, "{learned:?}");
+}
+
+/// Guards against a newer list that only one host knows: it has to reach the leader with the reports.
+#[tokio::test]
+async fn newer_list_goes_up_with_reports() {
+    let host = host_with(([127, 0, 0, 1], 1).into(), "plain").await;
+    let state = &host.state;
+    state.record_digest_evacuations(Some(&list(1, &[])));
+    let known = state.evacuation_news();
+
+    state.apply_evacuations(list(5, &["zone-a"]), EvacuationSource::Watch);
+    let news = state.evacuation_news();
+    state.record_digest_evacuations(Some(&list(5, &["zone-a"])));
+
+    assert_eq!(known, None);
+    assert_eq!(news, Some(list(5, &["zone-a"])));
+    assert_eq!(state.evacuation_news(), None);
+}
+
+/// Guards against a deployment without the setting that is changed by lists of other hosts.
+#[test]
+fn host_without_the_setting_ignores_evacuations() {
+    let state = host_state();
+
+    state.record_digest_evacuations(Some(&list(5, &["zone-a"])));
+
+    assert!(evacuated(&state).is_empty());
+    assert_eq!(
+        (state.evacuation_list(), state.evacuation_news()),
+        (None, None)
+    );
+}
+
+/// Guards against a fourth version in reports and digests, which builds in production would take
+/// for the next field.
+#[test]
+fn versions_in_messages_keep_their_form() {
+    let mut versions = SeenVersions::default();
+    versions.advance(StoreKind::Config, version(1));
+    versions.advance(StoreKind::Fleet, version(2));
+    versions.advance(StoreKind::Owners, version(3));
+    let known = versions;
+    versions.advance(StoreKind::Evacuations, version(4));
+    let config = bincode::config::standard();
+
+    let bytes = bincode::encode_to_vec(versions, config).expect("encodes");
+    let (decoded, _): (SeenVersions, usize) =
+        bincode::decode_from_slice(&bytes, config).expect("decodes");
+
+    let earlier = (version(1), version(2), version(3));
+    let earlier = bincode::encode_to_vec(earlier, config).expect("encodes");
+    assert_eq!(bytes, earlier);
+    assert_eq!(decoded, known);
+}
--- a/crates/gateway/tests/support/leader_hosts.rs
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -4,6 +4,7 @@
     super::fixtures::{entry, first_listing_span, settings, table},
     camphorcove_core::fleet::ServerEntry,
     camphorcove_gateway::{
+        conf::GatewaySettings,
         leader::{LeaderActor, OwnerStore, Tick},
         peers::{Digest, PeerLink, Trailing, receive, share_suspects},
         state::{HostState, SeenVersions},
@@ -99,7 +100,18 @@
     entries: Vec<ServerEntry>,
     socket: Arc<UdpSocket>,
 ) -> LeaderHost {
-    let mut settings = settings(store);
+    host_with_settings(settings(store), name, entries, socket)
+}
+
+/// Starts a host with these settings but for its name and addresses. It knows these servers and
+/// receives no messages.
+pub fn host_with_settings(
+    mut settings: GatewaySettings,
+    name: &str,
+    entries: Vec<ServerEntry>,
+    socket: Arc<UdpSocket>,
+) -> LeaderHost {
+    let store = settings.store;
     settings.host = name.parse().expect("valid id");
     settings.peers = socket.local_addr().expect("bound");
     let state = Arc::new(HostState::new(settings));
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod crash_series;
+pub mod evacuation_region;
 pub mod fixtures;
 pub mod kept_callers;
 pub mod leader_hosts;
