--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -10,6 +10,8 @@
 mod server_choice;
 mod server_gauge;
 mod server_reach;
+mod warmup_gate;
+mod warmup_limit;
 mod work_time;
 mod zone_transfer;
 
@@ -26,6 +28,8 @@
     server_choice::{Candidate, choose_server},
     server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
     server_reach::{ReachCheck, ServerReach},
+    warmup_gate::WarmupGate,
+    warmup_limit::WarmupLimit,
     work_time::WorkTime,
     zone_transfer::{ServiceDemand, ZoneTransfer},
 };
--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -1,7 +1,7 @@
 //! This host's estimate of the load, speed and failure rate of one server.
 
 use {
-    super::{LimitGate, RequestRate, WorkTime},
+    super::{LimitGate, RequestRate, WarmupGate, WorkTime},
     crate::time::BootTime,
     bincode::{Decode, Encode},
     std::time::Duration,
@@ -92,8 +92,12 @@
     next_avoid_time: Duration,
     /// When the server has warmed up.
     warmed_up_at: BootTime,
+    /// Time that work takes there at present, and when the server reported it.
+    work_time: Option<(WorkTime, BootTime)>,
     /// This host's part of the limit that the server names, if it does.
     limit_gate: Option<LimitGate>,
+    /// This host's part of what the server takes while it is cold, if that is limited.
+    warmup_gate: Option<WarmupGate>,
     /// What answers told about the limit since the last report.
     named_limit: NamedLimit,
     /// Successes since the last call of `take_period`, and their total service time in seconds.
@@ -109,8 +113,10 @@
     pub slots: u32,
     /// Expected seconds until a request sent now is answered, including queueing.
     pub expected: f64,
-    /// Mean seconds that a request runs, without queueing.
+    /// Seconds that a request runs at present, without queueing.
     pub service_time: f64,
+    /// Seconds that a request runs without the short swings that the server reports.
+    pub lasting_time: f64,
     /// Share of recent requests that failed.
     pub failure_share: f64,
     /// Whether the server is to be avoided, because it did not respond recently.
@@ -132,7 +138,9 @@
             avoid_until: BootTime::default(),
             next_avoid_time: INITIAL_AVOID_TIME,
             warmed_up_at: now + warmup,
+            work_time: None,
             limit_gate: None,
+            warmup_gate: None,
             named_limit: NamedLimit::Unknown,
             period: (0, 0.0),
         }
@@ -153,6 +161,31 @@
         self.limit_gate = gate;
     }
 
+    /// This host's part of what the server takes while it is cold, if that is limited.
+    pub fn warmup_gate(&self) -> Option<&WarmupGate> {
+        self.warmup_gate.as_ref()
+    }
+
+    /// The same, for a request that asks to pass or a share that is set.
+    pub fn warmup_gate_mut(&mut self) -> Option<&mut WarmupGate> {
+        self.warmup_gate.as_mut()
+    }
+
+    /// Sets or removes the gate of a cold server.
+    pub fn set_warmup_gate(&mut self, gate: Option<WarmupGate>) {
+        self.warmup_gate = gate;
+    }
+
+    /// Records until when the server warms up, as its latest entry says.
+    pub fn set_warmed_up_at(&mut self, at: BootTime) {
+        self.warmed_up_at = at;
+    }
+
+    /// Whether the server warms up, by its latest entry.
+    pub fn is_warming_up(&self, now: BootTime) -> bool {
+        now < self.warmed_up_at
+    }
+
     /// Records the limit in an answer of the server; `None` if the answer named none. `phase` is a
     /// random number in 0..1.
     pub fn record_limit(&mut self, limit: Option<RequestRate>, phase: f64, now: BootTime) {
@@ -214,6 +247,13 @@
     pub fn record_reported_load(&mut self, load: ReportedLoad, now: BootTime) {
         self.slots = load.slots.max(1);
         self.reported_load = Some((load, now, self.own_in_flight));
+        self.record_work_time(load.work_time, now);
+    }
+
+    /// Records how long work takes at the server at present. Is called before
+    /// [`record_ended`](Self::record_ended) for the answer that reports it, which has taken that long.
+    pub fn record_work_time(&mut self, work_time: WorkTime, now: BootTime) {
+        self.work_time = Some((work_time, now));
     }
 
     /// Number of this host's requests in flight that was last reported to the leader.
@@ -248,7 +288,8 @@
         } else {
             1.0
         };
-        let service_time = self.service_time * warmup_factor;
+        let lasting_time = self.service_time * warmup_factor;
+        let service_time = lasting_time * self.work_factor(now);
         let slots = f64::from(self.slots);
         // Expected queueing time, in service times: all slots together finish one request each
         // per service time.
@@ -258,11 +299,20 @@
             slots: self.slots,
             expected: service_time * (1.0 + rounds),
             service_time,
+            lasting_time,
             failure_share: self.failure_share,
             avoided: now < self.avoid_until,
         }
     }
 
+    /// Time that work takes at present, as a multiple of the usual time.
+    fn work_factor(&self, now: BootTime) -> f64 {
+        match self.work_time {
+            Some((work_time, at)) if now.since(at) < REPORTED_LOAD_MAX_AGE => work_time.factor(),
+            _ => 1.0,
+        }
+    }
+
     /// Requests at the server: those of this host, and the best estimate for other hosts.
     fn backlog(&self, now: BootTime) -> u32 {
         let remote_in_flight = match self.reported_load {
@@ -288,7 +338,7 @@
         } else {
             1.0
         };
-        let run_time = latency / rounds / warmup_factor;
+        let run_time = latency / rounds / warmup_factor / self.work_factor(now);
         self.period.0 += 1;
         self.period.1 += run_time;
         if !self.measured {
