--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -10,6 +10,7 @@
         order_sender::OrderSender,
         owner_store::OwnerStore,
         owner_update::OwnerUpdate,
+        warmup_table::WarmupTable,
     },
     crate::{
         peers::PeerLink,
@@ -92,6 +93,8 @@
     pub(super) hosts: HostTable,
     /// Limits that servers have named to any host.
     pub(super) limits: LimitTable,
+    /// Requests of all hosts for cold servers.
+    pub(super) warmups: WarmupTable,
     /// Check of the remembered assignment that this leader began with after the store had lost writes,
     /// until most hosts have shown that they remember no later one.
     pub(super) unverified: Option<MemoryCheck>,
@@ -162,6 +165,7 @@
             candidacy,
             hosts: HostTable::default(),
             limits: LimitTable::default(),
+            warmups: WarmupTable::default(),
             unverified: None,
             last_digest_sender: None,
             last_digest_at: None,
@@ -336,6 +340,7 @@
     /// Load at which each server is fully busy, in the unit that the placement uses.
     pub(super) fn capacity(&self) -> HashMap<ServerId, f32> {
         let mut capacity = self.state.server_rates();
+        let warmup_rates = self.state.warmup_rates();
         for (id, rate) in &mut capacity {
             if let Some(mean) = self.hosts.mean_latency(ServerHash::of(id)) {
                 let slots = self.state.slots(id);
@@ -344,6 +349,9 @@
             if let Some(limit) = self.limits.limit(ServerHash::of(id)) {
                 *rate = rate.min(limit.per_second() as f32);
             }
+            if let Some(limit) = warmup_rates.get(id) {
+                *rate = rate.min(limit.per_second() as f32);
+            }
             *rate = RangeLoad::steady_count(*rate);
         }
         capacity
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -7,7 +7,9 @@
         owner_update::OwnerUpdate,
     },
     crate::{
-        peers::{Digest, OwnerChange, PeerMessage, Report, ReportAddition, Trailing},
+        peers::{
+            Digest, DigestAddition, OwnerChange, PeerMessage, Report, ReportAddition, Trailing,
+        },
         state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind, SuspectNews},
     },
     camphorcove_core::{
@@ -87,6 +89,7 @@
             load,
             addition: Trailing(ReportAddition {
                 zone: Some(self.state.settings.zone.clone()),
+                warmups: self.state.take_warmup_reports(),
                 ..ReportAddition::default()
             }),
         };
@@ -280,6 +283,9 @@
         for limit in &report.load.limits {
             self.limits.record_report(limit, now);
         }
+        for warmup in &report.addition.0.warmups {
+            self.warmups.record_report(warmup);
+        }
         self.state.record_leaving_servers(&report.load.leaving);
         if let Some(end) = self.predecessors.record_report(&report.host, from, now) {
             log::info!(host = report.host.as_str(); "previous leader has stopped acting");
@@ -348,6 +354,8 @@
         let hosts = self.complete_host_count(now);
         let limits = self.limits.update(now);
         self.state.set_shared_limits(&limits);
+        let warmups = self.warmups.update(self.state.warmup_shares(), now);
+        self.state.set_warmup_shares(&warmups);
         self.state.set_remote_load(hosts, &servers);
         let slots = self.state.slots_by_hash();
         servers.retain(|(server, total)| {
@@ -383,7 +391,10 @@
                 true => self.peers.clone(),
                 false => Vec::new(),
             },
-            addition: Trailing::default(),
+            addition: Trailing(DigestAddition {
+                warmups,
+                ..DigestAddition::default()
+            }),
         };
         self.state
             .set_relay_peers(&digest.peers, &digest.without_servers);
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -32,6 +32,16 @@
             "Requests sent to servers that limit the rate of requests.",
             &counters.limited,
         ),
+        (
+            "cold_total",
+            "Requests sent to cold servers.",
+            &counters.cold,
+        ),
+        (
+            "cold_refused_total",
+            "Times that the limit of a cold server held a request back.",
+            &counters.cold_refused,
+        ),
         (
             "quarantined_total",
             "Requests refused because servers have crashed under them.",
@@ -104,6 +114,11 @@
             "Servers that limit the rate of requests.",
             state.limited_servers() as u64,
         ),
+        (
+            "cold_servers",
+            "Servers that are cold, whose rate of requests this host limits.",
+            state.cold_servers() as u64,
+        ),
         (
             "quarantined_requests",
             "Requests in quarantine, as servers have crashed under them.",
--- a/crates/gateway/src/state/config_tracking.rs
+++ b/crates/gateway/src/state/config_tracking.rs
@@ -22,6 +22,7 @@
 
     /// Puts a configuration in force if its version is newer; returns whether it is.
     pub fn set_table(&self, table: RouteTable) -> bool {
+        let now = self.now();
         let mut inner = self.lock();
         let newer = inner
             .table
@@ -30,6 +31,7 @@
         if newer {
             inner.round_robin.reset();
             inner.table = Some(Arc::new(table));
+            inner.refresh_warmups(now);
         }
         newer
     }
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -69,6 +69,7 @@
             changes.extend(fleet.remove(id, rule, earliest_change_at));
         }
         inner.apply_changes(&changes, now);
+        inner.receive_warmups(&update.put, now);
         inner.seen_through.advance(StoreKind::Fleet, update.to);
         inner.own_versions.advance(StoreKind::Fleet, update.to);
         inner.fleet_log_end = update.to;
@@ -96,6 +97,7 @@
         let changes = Arc::make_mut(&mut inner.fleet).replace(entries, rule, now);
         inner.fleet_listed = true;
         inner.apply_changes(&changes, now);
+        inner.receive_warmups(&put, now);
         // A removal that no watch showed may be newer than every listed object.
         let to = match removed.is_empty() {
             true => span.newest,
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -7,7 +7,7 @@
     super::{
         BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, PlannedStop,
         SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind, relay_peers::RelayPeers,
-        suspect_news::SuspectOutbox,
+        suspect_news::SuspectOutbox, warmup_tracking::WarmupTracking,
     },
     crate::conf::GatewaySettings,
     camphorcove_core::{
@@ -56,6 +56,10 @@
     pub failed: AtomicU64,
     /// Requests sent to servers that limit the rate of requests.
     pub limited: AtomicU64,
+    /// Requests sent to cold servers.
+    pub cold: AtomicU64,
+    /// Times that the limit of a cold server held a request back.
+    pub cold_refused: AtomicU64,
     /// Requests refused because servers have crashed under them.
     pub quarantined: AtomicU64,
     /// Announcements of servers that they leave, in answers to this host.
@@ -134,6 +138,7 @@
     pub(super) relay_peers: RelayPeers,
     pub(super) suspects: SuspectTable,
     pub(super) suspect_outbox: SuspectOutbox,
+    pub(super) warmups: WarmupTracking,
 }
 
 /// Shared state of one host.
@@ -192,6 +197,7 @@
         let round_robin = WeightedRoundRobin::with_phase(rand::RngExt::random(&mut random));
         let body_budget = Arc::new(BodyBudget::new(settings.memory_mb));
         let stop = PlannedStop::new(settings.stop_limit);
+        let warmups = WarmupTracking::new(&settings);
         Self {
             settings,
             clock: BootClock,
@@ -237,6 +243,7 @@
                 relay_peers: RelayPeers::default(),
                 suspects: SuspectTable::default(),
                 suspect_outbox: SuspectOutbox::default(),
+                warmups,
             }),
         }
     }
@@ -338,7 +345,7 @@
         let inner = self.lock();
         let rate = |gauge: &ServerGauge| {
             let reading = gauge.read(now);
-            (f64::from(reading.slots) / reading.service_time.max(0.001)) as f32
+            (f64::from(reading.slots) / reading.lasting_time.max(0.001)) as f32
         };
         inner
             .gauges
@@ -470,6 +477,9 @@
         let Some(gauge) = inner.gauges.get_mut(server) else {
             return;
         };
+        if let Some(load) = load {
+            gauge.record_work_time(load.work_time, now);
+        }
         gauge.record_ended(outcome, latency, now);
         if let Some(load) = load {
             gauge.record_reported_load(load, now);
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -21,6 +21,7 @@
 mod store_feed;
 mod suspect_news;
 mod suspect_tracking;
+mod warmup_tracking;
 
 pub use {
     body_budget::{BodyBudget, BodyReservation},
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -1,12 +1,15 @@
 //! Selects the server for one attempt of a request.
 
 use {
-    super::{HostState, host_state::StateInner},
+    super::{
+        HostState,
+        host_state::StateInner,
+        warmup_tracking::{ClosedGate, pass_gates},
+    },
     camphorcove_core::{
         dispatch::{
-            Admission, AdmissionRule, Candidate, GaugeReading, LimitGate, ReportedLoad,
-            RequestOutcome, RequestRate, ServerGauge, choose_server, retry_after,
-            retry_after_pause,
+            Admission, AdmissionRule, Candidate, GaugeReading, ReportedLoad, RequestOutcome,
+            RequestRate, ServerGauge, choose_server, retry_after, retry_after_pause,
         },
         fleet::{FleetView, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName, ZoneName},
@@ -143,7 +146,7 @@
         self.candidates.swap_remove(at);
     }
 
-    fn retain(&mut self, is_kept: impl Fn(&ServerEntry) -> bool) {
+    fn retain(&mut self, mut is_kept: impl FnMut(&ServerEntry) -> bool) {
         for at in (0..self.entries.len()).rev() {
             if !is_kept(self.entries[at]) {
                 self.remove(at);
@@ -220,9 +223,10 @@
         gauge.is_some_and(|gauge| gauge.limit_gate().is_some())
     }
 
-    fn refuse_limited(&mut self, gate: &LimitGate) -> ServerPick {
+    fn refuse_limited(&mut self, gate: &ClosedGate, now: BootTime) -> ServerPick {
         let jitter = rand::RngExt::random(&mut self.random);
-        ServerPick::Refuse(PickRefusal::Limited, gate.retry_after(jitter))
+        let wait = gate.retry_after(self.warmup_hosts(), jitter, now);
+        ServerPick::Refuse(PickRefusal::Limited, wait)
     }
 
     fn refuse_paused(&mut self, left: Duration) -> ServerPick {
@@ -279,7 +283,7 @@
         if let Some(left) = inner.pauses.time_left(&entry, now) {
             return inner.refuse_paused(left);
         }
-        let hosts = inner.hosts();
+        let (hosts, warmup_hosts) = (inner.hosts(), inner.warmup_hosts());
         let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
             return inner.refuse_unowned();
         };
@@ -292,11 +296,9 @@
             let jitter = rand::RngExt::random(&mut inner.random);
             return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
         }
-        if let Some(gate) = gauge.limit_gate_mut()
-            && !gate.admit(hosts, now)
-        {
-            let gate = gate.clone();
-            return inner.refuse_limited(&gate);
+        if let Err(gate) = pass_gates(gauge, hosts, warmup_hosts, now) {
+            self.count_closed_gate(&gate);
+            return inner.refuse_limited(&gate, now);
         }
         self.record_sent(gauge);
         drop(inner);
@@ -332,8 +334,8 @@
         let inner = &mut *inner;
         let fleet = inner.fleet.clone();
         let mut offers = inner.list_offers(&fleet, query, zone, now);
-        let hosts = inner.hosts();
-        let mut closed_gate: Option<LimitGate> = None;
+        let (hosts, warmup_hosts) = (inner.hosts(), inner.warmup_hosts());
+        let mut closed_gate: Option<ClosedGate> = None;
         let mut closed_gates = 0;
         let target = query.rule.target_latency;
         while let Some(at) = choose_server(&offers.candidates, target, &mut inner.random) {
@@ -344,15 +346,17 @@
             }
             let entry = offers.entries[at].clone();
             if let Some(gauge) = inner.gauges.get_mut(&entry.id) {
-                if let Some(gate) = gauge.limit_gate_mut()
-                    && !gate.admit(hosts, now)
-                {
-                    closed_gate = Some(gate.clone());
+                if let Err(gate) = pass_gates(gauge, hosts, warmup_hosts, now) {
+                    self.count_closed_gate(&gate);
+                    closed_gate = Some(gate);
                     closed_gates += 1;
                     offers.remove(at);
                     if closed_gates == MAX_CLOSED_GATES {
                         offers = inner.list_offers(&fleet, query, zone, now);
-                        offers.retain(|entry| !inner.is_limited(&entry.id));
+                        offers.retain(|entry| {
+                            !inner.is_limited(&entry.id)
+                                && !inner.has_closed_warmup_gate(&entry.id, now)
+                        });
                     }
                     continue;
                 }
@@ -361,7 +365,7 @@
             return self.permit(entry, now);
         }
         if let Some(gate) = closed_gate {
-            return inner.refuse_limited(&gate);
+            return inner.refuse_limited(&gate, now);
         }
         if let Some(left) = offers.pause_left {
             return inner.refuse_paused(left);
@@ -375,6 +379,9 @@
         if gauge.limit_gate().is_some() {
             self.counters.limited.fetch_add(1, Ordering::Relaxed);
         }
+        if gauge.warmup_gate().is_some() {
+            self.counters.cold.fetch_add(1, Ordering::Relaxed);
+        }
     }
 
     fn permit(self: &Arc<Self>, entry: ServerEntry, started: BootTime) -> ServerPick {
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -7,6 +7,7 @@
         ownership::{KeyRange, OwnerState, RangePhase, RangeRecord, ServerInstance, ServiceOwners},
         routing::{
             CallerLimits, RetryPolicy, RouteRank, RouteRule, RouteTable, ServiceRule, SplitPart,
+            WarmupRule,
         },
     },
     camphorcove_gateway::{
@@ -57,8 +58,8 @@
         retry_ratio: 0.2,
         retry_slack: 60.0,
         retry_window: Duration::from_secs(10),
-        warmup_overage: None,
-        warmup_slack: None,
+        warmup_overage: Some(1.5),
+        warmup_slack: Some(8.0),
         evacuation_limit: None,
         zone_transfer: false,
     }
@@ -89,6 +90,15 @@
 
 /// The same with another time limit.
 pub fn table_with_time_limit(version: u64, time_limit: Duration) -> RouteTable {
+    table_of(version, time_limit, None)
+}
+
+/// The same routes; cold servers of all services take what `warmup` says.
+pub fn table_with_warmup(version: u64, warmup: WarmupRule) -> RouteTable {
+    table_of(version, TIME_LIMIT, Some(warmup))
+}
+
+fn table_of(version: u64, time_limit: Duration, warmup: Option<WarmupRule>) -> RouteTable {
     let limits = CallerLimits {
         header_bytes: 16_384,
         body_bytes: 1 << 20,
@@ -99,7 +109,7 @@
         name: name.parse().expect("valid name"),
         connections: 100,
         keyed,
-        warmup: None,
+        warmup,
     };
     let rule = |prefix: &str, name: &str, retry| RouteRule {
         name: prefix.into(),
