--- a/crates/core/src/ownership/range_moves.rs
+++ b/crates/core/src/ownership/range_moves.rs
@@ -162,9 +162,7 @@
     }
 
     fn least_busy(&self) -> usize {
-        (0..self.servers.len())
-            .min_by(|left, right| self.utilization(*left).total_cmp(&self.utilization(*right)))
-            .unwrap_or(0)
+        self.least_busy_with(0.0).unwrap_or(0)
     }
 
     /// Busiest server that may still have a subrange worth moving.
@@ -189,7 +187,7 @@
         for unowned_range in unowned {
             let mut rest = Some(unowned_range);
             while let Some(range) = rest {
-                let target = self.least_busy();
+                let target = self.target_for(range);
                 let headroom =
                     (target_utilization - self.utilization(target)) * self.servers[target].capacity;
                 let (subrange, left) = self.split_front(range, headroom);
@@ -199,6 +197,19 @@
         }
     }
 
+    /// Least busy server that can take the first key of a range. A key that exceeds the capacity of
+    /// slow servers, as that of cold ones, goes to one of the fastest.
+    fn target_for(&self, range: KeyRange) -> usize {
+        let target = self.least_busy();
+        let load = self.load.keys(range).first().copied().unwrap_or_default();
+        if load <= self.servers[target].capacity {
+            return target;
+        }
+        let most = self.servers.iter().map(|server| server.capacity);
+        let needed = load.min(most.fold(0.0, f32::max));
+        self.least_busy_with(needed).unwrap_or(target)
+    }
+
     /// Splits `range` after its longest prefix that weighs at most `headroom`, but at least one
     /// key. Returns the prefix and the rest.
     fn split_front(&self, range: KeyRange, headroom: f32) -> (KeyRange, Option<KeyRange>) {
@@ -306,18 +317,23 @@
                 return;
             };
             let to = self.least_busy();
-            let (high, low) = (self.utilization(from), self.utilization(to));
+            let high = self.utilization(from);
             let is_uneven = high > mean * IMBALANCE_FACTOR && high > LOW_UTILIZATION;
             let target_is_new = self.servers[to].empty && !self.gets_range[to];
             if from == to || !(is_uneven || target_is_new) {
                 return;
             }
-            let difference_per_load =
-                1.0 / self.servers[from].capacity + 1.0 / self.servers[to].capacity;
-            // Moving this load makes the two servers equally utilized.
-            let wanted = (high - low) / difference_per_load;
-            let headroom = (target_utilization - low) * self.servers[to].capacity;
-            let Some((index, subrange)) = self.best_subrange(from, wanted, headroom) else {
+            let planned = self.balancing_subrange(from, to, target_utilization);
+            // The hot keys of a server may be too much for a slower one, as for a cold one.
+            let needed = self.servers[from].capacity;
+            let fast = self.least_busy_with(needed).unwrap_or(from);
+            let planned = match planned {
+                None if is_uneven && fast != to => {
+                    self.balancing_subrange(from, fast, target_utilization)
+                }
+                planned => planned,
+            };
+            let Some((to, index, subrange)) = planned else {
                 exhausted[from] = true;
                 continue;
             };
@@ -327,6 +343,34 @@
         }
     }
 
+    /// Least busy of the servers that take at least this load.
+    fn least_busy_with(&self, needed: f32) -> Option<usize> {
+        (0..self.servers.len())
+            .filter(|at| self.servers[*at].capacity >= needed)
+            .min_by(|left, right| self.utilization(*left).total_cmp(&self.utilization(*right)))
+    }
+
+    /// Subrange of server `from` that makes it and server `to` more equally utilized: `to`, the index of the
+    /// range that the subrange belongs to, and the subrange.
+    fn balancing_subrange(
+        &self,
+        from: usize,
+        to: usize,
+        target_utilization: f32,
+    ) -> Option<(usize, usize, KeyRange)> {
+        let (high, low) = (self.utilization(from), self.utilization(to));
+        let (giver, taker) = (self.servers[from].capacity, self.servers[to].capacity);
+        // Moving this load makes the two servers equally utilized.
+        let mut wanted = (high - low) / (1.0 / giver + 1.0 / taker);
+        if taker < giver {
+            // A key that exceeds the capacity of a slower server stays.
+            wanted = wanted.min(taker);
+        }
+        let headroom = (target_utilization - low) * taker;
+        let (index, subrange) = self.best_subrange(from, wanted, headroom)?;
+        Some((to, index, subrange))
+    }
+
     /// Subrange of the ranges of server `from` with the most load relative to its number of keys.
     ///
     /// Its weight is at most `wanted` and `headroom`; a single key may exceed `headroom`.
