--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -168,6 +168,7 @@
             .record_digest_evacuations(digest.addition.0.evacuations.as_ref());
         self.state.set_remote_load(digest.hosts, &digest.servers);
         self.state.set_shared_limits(&digest.limits);
+        self.state.set_warmup_shares(&digest.addition.0.warmups);
         self.state.record_leaving_servers(&digest.leaving);
         let behind = |kind| self.state.is_behind(kind);
         let is_behind = [StoreKind::Config, StoreKind::Fleet, StoreKind::Owners]
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -91,6 +91,7 @@
             addition: Trailing(ReportAddition {
                 zone: Some(self.state.settings.zone.clone()),
                 evacuations: self.state.evacuation_news(),
+                warmups: self.state.take_warmup_reports(),
                 ..ReportAddition::default()
             }),
         };
@@ -289,6 +290,9 @@
         for limit in &report.load.limits {
             self.limits.record_report(limit, now);
         }
+        for warmup in &report.addition.0.warmups {
+            self.warmups.record_report(warmup);
+        }
         self.state.record_leaving_servers(&report.load.leaving);
         if let Some(end) = self.predecessors.record_report(&report.host, from, now) {
             log::info!(host = report.host.as_str(); "previous leader has stopped acting");
@@ -357,6 +361,8 @@
         let hosts = self.complete_host_count(now);
         let limits = self.limits.update(now);
         self.state.set_shared_limits(&limits);
+        let warmups = self.warmups.update(self.state.warmup_shares(), now);
+        self.state.set_warmup_shares(&warmups);
         self.state.set_remote_load(hosts, &servers);
         let slots = self.state.slots_by_hash();
         servers.retain(|(server, total)| {
@@ -394,6 +400,7 @@
             },
             addition: Trailing(DigestAddition {
                 evacuations: self.state.evacuation_list(),
+                warmups,
                 ..DigestAddition::default()
             }),
         };
--- a/crates/gateway/src/state/evacuation_tracking.rs
+++ b/crates/gateway/src/state/evacuation_tracking.rs
@@ -284,11 +284,9 @@
         }
     }
 
-    /// Is called on each host when the evacuation of a zone has ended: its servers count as cold from
-    /// now on.
-    ///
-    /// Call site for server warm-up (part A of docs/work-2026-12-06.md): `self.mark_zone_cold(zone)`.
+    /// Counts the servers of a zone as cold from now on, as its evacuation has ended.
     fn on_evacuation_ended(&self, zone: &ZoneName) {
         self.lock().evacuations.emptied.remove(zone);
+        self.mark_zone_cold(zone);
     }
 }
