--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -4,7 +4,10 @@
 //! behind it, and a server whose queue is full may never answer. Such a request is
 //! refused at once with a retry-after time.
 
-use {super::GaugeReading, std::time::Duration};
+use {
+    super::{GaugeReading, RankLimit},
+    std::time::Duration,
+};
 
 /// Requests at one server, as a multiple of its slots, from which its queue may be full.
 const BACKLOG_FACTOR: u32 = 4;
@@ -13,6 +16,10 @@
 /// request is refused.
 const TARGET_LATENCY_FACTOR: f64 = 0.95;
 
+/// Factor on the limit of requests for a key that has more of them than its owner can take. The rest
+/// of the queue is kept for the other keys of the owner, as its capacity is only estimated.
+const HOT_KEY_FACTOR: f64 = 0.5;
+
 /// Share of the remaining time that the expected time to answer may use; service times vary.
 const REMAINING_TIME_SHARE: f64 = 0.8;
 
@@ -26,6 +33,10 @@
     pub target_latency: Duration,
     /// Time left until the deadline of the request.
     pub time_left: Duration,
+    /// Limit by rank; `None` for the most urgent routes of a service.
+    pub rank_limit: Option<RankLimit>,
+    /// Whether the key of the request has more requests than its owner can take.
+    pub is_hot_key: bool,
 }
 
 /// Result of the admission decision for a request.
@@ -47,14 +58,54 @@
             return Admission::TooLate;
         }
         let backlog_limit = reading.slots * BACKLOG_FACTOR;
-        let latency_limit = (self.target_latency.as_secs_f64() * TARGET_LATENCY_FACTOR)
-            .min(left * REMAINING_TIME_SHARE);
+        let latency_limit = self.latency_limit();
         let must_queue = reading.backlog >= reading.slots;
         if reading.backlog >= backlog_limit || (must_queue && reading.expected > latency_limit) {
             return Admission::Overloaded;
         }
         Admission::Send
     }
+
+    /// The rule for the requests of a less urgent rank that are guaranteed: the limit of the most
+    /// urgent rank applies to them.
+    pub fn guaranteed(self) -> Self {
+        let rank_limit = self.rank_limit.map(|rank_limit| RankLimit {
+            limit: rank_limit.most_urgent,
+            ..rank_limit
+        });
+        let target_latency = match rank_limit {
+            // The target may be shorter than that of the most urgent rank; requests that are
+            // answered after it are still better than none.
+            Some(limit) => self
+                .target_latency
+                .max(Duration::from_secs_f64(limit.limit / TARGET_LATENCY_FACTOR)),
+            None => self.target_latency,
+        };
+        Self {
+            target_latency,
+            rank_limit,
+            ..self
+        }
+    }
+
+    /// Longest expected time with which a request may queue, in seconds.
+    pub fn latency_limit(self) -> f64 {
+        let own_limit = own_latency_limit(self.target_latency, self.time_left);
+        let limit = match self.rank_limit {
+            Some(rank_limit) => own_limit.min(rank_limit.limit),
+            None => own_limit,
+        };
+        match self.is_hot_key {
+            true => limit * HOT_KEY_FACTOR,
+            false => limit,
+        }
+    }
+}
+
+/// Longest expected time with which a request may queue if there are no other ranks, in seconds.
+pub(super) fn own_latency_limit(target_latency: Duration, time_left: Duration) -> f64 {
+    let by_target = target_latency.as_secs_f64() * TARGET_LATENCY_FACTOR;
+    by_target.min(time_left.as_secs_f64() * REMAINING_TIME_SHARE)
 }
 
 /// Time after which the caller of a refused request should retry.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod limit_control;
 mod limit_gate;
 mod pause_table;
+mod rank_limit;
 mod request_rate;
 mod retry_window;
 mod server_choice;
@@ -21,6 +22,7 @@
     limit_control::LimitControl,
     limit_gate::{AdmittedShare, LimitGate, LimitedRequests},
     pause_table::{PauseTable, retry_after_pause},
+    rank_limit::{RankGate, RankLimit, RankLimits},
     request_rate::{RateError, RequestRate},
     retry_window::{HostCount, RetryWindow},
     server_choice::{Candidate, choose_server},
--- a/crates/core/src/routing/route_table.rs
+++ b/crates/core/src/routing/route_table.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{CallerLimits, RouteRule, ServiceRule},
+    crate::dispatch::{RankLimit, RankLimits},
     crate::ids::{ConfigVersion, ServiceName},
     snafu::{Snafu, ensure},
     std::{cmp::Reverse, collections::HashMap, sync::Arc},
@@ -51,6 +52,8 @@
     pub services: HashMap<ServiceName, ServiceRule>,
     /// Routes by host, those with the longest prefix first.
     routes: HashMap<String, Vec<Arc<RouteRule>>>,
+    /// Limits by rank of the services whose routes have different ranks.
+    rank_limits: HashMap<ServiceName, RankLimits>,
 }
 
 impl RouteTable {
@@ -76,14 +79,22 @@
         for rules in routes.values_mut() {
             rules.sort_by_key(|rule| Reverse(rule.prefix.len()));
         }
+        let rank_limits = rank_limits(&services, &routes);
         Ok(Self {
             version,
             limits,
             services,
             routes,
+            rank_limits,
         })
     }
 
+    /// Limit by rank of a route's requests for a service; `None` if the service has no more urgent
+    /// route.
+    pub fn rank_limit(&self, service: &ServiceName, rule: &RouteRule) -> Option<RankLimit> {
+        self.rank_limits.get(service)?.limit(rule)
+    }
+
     /// Route with the longest prefix of `path` at `host`; a port in `host` is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
         let name = match host.rsplit_once(':') {
@@ -103,6 +114,24 @@
     }
 }
 
+fn rank_limits(
+    services: &HashMap<ServiceName, ServiceRule>,
+    routes: &HashMap<String, Vec<Arc<RouteRule>>>,
+) -> HashMap<ServiceName, RankLimits> {
+    let mut rank_limits = HashMap::new();
+    for service in services.keys() {
+        let gets_requests = |rule: &&RouteRule| {
+            let mut parts = rule.split.iter();
+            parts.any(|part| part.weight > 0 && part.service == *service)
+        };
+        let rules = routes.values().flatten().map(Arc::as_ref);
+        if let Some(limits) = RankLimits::of_routes(rules.filter(gets_requests)) {
+            rank_limits.insert(service.clone(), limits);
+        }
+    }
+    rank_limits
+}
+
 fn check_rule(
     rule: &RouteRule,
     services: &HashMap<ServiceName, ServiceRule>,
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -43,6 +43,8 @@
     let rule = AdmissionRule {
         target_latency: TARGET,
         time_left: Duration::from_secs(2),
+        rank_limit: None,
+        is_hot_key: false,
     };
     Candidate {
         reading,
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -115,6 +115,8 @@
                 rule: AdmissionRule {
                     target_latency: routed.rule.target_latency,
                     time_left,
+                    rank_limit: routed.rank_limit,
+                    is_hot_key: false,
                 },
             };
             let pick = self.state.pick_server(query);
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -15,6 +15,7 @@
     },
     bytes::{Bytes, BytesMut},
     camphorcove_core::{
+        dispatch::RankLimit,
         ids::ServiceName,
         quarantine::RequestFingerprint,
         routing::{RetryPolicy, RouteRule, RouteTable},
@@ -75,6 +76,8 @@
     /// Only set for keyed services.
     pub(super) key: Option<u16>,
     pub(super) started: BootTime,
+    /// Limit by rank, if the service has more urgent routes.
+    pub(super) rank_limit: Option<RankLimit>,
     /// Computed when it is first needed.
     pub(super) fingerprint: OnceLock<RequestFingerprint>,
     /// Keeps the body counted against the memory budget until the request has ended.
@@ -321,6 +324,7 @@
                 caller_leaves_at: started + deadline,
             },
             attempts: rule.attempts.min(terms.most_attempts),
+            rank_limit: table.rank_limit(&service, &rule),
             rule,
             origin: terms.origin,
             max_connections: config.map_or(1, |service| service.connections),
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -6,7 +6,8 @@
 use {
     super::{
         BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, PlannedStop,
-        SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind, relay_peers::RelayPeers,
+        SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind,
+        admission_tracking::AdmissionTracking, relay_peers::RelayPeers,
         suspect_news::SuspectOutbox,
     },
     crate::conf::GatewaySettings,
@@ -132,6 +133,8 @@
     pub(super) server_reach: ServerReach,
     /// Hosts that may send requests to servers for this one.
     pub(super) relay_peers: RelayPeers,
+    /// Admission by rank and hot key.
+    pub(super) admission: AdmissionTracking,
     pub(super) suspects: SuspectTable,
     pub(super) suspect_outbox: SuspectOutbox,
 }
@@ -235,6 +238,7 @@
                 log_rate_limiter: LogRateLimiter::default(),
                 server_reach: ServerReach::default(),
                 relay_peers: RelayPeers::default(),
+                admission: AdmissionTracking::default(),
                 suspects: SuspectTable::default(),
                 suspect_outbox: SuspectOutbox::default(),
             }),
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! State of this host, shared by its tasks.
 
+mod admission_tracking;
 mod body_budget;
 mod change_log;
 mod config_copy;
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -280,18 +280,21 @@
             return inner.refuse_paused(left);
         }
         let hosts = inner.hosts();
-        let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
+        let Some(gauge) = inner.gauges.get(&owner.id) else {
             return inner.refuse_unowned();
         };
         let reading = gauge.read(now);
         let refusal = match reading.avoided {
             true => Some(PickRefusal::OwnerUnresponsive),
-            false => PickRefusal::of(query.rule.decide(reading)),
+            false => PickRefusal::of(inner.decide_admission(query.service, query.rule, reading)),
         };
         if let Some(refusal) = refusal {
             let jitter = rand::RngExt::random(&mut inner.random);
             return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
         }
+        let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
+            return inner.refuse_unowned();
+        };
         if let Some(gate) = gauge.limit_gate_mut()
             && !gate.admit(hosts, now)
         {
@@ -338,7 +341,8 @@
         let target = query.rule.target_latency;
         while let Some(at) = choose_server(&offers.candidates, target, &mut inner.random) {
             let reading: GaugeReading = offers.candidates[at].reading;
-            if let Some(refusal) = PickRefusal::of(query.rule.decide(reading)) {
+            let admission = inner.decide_admission(query.service, query.rule, reading);
+            if let Some(refusal) = PickRefusal::of(admission) {
                 let jitter = rand::RngExt::random(&mut inner.random);
                 return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
             }
