--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -17,7 +17,8 @@
 const TARGET_LATENCY_FACTOR: f64 = 0.95;
 
 /// Factor on the limit of requests for a key that has more of them than its owner can take. The rest
-/// of the queue is kept for the other keys of the owner, as its capacity is only estimated.
+/// of the queue is kept for the other keys of the owner, as its capacity is only estimated. With 0.4,
+/// the hot key gets less than 0.4 of its owner beside other keys that ask for 0.4.
 const HOT_KEY_FACTOR: f64 = 0.5;
 
 /// Share of the remaining time that the expected time to answer may use; service times vary.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Dispatch of requests: choice of a server, admission control and the retry limit.
 
 mod admission;
+mod key_gates;
 mod key_share;
 mod limit_control;
 mod limit_gate;
@@ -18,6 +19,7 @@
 
 pub use {
     admission::{Admission, AdmissionRule, retry_after},
+    key_gates::{KeyAdmission, KeyGates},
     key_share::KeyShare,
     limit_control::LimitControl,
     limit_gate::{AdmittedShare, LimitGate, LimitedRequests},
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -8,6 +8,7 @@
 
 mod elector_list;
 mod end_proof;
+mod hot_keys;
 mod key_range;
 mod lease_bounds;
 mod lease_orders;
@@ -24,6 +25,7 @@
 pub use {
     elector_list::ElectorList,
     end_proof::EndProof,
+    hot_keys::{MAX_KEY_SHARES, choose_key_shares},
     key_range::{KeyRange, LAST_KEY},
     lease_bounds::{
         AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, LEASE_DURATION, LeaseBounds,
--- a/crates/core/src/routing/route_table.rs
+++ b/crates/core/src/routing/route_table.rs
@@ -1,7 +1,7 @@
 //! Lookup of routes, and validation of a configuration's routes.
 
 use {
-    super::{CallerLimits, RouteRule, ServiceRule},
+    super::{CallerLimits, RouteRank, RouteRule, ServiceRule},
     crate::dispatch::{RankLimit, RankLimits},
     crate::ids::{ConfigVersion, ServiceName},
     snafu::{Snafu, ensure},
@@ -95,6 +95,16 @@
         self.rank_limits.get(service)?.limit(rule)
     }
 
+    /// Whether any route of the service is less urgent than the default, so that the configuration asks
+    /// for priorities.
+    pub fn uses_ranks(&self, service: &ServiceName) -> bool {
+        let is_ranked = |rule: &Arc<RouteRule>| {
+            let mut parts = rule.split.iter();
+            rule.rank > RouteRank::default() && parts.any(|part| part.service == *service)
+        };
+        self.routes.values().flatten().any(is_ranked)
+    }
+
     /// Route with the longest prefix of `path` at `host`; a port in `host` is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
         let name = match host.rsplit_once(':') {
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -7,7 +7,9 @@
         owner_update::OwnerUpdate,
     },
     crate::{
-        peers::{Digest, OwnerChange, PeerMessage, Report, ReportAddition, Trailing},
+        peers::{
+            Digest, DigestAddition, OwnerChange, PeerMessage, Report, ReportAddition, Trailing,
+        },
         state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind, SuspectNews},
     },
     camphorcove_core::{
@@ -348,6 +350,13 @@
         let hosts = self.complete_host_count(now);
         let limits = self.limits.update(now);
         self.state.set_shared_limits(&limits);
+        let mut key_shares = planner.key_shares(&self.capacity());
+        let table = self.state.table();
+        key_shares.retain(|share| {
+            let table = table.as_ref();
+            table.is_some_and(|table| table.uses_ranks(&share.service))
+        });
+        self.state.set_key_shares(&key_shares);
         self.state.set_remote_load(hosts, &servers);
         let slots = self.state.slots_by_hash();
         servers.retain(|(server, total)| {
@@ -383,7 +392,10 @@
                 true => self.peers.clone(),
                 false => Vec::new(),
             },
-            addition: Trailing::default(),
+            addition: Trailing(DigestAddition {
+                key_shares,
+                ..DigestAddition::default()
+            }),
         };
         self.state
             .set_relay_peers(&digest.peers, &digest.without_servers);
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -25,6 +25,8 @@
     Unavailable,
     /// Not run: the servers, the retry budget or the memory for bodies are exhausted.
     Overloaded,
+    /// Not run: the key has more requests than its owner can take.
+    HotKey,
     /// Not run: the servers limit the rate of requests.
     Limited,
     /// Not run: servers have crashed under this request.
@@ -52,6 +54,7 @@
             Self::NoConfiguration
             | Self::Unavailable
             | Self::Overloaded
+            | Self::HotKey
             | Self::Limited
             | Self::Quarantined
             | Self::Paused
@@ -73,6 +76,7 @@
         Refusal::NoConfiguration => "not run: no configuration yet",
         Refusal::Unavailable => "not run: no server available",
         Refusal::Overloaded => "not run: overloaded",
+        Refusal::HotKey => "not run: too many requests for this key",
         Refusal::Limited => "not run: the server limits the rate of requests",
         Refusal::Quarantined => "not run: servers have crashed under this request",
         Refusal::Paused => "not run: the server wants no requests for a time",
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -133,6 +133,7 @@
                     let refusal = match reason {
                         PickRefusal::NoKey => Refusal::Malformed,
                         PickRefusal::Overloaded => Refusal::Overloaded,
+                        PickRefusal::HotKey => Refusal::HotKey,
                         PickRefusal::Limited => Refusal::Limited,
                         PickRefusal::Paused => Refusal::Paused,
                         PickRefusal::TooLate => Refusal::TooLate,
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -4,8 +4,8 @@
     super::{HostState, host_state::StateInner},
     camphorcove_core::{
         dispatch::{
-            Admission, AdmissionRule, Candidate, GaugeReading, LimitGate, ReportedLoad,
-            RequestOutcome, RequestRate, ServerGauge, choose_server, retry_after,
+            Admission, AdmissionRule, Candidate, GaugeReading, KeyAdmission, LimitGate,
+            ReportedLoad, RequestOutcome, RequestRate, ServerGauge, choose_server, retry_after,
             retry_after_pause,
         },
         fleet::{FleetView, ServerEntry, ServerPhase},
@@ -55,6 +55,8 @@
     NoServer,
     /// The service's servers are overloaded.
     Overloaded,
+    /// The key has more requests than its owner can take.
+    HotKey,
     /// The servers that could take the request limit the rate of requests.
     Limited,
     /// The servers that could take the request want none for a time.
@@ -280,13 +282,26 @@
             return inner.refuse_paused(left);
         }
         let hosts = inner.hosts();
-        let Some(gauge) = inner.gauges.get(&owner.id) else {
+        let Some(reading) = inner.gauges.get(&owner.id).map(|gauge| gauge.read(now)) else {
             return inner.refuse_unowned();
         };
-        let reading = gauge.read(now);
+        let mut rule = query.rule;
+        // The share counts requests of callers; further attempts belong to the same request.
+        if query.tried.is_empty() {
+            let key_gates = &mut inner.admission.key_gates;
+            match key_gates.admit(query.service, key, now) {
+                KeyAdmission::NotHot => {}
+                KeyAdmission::Admitted => rule.is_hot_key = true,
+                KeyAdmission::Refused(_) => {
+                    let jitter = rand::RngExt::random(&mut inner.random);
+                    let retry_after = retry_after(Some(reading), jitter);
+                    return ServerPick::Refuse(PickRefusal::HotKey, retry_after);
+                }
+            }
+        }
         let refusal = match reading.avoided {
             true => Some(PickRefusal::OwnerUnresponsive),
-            false => PickRefusal::of(inner.decide_admission(query.service, query.rule, reading)),
+            false => PickRefusal::of(inner.decide_admission(query.service, rule, reading)),
         };
         if let Some(refusal) = refusal {
             let jitter = rand::RngExt::random(&mut inner.random);
