--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod rank_limit;
 mod request_rate;
 mod retry_window;
+mod return_plan;
 mod server_choice;
 mod server_gauge;
 mod server_reach;
@@ -27,6 +28,7 @@
     rank_limit::{RankGate, RankLimit, RankLimits},
     request_rate::{RateError, RequestRate},
     retry_window::{HostCount, RetryWindow},
+    return_plan::{ReturnPlan, ReturnQuery, ReturnReason, ReturnTarget},
     server_choice::{Candidate, choose_server},
     server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
     server_reach::{ReachCheck, ServerReach},
--- a/crates/core/src/routing/route_table.rs
+++ b/crates/core/src/routing/route_table.rs
@@ -5,7 +5,11 @@
     crate::dispatch::{RankLimit, RankLimits},
     crate::ids::{ConfigVersion, ServiceName},
     snafu::{Snafu, ensure},
-    std::{cmp::Reverse, collections::HashMap, sync::Arc},
+    std::{
+        cmp::Reverse,
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
 };
 
 /// Why a configuration is rejected as a whole.
@@ -54,6 +58,8 @@
     routes: HashMap<String, Vec<Arc<RouteRule>>>,
     /// Limits by rank of the services whose routes have different ranks.
     rank_limits: HashMap<ServiceName, RankLimits>,
+    /// Services with a route that is less urgent than the default.
+    ranked_services: HashSet<ServiceName>,
 }
 
 impl RouteTable {
@@ -80,12 +86,18 @@
             rules.sort_by_key(|rule| Reverse(rule.prefix.len()));
         }
         let rank_limits = rank_limits(&services, &routes);
+        let rules = routes.values().flatten();
+        let ranked = rules.filter(|rule| rule.rank > RouteRank::default());
+        let ranked_services = ranked
+            .flat_map(|rule| rule.split.iter().map(|part| part.service.clone()))
+            .collect();
         Ok(Self {
             version,
             limits,
             services,
             routes,
             rank_limits,
+            ranked_services,
         })
     }
 
@@ -98,11 +110,7 @@
     /// Whether any route of the service is less urgent than the default, so that the configuration asks
     /// for priorities.
     pub fn uses_ranks(&self, service: &ServiceName) -> bool {
-        let is_ranked = |rule: &Arc<RouteRule>| {
-            let mut parts = rule.split.iter();
-            rule.rank > RouteRank::default() && parts.any(|part| part.service == *service)
-        };
-        self.routes.values().flatten().any(is_ranked)
+        self.ranked_services.contains(service)
     }
 
     /// Route with the longest prefix of `path` at `host`; a port in `host` is ignored.
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -118,6 +118,7 @@
                     rank_limit: routed.rank_limit,
                     is_hot_key: false,
                 },
+                plans_returns: routed.plans_returns,
             };
             let pick = self.state.pick_server(query);
             let (entry, permit) = match pick {
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -78,6 +78,8 @@
     pub(super) started: BootTime,
     /// Limit by rank, if the service has more urgent routes.
     pub(super) rank_limit: Option<RankLimit>,
+    /// Whether the service has routes of different urgency.
+    pub(super) plans_returns: bool,
     /// Computed when it is first needed.
     pub(super) fingerprint: OnceLock<RequestFingerprint>,
     /// Keeps the body counted against the memory budget until the request has ended.
@@ -325,6 +327,7 @@
             },
             attempts: rule.attempts.min(terms.most_attempts),
             rank_limit: table.rank_limit(&service, &rule),
+            plans_returns: table.uses_ranks(&service),
             rule,
             origin: terms.origin,
             max_connections: config.map_or(1, |service| service.connections),
--- a/crates/gateway/src/state/admission_tracking.rs
+++ b/crates/gateway/src/state/admission_tracking.rs
@@ -1,13 +1,17 @@
 //! Admission of requests by rank and by hot key, as this host has to apply them.
 
 use {
-    super::{HostState, host_state::StateInner},
+    super::{HostState, PickQuery, PickRefusal, host_state::StateInner},
     camphorcove_core::{
-        dispatch::{Admission, AdmissionRule, GaugeReading, KeyGates, KeyShare, RankGate},
+        dispatch::{
+            Admission, AdmissionRule, GaugeReading, KeyGates, KeyShare, RankGate, ReturnPlan,
+            ReturnQuery, ReturnReason, ReturnTarget, retry_after,
+        },
         ids::ServiceName,
         routing::RouteRank,
+        time::BootTime,
     },
-    std::collections::HashMap,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// What this host keeps between admission decisions.
@@ -17,6 +21,8 @@
     rank_gates: HashMap<(ServiceName, RouteRank), RankGate>,
     /// Keys whose requests are more than their owners can take.
     pub(super) key_gates: KeyGates,
+    /// Times at which callers of refused requests are to return.
+    returns: ReturnPlan,
 }
 
 impl StateInner {
@@ -34,6 +40,41 @@
         let gate = self.admission.rank_gates.entry(key).or_default();
         gate.decide(rule, reading)
     }
+
+    /// Time after which the caller of a refused request is to return to a target with this reading and
+    /// capacity in requests a second.
+    pub(super) fn plan_return(
+        &mut self,
+        query: PickQuery<'_>,
+        refusal: PickRefusal,
+        target: ReturnTarget,
+        (reading, capacity): (GaugeReading, f64),
+        now: BootTime,
+    ) -> Duration {
+        let spread = rand::RngExt::random(&mut self.random);
+        let reason = match refusal {
+            PickRefusal::HotKey => ReturnReason::HotKey,
+            _ => ReturnReason::Overloaded,
+        };
+        if !query.plans_returns {
+            return retry_after(Some(reading), spread);
+        }
+        let return_query = ReturnQuery {
+            reason,
+            reading,
+            capacity,
+            hosts: self.hosts(),
+            time_left: query.rule.time_left,
+        };
+        self.admission
+            .returns
+            .plan(target, return_query, spread, now)
+    }
+}
+
+/// Requests a second that a server with this reading answers.
+pub(super) fn answer_rate(reading: &GaugeReading) -> f64 {
+    f64::from(reading.slots) / reading.service_time.max(0.001)
 }
 
 impl HostState {
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -1,12 +1,12 @@
 //! Selects the server for one attempt of a request.
 
 use {
-    super::{HostState, host_state::StateInner},
+    super::{HostState, admission_tracking::answer_rate, host_state::StateInner},
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, Candidate, GaugeReading, KeyAdmission, LimitGate,
-            ReportedLoad, RequestOutcome, RequestRate, ServerGauge, choose_server, retry_after,
-            retry_after_pause,
+            ReportedLoad, RequestOutcome, RequestRate, ReturnTarget, ServerGauge, choose_server,
+            retry_after, retry_after_pause,
         },
         fleet::{FleetView, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName, ZoneName},
@@ -46,6 +46,8 @@
     pub tried: &'a [ServerId],
     /// Limits on the expected time at the server.
     pub rule: AdmissionRule,
+    /// Whether the times are planned at which callers of refused requests return.
+    pub plans_returns: bool,
 }
 
 /// Why no server gets the request.
@@ -227,6 +229,20 @@
         ServerPick::Refuse(PickRefusal::Limited, gate.retry_after(jitter))
     }
 
+    fn refuse_owner(
+        &mut self,
+        query: PickQuery<'_>,
+        refusal: PickRefusal,
+        owner: ServerId,
+        reading: GaugeReading,
+        now: BootTime,
+    ) -> ServerPick {
+        let target = ReturnTarget::Owner(owner);
+        let load = (reading, answer_rate(&reading));
+        let retry_after = self.plan_return(query, refusal, target, load, now);
+        ServerPick::Refuse(refusal, retry_after)
+    }
+
     fn refuse_paused(&mut self, left: Duration) -> ServerPick {
         let spread = rand::RngExt::random(&mut self.random);
         ServerPick::Refuse(PickRefusal::Paused, retry_after_pause(left, spread))
@@ -293,9 +309,7 @@
                 KeyAdmission::NotHot => {}
                 KeyAdmission::Admitted => rule.is_hot_key = true,
                 KeyAdmission::Refused(_) => {
-                    let jitter = rand::RngExt::random(&mut inner.random);
-                    let retry_after = retry_after(Some(reading), jitter);
-                    return ServerPick::Refuse(PickRefusal::HotKey, retry_after);
+                    return inner.refuse_owner(query, PickRefusal::HotKey, owner.id, reading, now);
                 }
             }
         }
@@ -304,8 +318,7 @@
             false => PickRefusal::of(inner.decide_admission(query.service, rule, reading)),
         };
         if let Some(refusal) = refusal {
-            let jitter = rand::RngExt::random(&mut inner.random);
-            return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
+            return inner.refuse_owner(query, refusal, owner.id, reading, now);
         }
         let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
             return inner.refuse_unowned();
@@ -358,8 +371,11 @@
             let reading: GaugeReading = offers.candidates[at].reading;
             let admission = inner.decide_admission(query.service, query.rule, reading);
             if let Some(refusal) = PickRefusal::of(admission) {
-                let jitter = rand::RngExt::random(&mut inner.random);
-                return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
+                let readings = offers.candidates.iter().map(|candidate| &candidate.reading);
+                let load = (reading, readings.map(answer_rate).sum());
+                let target = ReturnTarget::Service(query.service.clone());
+                let retry_after = inner.plan_return(query, refusal, target, load, now);
+                return ServerPick::Refuse(refusal, retry_after);
             }
             let entry = offers.entries[at].clone();
             if let Some(gauge) = inner.gauges.get_mut(&entry.id) {
