--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -2,12 +2,15 @@
 
 mod admission;
 mod connection_limit;
+mod key_gates;
 mod key_share;
 mod limit_control;
 mod limit_gate;
 mod pause_table;
+mod rank_limit;
 mod request_rate;
 mod retry_window;
+mod return_plan;
 mod server_choice;
 mod server_gauge;
 mod server_reach;
@@ -21,12 +24,15 @@
 pub use {
     admission::{Admission, AdmissionRule, retry_after},
     connection_limit::ConnectionLimit,
+    key_gates::{KeyAdmission, KeyGates},
     key_share::KeyShare,
     limit_control::LimitControl,
     limit_gate::{AdmittedShare, LimitGate, LimitedRequests},
     pause_table::{PauseTable, retry_after_pause},
+    rank_limit::{RankGate, RankLimit, RankLimits},
     request_rate::{RateError, RequestRate},
     retry_window::{HostCount, RetryWindow},
+    return_plan::{ReturnPlan, ReturnQuery, ReturnReason, ReturnTarget},
     server_choice::{Candidate, choose_server},
     server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
     server_reach::{ReachCheck, ServerReach},
--- a/crates/core/src/routing/route_table.rs
+++ b/crates/core/src/routing/route_table.rs
@@ -1,10 +1,15 @@
 //! Lookup of routes, and validation of a configuration's routes.
 
 use {
-    super::{CallerLimits, RouteRule, ServiceRule},
+    super::{CallerLimits, RouteRank, RouteRule, ServiceRule},
+    crate::dispatch::{RankLimit, RankLimits},
     crate::ids::{ConfigVersion, ServiceName},
     snafu::{Snafu, ensure},
-    std::{cmp::Reverse, collections::HashMap, sync::Arc},
+    std::{
+        cmp::Reverse,
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
 };
 
 /// Why a configuration is rejected as a whole.
@@ -51,6 +56,10 @@
     pub services: HashMap<ServiceName, ServiceRule>,
     /// Routes by host, those with the longest prefix first.
     routes: HashMap<String, Vec<Arc<RouteRule>>>,
+    /// Limits by rank of the services whose routes have different ranks.
+    rank_limits: HashMap<ServiceName, RankLimits>,
+    /// Services with a route that is less urgent than the default.
+    ranked_services: HashSet<ServiceName>,
 }
 
 impl RouteTable {
@@ -76,14 +85,34 @@
         for rules in routes.values_mut() {
             rules.sort_by_key(|rule| Reverse(rule.prefix.len()));
         }
+        let rank_limits = rank_limits(&services, &routes);
+        let rules = routes.values().flatten();
+        let ranked = rules.filter(|rule| rule.rank > RouteRank::default());
+        let ranked_services = ranked
+            .flat_map(|rule| rule.split.iter().map(|part| part.service.clone()))
+            .collect();
         Ok(Self {
             version,
             limits,
             services,
             routes,
+            rank_limits,
+            ranked_services,
         })
     }
 
+    /// Limit by rank of a route's requests for a service; `None` if the service has no more urgent
+    /// route.
+    pub fn rank_limit(&self, service: &ServiceName, rule: &RouteRule) -> Option<RankLimit> {
+        self.rank_limits.get(service)?.limit(rule)
+    }
+
+    /// Whether any route of the service is less urgent than the default, so that the configuration asks
+    /// for priorities.
+    pub fn uses_ranks(&self, service: &ServiceName) -> bool {
+        self.ranked_services.contains(service)
+    }
+
     /// Route with the longest prefix of `path` at `host`; a port in `host` is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
         let name = match host.rsplit_once(':') {
@@ -103,6 +132,24 @@
     }
 }
 
+fn rank_limits(
+    services: &HashMap<ServiceName, ServiceRule>,
+    routes: &HashMap<String, Vec<Arc<RouteRule>>>,
+) -> HashMap<ServiceName, RankLimits> {
+    let mut rank_limits = HashMap::new();
+    for service in services.keys() {
+        let gets_requests = |rule: &&RouteRule| {
+            let mut parts = rule.split.iter();
+            parts.any(|part| part.weight > 0 && part.service == *service)
+        };
+        let rules = routes.values().flatten().map(Arc::as_ref);
+        if let Some(limits) = RankLimits::of_routes(rules.filter(gets_requests)) {
+            rank_limits.insert(service.clone(), limits);
+        }
+    }
+    rank_limits
+}
+
 fn check_rule(
     rule: &RouteRule,
     services: &HashMap<ServiceName, ServiceRule>,
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -363,6 +363,13 @@
         self.state.set_shared_limits(&limits);
         let warmups = self.warmups.update(self.state.warmup_shares(), now);
         self.state.set_warmup_shares(&warmups);
+        let mut key_shares = planner.key_shares(&self.capacity());
+        let table = self.state.table();
+        key_shares.retain(|share| {
+            let table = table.as_ref();
+            table.is_some_and(|table| table.uses_ranks(&share.service))
+        });
+        self.state.set_key_shares(&key_shares);
         self.state.set_remote_load(hosts, &servers);
         let slots = self.state.slots_by_hash();
         servers.retain(|(server, total)| {
@@ -401,6 +408,7 @@
             addition: Trailing(DigestAddition {
                 evacuations: self.state.evacuation_list(),
                 warmups,
+                key_shares,
                 ..DigestAddition::default()
             }),
         };
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -115,7 +115,10 @@
                 rule: AdmissionRule {
                     target_latency: routed.rule.target_latency,
                     time_left,
+                    rank_limit: routed.rank_limit,
+                    is_hot_key: false,
                 },
+                plans_returns: routed.plans_returns,
             };
             let pick = self.state.pick_server(query);
             let (entry, permit) = match pick {
@@ -131,6 +134,7 @@
                     let refusal = match reason {
                         PickRefusal::NoKey => Refusal::Malformed,
                         PickRefusal::Overloaded => Refusal::Overloaded,
+                        PickRefusal::HotKey => Refusal::HotKey,
                         PickRefusal::Limited => Refusal::Limited,
                         PickRefusal::Paused => Refusal::Paused,
                         PickRefusal::TooLate => Refusal::TooLate,
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -7,8 +7,8 @@
     super::{
         BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, PlannedStop,
         SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind,
-        evacuation_tracking::EvacuationTracking, relay_peers::RelayPeers,
-        suspect_news::SuspectOutbox, warmup_tracking::WarmupTracking,
+        admission_tracking::AdmissionTracking, evacuation_tracking::EvacuationTracking,
+        relay_peers::RelayPeers, suspect_news::SuspectOutbox, warmup_tracking::WarmupTracking,
     },
     crate::conf::GatewaySettings,
     camphorcove_core::{
@@ -140,6 +140,8 @@
     pub(super) server_reach: ServerReach,
     /// Hosts that may send requests to servers for this one.
     pub(super) relay_peers: RelayPeers,
+    /// Admission by rank and hot key.
+    pub(super) admission: AdmissionTracking,
     pub(super) suspects: SuspectTable,
     pub(super) suspect_outbox: SuspectOutbox,
     pub(super) warmups: WarmupTracking,
@@ -247,6 +249,7 @@
                 log_rate_limiter: LogRateLimiter::default(),
                 server_reach: ServerReach::default(),
                 relay_peers: RelayPeers::default(),
+                admission: AdmissionTracking::default(),
                 suspects: SuspectTable::default(),
                 suspect_outbox: SuspectOutbox::default(),
                 warmups,
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -3,13 +3,15 @@
 use {
     super::{
         HostState,
+        admission_tracking::answer_rate,
         host_state::StateInner,
         warmup_tracking::{ClosedGate, pass_gates},
     },
     camphorcove_core::{
         dispatch::{
-            Admission, AdmissionRule, Candidate, GaugeReading, ReportedLoad, RequestOutcome,
-            RequestRate, ServerGauge, choose_server, retry_after, retry_after_pause,
+            Admission, AdmissionRule, Candidate, GaugeReading, KeyAdmission, ReportedLoad,
+            RequestOutcome, RequestRate, ReturnTarget, ServerGauge, choose_server, retry_after,
+            retry_after_pause,
         },
         fleet::{FleetView, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName, ZoneName},
@@ -46,6 +48,8 @@
     pub tried: &'a [ServerId],
     /// Limits on the expected time at the server.
     pub rule: AdmissionRule,
+    /// Whether the times are planned at which callers of refused requests return.
+    pub plans_returns: bool,
 }
 
 /// Why no server gets the request.
@@ -55,6 +59,8 @@
     NoServer,
     /// The service's servers are overloaded.
     Overloaded,
+    /// The key has more requests than its owner can take.
+    HotKey,
     /// The servers that could take the request limit the rate of requests.
     Limited,
     /// The servers that could take the request want none for a time.
@@ -231,6 +237,20 @@
         ServerPick::Refuse(PickRefusal::Limited, wait)
     }
 
+    fn refuse_owner(
+        &mut self,
+        query: PickQuery<'_>,
+        refusal: PickRefusal,
+        owner: ServerId,
+        reading: GaugeReading,
+        now: BootTime,
+    ) -> ServerPick {
+        let target = ReturnTarget::Owner(owner);
+        let load = (reading, answer_rate(&reading));
+        let retry_after = self.plan_return(query, refusal, target, load, now);
+        ServerPick::Refuse(refusal, retry_after)
+    }
+
     fn refuse_paused(&mut self, left: Duration) -> ServerPick {
         let spread = rand::RngExt::random(&mut self.random);
         ServerPick::Refuse(PickRefusal::Paused, retry_after_pause(left, spread))
@@ -296,18 +316,31 @@
             return inner.refuse_paused(left);
         }
         let (hosts, warmup_hosts) = (inner.hosts(), inner.warmup_hosts());
-        let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
+        let Some(reading) = inner.gauges.get(&owner.id).map(|gauge| gauge.read(now)) else {
             return inner.refuse_unowned();
         };
-        let reading = gauge.read(now);
+        let mut rule = query.rule;
+        // The share counts requests of callers; further attempts belong to the same request.
+        if query.tried.is_empty() {
+            let key_gates = &mut inner.admission.key_gates;
+            match key_gates.admit(query.service, key, now) {
+                KeyAdmission::NotHot => {}
+                KeyAdmission::Admitted => rule.is_hot_key = true,
+                KeyAdmission::Refused(_) => {
+                    return inner.refuse_owner(query, PickRefusal::HotKey, owner.id, reading, now);
+                }
+            }
+        }
         let refusal = match reading.avoided {
             true => Some(PickRefusal::OwnerUnresponsive),
-            false => PickRefusal::of(query.rule.decide(reading)),
+            false => PickRefusal::of(inner.decide_admission(query.service, rule, reading)),
         };
         if let Some(refusal) = refusal {
-            let jitter = rand::RngExt::random(&mut inner.random);
-            return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
+            return inner.refuse_owner(query, refusal, owner.id, reading, now);
         }
+        let Some(gauge) = inner.gauges.get_mut(&owner.id) else {
+            return inner.refuse_unowned();
+        };
         if let Err(gate) = pass_gates(gauge, hosts, warmup_hosts, now) {
             self.count_closed_gate(&gate);
             return inner.refuse_limited(&gate, now);
@@ -348,9 +381,13 @@
         let target = query.rule.target_latency;
         while let Some(at) = choose_server(&offers.candidates, target, &mut inner.random) {
             let reading: GaugeReading = offers.candidates[at].reading;
-            if let Some(refusal) = PickRefusal::of(query.rule.decide(reading)) {
-                let jitter = rand::RngExt::random(&mut inner.random);
-                return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
+            let admission = inner.decide_admission(query.service, query.rule, reading);
+            if let Some(refusal) = PickRefusal::of(admission) {
+                let readings = offers.candidates.iter().map(|candidate| &candidate.reading);
+                let load = (reading, readings.map(answer_rate).sum());
+                let target = ReturnTarget::Service(query.service.clone());
+                let retry_after = inner.plan_return(query, refusal, target, load, now);
+                return ServerPick::Refuse(refusal, retry_after);
             }
             let entry = offers.entries[at].clone();
             if let Some(gauge) = inner.gauges.get_mut(&entry.id) {
