--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,3 +28,4 @@
 pub mod routing;
 pub mod scope;
 pub mod time;
+pub mod zones;
