--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Whether the server has started so recently that it is slower than usual.
+    pub fn is_warming_up(&self, now: BootTime) -> bool {
+        now < self.warmed_up_at
+    }
+
     /// This host's part of the limit that the server names, if it does.
     pub fn limit_gate(&self) -> Option<&LimitGate> {
         self.limit_gate.as_ref()
--- a/crates/core/src/routing/route_table.rs
+++ b/crates/core/src/routing/route_table.rs
@@ -4,7 +4,7 @@
     super::{CallerLimits, RouteRule, ServiceRule},
     crate::ids::{ConfigVersion, ServiceName},
     snafu::{Snafu, ensure},
-    std::{cmp::Reverse, collections::HashMap, sync::Arc},
+    std::{cmp::Reverse, collections::HashMap, sync::Arc, time::Duration},
 };
 
 /// Why a configuration is rejected as a whole.
@@ -97,6 +97,16 @@
         rules.iter().find(|rule| path.starts_with(&rule.prefix))
     }
 
+    /// Shortest target latency of the routes that a service has a part of; `None` if it has none.
+    pub fn target_latency(&self, service: &ServiceName) -> Option<Duration> {
+        let uses_it = |route: &&Arc<RouteRule>| {
+            let mut parts = route.split.iter();
+            parts.any(|part| part.service == *service && part.weight > 0)
+        };
+        let routes = self.routes.values().flatten().filter(uses_it);
+        routes.map(|route| route.target_latency).min()
+    }
+
     /// Number of routes over all hosts.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/core/src/zones/transfer_planner.rs
+++ b/crates/core/src/zones/transfer_planner.rs
@@ -109,24 +109,31 @@
         load.record_requests(demand.requests);
     }
 
-    /// Decides from the reports since the last call. Services that `capacities` does not list are
-    /// forgotten.
-    ///
-    /// If nothing is sent, the result has one entry from a zone to itself, by which hosts tell this
-    /// decision from the digest of a leader that does not decide.
-    pub fn update(&mut self, capacities: &[ServiceCapacity], now: BootTime) -> Vec<ZoneTransfer> {
+    /// Updates demand and capacity from the reports since the last call. Services that `capacities` does
+    /// not list are forgotten.
+    pub fn update(&mut self, capacities: &[ServiceCapacity], now: BootTime) {
         let elapsed = now.since(self.updated_at).as_secs_f64();
         self.services
             .retain(|service, _| capacities.iter().any(|known| known.service == *service));
-        let mut transfers = Vec::new();
+        if elapsed <= 0.0 {
+            return;
+        }
         for capacity in capacities {
             let plan = self.services.entry(capacity.service.clone()).or_default();
-            if elapsed > 0.0 {
-                plan.update(capacity, elapsed);
-            }
-            transfers.extend(plan.transfers(&capacity.service, now));
+            plan.update(capacity, elapsed);
         }
         self.updated_at = now;
+    }
+
+    /// Decides which requests leave their zone.
+    ///
+    /// If nothing is sent, the result has one entry from a zone to itself, by which hosts tell this
+    /// decision from the digest of a leader that does not decide.
+    pub fn decide(&mut self, now: BootTime) -> Vec<ZoneTransfer> {
+        let mut transfers = Vec::new();
+        for (service, plan) in &mut self.services {
+            transfers.extend(plan.transfers(service, now));
+        }
         if transfers.is_empty() {
             transfers.extend(self.nothing_sent());
         }
--- a/crates/core/src/zones/transfer_table.rs
+++ b/crates/core/src/zones/transfer_table.rs
@@ -56,42 +56,29 @@
 
     /// Adopts the transfers of a digest. An empty list is no decision: the leader is of an earlier build,
     /// or it does not have the reports of all hosts yet. `phase`, a random number in 0..1, keeps hosts
-    /// from sending their first requests together. Returns whether other zones than before get requests
-    /// of this one.
-    pub fn set_transfers(
-        &mut self,
-        transfers: Vec<ZoneTransfer>,
-        phase: f64,
-        now: BootTime,
-    ) -> bool {
+    /// from sending their first requests together.
+    pub fn set_transfers(&mut self, transfers: Vec<ZoneTransfer>, phase: f64, now: BootTime) {
         if transfers.is_empty() {
-            return false;
+            return;
         }
         let mut outflows = BTreeMap::<ServiceName, Vec<Outflow>>::new();
-        let mut is_changed = false;
         for transfer in &transfers {
             if transfer.from != self.zone || transfer.to == self.zone {
                 continue;
             }
-            let old = self.outflows.get(&transfer.service);
-            let old = old.and_then(|old| old.iter().find(|old| old.to == transfer.to));
-            is_changed |= old.is_none();
+            let known = self.outflows.get(&transfer.service);
+            let known = known.and_then(|known| known.iter().find(|old| old.to == transfer.to));
             let outflow = Outflow {
                 to: transfer.to.clone(),
                 share: transfer.share.fraction(),
-                credit: old.map_or(phase, |old| old.credit),
+                credit: known.map_or(phase, |known| known.credit),
             };
             let service = transfer.service.clone();
             outflows.entry(service).or_default().push(outflow);
         }
-        let count = |outflows: &BTreeMap<ServiceName, Vec<Outflow>>| -> usize {
-            outflows.values().map(Vec::len).sum()
-        };
-        is_changed |= count(&outflows) != count(&self.outflows);
         self.outflows = outflows;
         self.transfers = transfers;
         self.decided_at = Some(now);
-        is_changed
     }
 
     /// Whether the last decision still applies.
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -10,6 +10,7 @@
         order_sender::OrderSender,
         owner_store::OwnerStore,
         owner_update::OwnerUpdate,
+        zone_planning::ZonePlanning,
     },
     crate::{
         peers::PeerLink,
@@ -92,6 +93,8 @@
     pub(super) hosts: HostTable,
     /// Limits that servers have named to any host.
     pub(super) limits: LimitTable,
+    /// Demand and capacity by zone, and which requests leave their zone.
+    pub(super) zone_planning: ZonePlanning,
     /// Check of the remembered assignment that this leader began with after the store had lost writes,
     /// until most hosts have shown that they remember no later one.
     pub(super) unverified: Option<MemoryCheck>,
@@ -162,6 +165,7 @@
             candidacy,
             hosts: HostTable::default(),
             limits: LimitTable::default(),
+            zone_planning: ZonePlanning::new(&[], now),
             unverified: None,
             last_digest_sender: None,
             last_digest_at: None,
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -166,6 +166,7 @@
         self.state.record_digest(watches);
         self.state.set_remote_load(digest.hosts, &digest.servers);
         self.state.set_shared_limits(&digest.limits);
+        self.state.set_transfers(digest.addition.0.transfers);
         self.state.record_leaving_servers(&digest.leaving);
         let behind = |kind| self.state.is_behind(kind);
         let is_behind = [StoreKind::Config, StoreKind::Fleet, StoreKind::Owners]
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -7,7 +7,9 @@
         owner_update::OwnerUpdate,
     },
     crate::{
-        peers::{Digest, OwnerChange, PeerMessage, Report, ReportAddition, Trailing},
+        peers::{
+            Digest, DigestAddition, OwnerChange, PeerMessage, Report, ReportAddition, Trailing,
+        },
         state::{ConfigCopy, FleetUpdate, ReportScope, SeenVersions, StoreKind, SuspectNews},
     },
     camphorcove_core::{
@@ -74,6 +76,7 @@
             false => ReportScope::NewLeader,
         };
         let load = self.state.take_load_report(scope);
+        let demand = self.state.take_demand();
         let report = Report {
             host,
             nonce: self.state.nonce,
@@ -87,6 +90,7 @@
             load,
             addition: Trailing(ReportAddition {
                 zone: Some(self.state.settings.zone.clone()),
+                demand,
                 ..ReportAddition::default()
             }),
         };
@@ -289,6 +293,7 @@
         if !own {
             self.resend_lost_configuration(&report, from);
         }
+        self.zone_planning.record_report(&report, now);
         self.hosts.record_report(&report, from, own, now);
     }
 
@@ -365,6 +370,7 @@
                 self.send_suspects(known);
             }
         }
+        let transfers = self.plan_transfers(now);
         let has_store = self.confirm_failures < CONFIRM_FAILURES && !self.state.lacks_store();
         let watchers = self.watchers(has_store, now);
         let digest = Digest {
@@ -383,7 +389,10 @@
                 true => self.peers.clone(),
                 false => Vec::new(),
             },
-            addition: Trailing::default(),
+            addition: Trailing(DigestAddition {
+                transfers,
+                ..DigestAddition::default()
+            }),
         };
         self.state
             .set_relay_peers(&digest.peers, &digest.without_servers);
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -8,6 +8,7 @@
         limit_table::LimitTable,
         memory_check::MemoryCheck,
         takeover::{KnownLeadership, take_over},
+        zone_planning::ZonePlanning,
     },
     crate::state::StoreKind,
     camphorcove_core::{
@@ -192,6 +193,7 @@
         self.confirming = false;
         self.hosts = HostTable::default();
         self.limits = LimitTable::new(self.state.shared_limits(), now);
+        self.zone_planning = ZonePlanning::new(&self.state.transfers(), now);
         self.versions = self.state.versions();
         self.fleet_version_sent = self.versions.get(StoreKind::Fleet);
         self.config_version_sent = self.versions.get(StoreKind::Config);
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -17,6 +17,7 @@
 mod owner_update;
 mod panic_guard;
 mod takeover;
+mod zone_planning;
 
 pub use {
     candidacy::Candidacy,
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -1,6 +1,7 @@
 //! Metrics in the Prometheus text format.
 
 use {
+    super::zone_metrics::register_zone_metrics,
     crate::state::HostState,
     prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder},
     std::sync::atomic::Ordering,
@@ -130,6 +131,7 @@
         gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         registry.register(Box::new(gauge))?;
     }
+    register_zone_metrics(&registry, state)?;
     let mut page = Vec::new();
     TextEncoder::new().encode(&registry.gather(), &mut page)?;
     Ok(page)
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -2,5 +2,6 @@
 
 mod metric_page;
 mod probe_listener;
+mod zone_metrics;
 
 pub use {metric_page::render_metrics, probe_listener::serve_probes};
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -7,7 +7,7 @@
     super::{
         BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, PlannedStop,
         SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind, relay_peers::RelayPeers,
-        suspect_news::SuspectOutbox,
+        suspect_news::SuspectOutbox, zone_tracking::ZoneTraffic,
     },
     crate::conf::GatewaySettings,
     camphorcove_core::{
@@ -134,6 +134,8 @@
     pub(super) relay_peers: RelayPeers,
     pub(super) suspects: SuspectTable,
     pub(super) suspect_outbox: SuspectOutbox,
+    /// Requests by zone, and the leader's decision where they go.
+    pub(super) zone_traffic: ZoneTraffic,
 }
 
 /// Shared state of one host.
@@ -192,6 +194,7 @@
         let round_robin = WeightedRoundRobin::with_phase(rand::RngExt::random(&mut random));
         let body_budget = Arc::new(BodyBudget::new(settings.memory_mb));
         let stop = PlannedStop::new(settings.stop_limit);
+        let zone_traffic = ZoneTraffic::new(&settings);
         Self {
             settings,
             clock: BootClock,
@@ -237,6 +240,7 @@
                 relay_peers: RelayPeers::default(),
                 suspects: SuspectTable::default(),
                 suspect_outbox: SuspectOutbox::default(),
+                zone_traffic,
             }),
         }
     }
@@ -307,6 +311,7 @@
         let mut inner = self.lock();
         let service = inner.round_robin.next(rule);
         self.window(&mut inner, &service).count_request(now);
+        inner.zone_traffic.count_request(&service);
         service
     }
 
--- a/crates/gateway/src/state/log_rate_limiter.rs
+++ b/crates/gateway/src/state/log_rate_limiter.rs
@@ -31,6 +31,8 @@
     Entry,
     /// A datagram was not sent or not accepted.
     Peer,
+    /// The share of requests that leave an availability zone has changed.
+    Zone,
 }
 
 #[derive(Debug, Default)]
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -21,6 +21,7 @@
 mod store_feed;
 mod suspect_news;
 mod suspect_tracking;
+mod zone_tracking;
 
 pub use {
     body_budget::{BodyBudget, BodyReservation},
@@ -38,4 +39,5 @@
     store_contact::StoreContact,
     store_feed::StoreFeed,
     suspect_news::SuspectNews,
+    zone_tracking::{SendCause, ServerCapacity, ZoneSends},
 };
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -5,8 +5,7 @@
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, Candidate, GaugeReading, LimitGate, ReportedLoad,
-            RequestOutcome, RequestRate, ServerGauge, choose_server, retry_after,
-            retry_after_pause,
+            RequestOutcome, RequestRate, ServerGauge, retry_after, retry_after_pause,
         },
         fleet::{FleetView, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName, ZoneName},
@@ -336,7 +335,10 @@
         let mut closed_gate: Option<LimitGate> = None;
         let mut closed_gates = 0;
         let target = query.rule.target_latency;
-        while let Some(at) = choose_server(&offers.candidates, target, &mut inner.random) {
+        let wanted = inner.next_zone(query.service, zone, now);
+        while let Some((at, cause)) =
+            inner.choose_offer(&offers.entries, &offers.candidates, wanted.as_ref(), target)
+        {
             let reading: GaugeReading = offers.candidates[at].reading;
             if let Some(refusal) = PickRefusal::of(query.rule.decide(reading)) {
                 let jitter = rand::RngExt::random(&mut inner.random);
@@ -358,6 +360,7 @@
                 }
                 self.record_sent(gauge);
             }
+            inner.zone_traffic.count_sent(&entry, cause);
             return self.permit(entry, now);
         }
         if let Some(gate) = closed_gate {
