--- a/crates/core/src/zones/mod.rs
+++ b/crates/core/src/zones/mod.rs
@@ -18,7 +18,7 @@
 };
 
 pub use {
-    answer_watch::AnswerWatch,
+    answer_watch::{AnswerWatch, WatchedServer},
     transfer_planner::TransferPlanner,
     transfer_table::{RequestZone, TransferTable},
     utilization_limit::utilization_limit,
--- a/crates/core/src/zones/zone_demand.rs
+++ b/crates/core/src/zones/zone_demand.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 /// Time constants of three averages. The first follows a burst within two reports of each host, the second
-/// bridges a pause and falls from 2.6 times the usual load to 1.2 times within 1.5 s, and the third
+/// bridges a pause and falls from 2.6 times the usual load to 1.2 times within 1.1 s, and the third
 /// varies little enough at 30 requests a second to be compared with thresholds a tenth apart.
 const BURST_TIME: Duration = Duration::from_millis(300);
-const RECENT_TIME: Duration = Duration::from_millis(700);
+const RECENT_TIME: Duration = Duration::from_millis(500);
 const STEADY_TIME: Duration = Duration::from_millis(3_000);
 
 /// Standard deviations by which a shorter average has to differ from the steady one to count: the number of
--- a/crates/core/src/zones/zone_load.rs
+++ b/crates/core/src/zones/zone_load.rs
@@ -19,7 +19,7 @@
 
 /// Time constant of the rate of a slot. Machines are slow for about 0.4 s at a time, which is no reason
 /// to move requests; lost servers count at once.
-const SLOT_RATE_TIME: Duration = Duration::from_secs(1);
+const SLOT_RATE_TIME: Duration = Duration::from_secs(3);
 
 /// Largest share of a zone's requests that leaves. The rest shows when servers answer again that had
 /// been silent.
--- a/crates/core/tests/support/zone_simulation.rs
+++ b/crates/core/tests/support/zone_simulation.rs
@@ -11,7 +11,7 @@
         time::BootTime,
         zones::{
             AnswerWatch, RequestZone, ServiceCapacity, TransferPlanner, TransferTable,
-            ZoneCapacity, choose_zone_server,
+            WatchedServer, ZoneCapacity, choose_zone_server,
         },
     },
     rand::{RngExt, SeedableRng},
@@ -32,7 +32,7 @@
 pub const CHANGE_END_MS: u64 = 20_000;
 
 /// Interval of reports and digests.
-const REPORT_MS: u64 = 250;
+pub const REPORT_MS: u64 = 250;
 
 /// Share of datagrams that are lost, and the most that one is delayed.
 const LOSS_SHARE: f64 = 0.05;
@@ -97,9 +97,6 @@
     /// Requests sent to another zone, and the part of them that no transfer named.
     pub crossed: u32,
     pub crossed_by_fallback: u32,
-    /// Requests of each zone that crossed, by second of arrival; and all requests.
-    pub crossed_at: Vec<[u32; ZONES]>,
-    pub arrived_at: Vec<[u32; ZONES]>,
     /// Share that the leader lets leave each zone, by its decisions.
     pub decisions: Vec<(u64, [f64; ZONES])>,
     /// Moments at which hosts applied transfers of a pair of zones in both directions.
@@ -124,6 +121,16 @@
         share(self.crossed, self.requests.iter().sum())
     }
 
+    /// Share of the requests that crossed zones although no transfer named the zone.
+    pub fn fallback_share(&self) -> f64 {
+        share(self.crossed_by_fallback, self.requests.iter().sum())
+    }
+
+    /// Share of the requests that were refused.
+    pub fn refused_share(&self) -> f64 {
+        share(self.refused.iter().sum(), self.requests.iter().sum())
+    }
+
     /// First decision from `from` on by which a share of at least `least` leaves the zone.
     pub fn first_above(&self, zone: usize, from: u64, least: f64) -> Option<u64> {
         let mut later = self.decisions.iter().filter(|(at, _)| *at >= from);
@@ -132,11 +139,21 @@
             .map(|(at, _)| *at)
     }
 
-    /// Last decision before `until` by which a share of at least `least` leaves the zone.
-    pub fn last_above(&self, zone: usize, until: u64, least: f64) -> Option<u64> {
-        let earlier = self.decisions.iter().filter(|(at, _)| *at < until);
-        let mut above = earlier.filter(|(_, shares)| shares[zone] >= least);
-        above.next_back().map(|(at, _)| *at)
+    /// First decision from `from` on by which a share below `most` leaves the zone.
+    pub fn first_below(&self, zone: usize, from: u64, most: f64) -> Option<u64> {
+        let mut later = self.decisions.iter().filter(|(at, _)| *at >= from);
+        later
+            .find(|(_, shares)| shares[zone] < most)
+            .map(|(at, _)| *at)
+    }
+
+    /// Part of the decisions by which something leaves the zone.
+    pub fn sending_time(&self, zone: usize) -> f64 {
+        let sending = self
+            .decisions
+            .iter()
+            .filter(|(_, shares)| shares[zone] > 0.0);
+        sending.count() as f64 / self.decisions.len() as f64
     }
 }
 
@@ -257,7 +274,6 @@
             table: TransferTable::new(zone_name(number / HOSTS)),
             demand: 0,
         };
-        let seconds = (END_MS / 1_000) as usize;
         Self {
             plan,
             choice,
@@ -271,11 +287,7 @@
             watch: AnswerWatch::default(),
             records: vec![ServerRecord::default(); server_count],
             in_flight: vec![vec![0; server_count]; ZONES * HOSTS],
-            outcome: ZoneOutcome {
-                crossed_at: vec![[0; ZONES]; seconds],
-                arrived_at: vec![[0; ZONES]; seconds],
-                ..ZoneOutcome::default()
-            },
+            outcome: ZoneOutcome::default(),
         }
     }
 
@@ -350,7 +362,6 @@
         let host = zone * HOSTS + self.random.random_range(0..HOSTS);
         self.hosts[host].demand += 1;
         self.outcome.requests[zone] += 1;
-        self.outcome.arrived_at[(self.now / 1_000) as usize][zone] += 1;
         let request = SimRequest {
             host,
             arrived: self.now,
@@ -401,7 +412,6 @@
         if zone_of(server) != zone {
             self.outcome.crossed += 1;
             self.outcome.crossed_by_fallback += u32::from(by_fallback);
-            self.outcome.crossed_at[(self.now / 1_000) as usize][zone] += 1;
         }
         host.gauges[server].record_sent();
         request.tried.push(server);
@@ -529,10 +539,16 @@
         };
         for (server, record) in self.records.iter().enumerate() {
             let mean = record.mean.unwrap_or(SERVICE_MS / 1_000.0);
-            if self.watch.is_silent(&server, 1, mean, at(self.now)) {
+            let name = zone_name(zone_of(server));
+            let watched = WatchedServer {
+                incarnation: 1,
+                zone: &name,
+                service_time: mean,
+            };
+            if self.watch.is_silent(&server, watched, at(self.now)) {
                 continue;
             }
-            let zone = capacity.zones.entry(zone_name(zone_of(server)));
+            let zone = capacity.zones.entry(name);
             zone.or_insert_with(ZoneCapacity::default)
                 .add_server(SLOTS, mean, None);
         }
--- a/crates/gateway/src/leader/zone_planning.rs
+++ b/crates/gateway/src/leader/zone_planning.rs
@@ -10,7 +10,7 @@
         dispatch::ZoneTransfer,
         ids::{ServiceName, ZoneName},
         time::BootTime,
-        zones::{AnswerWatch, ServiceCapacity, TransferPlanner},
+        zones::{AnswerWatch, ServiceCapacity, TransferPlanner, WatchedServer},
     },
     std::collections::{BTreeMap, HashMap},
 };
@@ -104,10 +104,12 @@
             let usual = usual.map_or(ASSUMED_SERVICE_TIME, |(sum, count)| sum / count);
             let service_time = hosts.mean_latency(*hash).unwrap_or(usual);
             let zone = capacity.zones.entry(server.zone.clone()).or_default();
-            if self
-                .answers
-                .is_silent(hash, server.incarnation, service_time, now)
-            {
+            let watched = WatchedServer {
+                incarnation: server.incarnation,
+                zone: &server.zone,
+                service_time,
+            };
+            if self.answers.is_silent(hash, watched, now) {
                 continue;
             }
             let limit = limits.limit(*hash).map(|limit| limit.per_second());
