--- a/crates/core/tests/zone_rules.rs
+++ b/crates/core/tests/zone_rules.rs
@@ -176,8 +176,8 @@
     let mut changes = 0;
     let mut was_sending = false;
     for block in 0..10 {
-        let demand = if block % 2 == 0 { 84.0 } else { 72.0 };
-        for _ in 0..16 {
+        let demand = if block % 2 == 0 { 84.0 } else { 70.0 };
+        for _ in 0..40 {
             let (transfers, later) = run_rounds(&mut planner, &capacity, &[demand, 30.0], 1, now);
             now = later;
             let is_sending = !between_zones(&transfers).is_empty();
