--- a/crates/core/src/routing/route_table.rs
+++ b/crates/core/src/routing/route_table.rs
@@ -9,6 +9,7 @@
         cmp::Reverse,
         collections::{HashMap, HashSet},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -126,6 +127,16 @@
         rules.iter().find(|rule| path.starts_with(&rule.prefix))
     }
 
+    /// Shortest target latency of the routes that a service has a part of; `None` if it has none.
+    pub fn target_latency(&self, service: &ServiceName) -> Option<Duration> {
+        let uses_it = |route: &&Arc<RouteRule>| {
+            let mut parts = route.split.iter();
+            parts.any(|part| part.service == *service && part.weight > 0)
+        };
+        let routes = self.routes.values().flatten().filter(uses_it);
+        routes.map(|route| route.target_latency).min()
+    }
+
     /// Number of routes over all hosts.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/core/tests/work_times.rs
+++ b/crates/core/tests/work_times.rs
@@ -92,6 +92,8 @@
     let rule = AdmissionRule {
         target_latency: Duration::from_secs(1),
         time_left: Duration::from_millis(400),
+        rank_limit: None,
+        is_hot_key: false,
     };
 
     let fresh = rule.decide(gauge.read(at(3_910)));
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -11,6 +11,7 @@
         owner_store::OwnerStore,
         owner_update::OwnerUpdate,
         warmup_table::WarmupTable,
+        zone_planning::ZonePlanning,
     },
     crate::{
         peers::PeerLink,
@@ -95,6 +96,8 @@
     pub(super) limits: LimitTable,
     /// Requests of all hosts for cold servers.
     pub(super) warmups: WarmupTable,
+    /// Demand and capacity by zone, and which requests leave their zone.
+    pub(super) zone_planning: ZonePlanning,
     /// Check of the remembered assignment that this leader began with after the store had lost writes,
     /// until most hosts have shown that they remember no later one.
     pub(super) unverified: Option<MemoryCheck>,
@@ -166,6 +169,7 @@
             hosts: HostTable::default(),
             limits: LimitTable::default(),
             warmups: WarmupTable::default(),
+            zone_planning: ZonePlanning::new(&[], now),
             unverified: None,
             last_digest_sender: None,
             last_digest_at: None,
--- a/crates/gateway/src/leader/leader_handlers.rs
+++ b/crates/gateway/src/leader/leader_handlers.rs
@@ -170,6 +170,7 @@
         self.state.set_shared_limits(&digest.limits);
         self.state.set_warmup_shares(&digest.addition.0.warmups);
         self.state.set_key_shares(&digest.addition.0.key_shares);
+        self.state.set_transfers(digest.addition.0.transfers);
         self.state.record_leaving_servers(&digest.leaving);
         let behind = |kind| self.state.is_behind(kind);
         let is_behind = [StoreKind::Config, StoreKind::Fleet, StoreKind::Owners]
--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -77,6 +77,7 @@
             false => ReportScope::NewLeader,
         };
         let load = self.state.take_load_report(scope);
+        let demand = self.state.take_demand();
         let report = Report {
             host,
             nonce: self.state.nonce,
@@ -92,6 +93,7 @@
                 zone: Some(self.state.settings.zone.clone()),
                 evacuations: self.state.evacuation_news(),
                 warmups: self.state.take_warmup_reports(),
+                demand,
                 ..ReportAddition::default()
             }),
         };
@@ -302,6 +304,7 @@
         if !own {
             self.resend_lost_configuration(&report, from);
         }
+        self.zone_planning.record_report(&report, now);
         self.hosts.record_report(&report, from, own, now);
     }
 
@@ -387,6 +390,7 @@
                 self.send_suspects(known);
             }
         }
+        let transfers = self.plan_transfers(now);
         let has_store = self.confirm_failures < CONFIRM_FAILURES && !self.state.lacks_store();
         let watchers = self.watchers(has_store, now);
         let digest = Digest {
@@ -409,6 +413,7 @@
                 evacuations: self.state.evacuation_list(),
                 warmups,
                 key_shares,
+                transfers,
                 ..DigestAddition::default()
             }),
         };
--- a/crates/gateway/src/leader/leader_terms.rs
+++ b/crates/gateway/src/leader/leader_terms.rs
@@ -9,6 +9,7 @@
         memory_check::MemoryCheck,
         takeover::{KnownLeadership, take_over},
         warmup_table::WarmupTable,
+        zone_planning::ZonePlanning,
     },
     crate::state::StoreKind,
     camphorcove_core::{
@@ -194,6 +195,7 @@
         self.hosts = HostTable::default();
         self.limits = LimitTable::new(self.state.shared_limits(), now);
         self.warmups = WarmupTable::new(self.state.warmup_shares(), now);
+        self.zone_planning = ZonePlanning::new(&self.state.transfers(), now);
         self.versions = self.state.versions();
         self.fleet_version_sent = self.versions.get(StoreKind::Fleet);
         self.config_version_sent = self.versions.get(StoreKind::Config);
--- a/crates/gateway/src/leader/mod.rs
+++ b/crates/gateway/src/leader/mod.rs
@@ -18,6 +18,7 @@
 mod panic_guard;
 mod takeover;
 mod warmup_table;
+mod zone_planning;
 
 pub use {
     candidacy::Candidacy,
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -2,6 +2,7 @@
 
 use {
     super::evacuation_metrics::register_evacuations,
+    super::zone_metrics::register_zone_metrics,
     crate::state::HostState,
     prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder},
     std::sync::atomic::Ordering,
@@ -152,6 +153,7 @@
         registry.register(Box::new(gauge))?;
     }
     register_evacuations(&registry, state)?;
+    register_zone_metrics(&registry, state)?;
     let mut page = Vec::new();
     TextEncoder::new().encode(&registry.gather(), &mut page)?;
     Ok(page)
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -9,6 +9,7 @@
         SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind,
         admission_tracking::AdmissionTracking, evacuation_tracking::EvacuationTracking,
         relay_peers::RelayPeers, suspect_news::SuspectOutbox, warmup_tracking::WarmupTracking,
+        zone_tracking::ZoneTraffic,
     },
     crate::conf::GatewaySettings,
     camphorcove_core::{
@@ -145,6 +146,8 @@
     pub(super) suspects: SuspectTable,
     pub(super) suspect_outbox: SuspectOutbox,
     pub(super) warmups: WarmupTracking,
+    /// Requests by zone, and the leader's decision where they go.
+    pub(super) zone_traffic: ZoneTraffic,
 }
 
 /// Shared state of one host.
@@ -205,6 +208,7 @@
         let stop = PlannedStop::new(settings.stop_limit);
         let evacuations = EvacuationTracking::new(settings.evacuation_limit, BootClock.now());
         let warmups = WarmupTracking::new(&settings);
+        let zone_traffic = ZoneTraffic::new(&settings);
         Self {
             settings,
             clock: BootClock,
@@ -253,6 +257,7 @@
                 suspects: SuspectTable::default(),
                 suspect_outbox: SuspectOutbox::default(),
                 warmups,
+                zone_traffic,
             }),
         }
     }
@@ -324,6 +329,7 @@
         let mut inner = self.lock();
         let service = inner.round_robin.next(rule);
         self.window(&mut inner, &service).count_request(now);
+        inner.zone_traffic.count_request(&service);
         service
     }
 
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -25,6 +25,7 @@
 mod suspect_news;
 mod suspect_tracking;
 mod warmup_tracking;
+mod zone_tracking;
 
 pub use {
     body_budget::{BodyBudget, BodyReservation},
@@ -43,4 +44,5 @@
     store_contact::StoreContact,
     store_feed::StoreFeed,
     suspect_news::SuspectNews,
+    zone_tracking::{SendCause, ServerCapacity, ZoneSends},
 };
--- a/crates/gateway/tests/support/leader_hosts.rs
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -113,6 +113,16 @@
 ) -> LeaderHost {
     let store = settings.store;
     settings.host = name.parse().expect("valid id");
+    leader_host_of(settings, entries, socket)
+}
+
+/// Starts a host with these settings, which sends messages over `socket` but receives none.
+pub fn leader_host_of(
+    mut settings: GatewaySettings,
+    entries: Vec<ServerEntry>,
+    socket: Arc<UdpSocket>,
+) -> LeaderHost {
+    let store = settings.store;
     settings.peers = socket.local_addr().expect("bound");
     let state = Arc::new(HostState::new(settings));
     state.set_table(table(1));
