--- a/crates/gateway/tests/support/leader_hosts.rs
+++ b/crates/gateway/tests/support/leader_hosts.rs
@@ -111,7 +111,6 @@
     entries: Vec<ServerEntry>,
     socket: Arc<UdpSocket>,
 ) -> LeaderHost {
-    let store = settings.store;
     settings.host = name.parse().expect("valid id");
     leader_host_of(settings, entries, socket)
 }
--- a/crates/gateway/tests/zone_transfers.rs
+++ b/crates/gateway/tests/zone_transfers.rs
@@ -72,7 +72,10 @@
         rule: AdmissionRule {
             target_latency: TARGET_LATENCY,
             time_left: TIME_LIMIT,
+            rank_limit: None,
+            is_hot_key: false,
         },
+        plans_returns: false,
     })
 }
 
