--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -392,7 +392,7 @@
                 false => Vec::new(),
             },
             addition: Trailing(DigestAddition {
-                evacuations: self.state.evacuation_list(),
+                evacuations: self.state.digest_evacuations(),
                 ..DigestAddition::default()
             }),
         };
--- a/crates/gateway/src/state/evacuation_tracking.rs
+++ b/crates/gateway/src/state/evacuation_tracking.rs
@@ -21,6 +21,10 @@
 /// zones. About ten list calls have failed then, so that waiting on would rather do harm.
 const FIRST_LIST_WAIT: Duration = Duration::from_secs(5);
 
+/// Most zones that digests and reports list: some 4 kB, as a message has to fit into a datagram. If there
+/// are more, all hosts read them from the store, as with a leader of an earlier build.
+const MAX_LISTED_ZONES: usize = 64;
+
 /// State of one evacuation, for the metrics page.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvacuationStatus {
@@ -171,6 +175,11 @@
             Arc::make_mut(&mut inner.evacuations.table).confirm(now);
             return;
         }
+        // The first watch after missed digests may show a change that is as old as the digests.
+        let source = match inner.feed.watching_since() {
+            Some(_) => source,
+            None => EvacuationSource::Snapshot,
+        };
         let changes = Arc::make_mut(&mut inner.evacuations.table).apply(list, source, now);
         if known.is_none_or(|known| known < version) {
             inner.seen_through.advance(StoreKind::Evacuations, version);
@@ -199,18 +208,25 @@
         }
     }
 
-    /// List for digests; `None` if this host does not follow the evacuated zones or has not learned
-    /// of them.
+    /// Newest known list.
     pub fn evacuation_list(&self) -> Option<EvacuationList> {
         self.lock().evacuations.table.list().cloned()
     }
 
+    /// List for digests; `None` if this host does not follow the evacuated zones, has not learned of
+    /// them, or knows more than fit into a message.
+    pub fn digest_evacuations(&self) -> Option<EvacuationList> {
+        let list = self.evacuation_list();
+        list.filter(|list| list.zones.len() <= MAX_LISTED_ZONES)
+    }
+
     /// List for reports: the known one if the latest digest carries no list or an older one.
     pub fn evacuation_news(&self) -> Option<EvacuationList> {
         let inner = self.lock();
         let list = inner.evacuations.table.list()?;
         let in_digest = inner.evacuations.digest_version;
-        (in_digest < Some(list.version)).then(|| list.clone())
+        let is_news = in_digest < Some(list.version) && list.zones.len() <= MAX_LISTED_ZONES;
+        is_news.then(|| list.clone())
     }
 
     /// Snapshot of the evacuated zones.
--- a/crates/gateway/tests/evacuations.rs
+++ b/crates/gateway/tests/evacuations.rs
@@ -3,9 +3,13 @@
 mod support;
 
 use {
-    camphorcove_core::fleet::{EvacuationList, EvacuationSource},
+    camphorcove_core::{
+        dispatch::AdmissionRule,
+        fleet::{EvacuationList, EvacuationSource},
+    },
     camphorcove_gateway::{
-        state::{HostState, SeenVersions, StoreKind},
+        metrics::render_metrics,
+        state::{HostState, PickQuery, PickRefusal, SeenVersions, ServerPick, StoreKind},
         watch::{EvacuationFollower, follow},
     },
     camphorcove_platform::StoreClient,
@@ -22,8 +26,8 @@
             until,
         },
         fixtures::{
-            TIME_LIMIT, TestHost, entry, first_listing_span, host_state, owners_with, settings,
-            start_listener, table, version,
+            TARGET_LATENCY, TIME_LIMIT, TestHost, entry, first_listing_span, host_state,
+            owners_with, settings, start_listener, table, version,
         },
         single_host::read,
     },
@@ -36,6 +40,9 @@
 /// Time for which callers go on after the time allowed, to show that no request reaches the zone.
 const OBSERVATION_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time over which watches are counted: long enough to tell three hosts that watch from five.
+const WATCH_SPAN: Duration = Duration::from_secs(4);
+
 fn list(revision: u64, zones: &[&str]) -> EvacuationList {
     EvacuationList {
         version: version(revision),
@@ -275,9 +282,11 @@
 #[tokio::test]
 async fn retry_is_not_sent_after_the_time_is_up() {
     let silent = vec![Step::Wait(TIME_LIMIT * 4)];
-    let scripts = vec![silent, complete_response("late")];
+    let scripts = vec![complete_response("ok"), silent, complete_response("late")];
     let server = ScriptedServer::start(scripts).await;
     let host = host_with(server.address, "keyed").await;
+    // The host learns how long the server takes, and so when to send a request again.
+    read(&host, "keyed").await;
     host.state
         .apply_evacuations(list(2, &["zone-a"]), EvacuationSource::Watch);
     // The host waits for at least the target latency before it sends a request again.
@@ -286,7 +295,41 @@
     let response = read(&host, "keyed").await;
 
     assert!(matches!(response.status, 502 | 504), "{}", response.status);
-    assert_eq!(server.log().requests.len(), 1);
+    assert_eq!(server.log().requests.len(), 2);
+}
+
+/// Guards against attempts that are made in vain, connections to the zone, and servers of other zones that
+/// are tried late, as only the check before sending knows of the evacuation.
+#[rstest]
+#[case::without_key("plain", None, Duration::ZERO, PickRefusal::NoServer)]
+#[case::keyed("keyed", Some(7), LIMIT / 2, PickRefusal::OwnerEvacuated)]
+#[tokio::test]
+async fn server_of_an_evacuated_zone_is_not_picked(
+    #[case] service: &str,
+    #[case] key: Option<u16>,
+    #[case] wait: Duration,
+    #[case] expected: PickRefusal,
+) {
+    let host = host_with(([127, 0, 0, 1], 1).into(), service).await;
+    host.state
+        .apply_evacuations(list(2, &["zone-a"]), EvacuationSource::Watch);
+    sleep(wait).await;
+    let query = PickQuery {
+        service: &service.parse().expect("valid name"),
+        key,
+        tried: &[],
+        rule: AdmissionRule {
+            target_latency: TARGET_LATENCY,
+            time_left: TIME_LIMIT,
+        },
+    };
+
+    let pick = host.state.pick_server(query);
+
+    assert!(
+        matches!(pick, ServerPick::Refuse(reason, _) if reason == expected),
+        "{pick:?}"
+    );
 }
 
 /// Guards against a request that was assigned to a server of the zone before the host learned of the
@@ -340,6 +383,24 @@
     state
 }
 
+/// Guards against a leader that sends no list, so that each host watches the store: every call is billed.
+#[tokio::test]
+async fn only_leader_and_watchers_watch_the_store() {
+    let region = evacuation_region().await;
+    // By then the leader has counted the hosts and named the watchers.
+    sleep(Duration::from_millis(2_500)).await;
+    let before = region.evacuation_watches();
+
+    sleep(WATCH_SPAN).await;
+    let watches = region.evacuation_watches() - before;
+    region.evacuate("zone-a");
+    region.until_known(&["zone-a"]).await;
+
+    // Each watch takes 0.8 s if nothing changes.
+    let by_one_host = WATCH_SPAN.as_millis() as usize / 800 + 1;
+    assert!(watches <= 3 * by_one_host, "{watches}");
+}
+
 /// Guards against watches of all hosts, which are billed, while the leader's digests carry the list; and
 /// against hosts that learn nothing because a leader of an earlier build sends none.
 #[rstest]
@@ -394,6 +455,76 @@
     assert_eq!(state.evacuation_news(), None);
 }
 
+/// Guards against digests that do not fit into a datagram because of many objects: hosts would take the
+/// leader for lost.
+#[tokio::test]
+async fn long_list_is_left_out_of_messages() {
+    let host = host_with(([127, 0, 0, 1], 1).into(), "plain").await;
+    let names: Vec<String> = (0..1_000).map(|number| format!("zone-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let state = &host.state;
+
+    state.apply_evacuations(list(2, &names[..3]), EvacuationSource::Watch);
+    let short = (state.digest_evacuations(), state.evacuation_news());
+    state.apply_evacuations(list(3, &names), EvacuationSource::Watch);
+
+    assert_eq!(
+        short,
+        (Some(list(2, &names[..3])), Some(list(2, &names[..3])))
+    );
+    assert_eq!(
+        (state.digest_evacuations(), state.evacuation_news()),
+        (None, None)
+    );
+    assert_eq!(evacuated(state).len(), names.len());
+}
+
+/// Guards against an operator who cannot see whether a zone is empty.
+#[tokio::test]
+async fn metrics_show_what_is_left_in_an_evacuated_zone() {
+    let host = host_with(([127, 0, 0, 1], 1).into(), "keyed").await;
+    let before = page_of(&host.state);
+
+    host.state
+        .apply_evacuations(list(2, &["zone-a"]), EvacuationSource::Watch);
+    let during = page_of(&host.state);
+    host.state
+        .apply_evacuations(list(3, &[]), EvacuationSource::Watch);
+    let after = page_of(&host.state);
+
+    let lines = [
+        "camphorcove_evacuated_zone_keys{zone=\"zone-a\"} 65536",
+        "camphorcove_evacuated_zone_in_flight{zone=\"zone-a\"} 0",
+        "camphorcove_evacuated_zone_seconds{zone=\"zone-a\"} 0",
+    ];
+    for line in lines {
+        assert!(during.contains(line), "{during}");
+    }
+    assert!(!before.contains("zone-a") && !after.contains("zone-a"));
+}
+
+fn page_of(state: &HostState) -> String {
+    let page = render_metrics(state).expect("a page");
+    String::from_utf8(page).expect("text")
+}
+
+/// Guards against a host that has just started and serves before it knows the evacuated zones.
+#[test]
+fn host_is_not_ready_before_it_knows_the_evacuated_zones() {
+    let mut settings = settings(([127, 0, 0, 1], 1).into());
+    settings.evacuation_limit = Some(LIMIT);
+    let state = HostState::new(settings);
+    let owner = entry("s-1", "keyed", ([127, 0, 0, 1], 1).into());
+    state.set_table(table(1));
+    state.replace_fleet(vec![owner.clone()], first_listing_span());
+    state.set_owners(owners_with(&owner), version(1));
+
+    let before = state.is_ready();
+    state.apply_evacuations(list(1, &[]), EvacuationSource::Snapshot);
+
+    assert_eq!((before, state.is_ready()), (false, true));
+}
+
 /// Guards against a deployment without the setting that is changed by lists of other hosts.
 #[test]
 fn host_without_the_setting_ignores_evacuations() {
--- a/crates/gateway/tests/support/evacuation_region.rs
+++ b/crates/gateway/tests/support/evacuation_region.rs
@@ -214,6 +214,13 @@
         entries.map(count).collect()
     }
 
+    /// Watches of the evacuated zones that the store has got.
+    pub fn evacuation_watches(&self) -> usize {
+        let calls = self.store.calls();
+        let is_watch = |call: &&String| call.contains("/evacuations?Watch=");
+        calls.iter().filter(is_watch).count()
+    }
+
     /// Answers of a service so far, by status.
     pub fn statuses(&self, service: &'static str) -> BTreeMap<u16, u32> {
         let answers = self.answers.lock().expect("not poisoned");
