--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -43,6 +43,6 @@
     plan_events::{OrderFailure, PlanAction, PlanInput, RecoveryPhase},
     predecessor_watch::{ElectorSource, FRESH_REPORT_LIMIT, Predecessor, PredecessorWatch},
     range_load::RangeLoad,
-    range_moves::{AssignableServer, RangeMove, choose_moves},
+    range_moves::{AssignableServer, ChosenMoves, RangeMove, choose_moves},
     refusal_table::{RefusalScope, RefusalTable},
 };
--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AssignableServer, KeyRange, OwnerState, OwnershipPlanner, PlanContext, RangeLoad,
-        RangePhase, RangeRecord, ServerInstance, ServiceOwners, choose_moves,
+        AssignableServer, ChosenMoves, KeyRange, OwnerState, OwnershipPlanner, PlanContext,
+        RangeLoad, RangePhase, RangeRecord, ServerInstance, ServiceOwners, choose_moves,
         lease_orders::RevocationStep, ownership_planner::TOKENS_PER_MOVE,
     },
     crate::{fleet::ServerPhase, ids::ServiceName, time::BootTime},
@@ -239,9 +239,17 @@
         }
         let no_load = RangeLoad::new(now);
         let load = self.loads.get(service).unwrap_or(&no_load);
-        for planned in choose_moves(&movable, load, assignable) {
+        let moves = choose_moves(&movable, load, assignable);
+        for planned in &moves {
             Self::start_move(owners, planned.range, &planned.target);
         }
+        if !moves.is_empty() {
+            self.unlogged_moves.push(ChosenMoves {
+                service: service.clone(),
+                ranges: moves.len(),
+                keys: moves.iter().map(|planned| planned.range.keys()).sum(),
+            });
+        }
         true
     }
 
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -8,9 +8,9 @@
 
 use {
     super::{
-        AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, ElectorList, EndProof, LeaseBounds,
-        MAJORITY_REPORT_MAX_AGE, OrderFailure, OwnerState, PlanAction, PlanInput, RangeLoad,
-        RangePhase, RecoveryPhase, ServerInstance,
+        AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, ChosenMoves, ElectorList, EndProof,
+        LeaseBounds, MAJORITY_REPORT_MAX_AGE, OrderFailure, OwnerState, PlanAction, PlanInput,
+        RangeLoad, RangePhase, RecoveryPhase, ServerInstance,
         lease_bounds::{LEASE_DURATION, ORDER_TIMEOUT, max_lease_duration},
         lease_orders::{GrantProgress, RangeId, RevocationProgress},
     },
@@ -81,6 +81,8 @@
     pub(super) ended_owners: HashSet<ServerInstance>,
     /// Those of them that have not been logged, each with the proof.
     pub(super) unlogged_ends: Vec<(ServerInstance, EndProof)>,
+    /// Chosen moves that have not been logged.
+    pub(super) unlogged_moves: Vec<ChosenMoves>,
     pub(super) fleet_size: usize,
     pub(super) fleet_grew_at: BootTime,
     /// A server has seen a token of a later leader.
@@ -150,6 +152,7 @@
             ended_instances: HashSet::new(),
             ended_owners: HashSet::new(),
             unlogged_ends: Vec::new(),
+            unlogged_moves: Vec::new(),
             fleet_size: 0,
             fleet_grew_at: now,
             superseded: false,
@@ -306,6 +309,11 @@
         std::mem::take(&mut self.unlogged_ends)
     }
 
+    /// Moves that were chosen since the last call.
+    pub fn take_unlogged_moves(&mut self) -> Vec<ChosenMoves> {
+        std::mem::take(&mut self.unlogged_moves)
+    }
+
     /// Whether no order may be sent yet, as servers that the assignment does not name may hold keys.
     /// Once they cannot, keys whose owners were never verified are taken from these.
     pub(super) fn awaits_unknown_owners(&mut self, now: BootTime) -> bool {
--- a/crates/core/src/ownership/range_moves.rs
+++ b/crates/core/src/ownership/range_moves.rs
@@ -10,7 +10,7 @@
         KeyRange, RangeLoad, RangePhase, RangeRecord, ServerInstance, load_estimate::LoadEstimate,
         target_queue::TargetQueue,
     },
-    crate::ids::ZoneName,
+    crate::ids::{ServiceName, ZoneName},
     std::collections::HashMap,
 };
 
@@ -60,6 +60,17 @@
     pub target: ServerInstance,
 }
 
+/// Moves that one round has chosen for one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChosenMoves {
+    /// Service whose keys move.
+    pub service: ServiceName,
+    /// Number of ranges.
+    pub ranges: usize,
+    /// Number of keys in them.
+    pub keys: u32,
+}
+
 /// Chooses moves for one service, whose ownership records are `records`.
 ///
 /// Ranges that are already moving are not moved again.
--- a/crates/core/tests/hot_keys.rs
+++ b/crates/core/tests/hot_keys.rs
@@ -22,6 +22,10 @@
 
 /// Keyed requests a second: all, and those of the class that concerns hot keys.
 const REQUESTS: f64 = 1_315.0;
+
+/// Load of a burst that exceeds the capacity of the fleet, as a multiple of the usual load.
+const BURST: f64 = 2.6;
+
 const LOOKUPS: f64 = 924.0;
 
 /// Interval at which reports arrive, and their number between two balancing rounds.
@@ -65,6 +69,8 @@
     hot: Option<HotSet>,
     /// Relative load of each block of 256 keys beside the hot set.
     blocks: Vec<f64>,
+    /// Requests a second.
+    requests: f64,
     /// Servers slow down briefly.
     shared_machines: bool,
     now: BootTime,
@@ -117,6 +123,7 @@
             load: RangeLoad::new(now),
             hot: None,
             blocks,
+            requests: REQUESTS,
             shared_machines: false,
             now,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -134,7 +141,7 @@
         let hot_rate = self.hot.map_or(0.0, HotSet::rate);
         let sum: f64 = self.blocks.iter().sum();
         let mut rates: Vec<f32> = (0..65_536)
-            .map(|key| ((REQUESTS - hot_rate) * self.blocks[key / 256] / sum / 256.0) as f32)
+            .map(|key| ((self.requests - hot_rate) * self.blocks[key / 256] / sum / 256.0) as f32)
             .collect();
         if let Some(hot) = self.hot {
             for key in hot.first..hot.first + hot.keys {
@@ -150,7 +157,7 @@
         let hot_rate = self.hot.map_or(0.0, HotSet::rate);
         let sum: f64 = self.blocks.iter().sum();
         for (block, weight) in self.blocks.iter().enumerate() {
-            let mean = (REQUESTS - hot_rate) * weight / sum * seconds;
+            let mean = (self.requests - hot_rate) * weight / sum * seconds;
             for _ in 0..poisson(mean, &mut self.random) {
                 let key = block * 256 + self.random.random_range(0..256);
                 self.load.add(u16::try_from(key).expect("16 bits"), 1);
@@ -162,7 +169,7 @@
                 self.load.add(key, 1);
             }
         }
-        self.now = self.now + REPORT_INTERVAL;
+        self.now += REPORT_INTERVAL;
         self.load.decay(self.now);
     }
 
@@ -248,8 +255,8 @@
         excess -= (hottest - CAPACITIES[2]).max(0.0);
         utilizations.sort_by(f32::total_cmp);
         RoundFigures {
-            refused: (excess / REQUESTS as f32).max(0.0),
-            waiting: waiting / REQUESTS as f32,
+            refused: (excess / self.requests as f32).max(0.0),
+            waiting: waiting / self.requests as f32,
             busiest: utilizations[utilizations.len() - 1],
             high: utilizations[utilizations.len() * 95 / 100],
             moves: 0,
@@ -374,11 +381,17 @@
 /// Load: steady. Guards against moves that follow chance or brief slowness of servers: each interrupts
 /// keys and is charged. Before, each round moved 2 to 3 % of the keys.
 #[rstest]
-#[case::even(even_blocks(), false)]
-#[case::uneven(uneven_blocks(), false)]
-#[case::servers_that_slow_down(even_blocks(), true)]
-fn steady_load_moves_little(#[case] blocks: Vec<f64>, #[case] shared_machines: bool) {
+#[case::even(even_blocks(), 1.0, false)]
+#[case::uneven(uneven_blocks(), 1.0, false)]
+#[case::more_than_the_fleet_can_serve(even_blocks(), BURST, false)]
+#[case::servers_that_slow_down(even_blocks(), 1.0, true)]
+fn steady_load_moves_little(
+    #[case] blocks: Vec<f64>,
+    #[case] burst: f64,
+    #[case] shared_machines: bool,
+) {
     let mut fleet = Fleet::new(1, blocks);
+    fleet.requests = REQUESTS * burst;
     fleet.shared_machines = shared_machines;
 
     let figures = fleet.play(None, REPORTS_PER_ROUND, 40);
--- a/crates/core/tests/placement_cost.rs
+++ b/crates/core/tests/placement_cost.rs
@@ -1,6 +1,6 @@
 //! Time that the choice of moves takes for a large fleet.
 //!
-//! The figures are printed; the bounds hold for builds without optimization and for busy machines.
+//! The figures are printed; the bounds leave room for busy machines.
 
 use {
     camphorcove_core::{
@@ -19,11 +19,18 @@
 
 const SERVERS: u32 = 10_000;
 
+/// Servers of a fleet like V.
+const V_SERVERS: u32 = 348;
+
 /// Rounds that are timed; the quickest counts, as others compete for the machine.
 const ROUNDS: usize = 5;
 
-/// Fifty times the time measured with optimization.
-const TIME_LIMIT: Duration = Duration::from_millis(500);
+/// Eight times the time measured; a choice that looks at all servers for each move took 72 ms and more
+/// with optimization.
+const TIME_LIMIT: Duration = match cfg!(debug_assertions) {
+    true => Duration::from_millis(500),
+    false => Duration::from_millis(50),
+};
 
 fn instance(number: u32) -> ServerInstance {
     let port = u16::try_from(number).expect("16 bits");
@@ -45,9 +52,9 @@
     }
 }
 
-fn fleet() -> (Vec<AssignableServer>, Vec<RangeRecord>) {
+fn fleet(servers: u32) -> (Vec<AssignableServer>, Vec<RangeRecord>) {
     let zones = zones();
-    let servers: Vec<AssignableServer> = (0..SERVERS)
+    let servers: Vec<AssignableServer> = (0..servers)
         .map(|number| AssignableServer {
             instance: instance(number),
             capacity: [20.0, 40.0, 60.0][number as usize % 3],
@@ -86,7 +93,7 @@
             let requests = if report < 36 { 0 } else { 2 + report % 2 };
             load.add_from(&zones[0], 20_000 + key, requests);
         }
-        now = now + Duration::from_millis(125);
+        now += Duration::from_millis(125);
         load.decay(now);
     }
     load
@@ -95,11 +102,12 @@
 /// Load: 10,000 servers. Guards against a choice that looks at all servers for each move: it runs twice
 /// a second on hosts with a tenth of a core.
 #[rstest]
-#[case::even(0)]
-#[case::sixty_hot_keys(60)]
-#[case::five_thousand_hot_keys(5_000)]
-fn choice_takes_milliseconds_for_ten_thousand_servers(#[case] hot: u16) {
-    let (servers, records) = fleet();
+#[case::even(SERVERS, 0)]
+#[case::sixty_hot_keys(SERVERS, 60)]
+#[case::five_thousand_hot_keys(SERVERS, 5_000)]
+#[case::few_servers(V_SERVERS, 0)]
+fn choice_takes_milliseconds(#[case] count: u32, #[case] hot: u16) {
+    let (servers, records) = fleet(count);
     let load = load(hot);
     let mut shortest = Duration::MAX;
     let mut moves = Vec::new();
@@ -110,7 +118,10 @@
         shortest = shortest.min(started.elapsed());
     }
 
-    println!("{hot} hot keys: {} moves in {shortest:?}", moves.len());
+    println!(
+        "{count} servers, {hot} hot keys: {} moves in {shortest:?}",
+        moves.len()
+    );
     assert!(shortest < TIME_LIMIT, "{shortest:?}");
 }
 
@@ -118,7 +129,7 @@
 /// which a leader would be silent.
 #[test]
 fn first_assignment_to_ten_thousand_servers_is_quick() {
-    let (servers, _) = fleet();
+    let (servers, _) = fleet(SERVERS);
     let records = [free()];
     let load = RangeLoad::new(BootTime::default());
     let started = Instant::now();
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -273,6 +273,9 @@
                 "owner has ended, its keys need no release"
             );
         }
+        for moves in planner.take_unlogged_moves() {
+            self.state.count_moves(&moves);
+        }
         let (owners, silent) = planner.unresponsive_owners(now);
         let superseded = planner.is_superseded();
         let moving = planner.has_moves();
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -32,6 +32,21 @@
             "Requests sent to servers that limit the rate of requests.",
             &counters.limited,
         ),
+        (
+            "moved_ranges_total",
+            "Ranges of keys that this host has moved as the leader.",
+            &counters.moved_ranges,
+        ),
+        (
+            "moved_keys_total",
+            "Keys in the ranges that this host has moved as the leader.",
+            &counters.moved_keys,
+        ),
+        (
+            "not_owned_total",
+            "Keyed requests that servers refused as they do not own the key.",
+            &counters.not_owned,
+        ),
         (
             "quarantined_total",
             "Requests refused because servers have crashed under them.",
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -226,6 +226,10 @@
                 history.sent += 1;
                 self.log_failed_attempt(routed, &entry, "request refused by server");
                 if let (StatusCode::MISDIRECTED_REQUEST, Some(key)) = (status, routed.key) {
+                    self.state
+                        .counters
+                        .not_owned
+                        .fetch_add(1, Ordering::Relaxed);
                     let time_left = routed.call.expires_at.since(self.state.now());
                     if !self
                         .await_owner(history, OWNER_UPDATE_WAIT.min(time_left))
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -56,6 +56,12 @@
     pub failed: AtomicU64,
     /// Requests sent to servers that limit the rate of requests.
     pub limited: AtomicU64,
+    /// Ranges that this host has chosen to move, or to give to a first owner, as the leader.
+    pub moved_ranges: AtomicU64,
+    /// Keys in these ranges.
+    pub moved_keys: AtomicU64,
+    /// Keyed requests that servers refused as they do not own the key.
+    pub not_owned: AtomicU64,
     /// Requests refused because servers have crashed under them.
     pub quarantined: AtomicU64,
     /// Announcements of servers that they leave, in answers to this host.
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -13,6 +13,7 @@
 mod log_rate_limiter;
 mod owner_refusals;
 mod pause_tracking;
+mod placement_counts;
 mod planned_stop;
 mod reach_tracking;
 mod relay_peers;
