--- a/crates/core/src/ownership/load_estimate.rs
+++ b/crates/core/src/ownership/load_estimate.rs
@@ -39,11 +39,9 @@
 /// requests of its own.
 const RUN_MEAN_WEIGHT: f32 = 0.85;
 
-/// Ratio of steady to recent load below which a load has appeared within the last 0.7 s.
-const ONSET_RATIO: f32 = 0.45;
-
-/// Factor by which the recent counts of such a load are too low, half a second after it has appeared.
-const ONSET_FACTOR: f32 = 4.0 / 3.0;
+/// Largest factor by which the recent counts of a load that has just appeared are raised: that of a load
+/// which appeared a quarter of a second ago. An earlier moment cannot be told from chance.
+const MAX_ONSET_FACTOR: f32 = 2.0;
 
 /// Estimated weights of all keys: load plus a small weight for each key.
 #[derive(Debug)]
@@ -185,8 +183,24 @@
     if recent - steady <= SIGNIFICANCE * deviation {
         return None;
     }
-    match steady < recent * ONSET_RATIO {
-        true => Some(recent * ONSET_FACTOR),
-        false => Some(recent),
+    Some(recent * onset_factor(steady, recent))
+}
+
+/// Ratio of a load that appeared at one moment to what the recent count shows of it.
+///
+/// With `u` as the decay of the steady count since that moment, the steady count shows the share
+/// `1 - u` of the load, and the recent one, whose half-life is a quarter, `1 - u^4`.
+fn onset_factor(steady: f32, recent: f32) -> f32 {
+    let ratio = recent / steady.max(f32::MIN_POSITIVE);
+    let largest = (1.0 - 1.0 / MAX_ONSET_FACTOR).powf(0.25);
+    let (mut low, mut high) = (0.0, largest);
+    for _ in 0..12 {
+        let u: f32 = (low + high) / 2.0;
+        // (1 - u^4) / (1 - u)
+        match 1.0 + u + u * u + u * u * u < ratio {
+            true => low = u,
+            false => high = u,
+        }
     }
+    1.0 / (1.0 - low.powi(4))
 }
