--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -44,6 +44,21 @@
             "Times that the limit of a cold server held a request back.",
             &counters.cold_refused,
         ),
+        (
+            "moved_ranges_total",
+            "Ranges of keys that this host has moved as the leader.",
+            &counters.moved_ranges,
+        ),
+        (
+            "moved_keys_total",
+            "Keys in the ranges that this host has moved as the leader.",
+            &counters.moved_keys,
+        ),
+        (
+            "not_owned_total",
+            "Keyed requests that servers refused as they do not own the key.",
+            &counters.not_owned,
+        ),
         (
             "quarantined_total",
             "Requests refused because servers have crashed under them.",
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -62,6 +62,12 @@
     pub cold: AtomicU64,
     /// Times that the limit of a cold server held a request back.
     pub cold_refused: AtomicU64,
+    /// Ranges that this host has chosen to move, or to give to a first owner, as the leader.
+    pub moved_ranges: AtomicU64,
+    /// Keys in these ranges.
+    pub moved_keys: AtomicU64,
+    /// Keyed requests that servers refused as they do not own the key.
+    pub not_owned: AtomicU64,
     /// Requests refused because servers have crashed under them.
     pub quarantined: AtomicU64,
     /// Announcements of servers that they leave, in answers to this host.
