--- a/crates/gateway/tests/warmup_gates.rs
+++ b/crates/gateway/tests/warmup_gates.rs
@@ -4,7 +4,10 @@
 
 use {
     camphorcove_core::{
-        dispatch::RequestRate, fleet::ServerEntry, ownership::RangePhase, routing::WarmupRule,
+        dispatch::{AdmittedShare, RequestRate},
+        fleet::ServerEntry,
+        ownership::RangePhase,
+        routing::WarmupRule,
     },
     camphorcove_gateway::state::FleetUpdate,
     camphorcove_platform_standin::{
@@ -111,7 +114,7 @@
     }
 }
 
-/// Most requests that reach a server within a second, counted until the task is dropped.
+/// Most requests that reach a server within any second of `time`.
 async fn count_busiest_second(ledger: OwnershipLedger, server: String, time: Duration) -> usize {
     let mut counts = Vec::new();
     let mut ticks = interval(COUNT_INTERVAL);
@@ -133,8 +136,8 @@
     !owners.services.is_empty() && records.all(|record| is_owned(&record.phase))
 }
 
-/// Guards against hosts that together flood a server that has just started, and against refusing what
-/// a warm server can take.
+/// Guards against hosts that together flood a server that has just started, against refusing what a warm
+/// server can take, and against a leader that does not tell the hosts its share.
 #[tokio::test]
 async fn cold_server_without_keys_gets_few_requests_and_the_rest_goes_to_others() {
     let region = start_region("plain").await;
@@ -150,6 +153,11 @@
     assert!(most as f64 <= ALLOWANCE, "{most} in a second");
     assert!(region.ledger.requests(&region.cold.id) > 0);
     assert!(statuses.iter().all(|status| *status == 200));
+    for host in &region.hosts {
+        let shares = host.state.warmup_shares();
+        let half = AdmittedShare::from_fraction(0.5);
+        assert!(shares.len() == 1 && shares[0].share < half, "{shares:?}");
+    }
 }
 
 /// Guards against a leader that gives a cold server as many keys as a warm one: the hosts would refuse
