--- a/crates/core/src/dispatch/warmup_gate.rs
+++ b/crates/core/src/dispatch/warmup_gate.rs
@@ -28,6 +28,13 @@
 /// Factor on a host's usual requests for keys up to which they pass by the share.
 const KEYED_BURST_FACTOR: f64 = 2.0;
 
+/// Multiple of the allowed rate that requests are assumed to come at before reports tell: bursts of 2.6 times
+/// the usual load occur.
+const ASSUMED_BURST: f64 = 3.0;
+
+/// Reports after which the leader's share takes a rise of this host's requests into account, with one lost.
+const REPORTS_UNTIL_SHARE: usize = 3;
+
 /// Limits the requests of one host to one cold server.
 #[derive(Clone, Debug)]
 pub struct WarmupGate {
@@ -44,8 +51,8 @@
     burst_credit: f64,
     /// When the parts were last advanced.
     advanced_at: BootTime,
-    /// Requests a second of this host, as of the last report.
-    own_rate: f64,
+    /// Requests a second of this host, as of the last reports, the newest one first.
+    own_rates: [f64; REPORTS_UNTIL_SHARE],
     reported_at: BootTime,
     requests: LimitedRequests,
 }
@@ -61,7 +68,7 @@
             share_credit: phase,
             burst_credit: 1.0,
             advanced_at: now,
-            own_rate: 0.0,
+            own_rates: [0.0; REPORTS_UNTIL_SHARE],
             reported_at: now,
             requests: LimitedRequests::default(),
         }
@@ -77,9 +84,10 @@
         self.limit = limit;
     }
 
-    /// Share of the requests that the leader last set.
+    /// Share of the requests that the leader last set, or one with which a leader starts.
     pub fn share(&self) -> AdmittedShare {
-        self.share.map_or(AdmittedShare::ALL, |(share, _)| share)
+        let initial = AdmittedShare::from_fraction(1.0 / ASSUMED_BURST);
+        self.share.map_or(initial, |(share, _)| share)
     }
 
     /// Sets the share that the leader lists.
@@ -100,7 +108,10 @@
     pub fn admit(&mut self, hosts: u32, now: BootTime) -> bool {
         let is_open = self.is_open(hosts, now);
         self.requests.offered += 1;
-        if let Some(share) = self.keyed_share(now) {
+        // Requests beyond the bound of bursts earn no credit, which would pass whatever the share is by then.
+        if let Some(share) = self.keyed_share(now)
+            && self.burst_credit >= 1.0
+        {
             self.share_credit = (self.share_credit + share).min(1.0);
             if is_open {
                 self.share_credit -= 1.0;
@@ -120,7 +131,9 @@
         if elapsed > 0.0 {
             let rate = f64::from(self.requests.offered) / elapsed;
             let weight = 1.0 - (-elapsed / DEMAND_TIME.as_secs_f64()).exp();
-            self.own_rate += (rate - self.own_rate) * weight;
+            let latest = self.own_rates[0] + (rate - self.own_rates[0]) * weight;
+            self.own_rates.rotate_right(1);
+            self.own_rates[0] = latest;
             self.reported_at = now;
         }
         std::mem::take(&mut self.requests)
@@ -146,12 +159,17 @@
         self.fresh_share(now).filter(|_| self.limit.is_keyed())
     }
 
+    /// Requests a second of this host that the leader's share takes into account.
+    fn settled_rate(&self) -> f64 {
+        self.own_rates.iter().copied().fold(f64::INFINITY, f64::min)
+    }
+
     /// Permits a second of this host.
     fn local_rate(&self, hosts: u32, now: BootTime) -> f64 {
         let total = self.limit.permit_rate();
         let even = total / f64::from(hosts.max(1));
         match self.fresh_share(now) {
-            Some(share) => (share * self.own_rate).clamp(even * IDLE_HOST_PART, total),
+            Some(share) => (share * self.settled_rate()).clamp(even * IDLE_HOST_PART, total),
             None => even,
         }
     }
@@ -159,7 +177,7 @@
     fn advance(&mut self, hosts: u32, now: BootTime) {
         let elapsed = now.since(self.advanced_at).as_secs_f64();
         self.advanced_at = now;
-        let own_burst_rate = KEYED_BURST_FACTOR * self.own_rate;
+        let own_burst_rate = KEYED_BURST_FACTOR * self.settled_rate();
         let burst_rate = own_burst_rate.max(KEYED_BURST_RATE);
         self.burst_credit = (self.burst_credit + burst_rate * elapsed).min(1.0);
         let rate = self.local_rate(hosts, now);
