--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -296,7 +296,7 @@
             let jitter = rand::RngExt::random(&mut inner.random);
             return ServerPick::Refuse(refusal, retry_after(Some(reading), jitter));
         }
-        if let Err(gate) = pass_gates(gauge, hosts, warmup_hosts, now) {
+        if let Some(gate) = pass_gates(gauge, hosts, warmup_hosts, now) {
             self.count_closed_gate(&gate);
             return inner.refuse_limited(&gate, now);
         }
@@ -346,7 +346,7 @@
             }
             let entry = offers.entries[at].clone();
             if let Some(gauge) = inner.gauges.get_mut(&entry.id) {
-                if let Err(gate) = pass_gates(gauge, hosts, warmup_hosts, now) {
+                if let Some(gate) = pass_gates(gauge, hosts, warmup_hosts, now) {
                     self.count_closed_gate(&gate);
                     closed_gate = Some(gate);
                     closed_gates += 1;
--- a/crates/gateway/src/state/warmup_tracking.rs
+++ b/crates/gateway/src/state/warmup_tracking.rs
@@ -69,23 +69,23 @@
     hosts: u32,
     warmup_hosts: u32,
     now: BootTime,
-) -> Result<(), ClosedGate> {
+) -> Option<ClosedGate> {
     if let Some(gate) = gauge.warmup_gate_mut()
         && !gate.is_open(warmup_hosts, now)
     {
         // Counts the request as one that was not let through.
         gate.admit(warmup_hosts, now);
-        return Err(ClosedGate::Warmup(gate.clone()));
+        return Some(ClosedGate::Warmup(gate.clone()));
     }
     if let Some(gate) = gauge.limit_gate_mut()
         && !gate.admit(hosts, now)
     {
-        return Err(ClosedGate::Limit(gate.clone()));
+        return Some(ClosedGate::Limit(gate.clone()));
     }
     if let Some(gate) = gauge.warmup_gate_mut() {
         gate.admit(warmup_hosts, now);
     }
-    Ok(())
+    None
 }
 
 impl StateInner {
