--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -216,6 +216,11 @@
         self.reported_load = Some((load, now, self.own_in_flight));
     }
 
+    /// Age of the load that the server has last reported; `None` if it has not.
+    pub fn reported_load_age(&self, now: BootTime) -> Option<Duration> {
+        self.reported_load.map(|(_, at, _)| now.since(at))
+    }
+
     /// Number of this host's requests in flight that was last reported to the leader.
     pub fn published_in_flight(&self) -> u32 {
         self.published
--- a/crates/core/src/ownership/hot_keys.rs
+++ b/crates/core/src/ownership/hot_keys.rs
@@ -10,7 +10,7 @@
         dispatch::{AdmittedShare, KeyShare},
         ids::{ServerId, ServiceName},
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::HashMap,
 };
 
 /// Most keys in a digest, those with the most requests. A digest has room for 24,000 bytes; with
@@ -68,7 +68,10 @@
 }
 
 fn list_shares(mut found: Vec<(&ServiceName, HotKey)>) -> Vec<KeyShare> {
-    found.sort_by(|(_, first), (_, second)| second.load.total_cmp(&first.load));
+    found.sort_by(|(service, first), (other, second)| {
+        let by_load = second.load.total_cmp(&first.load);
+        by_load.then_with(|| (service, first.key).cmp(&(other, second.key)))
+    });
     found.truncate(MAX_KEY_SHARES);
     let key_share = |(service, hot): (&ServiceName, HotKey)| KeyShare {
         service: service.clone(),
@@ -83,7 +86,7 @@
     load: &RangeLoad,
     capacity: &HashMap<ServerId, f32>,
 ) -> Vec<HotKey> {
-    let mut totals: BTreeMap<&ServerId, f32> = BTreeMap::new();
+    let mut totals: HashMap<&ServerId, f32> = HashMap::new();
     for record in &owners.ranges {
         if let RangePhase::Owned { owner, .. } = &record.phase {
             *totals.entry(&owner.id).or_default() += load.of(record.range);
@@ -96,7 +99,7 @@
     if totals.is_empty() {
         return Vec::new();
     }
-    let mut loads: BTreeMap<&ServerId, Vec<(u16, f32)>> = BTreeMap::new();
+    let mut loads: HashMap<&ServerId, Vec<(u16, f32)>> = HashMap::new();
     for record in &owners.ranges {
         let RangePhase::Owned { owner, .. } = &record.phase else {
             continue;
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::state::HostState,
-    prometheus::{Encoder, IntCounter, IntGauge, Registry, TextEncoder},
+    prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder},
     std::sync::atomic::Ordering,
 };
 
@@ -85,6 +85,14 @@
         counter.inc_by(value.load(Ordering::Relaxed));
         registry.register(Box::new(counter))?;
     }
+    let help = "Requests that ended without an answer of a server.";
+    let opts = Opts::new("camphorcove_refusals_total", help);
+    let refusals = IntCounterVec::new(opts, &["reason", "rank"])?;
+    for (reason, rank, count) in state.refusal_counts() {
+        let labels = [reason, &rank.to_string()];
+        refusals.with_label_values(&labels).inc_by(count);
+    }
+    registry.register(Box::new(refusals))?;
     let version = state.table().map_or(0, |table| table.version.0);
     let term = state.owners().map_or(0, |(owners, _)| owners.term);
     let gauges = [
@@ -104,6 +112,11 @@
             "Servers that limit the rate of requests.",
             state.limited_servers() as u64,
         ),
+        (
+            "hot_keys",
+            "Keys whose requests are more than their owners can take.",
+            state.hot_keys() as u64,
+        ),
         (
             "quarantined_requests",
             "Requests in quarantine, as servers have crashed under them.",
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -44,6 +44,27 @@
 }
 
 impl Refusal {
+    /// Name of the reason on the metrics page.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::NotAuthentic => "not_authentic",
+            Self::NoRoute => "no_route",
+            Self::TooLarge => "too_large",
+            Self::NoConfiguration => "no_configuration",
+            Self::Unavailable => "unavailable",
+            Self::Overloaded => "overloaded",
+            Self::HotKey => "hot_key",
+            Self::Limited => "limited",
+            Self::Quarantined => "quarantined",
+            Self::Paused => "paused",
+            Self::TooLate => "too_late",
+            Self::Stopping => "stopping",
+            Self::AnswerLost => "answer_lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
     /// HTTP status that the caller receives.
     pub fn status(self) -> StatusCode {
         match self {
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -358,11 +358,17 @@
         };
         if let Some(left_out) = self.state.may_log(log_topic(refusal)) {
             let waited = self.state.now().since(routed.started).as_millis();
+            let inputs = routed
+                .key
+                .and_then(|key| self.state.admission_inputs(&routed.service, key));
             log::info!(
                 request = request_id(&head),
                 route = routed.rule.name.as_str(),
                 service = routed.service.as_str(),
                 key:? = routed.key,
+                rank:% = routed.rule.rank,
+                rank_limit:? = routed.rank_limit,
+                inputs:? = inputs,
                 refusal:? = refusal,
                 sent = history.sent,
                 unsent = history.unsent,
@@ -374,6 +380,7 @@
             );
         }
         self.count_refusal(refusal);
+        self.state.count_refusal(refusal.label(), routed.rule.rank);
         refusal_response(refusal, retry_after)
     }
 
--- a/crates/gateway/src/state/admission_tracking.rs
+++ b/crates/gateway/src/state/admission_tracking.rs
@@ -1,7 +1,9 @@
 //! Admission of requests by rank and by hot key, as this host has to apply them.
 
 use {
-    super::{HostState, PickQuery, PickRefusal, host_state::StateInner},
+    super::{
+        HostState, PickQuery, PickRefusal, host_state::StateInner, refusal_counts::RefusalCounts,
+    },
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, GaugeReading, KeyGates, KeyShare, RankGate, ReturnPlan,
@@ -21,6 +23,8 @@
     rank_gates: HashMap<(ServiceName, RouteRank), RankGate>,
     /// Keys whose requests are more than their owners can take.
     pub(super) key_gates: KeyGates,
+    /// Refusals since the process started.
+    pub(super) refusals: RefusalCounts,
     /// Times at which callers of refused requests are to return.
     returns: ReturnPlan,
 }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -15,6 +15,7 @@
 mod pause_tracking;
 mod planned_stop;
 mod reach_tracking;
+mod refusal_counts;
 mod relay_peers;
 mod seen_versions;
 mod server_pick;
