--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod server_choice;
 mod server_gauge;
 mod server_reach;
+mod wait_queue;
 mod work_time;
 mod zone_transfer;
 
@@ -28,10 +29,11 @@
     rank_limit::{RankGate, RankLimit, RankLimits},
     request_rate::{RateError, RequestRate},
     retry_window::{HostCount, RetryWindow},
-    return_plan::{ReturnPlan, ReturnQuery, ReturnReason, ReturnTarget},
+    return_plan::{ReturnPlan, ReturnQuery, ReturnReason, ReturnTarget, longest_return},
     server_choice::{Candidate, choose_server},
     server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
     server_reach::{ReachCheck, ServerReach},
+    wait_queue::{WaitQueue, WaitTicket},
     work_time::WorkTime,
     zone_transfer::{ServiceDemand, ZoneTransfer},
 };
--- a/crates/core/src/dispatch/return_plan.rs
+++ b/crates/core/src/dispatch/return_plan.rs
@@ -32,6 +32,11 @@
 /// Targets with planned returns that are kept before those in the past are dropped.
 const MAX_KEPT: usize = 1_024;
 
+/// Longest time after which a caller with this time left returns.
+pub fn longest_return(time_left: Duration) -> Duration {
+    time_left.mul_f64(MAX_WAIT_SHARE)
+}
+
 /// What refused requests wait for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum ReturnTarget {
@@ -82,7 +87,7 @@
         spread: f64,
         now: BootTime,
     ) -> Duration {
-        let longest = query.time_left.mul_f64(MAX_WAIT_SHARE);
+        let longest = longest_return(query.time_left);
         let shortest = query.shortest_wait().min(longest);
         let next = self.next.get(&target).copied().unwrap_or_default();
         let start = next.max(now + shortest);
--- a/crates/gateway/src/metrics/metric_page.rs
+++ b/crates/gateway/src/metrics/metric_page.rs
@@ -1,7 +1,7 @@
 //! Metrics in the Prometheus text format.
 
 use {
-    crate::state::HostState,
+    crate::state::{HostState, WAIT_BUCKETS_MS},
     prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder},
     std::sync::atomic::Ordering,
 };
@@ -93,6 +93,7 @@
         refusals.with_label_values(&labels).inc_by(count);
     }
     registry.register(Box::new(refusals))?;
+    register_wait_times(&registry, state)?;
     let version = state.table().map_or(0, |table| table.version.0);
     let term = state.owners().map_or(0, |(owners, _)| owners.term);
     let gauges = [
@@ -112,6 +113,11 @@
             "Servers that limit the rate of requests.",
             state.limited_servers() as u64,
         ),
+        (
+            "waiting_requests",
+            "Requests that wait at this host for room at a server.",
+            state.waiting_requests() as u64,
+        ),
         (
             "hot_keys",
             "Keys whose requests are more than their owners can take.",
@@ -147,3 +153,23 @@
     TextEncoder::new().encode(&registry.gather(), &mut page)?;
     Ok(page)
 }
+
+/// Adds the histogram of the times for which requests have waited at this host.
+fn register_wait_times(registry: &Registry, state: &HostState) -> Result<(), prometheus::Error> {
+    let times = state.wait_times();
+    let help = "Requests that have waited at this host for up to this many seconds.";
+    let opts = Opts::new("camphorcove_waits_total", help);
+    let waits = IntCounterVec::new(opts, &["up_to_s"])?;
+    let bounds = WAIT_BUCKETS_MS.map(|millis| (millis as f64 / 1_000.0).to_string());
+    let labels = bounds.iter().map(String::as_str).chain(["inf"]);
+    let mut total = 0;
+    for (label, count) in labels.zip(times.buckets) {
+        total += count;
+        waits.with_label_values(&[label]).inc_by(total);
+    }
+    registry.register(Box::new(waits))?;
+    let help = "Milliseconds for which requests have waited at this host.";
+    let millis = IntCounter::new("camphorcove_wait_ms_total", help)?;
+    millis.inc_by(u64::try_from(times.total.as_millis()).unwrap_or(u64::MAX));
+    registry.register(Box::new(millis))
+}
--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -9,10 +9,10 @@
     },
     crate::{
         forward::{AttemptTimeout, CallOutcome, CallTarget, ResponseBody, send_call},
-        state::{LogTopic, PickQuery, PickRefusal, ServerPick},
+        state::{LogTopic, PickQuery, PickRefusal, ServerPick, SlotWait},
     },
     camphorcove_core::{
-        dispatch::{AdmissionRule, RequestOutcome},
+        dispatch::{AdmissionRule, RequestOutcome, longest_return},
         fleet::ServerEntry,
         ids::ServerId,
         quarantine::Admittance,
@@ -61,6 +61,10 @@
     pub(super) retry_counted: bool,
     /// The next attempt may be sent, as far as crashes of servers tell.
     admitted: bool,
+    /// Place in the queue of this host, while the request waits for room at its server.
+    slot_wait: Option<SlotWait>,
+    /// Time after which the caller is to return, as planned when the request began to wait.
+    planned_return: Option<Duration>,
     /// Total time spent waiting for the key to change owner.
     waited: Duration,
     /// Response of the last attempt that ended with a server error.
@@ -118,6 +122,8 @@
                     rank_limit: routed.rank_limit,
                     is_hot_key: false,
                 },
+                rank: routed.rule.rank,
+                is_waiting: history.planned_return.is_some(),
                 plans_returns: routed.plans_returns,
             };
             let pick = self.state.pick_server(query);
@@ -131,6 +137,26 @@
                     continue;
                 }
                 ServerPick::Refuse(reason, retry_after) => {
+                    let can_wait = reason == PickRefusal::Overloaded;
+                    let wait = match (history.planned_return, can_wait) {
+                        (_, false) => None,
+                        (Some(_), true) => history.slot_wait.take(),
+                        (None, true) => {
+                            let bytes = routed.call.body.len();
+                            self.state.begin_slot_wait(query, bytes)
+                        }
+                    };
+                    let retry_after = match history.planned_return {
+                        Some(planned) if can_wait => planned.min(longest_return(time_left)),
+                        Some(_) | None => retry_after,
+                    };
+                    if let Some(wait) = wait
+                        && self.await_slot(&routed, &wait).await
+                    {
+                        history.planned_return = Some(retry_after);
+                        history.slot_wait = Some(wait);
+                        continue;
+                    }
                     let refusal = match reason {
                         PickRefusal::NoKey => Refusal::Malformed,
                         PickRefusal::Overloaded => Refusal::Overloaded,
@@ -145,6 +171,7 @@
                     return self.give_up(&routed, history, refusal, Some(retry_after));
                 }
             };
+            history.slot_wait = None;
             if history.sent > 0 {
                 let allowed = std::mem::take(&mut history.retry_counted)
                     || self.may_retry(&routed, history.sent);
@@ -284,6 +311,22 @@
         None
     }
 
+    /// Waits until the request is to try its server again; `false` if the wait has ended or the caller
+    /// has disconnected.
+    async fn await_slot(&self, routed: &RoutedRequest, wait: &SlotWait) -> bool {
+        let caller_left = async {
+            match routed.caller.clone() {
+                Some(mut caller) => while caller.changed().await.is_ok() {},
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            () = caller_left => false,
+            woken = wait.woken() => woken,
+        }
+    }
+
     /// Waits for an ownership change; `false` if none came within the time that is left or the
     /// request has used up `MAX_OWNER_WAIT`.
     async fn await_owner(&self, history: &mut AttemptHistory, time_left: Duration) -> bool {
--- a/crates/gateway/src/serve/request_handler.rs
+++ b/crates/gateway/src/serve/request_handler.rs
@@ -80,6 +80,8 @@
     pub(super) rank_limit: Option<RankLimit>,
     /// Whether the service has routes of different urgency.
     pub(super) plans_returns: bool,
+    /// Closed when the caller has disconnected.
+    pub(super) caller: Option<watch::Receiver<()>>,
     /// Computed when it is first needed.
     pub(super) fingerprint: OnceLock<RequestFingerprint>,
     /// Keeps the body counted against the memory budget until the request has ended.
@@ -245,7 +247,9 @@
             most_attempts,
             started,
         };
-        let routed = match self.read_request(&table, rule, &head, request, terms).await {
+        // Dropped with this future when the caller disconnects.
+        let (_presence, caller) = watch::channel(());
+        let mut routed = match self.read_request(&table, rule, &head, request, terms).await {
             Ok(routed) => routed,
             Err(refusal) => {
                 let retry_after = match refusal {
@@ -258,6 +262,7 @@
                 return self.refuse_request(&head, refusal, retry_after);
             }
         };
+        routed.caller = Some(caller);
         match routed.rule.retry {
             RetryPolicy::Idempotent => self.forward_with_retries(routed).await,
             // Runs in a task of its own, so that a request which may already be running on a
@@ -335,6 +340,7 @@
             key: head.key.filter(|_| keyed),
             started,
             fingerprint: OnceLock::new(),
+            caller: None,
             _body: reservation,
         })
     }
--- a/crates/gateway/src/state/admission_tracking.rs
+++ b/crates/gateway/src/state/admission_tracking.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         HostState, PickQuery, PickRefusal, host_state::StateInner, refusal_counts::RefusalCounts,
+        slot_waits::SlotWaits,
     },
     camphorcove_core::{
         dispatch::{
@@ -25,6 +26,8 @@
     pub(super) key_gates: KeyGates,
     /// Refusals since the process started.
     pub(super) refusals: RefusalCounts,
+    /// Requests that wait for room at a server.
+    pub(super) slot_waits: SlotWaits,
     /// Times at which callers of refused requests are to return.
     returns: ReturnPlan,
 }
@@ -33,14 +36,16 @@
     /// Decides whether the server with this reading gets the request.
     pub(super) fn decide_admission(
         &mut self,
-        service: &ServiceName,
+        query: PickQuery<'_>,
         rule: AdmissionRule,
         reading: GaugeReading,
     ) -> Admission {
-        let Some(limit) = rule.rank_limit else {
+        // A request that waits has had its part of the guarantee when it arrived.
+        let limit = rule.rank_limit.filter(|_| !query.is_waiting);
+        let Some(limit) = limit else {
             return rule.decide(reading);
         };
-        let key = (service.clone(), limit.rank);
+        let key = (query.service.clone(), limit.rank);
         let gate = self.admission.rank_gates.entry(key).or_default();
         gate.decide(rule, reading)
     }
@@ -60,7 +65,7 @@
             PickRefusal::HotKey => ReturnReason::HotKey,
             _ => ReturnReason::Overloaded,
         };
-        if !query.plans_returns {
+        if !query.plans_returns || query.is_waiting {
             return retry_after(Some(reading), spread);
         }
         let return_query = ReturnQuery {
--- a/crates/gateway/src/state/config_tracking.rs
+++ b/crates/gateway/src/state/config_tracking.rs
@@ -30,6 +30,7 @@
         if newer {
             inner.round_robin.reset();
             inner.table = Some(Arc::new(table));
+            inner.admission.slot_waits.end_all();
         }
         newer
     }
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -274,6 +274,7 @@
     /// Starts the planned shutdown.
     pub fn begin_stop(&self) {
         self.stop.begin(self.now());
+        self.end_slot_waits();
     }
 
     /// Whether the planned shutdown has started.
@@ -405,6 +406,7 @@
         inner.owner_state = Some((state, version));
         drop(inner);
         self.owners_changed.notify_waiters();
+        self.end_slot_waits();
         true
     }
 
@@ -442,6 +444,7 @@
             let total = totals.get(&ServerHash::of(id)).copied().unwrap_or(0);
             gauge.set_remote_load(total.saturating_sub(gauge.published_in_flight()));
         }
+        inner.admission.slot_waits.wake_all();
     }
 
     /// Discards the load of other hosts if no digest has arrived recently.
@@ -478,5 +481,6 @@
         if let Some(load) = load {
             gauge.record_reported_load(load, now);
         }
+        inner.admission.slot_waits.record_free_slot(server);
     }
 }
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -19,6 +19,7 @@
 mod relay_peers;
 mod seen_versions;
 mod server_pick;
+mod slot_waits;
 mod store_contact;
 mod store_feed;
 mod suspect_news;
@@ -37,6 +38,7 @@
     planned_stop::PlannedStop,
     seen_versions::{SeenVersions, StoreKind, VersionSpan},
     server_pick::{PickQuery, PickRefusal, ServerPermit, ServerPick},
+    slot_waits::{SlotWait, WAIT_BUCKETS_MS, WaitTimes},
     store_contact::StoreContact,
     store_feed::StoreFeed,
     suspect_news::SuspectNews,
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -11,6 +11,7 @@
         fleet::{FleetView, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName, ZoneName},
         ownership::OwnerLookup,
+        routing::RouteRank,
         time::BootTime,
     },
     std::{
@@ -46,6 +47,10 @@
     pub tried: &'a [ServerId],
     /// Limits on the expected time at the server.
     pub rule: AdmissionRule,
+    /// Rank of the request's route.
+    pub rank: RouteRank,
+    /// Whether the request has waited for room at its server.
+    pub is_waiting: bool,
     /// Whether the times are planned at which callers of refused requests return.
     pub plans_returns: bool,
 }
@@ -303,7 +308,7 @@
         };
         let mut rule = query.rule;
         // The share counts requests of callers; further attempts belong to the same request.
-        if query.tried.is_empty() {
+        if query.tried.is_empty() && !query.is_waiting {
             let key_gates = &mut inner.admission.key_gates;
             match key_gates.admit(query.service, key, now) {
                 KeyAdmission::NotHot => {}
@@ -315,7 +320,7 @@
         }
         let refusal = match reading.avoided {
             true => Some(PickRefusal::OwnerUnresponsive),
-            false => PickRefusal::of(inner.decide_admission(query.service, rule, reading)),
+            false => PickRefusal::of(inner.decide_admission(query, rule, reading)),
         };
         if let Some(refusal) = refusal {
             return inner.refuse_owner(query, refusal, owner.id, reading, now);
@@ -369,7 +374,7 @@
         let target = query.rule.target_latency;
         while let Some(at) = choose_server(&offers.candidates, target, &mut inner.random) {
             let reading: GaugeReading = offers.candidates[at].reading;
-            let admission = inner.decide_admission(query.service, query.rule, reading);
+            let admission = inner.decide_admission(query, query.rule, reading);
             if let Some(refusal) = PickRefusal::of(admission) {
                 let readings = offers.candidates.iter().map(|candidate| &candidate.reading);
                 let load = (reading, readings.map(answer_rate).sum());
