--- a/crates/core/tests/rank_limits.rs
+++ b/crates/core/tests/rank_limits.rs
@@ -4,7 +4,7 @@
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, RankGate, RankLimits, ReportedLoad, RequestOutcome,
-            ServerGauge, WorkTime,
+            ReturnTarget, ServerGauge, WaitQueue, WaitTicket, WorkTime,
         },
         routing::{RetryPolicy, RouteRank, RouteRule},
         time::BootTime,
@@ -39,6 +39,19 @@
     }
 }
 
+fn target() -> ReturnTarget {
+    ReturnTarget::Owner("s1".parse().expect("an id"))
+}
+
+/// Which parts of admission are in use.
+#[derive(Clone, Copy, PartialEq)]
+enum Mode {
+    Unranked,
+    Ranked,
+    /// Ranks, and requests wait at their hosts.
+    Waiting,
+}
+
 /// One host with the requests of one route.
 struct SimHost {
     gauge: ServerGauge,
@@ -47,6 +60,9 @@
     /// Requests a millisecond.
     rate: f64,
     in_flight: u32,
+    queue: WaitQueue,
+    /// End of the wait of each waiting request.
+    waits: Vec<(WaitTicket, u64)>,
     offered: u32,
     served: u32,
 }
@@ -64,6 +80,8 @@
             },
             rate,
             in_flight: 0,
+            queue: WaitQueue::default(),
+            waits: Vec::new(),
             offered: 0,
             served: 0,
         }
@@ -78,6 +96,44 @@
         admission == Admission::Send
     }
 
+    /// Lets a refused request wait, if room is expected soon.
+    fn begin_wait(&mut self, now: u64) {
+        let longest = self.rule.longest_wait(self.gauge.read(at(now)));
+        if longest.is_zero() {
+            return;
+        }
+        if let Some(ticket) = self.queue.enter(target(), RouteRank(0), 100) {
+            self.waits.push((ticket, now + longest.as_millis() as u64));
+        }
+    }
+
+    /// Whether a waiting request is sent now, as a request of this host has ended.
+    fn wake(&mut self, now: u64) -> bool {
+        let Some(ticket) = self.queue.wake_next(&target()) else {
+            return false;
+        };
+        let is_sent = self.rule.decide(self.gauge.read(at(now))) == Admission::Send;
+        match is_sent {
+            true => self.leave(ticket),
+            false => self.queue.wait_on(ticket),
+        }
+        is_sent
+    }
+
+    fn leave(&mut self, ticket: WaitTicket) {
+        self.queue.leave(ticket);
+        self.waits.retain(|(waiting, _)| *waiting != ticket);
+    }
+
+    /// Ends the waits that have lasted too long.
+    fn expire_waits(&mut self, now: u64) {
+        for (ticket, ends_at) in self.waits.clone() {
+            if ends_at <= now {
+                self.leave(ticket);
+            }
+        }
+    }
+
     fn served_share(&self) -> f64 {
         f64::from(self.served) / f64::from(self.offered)
     }
@@ -85,9 +141,9 @@
 
 /// Runs one server under `overload` times its capacity; each route arrives at a host of its own.
 /// Returns the share of requests served by host, and of all requests.
-fn simulate(routes: &[RouteRule], ranked: bool, overload: f64, seed: u64) -> (Vec<f64>, f64) {
+fn simulate(routes: &[RouteRule], mode: Mode, overload: f64, seed: u64) -> (Vec<f64>, f64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let limits = RankLimits::of_routes(routes).filter(|_| ranked);
+    let limits = RankLimits::of_routes(routes).filter(|_| mode != Mode::Unranked);
     let rate = overload * f64::from(SLOTS) / SERVICE_MS / routes.len() as f64;
     let mut hosts: Vec<SimHost> = routes
         .iter()
@@ -108,6 +164,7 @@
             }
         }
         let ended: Vec<_> = requests.extract_if(.., |(end, ..)| *end <= now).collect();
+        let mut woken = Vec::new();
         for (_, _, number, sent) in ended {
             let running = requests
                 .iter()
@@ -126,22 +183,29 @@
             host.gauge.record_reported_load(load, at(now));
             host.in_flight -= 1;
             host.served += 1;
+            woken.push(number);
         }
         for (number, host) in hosts.iter_mut().enumerate() {
-            if random.random::<f64>() >= host.rate {
-                continue;
+            host.expire_waits(now);
+            let is_woken = woken.contains(&number) && host.wake(now);
+            let mut sends = u32::from(is_woken);
+            if random.random::<f64>() < host.rate {
+                host.offered += 1;
+                if host.admits(at(now)) {
+                    sends += 1;
+                } else if mode == Mode::Waiting {
+                    host.begin_wait(now);
+                }
             }
-            host.offered += 1;
-            if !host.admits(at(now)) {
-                continue;
+            for _ in 0..sends {
+                host.gauge.record_sent();
+                host.in_flight += 1;
+                let work = SERVICE_MS * (0.5 + random.random::<f64>());
+                let slot = slots.iter_mut().min().expect("slots");
+                let start = (*slot).max(now);
+                *slot = start + work as u64;
+                requests.push((*slot, start, number, now));
             }
-            host.gauge.record_sent();
-            host.in_flight += 1;
-            let work = SERVICE_MS * (0.5 + random.random::<f64>());
-            let slot = slots.iter_mut().min().expect("slots");
-            let start = (*slot).max(now);
-            *slot = start + work as u64;
-            requests.push((*slot, start, number, now));
         }
     }
     let served: u32 = hosts.iter().map(|host| host.served).sum();
@@ -160,11 +224,11 @@
 ) {
     let routes = [route(0, 1_000, 4_000), route(2, 4_000, 8_000)];
 
-    let (shares, mean) = simulate(&routes, true, overload, seed);
+    let (shares, mean) = simulate(&routes, Mode::Ranked, overload, seed);
 
     assert!(shares[0] >= shares[1], "served {shares:?}, mean {mean}");
     assert!(shares[1] >= mean / 4.0, "served {shares:?}, mean {mean}");
-    let (unranked, _) = simulate(&routes, false, overload, seed);
+    let (unranked, _) = simulate(&routes, Mode::Unranked, overload, seed);
     assert!(
         unranked[0] < unranked[1],
         "served without ranks {unranked:?}"
@@ -172,16 +236,18 @@
 }
 
 /// Load: three ranks at three hosts, and a less urgent rank with the shortest target (customer C).
-/// Guards against an order of the limits that follows the targets instead of the ranks.
+/// Guards against an order of the limits that follows the targets instead of the ranks, and against waits
+/// at the hosts that let less urgent requests overtake urgent ones.
 #[rstest]
 #[case::three_ranks(vec![route(0, 1_000, 4_000), route(1, 1_200, 5_000), route(2, 4_000, 8_000)])]
 #[case::short_target_of_low_rank(vec![route(1, 1_200, 3_000), route(2, 800, 2_000)])]
 fn ranks_are_served_in_their_order(
     #[case] routes: Vec<RouteRule>,
     #[values(1.5, 2.0, 3.0)] overload: f64,
+    #[values(Mode::Ranked, Mode::Waiting)] mode: Mode,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    let (shares, mean) = simulate(&routes, true, overload, seed);
+    let (shares, mean) = simulate(&routes, mode, overload, seed);
 
     for pair in shares.windows(2) {
         assert!(pair[0] >= pair[1], "served {shares:?}, mean {mean}");
@@ -196,7 +262,7 @@
 fn less_urgent_requests_are_served_while_there_is_room(#[values(1, 2, 3)] seed: u64) {
     let routes = [route(0, 1_000, 4_000), route(2, 4_000, 8_000)];
 
-    let (shares, _) = simulate(&routes, true, 0.6, seed);
+    let (shares, _) = simulate(&routes, Mode::Ranked, 0.6, seed);
 
     assert!(shares[1] >= 0.9, "served {shares:?}");
 }
