--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod server_reach;
 mod warmup_gate;
 mod warmup_limit;
+mod wait_queue;
 mod work_time;
 mod zone_transfer;
 
@@ -32,12 +33,13 @@
     rank_limit::{RankGate, RankLimit, RankLimits},
     request_rate::{RateError, RequestRate},
     retry_window::{HostCount, RetryWindow},
-    return_plan::{ReturnPlan, ReturnQuery, ReturnReason, ReturnTarget},
+    return_plan::{ReturnPlan, ReturnQuery, ReturnReason, ReturnTarget, longest_return},
     server_choice::{Candidate, choose_server},
     server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
     server_reach::{ReachCheck, ServerReach},
     warmup_gate::WarmupGate,
     warmup_limit::WarmupLimit,
+    wait_queue::{WaitQueue, WaitTicket},
     work_time::WorkTime,
     zone_transfer::{ServiceDemand, ZoneTransfer},
 };
--- a/crates/gateway/src/state/admission_tracking.rs
+++ b/crates/gateway/src/state/admission_tracking.rs
@@ -1,7 +1,10 @@
 //! Admission of requests by rank and by hot key, as this host has to apply them.
 
 use {
-    super::{HostState, PickQuery, PickRefusal, host_state::StateInner},
+    super::{
+        HostState, PickQuery, PickRefusal, host_state::StateInner, refusal_counts::RefusalCounts,
+        slot_waits::SlotWaits,
+    },
     camphorcove_core::{
         dispatch::{
             Admission, AdmissionRule, GaugeReading, KeyGates, KeyShare, RankGate, ReturnPlan,
@@ -21,6 +24,10 @@
     rank_gates: HashMap<(ServiceName, RouteRank), RankGate>,
     /// Keys whose requests are more than their owners can take.
     pub(super) key_gates: KeyGates,
+    /// Refusals since the process started.
+    pub(super) refusals: RefusalCounts,
+    /// Requests that wait for room at a server.
+    pub(super) slot_waits: SlotWaits,
     /// Times at which callers of refused requests are to return.
     returns: ReturnPlan,
 }
@@ -29,14 +36,16 @@
     /// Decides whether the server with this reading gets the request.
     pub(super) fn decide_admission(
         &mut self,
-        service: &ServiceName,
+        query: PickQuery<'_>,
         rule: AdmissionRule,
         reading: GaugeReading,
     ) -> Admission {
-        let Some(limit) = rule.rank_limit else {
+        // A request that waits has had its part of the guarantee when it arrived.
+        let limit = rule.rank_limit.filter(|_| !query.is_waiting);
+        let Some(limit) = limit else {
             return rule.decide(reading);
         };
-        let key = (service.clone(), limit.rank);
+        let key = (query.service.clone(), limit.rank);
         let gate = self.admission.rank_gates.entry(key).or_default();
         gate.decide(rule, reading)
     }
@@ -56,7 +65,7 @@
             PickRefusal::HotKey => ReturnReason::HotKey,
             _ => ReturnReason::Overloaded,
         };
-        if !query.plans_returns {
+        if !query.plans_returns || query.is_waiting {
             return retry_after(Some(reading), spread);
         }
         let return_query = ReturnQuery {
--- a/crates/gateway/src/state/config_tracking.rs
+++ b/crates/gateway/src/state/config_tracking.rs
@@ -32,6 +32,7 @@
             inner.round_robin.reset();
             inner.table = Some(Arc::new(table));
             inner.refresh_warmups(now);
+            inner.admission.slot_waits.end_all();
         }
         newer
     }
--- a/crates/gateway/src/state/server_pick.rs
+++ b/crates/gateway/src/state/server_pick.rs
@@ -15,6 +15,7 @@
         fleet::{FleetView, ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName, ZoneName},
         ownership::OwnerLookup,
+        routing::RouteRank,
         time::BootTime,
     },
     std::{
@@ -47,6 +48,10 @@
     pub tried: &'a [ServerId],
     /// Limits on the expected time at the server.
     pub rule: AdmissionRule,
+    /// Rank of the request's route.
+    pub rank: RouteRank,
+    /// Whether the request has waited for room at its server.
+    pub is_waiting: bool,
     /// Whether the times are planned at which callers of refused requests return.
     pub plans_returns: bool,
 }
@@ -320,7 +325,7 @@
         };
         let mut rule = query.rule;
         // The share counts requests of callers; further attempts belong to the same request.
-        if query.tried.is_empty() {
+        if query.tried.is_empty() && !query.is_waiting {
             let key_gates = &mut inner.admission.key_gates;
             match key_gates.admit(query.service, key, now) {
                 KeyAdmission::NotHot => {}
@@ -332,7 +337,7 @@
         }
         let refusal = match reading.avoided {
             true => Some(PickRefusal::OwnerUnresponsive),
-            false => PickRefusal::of(inner.decide_admission(query.service, rule, reading)),
+            false => PickRefusal::of(inner.decide_admission(query, rule, reading)),
         };
         if let Some(refusal) = refusal {
             return inner.refuse_owner(query, refusal, owner.id, reading, now);
@@ -383,7 +388,7 @@
             inner.choose_offer(&offers.entries, &offers.candidates, wanted.as_ref(), target)
         {
             let reading: GaugeReading = offers.candidates[at].reading;
-            let admission = inner.decide_admission(query.service, query.rule, reading);
+            let admission = inner.decide_admission(query, query.rule, reading);
             if let Some(refusal) = PickRefusal::of(admission) {
                 let readings = offers.candidates.iter().map(|candidate| &candidate.reading);
                 let load = (reading, readings.map(answer_rate).sum());
