--- a/crates/cli/src/args/cli_command.rs
+++ b/crates/cli/src/args/cli_command.rs
@@ -8,7 +8,7 @@
     },
     clap::{Args, Subcommand},
     clap_complete::Shell,
-    std::path::PathBuf,
+    std::{net::SocketAddr, path::PathBuf},
 };
 
 /// Command to run.
@@ -20,6 +20,14 @@
         /// Path of the configuration file.
         file: PathBuf,
     },
+    /// Check a configuration of the platform (JSON) before it is sent.
+    ///
+    /// Finds all errors for which hosts would reject it, entries without effect, and contradictions.
+    #[command(after_help = "\
+Examples:
+  camphorcove check-routes routes.json --settings settings.toml
+  camphorcove check-routes routes.json --store 127.0.0.1:7000 --json")]
+    CheckRoutes(CheckRoutesArgs),
     /// Show the differences between the configuration in force and a file.
     #[command(after_help = "Example:\n  camphorcove diff stockholm.toml")]
     Diff {
@@ -287,3 +295,22 @@
     let (name, value) = text.split_once('=').ok_or("expected NAME=VALUE")?;
     Ok((name.to_ascii_lowercase(), value.to_owned()))
 }
+
+/// Arguments of `check-routes`.
+#[derive(Clone, Debug, Args)]
+pub struct CheckRoutesArgs {
+    /// Path of the configuration file.
+    pub file: PathBuf,
+    /// Show what differs from this file.
+    #[arg(long, value_name = "FILE", conflicts_with = "store")]
+    pub against: Option<PathBuf>,
+    /// Show what differs from the version in force in the platform's store.
+    #[arg(long, value_name = "IP:PORT")]
+    pub store: Option<SocketAddr>,
+    /// Settings file of the hosts, for checks of the retry budget.
+    #[arg(long, value_name = "FILE")]
+    pub settings: Option<PathBuf>,
+    /// Fail with exit code 2 also if there are only warnings.
+    #[arg(long)]
+    pub strict: bool,
+}
--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -6,7 +6,7 @@
 pub use {
     cli_args::CliArgs,
     cli_command::{
-        ApplyArgs, AuditCommand, ChangeArgs, CliCommand, ExplainArgs, KeyArgs, PinArgs,
-        RollbackArgs, ServerArgs, VerifyArgs, WaitArgs,
+        ApplyArgs, AuditCommand, ChangeArgs, CheckRoutesArgs, CliCommand, ExplainArgs, KeyArgs,
+        PinArgs, RollbackArgs, ServerArgs, VerifyArgs, WaitArgs,
     },
 };
--- a/crates/cli/src/commands/local.rs
+++ b/crates/cli/src/commands/local.rs
@@ -1,7 +1,7 @@
 //! Commands that run locally, without contacting a host.
 
 use {
-    super::audit,
+    super::{audit, check_routes},
     crate::{
         args::{AuditCommand, CliArgs, CliCommand},
         error::{CliError, InvalidConfigSnafu, ReadFileSnafu},
@@ -18,6 +18,7 @@
 pub fn run(command: &CliCommand, printer: Printer) -> Option<Result<(), CliError>> {
     match command {
         CliCommand::Check { file } => Some(check(file, printer)),
+        CliCommand::CheckRoutes(args) => Some(check_routes::run(args, printer)),
         CliCommand::Completions { shell } => {
             let mut script = Vec::new();
             let mut command = CliArgs::command();
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod api;
 mod audit;
 mod change;
+mod check_routes;
 mod control;
 mod local;
 mod show;
@@ -59,6 +60,9 @@
             reason,
             ..
         } => control::confirm_lost(api, printer, service, epoch, reason).await,
-        CliCommand::Check { .. } | CliCommand::Completions { .. } | CliCommand::Man => Ok(()),
+        CliCommand::Check { .. }
+        | CliCommand::CheckRoutes(_)
+        | CliCommand::Completions { .. }
+        | CliCommand::Man => Ok(()),
     }
 }
--- a/crates/cli/src/error/cli_error.rs
+++ b/crates/cli/src/error/cli_error.rs
@@ -4,6 +4,7 @@
     super::ExitStatus,
     camphorcove_core::conf::Fault,
     camphorcove_net::operator::{ApiCode, ApiError, ClientError},
+    camphorcove_platform::StoreError,
     snafu::Snafu,
     std::{io, path::PathBuf},
 };
@@ -57,6 +58,12 @@
         /// Hosts that do not use it yet.
         missing: Vec<String>,
     },
+    /// The platform's store cannot be read.
+    #[snafu(display("cannot read the version in force: {source}"))]
+    Store {
+        /// Underlying error.
+        source: StoreError,
+    },
     /// A response cannot be parsed, or a request cannot be serialized.
     #[snafu(display("invalid JSON in a request or response: {source}"))]
     Json {
@@ -79,7 +86,13 @@
                 ExitStatus::WrongInput
             }
             Self::Client { source } => client_exit_status(source),
-            Self::CurrentVersionUnknown => ExitStatus::Unavailable,
+            Self::Store {
+                source: StoreError::Missing { .. },
+            } => ExitStatus::NotFound,
+            Self::Store {
+                source: StoreError::Unreadable { .. },
+            } => ExitStatus::Failure,
+            Self::CurrentVersionUnknown | Self::Store { .. } => ExitStatus::Unavailable,
             Self::AuditFaults { .. } => ExitStatus::AuditFault,
             Self::NotInForce { .. } => ExitStatus::NotInForce,
             Self::Json { .. } | Self::Io { .. } => ExitStatus::Failure,
--- a/crates/core/src/routing/route_table.rs
+++ b/crates/core/src/routing/route_table.rs
@@ -3,7 +3,7 @@
 use {
     super::{CallerLimits, RouteRule, ServiceRule},
     crate::ids::{ConfigVersion, ServiceName},
-    snafu::{Snafu, ensure},
+    snafu::Snafu,
     std::{cmp::Reverse, collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -67,7 +67,9 @@
             .collect();
         let mut routes: HashMap<String, Vec<Arc<RouteRule>>> = HashMap::new();
         for rule in rules {
-            check_rule(&rule, &services)?;
+            if let Some(fault) = route_faults(&rule, &services).into_iter().next() {
+                return Err(fault);
+            }
             routes
                 .entry(rule.host.clone())
                 .or_default()
@@ -113,30 +115,32 @@
     }
 }
 
-fn check_rule(
+/// Every reason for which a route makes its configuration invalid.
+pub fn route_faults(
     rule: &RouteRule,
     services: &HashMap<ServiceName, ServiceRule>,
-) -> Result<(), RouteTableError> {
-    let route = &rule.name;
-    let prefix = &rule.prefix;
-    ensure!(
-        prefix.starts_with('/') && prefix.ends_with('/'),
-        InvalidPrefixSnafu { route, prefix }
-    );
-    ensure!(
-        rule.attempts > 0 && !rule.time_limit.is_zero(),
-        ZeroLimitSnafu { route }
-    );
-    ensure!(
-        rule.split.iter().any(|part| part.weight > 0),
-        NoWeightSnafu { route }
-    );
+) -> Vec<RouteTableError> {
+    let route = rule.name.clone();
+    let prefix = rule.prefix.clone();
+    let mut faults = Vec::new();
+    if !prefix.starts_with('/') || !prefix.ends_with('/') {
+        let route = route.clone();
+        faults.push(RouteTableError::InvalidPrefix { route, prefix });
+    }
+    if rule.attempts == 0 || rule.time_limit.is_zero() {
+        let route = route.clone();
+        faults.push(RouteTableError::ZeroLimit { route });
+    }
+    if rule.split.iter().all(|part| part.weight == 0) {
+        let route = route.clone();
+        faults.push(RouteTableError::NoWeight { route });
+    }
     for part in &rule.split {
         let service = part.service.clone();
-        ensure!(
-            services.contains_key(&service),
-            UnknownServiceSnafu { route, service }
-        );
+        if !services.contains_key(&service) {
+            let route = route.clone();
+            faults.push(RouteTableError::UnknownService { route, service });
+        }
     }
-    Ok(())
+    faults
 }
