--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -14,9 +14,9 @@
 mod server_choice;
 mod server_gauge;
 mod server_reach;
+mod wait_queue;
 mod warmup_gate;
 mod warmup_limit;
-mod wait_queue;
 mod work_time;
 mod zone_transfer;
 
@@ -37,9 +37,9 @@
     server_choice::{Candidate, choose_server},
     server_gauge::{GaugeReading, NamedLimit, ReportedLoad, RequestOutcome, ServerGauge},
     server_reach::{ReachCheck, ServerReach},
+    wait_queue::{WaitQueue, WaitTicket},
     warmup_gate::WarmupGate,
     warmup_limit::WarmupLimit,
-    wait_queue::{WaitQueue, WaitTicket},
     work_time::WorkTime,
     zone_transfer::{ServiceDemand, ZoneTransfer},
 };
--- a/crates/core/tests/wait_queue.rs
+++ b/crates/core/tests/wait_queue.rs
@@ -33,6 +33,7 @@
         slots: 2,
         expected,
         service_time: 0.25,
+        lasting_time: 0.25,
         failure_share: 0.0,
         avoided: false,
     }
--- a/crates/gateway/tests/evacuation_rules.rs
+++ b/crates/gateway/tests/evacuation_rules.rs
@@ -6,6 +6,7 @@
     camphorcove_core::{
         dispatch::AdmissionRule,
         fleet::{EvacuationList, EvacuationSource},
+        routing::RouteRank,
     },
     camphorcove_gateway::{
         metrics::render_metrics,
@@ -138,7 +139,12 @@
         rule: AdmissionRule {
             target_latency: TARGET_LATENCY,
             time_left: TIME_LIMIT,
+            rank_limit: None,
+            is_hot_key: false,
         },
+        rank: RouteRank(0),
+        is_waiting: false,
+        plans_returns: false,
     };
 
     let pick = host.state.pick_server(query);
--- a/crates/gateway/tests/zone_transfers.rs
+++ b/crates/gateway/tests/zone_transfers.rs
@@ -7,6 +7,7 @@
         dispatch::{AdmissionRule, AdmittedShare, RequestOutcome, ZoneTransfer},
         fleet::ServerEntry,
         ids::ZoneName,
+        routing::RouteRank,
     },
     camphorcove_gateway::{
         metrics::render_metrics,
@@ -75,6 +76,8 @@
             rank_limit: None,
             is_hot_key: false,
         },
+        rank: RouteRank(0),
+        is_waiting: false,
         plans_returns: false,
     })
 }
