--- a/crates/core/src/dispatch/connection_limit.rs
+++ b/crates/core/src/dispatch/connection_limit.rs
@@ -13,8 +13,9 @@
 /// Connections that a host may always open to a server, whatever its share.
 const MIN_CONNECTIONS: u32 = 2;
 
-/// Connections that a host keeps open to a server that has reset a new one.
-const CONNECTIONS_AFTER_RESET: u32 = 1;
+/// Connections that a host opens to a server that has reset a new one. With a single one, requests beside
+/// the one in flight found no connection and were refused.
+const CONNECTIONS_AFTER_RESET: u32 = 2;
 
 /// Resets of one server, from which the number of connections to it is decided.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/core/src/dispatch/server_choice.rs
+++ b/crates/core/src/dispatch/server_choice.rs
@@ -57,7 +57,8 @@
     let mut best: Option<(usize, f64)> = None;
     for (at, candidate) in candidates.iter().enumerate() {
         let reading = candidate.reading;
-        let expected = reading.expected * (1.0 + random.random::<f64>() * SCORE_JITTER);
+        let present = reading.expected * reading.work_factor;
+        let expected = present * (1.0 + random.random::<f64>() * SCORE_JITTER);
         let mut score = expected.max(unnoticed) + expected * EXPECTED_TIME_WEIGHT;
         if !candidate.local {
             score *= REMOTE_ZONE_FACTOR;
--- a/crates/core/src/dispatch/server_gauge.rs
+++ b/crates/core/src/dispatch/server_gauge.rs
@@ -113,10 +113,10 @@
     pub slots: u32,
     /// Expected seconds until a request sent now is answered, including queueing.
     pub expected: f64,
-    /// Seconds that a request runs at present, without queueing.
+    /// Mean seconds that a request runs, without queueing.
     pub service_time: f64,
-    /// Seconds that a request runs without the short swings that the server reports.
-    pub lasting_time: f64,
+    /// Time that work takes at present, as a multiple of the usual time.
+    pub work_factor: f64,
     /// Share of recent requests that failed.
     pub failure_share: f64,
     /// Whether the server is to be avoided, because it did not respond recently.
@@ -250,8 +250,7 @@
         self.record_work_time(load.work_time, now);
     }
 
-    /// Records how long work takes at the server at present. Is called before
-    /// [`record_ended`](Self::record_ended) for the answer that reports it, which has taken that long.
+    /// Records how long work takes at the server at present.
     pub fn record_work_time(&mut self, work_time: WorkTime, now: BootTime) {
         self.work_time = Some((work_time, now));
     }
@@ -298,8 +297,7 @@
         } else {
             1.0
         };
-        let lasting_time = self.service_time * warmup_factor;
-        let service_time = lasting_time * self.work_factor(now);
+        let service_time = self.service_time * warmup_factor;
         let slots = f64::from(self.slots);
         // Expected queueing time, in service times: all slots together finish one request each
         // per service time.
@@ -309,7 +307,7 @@
             slots: self.slots,
             expected: service_time * (1.0 + rounds),
             service_time,
-            lasting_time,
+            work_factor: self.work_factor(now),
             failure_share: self.failure_share,
             avoided: now < self.avoid_until,
         }
@@ -348,7 +346,7 @@
         } else {
             1.0
         };
-        let run_time = latency / rounds / warmup_factor / self.work_factor(now);
+        let run_time = latency / rounds / warmup_factor;
         self.period.0 += 1;
         self.period.1 += run_time;
         if !self.measured {
--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -368,7 +368,7 @@
         let inner = self.lock();
         let rate = |gauge: &ServerGauge| {
             let reading = gauge.read(now);
-            (f64::from(reading.slots) / reading.lasting_time.max(0.001)) as f32
+            (f64::from(reading.slots) / reading.service_time.max(0.001)) as f32
         };
         inner
             .gauges
