--- a/crates/gateway/src/state/zone_tracking.rs
+++ b/crates/gateway/src/state/zone_tracking.rs
@@ -4,7 +4,7 @@
     super::{HostState, LogTopic, host_state::StateInner},
     crate::conf::GatewaySettings,
     camphorcove_core::{
-        dispatch::{Candidate, ServiceDemand, ZoneTransfer, choose_server},
+        dispatch::{Candidate, ServerGauge, ServiceDemand, ZoneTransfer, choose_server},
         fleet::{ServerEntry, ServerPhase},
         ids::{ServerId, ServiceName, ZoneName},
         time::BootTime,
@@ -201,7 +201,8 @@
             .collect()
     }
 
-    /// Servers of services without keys whose capacity counts: ready ones that are not cold.
+    /// Servers of services without keys whose capacity counts: ready ones that are not cold, in no
+    /// evacuated zone.
     pub fn usable_servers(&self) -> Vec<ServerCapacity> {
         let now = self.now();
         let inner = self.lock();
@@ -218,8 +219,13 @@
             if entry.phase != ServerPhase::Ready || !plain.contains_key(&entry.service) {
                 continue;
             }
+            if inner.evacuations.is_evacuated(&entry.zone) {
+                continue;
+            }
             let gauge = inner.gauges.get(&entry.id);
-            if gauge.is_none_or(|gauge| gauge.is_warming_up(now)) {
+            let is_cold =
+                |gauge: &ServerGauge| gauge.warmup_gate().is_some() || gauge.is_warming_up(now);
+            if gauge.is_none_or(is_cold) {
                 continue;
             }
             usable.push(ServerCapacity {
--- a/crates/gateway/tests/zone_transfers.rs
+++ b/crates/gateway/tests/zone_transfers.rs
@@ -5,7 +5,7 @@
 use {
     camphorcove_core::{
         dispatch::{AdmissionRule, AdmittedShare, RequestOutcome, ZoneTransfer},
-        fleet::ServerEntry,
+        fleet::{EvacuationList, EvacuationSource, ServerEntry},
         ids::ZoneName,
         routing::RouteRank,
     },
@@ -20,7 +20,9 @@
         time::{Duration, Instant},
     },
     support::{
-        fixtures::{TARGET_LATENCY, TIME_LIMIT, entry, first_listing_span, settings, table},
+        fixtures::{
+            TARGET_LATENCY, TIME_LIMIT, entry, first_listing_span, settings, table, version,
+        },
         leader_hosts::{LeaderHost, leader_host_of},
     },
     tokio::{net::UdpSocket, time::sleep},
@@ -57,6 +59,7 @@
 fn host(zone_transfer: bool) -> Arc<HostState> {
     let mut settings = settings(([127, 0, 0, 1], 1).into());
     settings.zone_transfer = zone_transfer;
+    settings.evacuation_limit = Some(Duration::from_secs(5));
     let state = Arc::new(HostState::new(settings));
     state.set_table(table(1));
     let entries = vec![server("s-a", "zone-a"), server("s-b", "zone-b")];
@@ -207,3 +210,19 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against requests that are sent to a zone by the capacity of servers that may get none.
+#[test]
+fn servers_of_an_evacuated_zone_have_no_capacity() {
+    let state = host(true);
+    let list = EvacuationList {
+        version: version(9),
+        zones: [zone("zone-b")].into(),
+    };
+
+    state.apply_evacuations(list, EvacuationSource::Watch);
+
+    let usable = state.usable_servers();
+    let ids: Vec<&str> = usable.iter().map(|server| server.id.as_str()).collect();
+    assert_eq!(ids, ["s-a"]);
+}
