--- a/crates/gateway/src/leader/leader_reports.rs
+++ b/crates/gateway/src/leader/leader_reports.rs
@@ -94,7 +94,6 @@
                 evacuations: self.state.evacuation_news(),
                 warmups: self.state.take_warmup_reports(),
                 demand,
-                ..ReportAddition::default()
             }),
         };
         if matches!(self.role, Role::Leader(_)) {
@@ -414,7 +413,6 @@
                 warmups,
                 key_shares,
                 transfers,
-                ..DigestAddition::default()
             }),
         };
         self.state
