--- a/crates/gateway/src/state/host_state.rs
+++ b/crates/gateway/src/state/host_state.rs
@@ -5,8 +5,8 @@
 
 use {
     super::{
-        BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, LogRateLimiter, LogTopic, PlannedStop,
-        SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind,
+        BodyBudget, ChangeLog, ConfigCopy, FleetUpdate, HostCounters, LogRateLimiter, LogTopic,
+        PlannedStop, SeenVersions, ServerHash, StoreContact, StoreFeed, StoreKind,
         admission_tracking::AdmissionTracking, evacuation_tracking::EvacuationTracking,
         relay_peers::RelayPeers, suspect_news::SuspectOutbox, warmup_tracking::WarmupTracking,
         zone_tracking::ZoneTraffic,
@@ -30,10 +30,7 @@
     std::{
         collections::{BTreeMap, HashMap},
         fmt,
-        sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicU64},
-        },
+        sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
         time::Duration,
     },
     tokio::sync::Notify,
@@ -45,55 +42,6 @@
 /// Age at which the load of other hosts is discarded: two reports are missing then.
 const REMOTE_LOAD_MAX_AGE: Duration = Duration::from_millis(1_000);
 
-/// Event counters of this host, which the metrics page shows.
-#[derive(Debug, Default)]
-pub struct HostCounters {
-    /// Requests read.
-    pub requests: AtomicU64,
-    /// Server answers forwarded to callers.
-    pub answered: AtomicU64,
-    /// Requests refused without being run.
-    pub refused: AtomicU64,
-    /// Requests that failed after being sent to a server.
-    pub failed: AtomicU64,
-    /// Requests sent to servers that limit the rate of requests.
-    pub limited: AtomicU64,
-    /// Requests sent to cold servers.
-    pub cold: AtomicU64,
-    /// Times that the limit of a cold server held a request back.
-    pub cold_refused: AtomicU64,
-    /// Ranges that this host has chosen to move, or to give to a first owner, as the leader.
-    pub moved_ranges: AtomicU64,
-    /// Keys in these ranges.
-    pub moved_keys: AtomicU64,
-    /// Keyed requests that servers refused as they do not own the key.
-    pub not_owned: AtomicU64,
-    /// Requests refused because servers have crashed under them.
-    pub quarantined: AtomicU64,
-    /// Announcements of servers that they leave, in answers to this host.
-    pub leavings: AtomicU64,
-    /// Pauses that servers have named to this host.
-    pub pauses: AtomicU64,
-    /// Requests refused because a server wants none for a time.
-    pub paused: AtomicU64,
-    /// Requests refused because the owner of their key is in an evacuated zone.
-    pub evacuated: AtomicU64,
-    /// Requests handed to other hosts, as this one reached no servers.
-    pub relayed: AtomicU64,
-    /// Requests that other hosts have handed to this one.
-    pub relays_taken: AtomicU64,
-    /// Retries sent to servers.
-    pub retries: AtomicU64,
-    /// Connections opened to servers.
-    pub connections: AtomicU64,
-    /// Calls to the store.
-    pub store_calls: AtomicU64,
-    /// Grant and release orders sent to servers.
-    pub orders: AtomicU64,
-    /// Configurations that could not be decoded.
-    pub configs_rejected: AtomicU64,
-}
-
 pub(super) struct StateInner {
     /// Configuration in force.
     pub(super) table: Option<Arc<RouteTable>>,
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod evacuation_tracking;
 mod fleet_tracking;
 mod fleet_update;
+mod host_counters;
 mod host_state;
 mod leaving_tracking;
 mod limit_tracking;
@@ -36,7 +37,8 @@
     config_copy::ConfigCopy,
     evacuation_tracking::EvacuationStatus,
     fleet_update::FleetUpdate,
-    host_state::{HostCounters, HostState},
+    host_counters::HostCounters,
+    host_state::HostState,
     leaving_tracking::LeavingServer,
     limit_tracking::SharedLimit,
     load_report::{LimitReport, LoadReport, ReportScope, ServerHash, ServerLoad, WarmupReport},
