--- a/crates/gateway/tests/odd_status.rs
+++ b/crates/gateway/tests/odd_status.rs
@@ -5,7 +5,7 @@
 use {
     camphorcove_platform_standin::{
         caller::{CallerResponse, read_response, request},
-        scripted_server::{ScriptedServer, response},
+        scripted_server::{IDLE_LOAD_LINE, NOT_RUN_LINE, ScriptedServer, response},
     },
     rstest::rstest,
     support::fixtures::{entry, start_host_with},
@@ -15,13 +15,19 @@
 /// Size of a body that is streamed to the caller, in bytes: more than 128 KiB.
 const LONG_BODY: usize = 140_000;
 
-/// Calls a host whose only server answers each request with this status line and body.
-async fn call_server(status: &str, signed: bool, lines: &str, method: &str) -> CallerResponse {
-    let size = match lines.is_empty() {
-        true => LONG_BODY,
-        false => 2,
+/// Calls a host whose only server answers each request with this status and, if any, header line. Without
+/// one, the body is long.
+async fn call_server(
+    status: &str,
+    signed: bool,
+    line: Option<&str>,
+    method: &str,
+) -> CallerResponse {
+    let (line, size) = match line {
+        Some(line) => (format!("{line}\r\n"), 2),
+        None => (String::new(), LONG_BODY),
     };
-    let lines = format!("{lines}Content-Length: {size}\r\n");
+    let lines = format!("{line}Content-Length: {size}\r\n");
     let script = response(status, signed, &lines, &"x".repeat(size));
     let server = ScriptedServer::start(vec![script]).await;
     let host = start_host_with(vec![entry("s-1", "plain", server.address)]).await;
@@ -44,10 +50,10 @@
     )]
     status: &str,
     #[values(true, false)] signed: bool,
-    #[values("", "X-Upstream-Load: 1,0,3\r\n", "X-Not-Executed: 1\r\n")] lines: &str,
+    #[values(None, Some(IDLE_LOAD_LINE), Some(NOT_RUN_LINE))] line: Option<&str>,
     #[values("GET", "POST")] method: &str,
 ) {
-    let response = call_server(status, signed, lines, method).await;
+    let response = call_server(status, signed, line, method).await;
 
     assert_eq!(response.status, 502);
 }
