--- a/crates/gateway/src/forward/connection_pool.rs
+++ b/crates/gateway/src/forward/connection_pool.rs
@@ -184,7 +184,10 @@
         }
         let (sender, head_limit) = match start_http(stream, entry.address, guard).await {
             Ok(connected) => connected,
-            Err(reason) => return UnreachableSnafu { reason }.fail(),
+            Err(reason) => {
+                self.state.record_unreachable_server(&entry.id);
+                return UnreachableSnafu { reason }.fail();
+            }
         };
         self.state.record_server_connection();
         self.state
