--- a/crates/gateway/tests/odd_names.rs
+++ b/crates/gateway/tests/odd_names.rs
@@ -145,6 +145,8 @@
 #[case::control_character(10, "a-", "a-499\u{0}")]
 #[case::other_scripts(11, "a-", "a-499å岛🏝")]
 #[case::slash(12, "a-", "a-499/../x?y")]
+#[case::long(13, "a-", &"a-499".repeat(20_000))]
+#[case::long_of_another_script(14, "a-", &"a-499岛".repeat(9_000))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_of_any_name_leaves_the_others_in_use_after_a_restart_of_all_hosts(
     #[case] case: usize,
