A listing whose pages do not go on keeps the objects of the earlier ones, and ends

What callers saw (tests): with a second page that is no JSON, names nothing, repeats the first one or is refused, hosts that start got no server at all, although the first page named some; their callers get 503. Hosts that had lost their watch's history could no longer list.

Cause: a listing was compared with nothing but its last name, and any later page that could not be used made all of it useless.

A list with a gap removes no servers or evacuated zones, other than servers whose own entry is odd; changes are watched as usual, and the kind is listed again every 5 s on average (2.5 to 7.5) until the list is complete. The gap, and parts without names, are logged once until a list is complete.

--- a/crates/core/src/fleet/fleet_view.rs
+++ b/crates/core/src/fleet/fleet_view.rs
@@ -149,13 +149,24 @@
         rule: RemovalRule,
         now: BootTime,
     ) -> Vec<FleetChange> {
-        let mut changes = Vec::new();
         let unlisted = self.unlisted(&entries);
+        self.apply_list(entries, &unlisted, rule, now)
+    }
+
+    /// Applies a list of entries, which may be incomplete; `rule` applies to the servers in `removed`.
+    pub fn apply_list(
+        &mut self,
+        entries: Vec<ServerEntry>,
+        removed: &[ServerId],
+        rule: RemovalRule,
+        now: BootTime,
+    ) -> Vec<FleetChange> {
+        let mut changes = Vec::new();
         for entry in entries {
             changes.extend(self.upsert(entry, now));
         }
-        for id in unlisted {
-            changes.extend(self.remove(&id, rule, now));
+        for id in removed {
+            changes.extend(self.remove(id, rule, now));
         }
         changes
     }
--- a/crates/gateway/src/leader/owner_store.rs
+++ b/crates/gateway/src/leader/owner_store.rs
@@ -143,12 +143,12 @@
                     let stored = StoreVersion::new(epoch, 0);
                     return (sent_at, WriteOutcome::WritesLost { stored });
                 }
-                Err(StoreError::NotDone { reason }) if !may_take_effect => {
-                    log::warn!(term = state.term, reason = reason.as_str(); "assignment not written");
+                Err(fault) if fault.has_no_effect() && !may_take_effect => {
+                    log::warn!(term = state.term, reason:% = fault; "assignment not written");
                     return (sent_at, WriteOutcome::NotDone);
                 }
                 Err(fault) => {
-                    may_take_effect |= !matches!(fault, StoreError::NotDone { .. });
+                    may_take_effect |= !fault.has_no_effect();
                     log::warn!(term = state.term, reason:% = fault; "outcome of the assignment write unknown, retrying");
                 }
             }
--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -21,6 +21,18 @@
 /// Age that data of a stale read may have: several times the usual few seconds.
 const STALE_READ_MAX_AGE: Duration = Duration::from_secs(20);
 
+/// What a list of server entries says of servers that it does not name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    /// They have no entry.
+    Complete,
+    /// Nothing, except that these have no entry.
+    Partial {
+        /// Servers without an entry that names a server.
+        removed: Vec<ServerId>,
+    },
+}
+
 impl HostState {
     /// Applies changes of server entries from this host's own watch, up to version `to`.
     pub fn apply_watched_changes(
@@ -77,8 +89,13 @@
         true
     }
 
-    /// Replaces all server entries by a list from the store.
+    /// Replaces all server entries by a complete list from the store.
     pub fn replace_fleet(&self, entries: Vec<ServerEntry>, span: VersionSpan) {
+        self.apply_fleet_list(entries, ListScope::Complete, span);
+    }
+
+    /// Applies a list of server entries from the store.
+    pub fn apply_fleet_list(&self, entries: Vec<ServerEntry>, scope: ListScope, span: VersionSpan) {
         let now = self.now();
         let mut inner = self.lock();
         let mut entries = entries;
@@ -89,12 +106,16 @@
                 .filter_map(|entry| known.entry_from_backup(entry))
                 .collect();
         }
-        let removed = inner.fleet.unlisted(&entries);
+        let removed = match scope {
+            ListScope::Complete => inner.fleet.unlisted(&entries),
+            ListScope::Partial { removed } => removed,
+        };
         let rule = inner.removal_rule(removed.len(), now);
         let known = inner.fleet.clone();
         let differs = |entry: &&ServerEntry| !known.is_stored(entry);
         let put: Vec<ServerEntry> = entries.iter().filter(differs).cloned().collect();
-        let changes = Arc::make_mut(&mut inner.fleet).replace(entries, rule, now);
+        let fleet = Arc::make_mut(&mut inner.fleet);
+        let changes = fleet.apply_list(entries, &removed, rule, now);
         inner.fleet_listed = true;
         inner.apply_changes(&changes, now);
         inner.receive_warmups(&put, now);
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -36,6 +36,7 @@
     change_log::{ChangeLog, VersionedChange},
     config_copy::ConfigCopy,
     evacuation_tracking::EvacuationStatus,
+    fleet_tracking::ListScope,
     fleet_update::FleetUpdate,
     host_counters::HostCounters,
     host_state::HostState,
--- a/crates/gateway/src/watch/config_follower.rs
+++ b/crates/gateway/src/watch/config_follower.rs
@@ -4,7 +4,9 @@
     super::{CatchUp, KindChange, KindFollower},
     crate::state::{ConfigCopy, HostState, StoreKind, VersionSpan},
     camphorcove_core::ids::StoreVersion,
-    camphorcove_platform::{CONFIG_KIND, CONFIG_NAME, StoredObject, decode_configuration},
+    camphorcove_platform::{
+        CONFIG_KIND, CONFIG_NAME, ObjectListing, StoredObject, decode_configuration,
+    },
     serde_json::Value,
     std::sync::{Arc, atomic::Ordering},
 };
@@ -87,8 +89,8 @@
     /// Each change contains a complete configuration, and only the last one matters.
     const CATCH_UP: CatchUp = CatchUp::List;
 
-    fn apply_list(&mut self, objects: Vec<StoredObject>, span: VersionSpan) {
-        for object in &objects {
+    fn apply_list(&mut self, listing: ObjectListing, span: VersionSpan) {
+        for object in &listing.objects {
             self.apply(object);
         }
         self.state.record_seen(Self::STORE_KIND, span);
--- a/crates/gateway/src/watch/evacuation_follower.rs
+++ b/crates/gateway/src/watch/evacuation_follower.rs
@@ -7,7 +7,7 @@
         fleet::{EvacuationList, EvacuationSource},
         ids::ZoneName,
     },
-    camphorcove_platform::{EVACUATION_KIND, StoredObject},
+    camphorcove_platform::{EVACUATION_KIND, ObjectListing, StoredObject},
     std::{collections::BTreeSet, sync::Arc},
 };
 
@@ -50,9 +50,14 @@
     const KIND_NAME: &'static str = EVACUATION_KIND;
     const CATCH_UP: CatchUp = CatchUp::Watch;
 
-    fn apply_list(&mut self, objects: Vec<StoredObject>, span: VersionSpan) {
-        let zones = objects.iter().filter_map(|object| self.zone_of(object));
-        let zones = zones.collect();
+    fn apply_list(&mut self, listing: ObjectListing, span: VersionSpan) {
+        let zones = listing.objects.iter();
+        let mut zones: BTreeSet<ZoneName> =
+            zones.filter_map(|object| self.zone_of(object)).collect();
+        // A zone that an incomplete listing does not name may still be evacuated.
+        if listing.gap.is_some() {
+            zones.extend(self.state.evacuation_list().unwrap_or_default().zones);
+        }
         self.apply(zones, EvacuationSource::Snapshot, span);
     }
 
--- a/crates/gateway/src/watch/fleet_follower.rs
+++ b/crates/gateway/src/watch/fleet_follower.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{CatchUp, KindChange, KindFollower},
-    crate::state::{HostState, LogTopic, StoreKind, VersionSpan},
+    crate::state::{HostState, ListScope, LogTopic, StoreKind, VersionSpan},
     camphorcove_core::{fleet::ServerEntry, ids::ServerId},
-    camphorcove_platform::{SERVER_KIND, StoredObject, decode_server},
+    camphorcove_platform::{ObjectListing, SERVER_KIND, StoredObject, decode_server},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -46,10 +46,21 @@
     const KIND_NAME: &'static str = SERVER_KIND;
     const CATCH_UP: CatchUp = CatchUp::Watch;
 
-    fn apply_list(&mut self, objects: Vec<StoredObject>, span: VersionSpan) {
-        let entries = objects.iter().filter_map(|object| self.decode(object));
-        let entries = entries.collect();
-        self.state.replace_fleet(entries, span);
+    fn apply_list(&mut self, listing: ObjectListing, span: VersionSpan) {
+        let mut entries = Vec::with_capacity(listing.objects.len());
+        let mut unusable = Vec::new();
+        for object in &listing.objects {
+            match self.decode(object) {
+                Some(entry) => entries.push(entry),
+                // An object whose name is not a valid id was never used as a server.
+                None => unusable.extend(object.name.parse::<ServerId>().ok()),
+            }
+        }
+        let scope = match listing.gap {
+            None => ListScope::Complete,
+            Some(_) => ListScope::Partial { removed: unusable },
+        };
+        self.state.apply_fleet_list(entries, scope, span);
     }
 
     fn apply_changes(&mut self, changes: Vec<KindChange>, span: VersionSpan) {
--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -3,6 +3,7 @@
 //! dropped the history that a watch needs or when a watch lags.
 
 use {
+    super::OddParts,
     crate::state::{HostState, StoreKind, VersionSpan},
     camphorcove_core::ids::StoreVersion,
     camphorcove_platform::{
@@ -41,6 +42,10 @@
 /// Time after a list within which the next one waits, as the store may fail each watch.
 const MIN_LIST_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Mean time after an incomplete list until the kind is listed again. Changes are watched meanwhile, so
+/// this concerns only objects which have not changed since and that the list lacks.
+const INCOMPLETE_LIST_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time for which a watch may lag behind other hosts before the kind is listed again.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(250);
 
@@ -82,8 +87,8 @@
     /// How missed changes are read.
     const CATCH_UP: CatchUp;
 
-    /// Applies a complete list of the objects, as of the end of the span.
-    fn apply_list(&mut self, objects: Vec<StoredObject>, span: VersionSpan);
+    /// Applies a list of the objects, as of the end of the span.
+    fn apply_list(&mut self, listing: ObjectListing, span: VersionSpan);
 
     /// Applies all changes within the span, which are in order.
     fn apply_changes(&mut self, changes: Vec<KindChange>, span: VersionSpan);
@@ -97,6 +102,8 @@
     Behind,
     /// A newer revision is known, and the kind is read by lists.
     Newer,
+    /// The last list was incomplete.
+    Incomplete,
 }
 
 /// Why the kind is listed.
@@ -120,20 +127,35 @@
 pub async fn follow<F: KindFollower>(state: Arc<HostState>, store: StoreClient, mut follower: F) {
     let mut consistency = ReadConsistency::Current;
     let mut purpose = ListPurpose::First;
+    let mut odd_parts = OddParts::default();
     loop {
         // A stale read may return changes that the store has lost meanwhile.
         if state.has_lost_writes_recently() {
             consistency = ReadConsistency::Current;
         }
-        list(&state, &store, &mut follower, consistency, purpose).await;
+        let is_complete = list(
+            &state,
+            &store,
+            &mut follower,
+            consistency,
+            purpose,
+            &mut odd_parts,
+        )
+        .await;
         let listed_at = state.now();
         consistency = ReadConsistency::Current;
         purpose = ListPurpose::CatchUp;
-        match follow_changes(&state, &store, &mut follower).await {
+        let pause = INCOMPLETE_LIST_INTERVAL.mul_f64(0.5 + state.random_fraction());
+        let reason = tokio::select! {
+            reason = follow_changes(&state, &store, &mut follower, &mut odd_parts) => reason,
+            () = sleep(pause), if !is_complete => RelistReason::Incomplete,
+        };
+        match reason {
             RelistReason::Behind => {
                 log::info!(kind = F::KIND_NAME; "watch lags behind other hosts, listing again");
             }
             RelistReason::Newer => consistency = ReadConsistency::Stale,
+            RelistReason::Incomplete => {}
             RelistReason::Fault(fault) => {
                 log::info!(kind = F::KIND_NAME, reason:% = fault; "watch failed, listing again");
                 if state.now().since(listed_at) < MIN_LIST_INTERVAL {
@@ -144,7 +166,8 @@
     }
 }
 
-/// Lists the kind, and retries until that succeeds or the leader has sent what was missed.
+/// Lists the kind, and retries until that succeeds or the leader has sent what was missed. Returns `false`
+/// if objects may be missing in the list.
 ///
 /// A stale read is tried only where a revision is known that it has to include. If it lacks that
 /// revision, it is repeated as a current read. Stale data cannot replace newer data, as older
@@ -155,7 +178,8 @@
     follower: &mut F,
     mut consistency: ReadConsistency,
     purpose: ListPurpose,
-) {
+    odd_parts: &mut OddParts,
+) -> bool {
     let mut pause = MIN_RETRY_DELAY;
     let mut store_unavailable = false;
     loop {
@@ -175,14 +199,16 @@
                     log::info!(kind = F::KIND_NAME, revision:% = listing.version; "store available again");
                     state.record_store_recovery();
                 }
+                odd_parts.report_list(F::KIND_NAME, &listing);
                 let newest = listing.objects.iter().map(|object| object.version).max();
                 let span = VersionSpan {
                     from: state.seen_through(F::STORE_KIND),
                     through: listing.version,
                     newest: newest.unwrap_or_default(),
                 };
-                follower.apply_list(listing.objects, span);
-                return;
+                let is_complete = listing.gap.is_none();
+                follower.apply_list(listing, span);
+                return is_complete;
             }
             Err(fault) => {
                 consistency = ReadConsistency::Current;
@@ -194,7 +220,7 @@
                 sleep(pause.mul_f64(0.5 + state.random_fraction())).await;
                 let has_feed = !state.feed_time_left(F::STORE_KIND).is_zero();
                 if has_feed && purpose == ListPurpose::CatchUp && !state.is_behind(F::STORE_KIND) {
-                    return;
+                    return true;
                 }
                 let longest = match has_feed {
                     true => MAX_RETRY_DELAY_WITH_FEED,
@@ -217,6 +243,7 @@
     state: &HostState,
     store: &StoreClient,
     follower: &mut F,
+    odd_parts: &mut OddParts,
 ) -> RelistReason {
     loop {
         let wait = match wait_until_read_needed(state, F::STORE_KIND).await {
@@ -228,7 +255,7 @@
             }
             StoreRead::CatchUp => CATCH_UP_WATCH_WAIT,
         };
-        if let Err(end) = watch(state, store, follower, wait).await {
+        if let Err(end) = watch(state, store, follower, wait, odd_parts).await {
             return end;
         }
     }
@@ -263,6 +290,7 @@
     store: &StoreClient,
     follower: &mut F,
     wait: Duration,
+    odd_parts: &mut OddParts,
 ) -> Result<(), RelistReason> {
     count_call(state);
     let from = state.seen_through(F::STORE_KIND);
@@ -272,6 +300,9 @@
     };
     let response = response.map_err(RelistReason::Fault)?;
     state.record_store_success();
+    if let Some(reason) = &response.unnamed {
+        odd_parts.report_unnamed(F::KIND_NAME, reason);
+    }
     // An update from the leader arrived first. These changes would be applied out of order.
     if state.seen_through(F::STORE_KIND) != from {
         return Ok(());
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -171,3 +171,93 @@
 
     assert_eq!(odd, ["s-2"]);
 }
+
+/// Calls that list the servers.
+fn list_calls(store: &StoreStandin) -> usize {
+    let calls = store.calls();
+    let lists = calls
+        .iter()
+        .filter(|call| call.contains("/objects/servers") && !call.contains("Watch"));
+    lists.count()
+}
+
+/// How a listing of the servers ends after its first page.
+#[derive(Clone, Copy, Debug)]
+enum ListingFault {
+    /// The second page is no JSON.
+    Unreadable,
+    /// The objects of the second page have no names.
+    Unnamed,
+    /// The first page comes again.
+    Repeated,
+    /// The store refuses the call for the second page.
+    Refused,
+}
+
+impl ListingFault {
+    fn begin(self, store: &StoreStandin) {
+        match self {
+            Self::Unreadable => store.put_raw_object("servers", "s-2x", "{{{"),
+            Self::Unnamed => {
+                for name in ["s-2x", "s-2y"] {
+                    store.put_raw_object("servers", name, "{\"Metadata\":{}}");
+                }
+            }
+            Self::Repeated => store.repeat_pages_after("s-2"),
+            Self::Refused => store.refuse_pages(),
+        }
+    }
+}
+
+/// Guards against a page of the list that leaves hosts without the servers of the others: those that
+/// have known the servers before and those that start later.
+#[rstest]
+#[case::unreadable(ListingFault::Unreadable)]
+#[case::unnamed(ListingFault::Unnamed)]
+#[case::repeated(ListingFault::Repeated)]
+#[case::refused(ListingFault::Refused)]
+#[tokio::test]
+async fn page_that_cannot_be_read_hides_no_server_of_others(#[case] fault: ListingFault) {
+    let (store, address) = store_with_server().await;
+    store.set_page_objects(2);
+    for number in 2..=4 {
+        store.put("servers", &format!("s-{number}"), server(9_000 + number));
+    }
+    let early = following_host(address).await;
+    let all = ["s-1", "s-2", "s-3", "s-4"];
+    until("listed", || servers(&early) == all).await;
+
+    fault.begin(&store);
+    let late = following_host(address).await;
+    until("first page", || servers(&late) == ["s-1", "s-2"]).await;
+    store.compact();
+    let calls = list_calls(&store);
+    sleep(Duration::from_secs(2)).await;
+    let further_calls = list_calls(&store) - calls;
+    store.put("servers", "s-5", server(9_005));
+    store.put_raw("servers", "s-1", "7");
+    let known =
+        || servers(&early) == ["s-2", "s-3", "s-4", "s-5"] && servers(&late) == ["s-2", "s-5"];
+    let took = until("changes", known).await;
+
+    assert!(took < APPLY_LIMIT, "{took:?}");
+    // One list of two calls at each host after the loss of history, and one by the clock.
+    assert!(further_calls <= 8, "{further_calls}");
+}
+
+/// Guards against a host that never looks again for what an incomplete list lacked.
+#[tokio::test]
+async fn incomplete_list_is_completed_once_its_pages_can_be_read() {
+    let (store, address) = store_with_server().await;
+    store.set_page_objects(2);
+    for number in 2..=4 {
+        store.put("servers", &format!("s-{number}"), server(9_000 + number));
+    }
+    ListingFault::Unreadable.begin(&store);
+    let host = following_host(address).await;
+    until("first page", || servers(&host) == ["s-1", "s-2"]).await;
+
+    store.remove("servers", "s-2x");
+
+    until("all", || servers(&host) == ["s-1", "s-2", "s-3", "s-4"]).await;
+}
