An odd entry is logged once

Cause: only the rate of these lines was limited.

Fix: each follower remembers the names (hashes) of the entries that it has logged, 256 at most, and forgets those that can be used again or whose removal it sees.

--- a/crates/gateway/src/state/log_rate_limiter.rs
+++ b/crates/gateway/src/state/log_rate_limiter.rs
@@ -27,8 +27,6 @@
     Relay,
     /// An order to a server failed.
     Order,
-    /// A store entry cannot be decoded.
-    Entry,
     /// A datagram was not sent or not accepted.
     Peer,
     /// The share of requests that leave an availability zone has changed.
--- a/crates/gateway/src/watch/evacuation_follower.rs
+++ b/crates/gateway/src/watch/evacuation_follower.rs
@@ -1,8 +1,8 @@
 //! Follows the evacuated zones in the store.
 
 use {
-    super::{CatchUp, KindChange, KindFollower},
-    crate::state::{HostState, LogTopic, StoreKind, VersionSpan},
+    super::{CatchUp, KindChange, KindFollower, OddEntries},
+    crate::state::{HostState, StoreKind, VersionSpan},
     camphorcove_core::{
         fleet::{EvacuationList, EvacuationSource},
         ids::ZoneName,
@@ -15,20 +15,24 @@
 /// cannot be read counts like any other.
 pub struct EvacuationFollower {
     state: Arc<HostState>,
+    odd_entries: OddEntries,
 }
 
 impl EvacuationFollower {
     /// Creates a follower that updates `state`.
     pub fn new(state: Arc<HostState>) -> Self {
-        Self { state }
+        Self {
+            state,
+            odd_entries: OddEntries::default(),
+        }
     }
 
-    fn zone_of(&self, object: &StoredObject) -> Option<ZoneName> {
+    fn zone_of(&mut self, object: &StoredObject) -> Option<ZoneName> {
         match object.name.parse() {
             Ok(zone) => Some(zone),
             Err(fault) => {
-                if let Some(left_out) = self.state.may_log(LogTopic::Entry) {
-                    log::warn!(revision:% = object.version, left_out, reason:% = fault; "ignoring evacuation of an invalid zone name");
+                if self.odd_entries.is_news(&object.name) {
+                    log::warn!(revision:% = object.version, reason:% = fault; "ignoring evacuation of an invalid zone name");
                 }
                 None
             }
@@ -68,7 +72,8 @@
             match change {
                 KindChange::Changed(object) => zones.extend(self.zone_of(&object)),
                 KindChange::Removed(object) => {
-                    if let Some(zone) = self.zone_of(&object) {
+                    self.odd_entries.forget(&object.name);
+                    if let Ok(zone) = object.name.parse::<ZoneName>() {
                         zones.remove(&zone);
                     }
                 }
--- a/crates/gateway/src/watch/fleet_follower.rs
+++ b/crates/gateway/src/watch/fleet_follower.rs
@@ -1,8 +1,8 @@
 //! Follows the server entries in the store.
 
 use {
-    super::{CatchUp, KindChange, KindFollower},
-    crate::state::{HostState, ListScope, LogTopic, StoreKind, VersionSpan},
+    super::{CatchUp, KindChange, KindFollower, OddEntries},
+    crate::state::{HostState, ListScope, StoreKind, VersionSpan},
     camphorcove_core::{fleet::ServerEntry, ids::ServerId},
     camphorcove_platform::{ObjectListing, SERVER_KIND, StoredObject, decode_server},
     std::{
@@ -14,26 +14,31 @@
 /// Applies changes of all server entries.
 pub struct FleetFollower {
     state: Arc<HostState>,
+    odd_entries: OddEntries,
 }
 
 impl FleetFollower {
     /// Creates a follower that updates `state`.
     pub fn new(state: Arc<HostState>) -> Self {
-        Self { state }
+        Self {
+            state,
+            odd_entries: OddEntries::default(),
+        }
     }
 
-    fn decode(&self, object: &StoredObject) -> Option<ServerEntry> {
+    fn decode(&mut self, object: &StoredObject) -> Option<ServerEntry> {
         let decoded = match &object.fault {
             Some(fault) => Err(fault.clone()),
             None => decode_server(&object.name, &object.content).map_err(|error| error.to_string()),
         };
         match decoded {
-            Ok(entry) => Some(entry),
+            Ok(entry) => {
+                self.odd_entries.forget(&object.name);
+                Some(entry)
+            }
             Err(fault) => {
-                if let Some(left_out) = self.state.may_log(LogTopic::Entry) {
-                    let revision = object.version;
-                    let name = object.name.as_str();
-                    log::warn!(name, revision:% = revision, left_out, reason:% = fault; "ignoring server entry that cannot be decoded");
+                if self.odd_entries.is_news(&object.name) {
+                    log::warn!(name = object.name.as_str(), revision:% = object.version, reason:% = fault; "ignoring server entry that cannot be decoded");
                 }
                 None
             }
@@ -73,7 +78,10 @@
                     let entry = self.decode(&object);
                     (object, entry)
                 }
-                KindChange::Removed(object) => (object, None),
+                KindChange::Removed(object) => {
+                    self.odd_entries.forget(&object.name);
+                    (object, None)
+                }
             };
             // An object whose name is not a valid id was never used as a server.
             let Ok(id) = object.name.parse::<ServerId>() else {
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -6,7 +6,7 @@
     camphorcove_core::fleet::ServerPhase,
     camphorcove_gateway::{
         state::HostState,
-        watch::{ConfigFollower, FleetFollower, follow},
+        watch::{ConfigFollower, FleetFollower, OddEntries, follow},
     },
     camphorcove_platform::StoreClient,
     camphorcove_platform_standin::{
@@ -261,3 +261,18 @@
 
     until("all", || servers(&host) == ["s-1", "s-2", "s-3", "s-4"]).await;
 }
+
+/// Guards against an entry that is logged with each list, or so many entries that the log holds nothing else.
+#[test]
+fn odd_entry_is_news_once_until_it_can_be_used_again() {
+    let mut entries = OddEntries::default();
+
+    let first = entries.is_news("a&b");
+    let again = entries.is_news("a&b");
+    entries.forget("a&b");
+    let after_use = entries.is_news("a&b");
+    let others = (0..10_000).map(|number| entries.is_news(&format!("a#{number}")));
+
+    assert_eq!([first, again, after_use], [true, false, true]);
+    assert_eq!(others.filter(|is_news| *is_news).count(), 255);
+}
--- a/crates/gateway/tests/odd_names.rs
+++ b/crates/gateway/tests/odd_names.rs
@@ -172,3 +172,36 @@
     assert_eq!(statuses, expected);
     assert_eq!(region.ledger.violations(), Vec::<String>::new());
 }
+
+/// Lists that a loss of history causes at each host while an odd entry stands.
+const FURTHER_LISTS: usize = 5;
+
+/// Guards against an entry that is logged with each list.
+#[rstest]
+#[case::short(21, "a-499 &+#%\n")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_entry_is_logged_once(#[case] case: usize, #[case] name: &str) {
+    let region = named_region(case, "a-").await;
+    let odd = server_entry("plain", unused_address(), "resting", 1);
+    region.store.put("servers", name, odd);
+    assert!(region.until_served().await, "the hosts do not serve");
+
+    for number in 0..FURTHER_LISTS {
+        let filler = server_entry("other", unused_address(), "ready", 2 + number as u64);
+        region.store.put("servers", "a-000", filler);
+        region.store.compact();
+        sleep(Duration::from_millis(1_200)).await;
+    }
+
+    for host in &region.hosts {
+        let lines = host.log_lines();
+        let odd = lines
+            .iter()
+            .filter(|line| line.contains("ignoring server entry"));
+        assert_eq!(odd.count(), 1);
+        for line in &lines {
+            let decoded = serde_json::from_str::<serde_json::Value>(line);
+            assert!(decoded.is_ok(), "{line}");
+        }
+    }
+}
--- a/crates/gateway/tests/support/soak_host.rs
+++ b/crates/gateway/tests/support/soak_host.rs
@@ -126,6 +126,14 @@
         Some(kibibytes << 10)
     }
 
+    /// Lines that the process has logged since its start.
+    pub fn log_lines(&self) -> Vec<String> {
+        let log_start = self.process.lock().expect("not poisoned").log_start;
+        let log = fs::read(&self.log).expect("a log file");
+        let text = String::from_utf8_lossy(&log[log_start..]);
+        text.lines().map(str::to_owned).collect()
+    }
+
     /// Sends a signal, unless the process has ended.
     pub fn signal(&self, signal: Signal) {
         let mut process = self.process.lock().expect("not poisoned");
@@ -175,9 +183,8 @@
 
     /// Whether the process has logged its start.
     fn has_started(&self) -> bool {
-        let log_start = self.process.lock().expect("not poisoned").log_start;
-        let log = fs::read(&self.log).expect("a log file");
-        String::from_utf8_lossy(&log[log_start..]).contains(START_MESSAGE)
+        let lines = self.log_lines();
+        lines.iter().any(|line| line.contains(START_MESSAGE))
     }
 
     /// Suspends the process for `duration`, after which its late grants are excused for a while.
