Messages and fields of log lines are cut off after 1 kB

What the operator saw: an entry with a name of 360 kB made one log line of 720,331 bytes (test, failed before), as the name is also in the reason. Up to 2,048 lines are kept in memory until they are written.

Fix: the logger of all programs cuts off each message and field after 1 kB and adds its length. Names of any characters were decoded from the lines without fault before.

--- a/crates/gateway/tests/odd_names.rs
+++ b/crates/gateway/tests/odd_names.rs
@@ -176,11 +176,16 @@
 /// Lists that a loss of history causes at each host while an odd entry stands.
 const FURTHER_LISTS: usize = 5;
 
-/// Guards against an entry that is logged with each list.
+/// Longest line of a log, in bytes, with room for a few long names.
+const LINE_LIMIT: usize = 8 << 10;
+
+/// Guards against an entry that is logged with each list, and a name of any length that makes lines as
+/// long: a host keeps some 2,000 of them in memory.
 #[rstest]
 #[case::short(21, "a-499 &+#%\n")]
+#[case::long(22, &"a-499#岛".repeat(40_000))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn odd_entry_is_logged_once(#[case] case: usize, #[case] name: &str) {
+async fn odd_entry_is_logged_once_and_shortened(#[case] case: usize, #[case] name: &str) {
     let region = named_region(case, "a-").await;
     let odd = server_entry("plain", unused_address(), "resting", 1);
     region.store.put("servers", name, odd);
@@ -198,7 +203,9 @@
         let odd = lines
             .iter()
             .filter(|line| line.contains("ignoring server entry"));
+        let longest = lines.iter().map(String::len).max();
         assert_eq!(odd.count(), 1);
+        assert!(longest <= Some(LINE_LIMIT), "{longest:?}");
         for line in &lines {
             let decoded = serde_json::from_str::<serde_json::Value>(line);
             assert!(decoded.is_ok(), "{line}");
--- a/crates/net/src/log/json_log.rs
+++ b/crates/net/src/log/json_log.rs
@@ -14,6 +14,10 @@
     std::fmt::Arguments,
 };
 
+/// Most bytes of a message or field. Names in the store may have any length, and a host keeps lines in memory
+/// until they are written.
+const TEXT_LIMIT: usize = 1_024;
+
 /// Configuration of a program's logger.
 #[derive(Clone, Debug)]
 pub struct LogSetup {
@@ -77,7 +81,7 @@
         line.insert("host".into(), host.as_str().into());
     }
     line.insert("module".into(), record.target().into());
-    line.insert("message".into(), message.to_string().into());
+    line.insert("message".into(), shortened(message.to_string()).into());
     let mut fields = FieldVisitor(&mut line);
     let _ = record.key_values().visit(&mut fields);
     Json::Object(line).to_string()
@@ -91,10 +95,19 @@
             (Some(number), _, _) => number.into(),
             (_, Some(number), _) => number.into(),
             (_, _, Some(flag)) => flag.into(),
-            _ => value.to_string().into(),
+            _ => shortened(value.to_string()).into(),
         };
         // A field with the name of a fixed member, such as `level`, must not replace it.
         self.0.entry(key.as_str()).or_insert(json);
         Ok(())
     }
 }
+
+/// The text, cut off after [`TEXT_LIMIT`] bytes, with its length if it is longer.
+fn shortened(text: String) -> String {
+    if text.len() <= TEXT_LIMIT {
+        return text;
+    }
+    let end = text.floor_char_boundary(TEXT_LIMIT);
+    format!("{}... ({} bytes)", &text[..end], text.len())
+}
