Daemon: an odd part of the platform's lists hides no other

What callers saw: with one part of another writer in it (a number, a key without version, a host with an invalid id, zone or address), the whole list, watch answer or host list was refused ("unreadable response", odd_parts_of_lists_hide_no_others failed before), so that a daemon that starts learns no hosts but those of its settings.

Fix: the parts are decoded one by one, those that cannot be read are left out, and that is logged once for each kind of call until an answer has none.

Keys of any characters and values of any bytes were read before (values_of_any_key_are_read_whatever_they_hold).

--- a/crates/net/src/platform/call_counts.rs
+++ b/crates/net/src/platform/call_counts.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fmt,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 /// Operation of the platform's object API.
@@ -49,6 +49,8 @@
 pub struct CallCounts {
     calls: [AtomicU64; CallKind::ALL.len()],
     failures: [AtomicU64; CallKind::ALL.len()],
+    /// Whether the last answer had parts that cannot be read.
+    odd: [AtomicBool; CallKind::ALL.len()],
 }
 
 impl CallCounts {
@@ -62,6 +64,12 @@
         self.failures[kind as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Records whether an answer had parts that cannot be read; returns whether that is news.
+    pub fn record_odd_parts(&self, kind: CallKind, has_odd_parts: bool) -> bool {
+        let had_odd_parts = self.odd[kind as usize].swap(has_odd_parts, Ordering::Relaxed);
+        has_odd_parts && !had_odd_parts
+    }
+
     /// Number of calls started, whether or not they have finished.
     pub fn calls(&self, kind: CallKind) -> u64 {
         self.calls[kind as usize].load(Ordering::Relaxed)
--- a/crates/net/src/platform/http_store.rs
+++ b/crates/net/src/platform/http_store.rs
@@ -6,8 +6,7 @@
         StoredObject, WatchEvent, WatchResult,
         store_error::{ConflictSnafu, RejectedSnafu, UnavailableSnafu, UnknownSnafu},
         wire::{
-            HOSTS_PATH, KeyVersion, LIST_PATH, OBJECT_PATH, VERSION_HEADER, WATCH_PATH, WatchBody,
-            encode,
+            HOSTS_PATH, KeyVersion, LIST_PATH, OBJECT_PATH, VERSION_HEADER, WATCH_PATH, encode,
         },
     },
     crate::http::{ExchangeError, HttpClient},
@@ -15,7 +14,8 @@
     camphorcove_core::ids::ObjectVersion,
     http::{Method, Request, Response, StatusCode},
     http_body_util::Full,
-    serde::de::DeserializeOwned,
+    serde::{Deserialize, de::DeserializeOwned},
+    serde_json::value::RawValue,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -82,6 +82,28 @@
         check_status(kind, reply)
     }
 
+    /// Decodes the parts of a list one by one and leaves out those that other writers may have left.
+    fn decode_parts<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        parts: Vec<Box<RawValue>>,
+    ) -> Vec<T> {
+        let mut decoded = Vec::with_capacity(parts.len());
+        let mut fault = None;
+        for part in &parts {
+            match serde_json::from_str(part.get()) {
+                Ok(part) => decoded.push(part),
+                Err(error) => fault = Some(error),
+            }
+        }
+        let is_news = self.counts.record_odd_parts(kind, fault.is_some());
+        if let Some(fault) = fault.filter(|_| is_news) {
+            let left_out = parts.len() - decoded.len();
+            log::warn!(call:% = kind, left_out, reason:% = fault; "ignoring parts of a platform list that cannot be read");
+        }
+        decoded
+    }
+
     async fn read(&self, kind: CallKind, target: &str) -> Result<Response<Bytes>, StoreError> {
         self.call(kind, Method::GET, target, Bytes::new(), CALL_TIMEOUT)
             .await
@@ -129,7 +151,8 @@
     async fn list(&self, prefix: &str) -> Result<Vec<(ObjectKey, ObjectVersion)>, StoreError> {
         let target = format!("{LIST_PATH}?prefix={}", encode(prefix));
         let reply = self.read(CallKind::List, &target).await?;
-        let entries: Vec<KeyVersion> = parse(reply.body())?;
+        let parts = parse(reply.body())?;
+        let entries: Vec<KeyVersion> = self.decode_parts(CallKind::List, parts);
         Ok(entries
             .into_iter()
             .map(|(key, version)| (ObjectKey::new(key), ObjectVersion(version)))
@@ -151,32 +174,38 @@
         let reply = self
             .call(CallKind::Watch, Method::GET, &target, Bytes::new(), timeout)
             .await?;
-        parse::<WatchBody>(reply.body()).map(watch_result)
+        let body: WatchParts = parse(reply.body())?;
+        let events: Vec<KeyVersion> = self.decode_parts(CallKind::Watch, body.events);
+        Ok(watch_result(body.position, events))
     }
 
     async fn hosts(&self) -> Result<Vec<ListedHost>, StoreError> {
         let reply = self.read(CallKind::Hosts, HOSTS_PATH).await?;
-        parse(reply.body())
+        let parts = parse(reply.body())?;
+        Ok(self.decode_parts(CallKind::Hosts, parts))
     }
 }
 
+/// Body of a watch response, whose events are decoded one by one.
+#[derive(Deserialize)]
+struct WatchParts {
+    position: u64,
+    events: Vec<Box<RawValue>>,
+}
+
 fn object_target(key: &ObjectKey) -> String {
     format!("{OBJECT_PATH}{}", encode(key.as_str()))
 }
 
-fn watch_result(body: WatchBody) -> WatchResult {
-    let events = body
-        .events
+fn watch_result(position: u64, events: Vec<KeyVersion>) -> WatchResult {
+    let events = events
         .into_iter()
         .map(|(key, version)| WatchEvent {
             key: ObjectKey::new(key),
             version: ObjectVersion(version),
         })
         .collect();
-    WatchResult {
-        position: body.position,
-        events,
-    }
+    WatchResult { position, events }
 }
 
 fn parse_version(reply: &Response<Bytes>) -> Option<ObjectVersion> {
--- a/crates/net/tests/http_store.rs
+++ b/crates/net/tests/http_store.rs
@@ -6,13 +6,14 @@
     camphorcove_core::ids::ObjectVersion,
     camphorcove_net::platform::{
         CallKind, HttpStore, ListedHost, ObjectKey, ObjectStore, PutCondition, StoreError,
-        wire::VALUE_LIMIT,
+        WatchEvent, wire::VALUE_LIMIT,
     },
     camphorcove_standin::{
         platform::{PlatformFaults, PlatformStandin},
         proxy::{ProxySettings, ProxyStandin},
     },
     rstest::rstest,
+    serde_json::json,
     std::{io::ErrorKind, time::Duration},
     tokio::net::TcpStream,
 };
@@ -341,6 +342,69 @@
     assert_eq!(hosts, [host]);
 }
 
+/// Parts of lists that are neither keys nor hosts.
+fn odd_parts() -> Vec<serde_json::Value> {
+    vec![
+        json!(7),
+        json!(null),
+        json!([]),
+        json!(["scope/odd"]),
+        json!(["scope/odd", -1]),
+        json!([7, "scope/odd"]),
+        json!({"id": "host 2&x=1#", "peer": "127.0.0.1:4101", "zone": "zone-a", "leaving": false}),
+        json!({"id": "host-3", "peer": "nowhere", "zone": "zone-a", "leaving": false}),
+        json!({"id": "host-4", "peer": "127.0.0.1:4102", "zone": "Zone A", "leaving": false}),
+        json!({"id": "h".repeat(100_000), "peer": "127.0.0.1:4103", "zone": "zone-a"}),
+    ]
+}
+
+/// Guards against a part of a list that another writer has left and that hides the others: a daemon
+/// found no host, and no audit stream was listed.
+#[tokio::test]
+async fn odd_parts_of_lists_hide_no_others() {
+    let platform = platform().await;
+    let store = platform.client();
+    let version = create(&store, KEY, "one").await;
+    let host = ListedHost {
+        id: "host-1".parse().unwrap(),
+        peer: "127.0.0.1:4100".parse().unwrap(),
+        zone: "zone-a".parse().unwrap(),
+        leaving: false,
+    };
+    platform.set_hosts(vec![host.clone()]);
+    platform.set_faults(PlatformFaults {
+        odd_parts: odd_parts(),
+        ..PlatformFaults::default()
+    });
+
+    let listed = store.list("scope/").await;
+    let hosts = store.hosts().await;
+    let watched = store.watch("scope/", 0, Duration::from_millis(1)).await;
+
+    assert_eq!(listed, Ok(vec![(key(), version)]));
+    assert_eq!(hosts, Ok(vec![host]));
+    let watched = watched.map(|watched| watched.events);
+    assert_eq!(
+        watched,
+        Ok(vec![WatchEvent {
+            key: key(),
+            version
+        }])
+    );
+}
+
+/// Guards against answers that are no list at all and end a process instead of the call.
+#[tokio::test]
+async fn values_of_any_key_are_read_whatever_they_hold() {
+    let platform = platform().await;
+    let store = platform.client();
+    create(&store, "scope/\"&+#% \n岛", "{{{\u{0}").await;
+
+    let read = store.get(&ObjectKey::new("scope/\"&+#% \n岛")).await;
+
+    assert_eq!(read.unwrap().unwrap().value, "{{{\u{0}");
+}
+
 #[rstest]
 #[case("config/part/0a1b")]
 #[case("pin/raft 17?x=1&y=%2F#é")]
--- a/crates/standin/src/platform/object_routes.rs
+++ b/crates/standin/src/platform/object_routes.rs
@@ -16,6 +16,7 @@
     },
     http::{Method, Request, StatusCode},
     hyper::body::Incoming,
+    serde_json::{Value, json},
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep, timeout_at},
 };
@@ -159,7 +160,9 @@
 
 fn list(state: &PlatformState, request: &Request<Incoming>) -> Reply {
     let prefix = query_value(request.uri().query(), "prefix").unwrap_or_default();
-    json_reply(&state.lock().readable().list(&prefix, 0))
+    let content = state.lock();
+    let keys = content.readable().list(&prefix, 0);
+    json_reply(&with_odd_parts(json!(keys), &content.faults))
 }
 
 async fn watch(state: &PlatformState, request: &Request<Incoming>) -> Reply {
@@ -174,11 +177,10 @@
         let Some(body) = changes_after(state, &prefix, position) else {
             return outage_reply();
         };
-        if !body.events.is_empty() {
-            return json_reply(&body);
-        }
-        if !matches!(timeout_at(end, changes.changed()).await, Ok(Ok(()))) {
-            return json_reply(&body);
+        let has_events = !body.events.is_empty();
+        if has_events || !matches!(timeout_at(end, changes.changed()).await, Ok(Ok(()))) {
+            let events = with_odd_parts(json!(body.events), &state.faults());
+            return json_reply(&json!({"position": body.position, "events": events}));
         }
     }
 }
@@ -207,5 +209,15 @@
 fn hosts(state: &PlatformState) -> Reply {
     let content = state.lock();
     let lag = Duration::from_millis(content.faults.host_lag_ms);
-    json_reply(&content.hosts.delayed(lag))
+    let hosts = json!(content.hosts.delayed(lag));
+    json_reply(&with_odd_parts(hosts, &content.faults))
+}
+
+/// The list with the odd parts before and after its own.
+fn with_odd_parts(list: Value, faults: &PlatformFaults) -> Value {
+    let Value::Array(parts) = list else {
+        return list;
+    };
+    let odd = || faults.odd_parts.iter().cloned();
+    odd().chain(parts).chain(odd()).collect()
 }
--- a/crates/standin/src/platform/platform_faults.rs
+++ b/crates/standin/src/platform/platform_faults.rs
@@ -21,4 +21,6 @@
     pub lose_answers_prefix: Option<String>,
     /// Age of the host list returned, in milliseconds.
     pub host_lag_ms: u64,
+    /// Parts before and after those of each list, watch and host list, as other writers may leave them.
+    pub odd_parts: Vec<serde_json::Value>,
 }
