Audit verification goes on after a stream that cannot be read

What the operator saw: with one object of another writer under scope/, `camphorcove audit verify` printed nothing and ended with exit code 1 ("object scope/%2F is damaged", odd_audit_streams_hide_no_others failed before); no stream was verified.

Cause: the first stream that a host refuses to read ended the command.

Fix: such a stream gets a report of its own with the reason and counts as a fault (exit code 8), and the others are verified. Outages end the command as before.

Names of streams with &, #, %, a blank, a line end or other scripts led to the right objects before.

--- a/crates/cli/src/commands/audit.rs
+++ b/crates/cli/src/commands/audit.rs
@@ -98,7 +98,11 @@
             let streams: Vec<String> = api.get("/v1/audit/streams", QueryMap::default()).await?;
             let mut reports = Vec::new();
             for stream in streams {
-                reports.push(verify_stream(api, &stream, args).await?);
+                let report = match verify_stream(api, &stream, args).await {
+                    Err(error) if error.concerns_one_object() => unreadable(stream, &error),
+                    verified => verified?,
+                };
+                reports.push(report);
             }
             reports
         }
@@ -123,6 +127,15 @@
     Ok(verify_records(stream.to_owned(), &records, args))
 }
 
+/// Report of a stream whose object cannot be read; the other streams are verified all the same.
+fn unreadable(stream: String, error: &CliError) -> VerifyReport {
+    VerifyReport {
+        stream,
+        report: verify_chain(&[], &[]),
+        texts: vec![format!("cannot be read: {error}")],
+    }
+}
+
 fn verify_records(stream: String, records: &[AuditRecord], args: &VerifyArgs) -> VerifyReport {
     let report = verify_chain(records, &args.anchors);
     VerifyReport {
--- a/crates/cli/src/error/cli_error.rs
+++ b/crates/cli/src/error/cli_error.rs
@@ -99,6 +99,13 @@
         }
     }
 
+    /// Whether a host refused the request because of the object that it names, so that others may succeed.
+    pub fn concerns_one_object(&self) -> bool {
+        let codes = [ApiCode::Damaged, ApiCode::NotFound].map(ApiCode::number);
+        self.api_error()
+            .is_some_and(|error| codes.contains(&error.code))
+    }
+
     /// Writes the error to stderr: as JSON, or as text with one line per problem.
     pub fn report(&self, json: bool) {
         if json {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -3,7 +3,10 @@
 mod support;
 
 use {
-    camphorcove_net::config::Author,
+    camphorcove_net::{
+        config::Author,
+        platform::{ObjectKey, ObjectStore, PutCondition},
+    },
     camphorcove_standin::platform::PlatformFaults,
     support::{AdminHost, Fixture, STOCKHOLM, closed_address},
     tokio::{io::AsyncReadExt, net::TcpListener},
@@ -92,6 +95,44 @@
     }
 }
 
+/// Names of audit streams that belong to no service, with objects that cannot be read.
+const ODD_STREAMS: [&str; 6] = ["&x=1", "a b#c", "ledig/../x", "%2F", "new\nline", "岛"];
+
+/// Guards against one object of another writer that keeps all audit streams after it from being verified,
+/// and against a name that leads to another stream.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn odd_audit_streams_hide_no_others() {
+    let fixture = Fixture::start("odd-audit").await;
+    fixture.run(&["apply", &fixture.file]).await;
+    for name in ODD_STREAMS {
+        let key = ObjectKey::new(format!("scope/{name}"));
+        let store = fixture.platform.client();
+        let written = store.put(&key, PutCondition::Absent, "odd".into()).await;
+        written.unwrap();
+    }
+
+    let streams = fixture.run(&["audit", "streams", "--json"]).await;
+    let verified = fixture.run(&["audit", "verify"]).await;
+    let single = fixture.run(&["audit", "verify", "config"]).await;
+    let odd = fixture.run(&["audit", "verify", "&x=1"]).await;
+
+    let names: Vec<String> = serde_json::from_value(streams.json()).unwrap();
+    for name in ODD_STREAMS {
+        assert!(names.iter().any(|known| known == name), "{names:?}");
+    }
+    assert_eq!(verified.code, 8, "{verified:?}");
+    assert!(
+        verified.out.contains("config: 1 records, 0 faults"),
+        "{verified:?}"
+    );
+    let unreadable = verified.out.matches("cannot be read").count();
+    assert_eq!(unreadable, ODD_STREAMS.len(), "{verified:?}");
+    assert!(!verified.out.contains("new\nline"), "{verified:?}");
+    assert_eq!(single.code, 0, "{single:?}");
+    assert_ne!(odd.code, 0, "{odd:?}");
+    assert!(odd.err.contains("scope/&x=1 is damaged"), "{odd:?}");
+}
+
 /// Guards against an audit trail that can only be verified through a running host.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_audit_trail_is_listed_verified_and_exported() {
