Percent-encoding by a library in one place

crates/net had two encoders and decoders of its own, and the daemon a third decoder, one of which took "%+f" for an escape (only the stand-in of the platform used it). All use the percent-encoding library now; decoding stays strict, as signatures of operators cover the encoded text. Encoded texts are the same, but for / and : in the prefix of a list or watch, which are now encoded there.

--- a/crates/daemon/src/serve/key_extract.rs
+++ b/crates/daemon/src/serve/key_extract.rs
@@ -4,6 +4,7 @@
 
 use {
     camphorcove_core::{conf::KeySource, outcome::ResultCode},
+    camphorcove_net::http::percent::decode,
     http::{HeaderMap, uri::PathAndQuery},
 };
 
@@ -29,7 +30,7 @@
 /// to another path.
 pub fn has_dot_segment(path: &str) -> bool {
     path.split('/').any(|segment| {
-        let decoded = decode(segment, false).unwrap_or_default();
+        let decoded = decode_path(segment).unwrap_or_default();
         decoded == b"." || decoded == b".."
     })
 }
@@ -44,7 +45,7 @@
         .into_iter()
         .nth(index)
         .ok_or(ResultCode::BadRequest)?;
-    decode(segment, false)
+    decode_path(segment)
 }
 
 fn header_value(headers: &HeaderMap, name: &str) -> Result<Vec<u8>, ResultCode> {
@@ -60,38 +61,24 @@
     let mut found = None;
     for pair in query.split('&') {
         let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
-        if decode(key, true)? != name.as_bytes() {
+        if decode_query(key)? != name.as_bytes() {
             continue;
         }
         if found.is_some() {
             return Err(ResultCode::BadRequest);
         }
-        found = Some(decode(value, true)?);
+        found = Some(decode_query(value)?);
     }
     found.ok_or(ResultCode::BadRequest)
 }
 
-/// Decodes `%XX`, and `+` as a space if `plus_is_space`, as in queries.
-fn decode(text: &str, plus_is_space: bool) -> Result<Vec<u8>, ResultCode> {
-    let mut decoded = Vec::with_capacity(text.len());
-    let mut bytes = text.bytes();
-    while let Some(byte) = bytes.next() {
-        match byte {
-            b'%' => {
-                let high = hex_value(bytes.next())?;
-                let low = hex_value(bytes.next())?;
-                decoded.push(high << 4 | low);
-            }
-            b'+' if plus_is_space => decoded.push(b' '),
-            other => decoded.push(other),
-        }
-    }
-    Ok(decoded)
+/// Decodes a part of a path.
+fn decode_path(text: &str) -> Result<Vec<u8>, ResultCode> {
+    let decoded = decode(text).ok_or(ResultCode::BadRequest)?;
+    Ok(decoded.into_owned())
 }
 
-fn hex_value(byte: Option<u8>) -> Result<u8, ResultCode> {
-    let digit = char::from(byte.ok_or(ResultCode::BadRequest)?)
-        .to_digit(16)
-        .ok_or(ResultCode::BadRequest)?;
-    u8::try_from(digit).map_err(|_| ResultCode::BadRequest)
+/// Decodes a part of a query, in which `+` is a space.
+fn decode_query(text: &str) -> Result<Vec<u8>, ResultCode> {
+    decode_path(&text.replace('+', " "))
 }
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod caller_stream;
 mod framing_guard;
 mod http_client;
+pub mod percent;
 mod server_stream;
 
 pub use {
--- a/crates/net/src/platform/http_store.rs
+++ b/crates/net/src/platform/http_store.rs
@@ -5,11 +5,12 @@
         CallCounts, CallKind, ListedHost, ObjectKey, ObjectStore, PutCondition, StoreError,
         StoredObject, WatchEvent, WatchResult,
         store_error::{ConflictSnafu, RejectedSnafu, UnavailableSnafu, UnknownSnafu},
-        wire::{
-            HOSTS_PATH, KeyVersion, LIST_PATH, OBJECT_PATH, VERSION_HEADER, WATCH_PATH, encode,
-        },
+        wire::{HOSTS_PATH, KeyVersion, LIST_PATH, OBJECT_PATH, VERSION_HEADER, WATCH_PATH},
+    },
+    crate::http::{
+        ExchangeError, HttpClient,
+        percent::{encode_path, encode_value},
     },
-    crate::http::{ExchangeError, HttpClient},
     bytes::Bytes,
     camphorcove_core::ids::ObjectVersion,
     http::{Method, Request, Response, StatusCode},
@@ -149,7 +150,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<(ObjectKey, ObjectVersion)>, StoreError> {
-        let target = format!("{LIST_PATH}?prefix={}", encode(prefix));
+        let target = format!("{LIST_PATH}?prefix={}", encode_value(prefix));
         let reply = self.read(CallKind::List, &target).await?;
         let parts = parse(reply.body())?;
         let entries: Vec<KeyVersion> = self.decode_parts(CallKind::List, parts);
@@ -167,7 +168,7 @@
     ) -> Result<WatchResult, StoreError> {
         let target = format!(
             "{WATCH_PATH}?prefix={}&position={position}&wait_ms={}",
-            encode(prefix),
+            encode_value(prefix),
             wait.as_millis()
         );
         let timeout = wait + CALL_TIMEOUT;
@@ -194,7 +195,7 @@
 }
 
 fn object_target(key: &ObjectKey) -> String {
-    format!("{OBJECT_PATH}{}", encode(key.as_str()))
+    format!("{OBJECT_PATH}{}", encode_path(key.as_str()))
 }
 
 fn watch_result(position: u64, events: Vec<KeyVersion>) -> WatchResult {
--- a/crates/standin/src/platform/object_routes.rs
+++ b/crates/standin/src/platform/object_routes.rs
@@ -7,11 +7,14 @@
     },
     crate::http::{ConnectionAborted, Reply, json_reply, read_body, text_reply},
     bytes::Bytes,
-    camphorcove_net::platform::{
-        CallKind,
-        wire::{
-            HOSTS_PATH, LIST_PATH, OBJECT_PATH, VALUE_LIMIT, VERSION_HEADER, WATCH_PATH, WatchBody,
-            decode, query_value,
+    camphorcove_net::{
+        http::percent::decode_text,
+        platform::{
+            CallKind,
+            wire::{
+                HOSTS_PATH, LIST_PATH, OBJECT_PATH, VALUE_LIMIT, VERSION_HEADER, WATCH_PATH,
+                WatchBody, query_value,
+            },
         },
     },
     http::{Method, Request, StatusCode},
@@ -74,7 +77,7 @@
 }
 
 fn request_key(request: &Request<Incoming>) -> Option<String> {
-    let key = decode(request.uri().path().strip_prefix(OBJECT_PATH)?)?;
+    let key = decode_text(request.uri().path().strip_prefix(OBJECT_PATH)?)?;
     (!key.is_empty()).then_some(key)
 }
 
