Incomplete lists remove known servers only; test that odd names reach neither metrics nor other hosts

The ids of odd entries in an incomplete list counted as removals, also those that no server was known by, and would have been sent to other hosts. Found when reading the change; the test of names in metrics and messages passed without it.

--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -26,9 +26,9 @@
 pub enum ListScope {
     /// They have no entry.
     Complete,
-    /// Nothing, except that these have no entry.
+    /// Nothing, except that these have none that names a server.
     Partial {
-        /// Servers without an entry that names a server.
+        /// Ids of entries that cannot be used, whether or not a server is known by them.
         removed: Vec<ServerId>,
     },
 }
@@ -108,7 +108,10 @@
         }
         let removed = match scope {
             ListScope::Complete => inner.fleet.unlisted(&entries),
-            ListScope::Partial { removed } => removed,
+            ListScope::Partial { mut removed } => {
+                removed.retain(|id| inner.fleet.get(id).is_some());
+                removed
+            }
         };
         let rule = inner.removal_rule(removed.len(), now);
         let known = inner.fleet.clone();
--- a/crates/gateway/tests/odd_objects.rs
+++ b/crates/gateway/tests/odd_objects.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use {
+    camphorcove_core::ids::ServerId,
     camphorcove_gateway::{
+        metrics::render_metrics,
         state::{HostState, SeenVersions, StoreKind},
         watch::{ConfigFollower, EvacuationFollower, FleetFollower, follow},
     },
@@ -174,3 +176,49 @@
     assert!(took < APPLY_LIMIT, "{took:?}");
     assert!(store.calls().iter().any(|call| call.contains("StaleOk=1")));
 }
+
+/// Guards against names of other writers in the metrics page and in messages to other hosts, which hosts
+/// decode without a check of their own.
+#[tokio::test]
+async fn names_of_other_writers_reach_neither_metrics_nor_other_hosts() {
+    let (store, address) = StoreStandin::start().await;
+    store.put("config", "main", config(2));
+    store.put("evacuations", "zone-a", json!({}));
+    let server = || server_entry("plain", ([127, 0, 0, 1], 9_000).into(), "ready", 5);
+    let host = following_host(address);
+    until("listed", || {
+        config_version(&host) == 2 && zones(&host) == ["zone-a"]
+    })
+    .await;
+    let from = host.seen_through(StoreKind::Fleet);
+
+    for name in odd_names() {
+        store.put("servers", &name, server());
+        store.put("evacuations", &name, server());
+        for field in ["Service", "Zone"] {
+            let mut entry = server();
+            entry[field] = name.as_str().into();
+            store.put("servers", &format!("s-{field}"), entry);
+        }
+    }
+    store.put("servers", "s-1", server());
+    store.put("evacuations", "zone-b", json!({}));
+    until("changed", || {
+        server_count(&host) == 1 && zones(&host).len() == 2
+    })
+    .await;
+
+    let page = render_metrics(&host).expect("a page");
+    let page = String::from_utf8(page).expect("text");
+    assert!(page.is_ascii() && page.len() < 100_000, "{}", page.len());
+    let updates = host.fleet_updates(from);
+    let put = updates.iter().flat_map(|update| &update.put);
+    let ids: Vec<&str> = put.map(|entry| entry.id.as_str()).collect();
+    assert_eq!(ids, ["s-1"]);
+    let removed = updates.iter().flat_map(|update| &update.removed);
+    for id in removed {
+        assert!(id.as_str().parse::<ServerId>().is_ok(), "{id}");
+    }
+    let listed = host.digest_evacuations().expect("a list");
+    assert_eq!(listed.zones.len(), 2);
+}
