--- a/crates/net/src/http/percent.rs
+++ b/crates/net/src/http/percent.rs
@@ -5,7 +5,8 @@
     std::borrow::Cow,
 };
 
-/// Bytes that are encoded in a value: all that do not stand for themselves in each part of a URL.
+/// Bytes that are encoded in a value: all that do not stand for themselves in each part of a URL. A blank
+/// becomes `%20`, which decoders of paths and of forms understand alike.
 const VALUE: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
     .remove(b'.')
--- a/crates/net/src/platform/http_store.rs
+++ b/crates/net/src/platform/http_store.rs
@@ -7,9 +7,9 @@
         store_error::{ConflictSnafu, RejectedSnafu, UnavailableSnafu, UnknownSnafu},
         wire::{HOSTS_PATH, KeyVersion, LIST_PATH, OBJECT_PATH, VERSION_HEADER, WATCH_PATH},
     },
-    crate::http::{
-        ExchangeError, HttpClient,
-        percent::{encode_path, encode_value},
+    crate::{
+        http::{ExchangeError, HttpClient, percent::encode_path},
+        operator::QueryMap,
     },
     bytes::Bytes,
     camphorcove_core::ids::ObjectVersion,
@@ -130,10 +130,11 @@
         condition: PutCondition,
         value: Bytes,
     ) -> Result<ObjectVersion, StoreError> {
-        let target = match condition {
-            PutCondition::Absent => format!("{}?if=absent", object_target(key)),
-            PutCondition::Version(version) => format!("{}?if={version}", object_target(key)),
+        let query = match condition {
+            PutCondition::Absent => QueryMap::default().with("if", "absent"),
+            PutCondition::Version(version) => QueryMap::default().with("if", version),
         };
+        let target = query.target(&object_target(key));
         let reply = self
             .call(CallKind::Put, Method::PUT, &target, value, CALL_TIMEOUT)
             .await?;
@@ -150,7 +151,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<(ObjectKey, ObjectVersion)>, StoreError> {
-        let target = format!("{LIST_PATH}?prefix={}", encode_value(prefix));
+        let target = QueryMap::default().with("prefix", prefix).target(LIST_PATH);
         let reply = self.read(CallKind::List, &target).await?;
         let parts = parse(reply.body())?;
         let entries: Vec<KeyVersion> = self.decode_parts(CallKind::List, parts);
@@ -166,11 +167,11 @@
         position: u64,
         wait: Duration,
     ) -> Result<WatchResult, StoreError> {
-        let target = format!(
-            "{WATCH_PATH}?prefix={}&position={position}&wait_ms={}",
-            encode_value(prefix),
-            wait.as_millis()
-        );
+        let target = QueryMap::default()
+            .with("prefix", prefix)
+            .with("position", position)
+            .with("wait_ms", wait.as_millis())
+            .target(WATCH_PATH);
         let timeout = wait + CALL_TIMEOUT;
         let reply = self
             .call(CallKind::Watch, Method::GET, &target, Bytes::new(), timeout)
