--- a/review/standins-3/late_copies.rs
+++ b/review/standins-3/late_copies.rs
@@ -3,10 +3,10 @@
 use crate::hosts::{start_hosts, Folder};
 use crate::keyed_callers::{self, Load};
 use crate::ledger::Ledger;
-use crate::owning_server::{OwningServer, Shared, Work};
+use crate::owning_server::{OwningServer, Trouble, Work};
 use crate::record::Record;
 use crate::store::Store;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,11 +18,9 @@
 /// Rounds in which one server is replaced by a new one.
 const ROUNDS: usize = 14;
 /// Time from the begin of the trouble to the replacement, length of the trouble, and of a round.
-const LEAD: Duration = Duration::from_millis(3_000);
+const LEAD: Duration = Duration::from_millis(4_000);
 const TROUBLE: Duration = Duration::from_millis(5_000);
 const ROUND: Duration = Duration::from_millis(7_000);
-/// Answers that the servers in trouble send twice in one round, at most.
-const COPIES: u64 = 4;
 /// Time for which a server serves on after it has announced to leave.
 const DRAIN: Duration = Duration::from_millis(2_500);
 
@@ -104,13 +102,11 @@
             leaving.shared.id,
             servers[round + 1].shared.id
         ));
+        let trouble = Arc::new(Trouble::default());
         for at in faulty {
-            let shared = &servers[at].shared;
-            shared.answers.store(0, Ordering::Relaxed);
-            shared.copies.store(0, Ordering::Relaxed);
+            let trouble = with_trouble.then(|| trouble.clone());
+            *servers[at].shared.trouble.lock().unwrap() = trouble;
         }
-        let copies = if with_trouble { COPIES } else { 0 };
-        leaving.shared.repeats_left.store(copies, Ordering::Relaxed);
         watch(&ledger, began, LEAD - Duration::from_millis(1_000));
         servers.push(start_server(
             SERVERS + round,
@@ -125,19 +121,14 @@
         let entry = leaving.entry("ledig", zone(round), "draining", born(round), 2);
         store.put("servers", &leaving.shared.id, &entry);
         watch(&ledger, began, TROUBLE);
-        let sum = |count: fn(&Shared) -> &AtomicU64| -> u64 {
-            let shared = faulty.iter().map(|at| &servers[*at].shared);
-            shared.map(|shared| count(shared).load(Ordering::Relaxed)).sum()
-        };
-        let (answers, copies) = (sum(|shared| &shared.answers), sum(|shared| &shared.copies));
+        for at in faulty {
+            *servers[at].shared.trouble.lock().unwrap() = None;
+        }
         record.line(&format!(
-            "{copies} of {answers} answers of the servers in trouble were sent twice"
+            "{} of {} answers of the servers in trouble were sent twice",
+            trouble.copies.load(Ordering::Relaxed),
+            trouble.answers.load(Ordering::Relaxed)
         ));
-        if copies * 100 > answers * 3 {
-            record.line("too many answers were sent twice");
-            return 2;
-        }
-        servers[round].shared.repeats_left.store(0, Ordering::Relaxed);
         watch(&ledger, began, LEAD + DRAIN);
         store.remove("servers", &servers[round].shared.id);
         servers[round].end();
--- a/review/standins-3/owning_server.rs
+++ b/review/standins-3/owning_server.rs
@@ -33,6 +33,25 @@
     next: u64,
 }
 
+/// Trouble of some servers, which send answers a second time.
+#[derive(Default)]
+pub struct Trouble {
+    /// Answers that these servers have given since it began.
+    pub answers: AtomicU64,
+    /// Answers that they have sent a second time.
+    pub copies: AtomicU64,
+}
+
+impl Trouble {
+    /// Whether one more answer may be sent a second time: at most 3 of 100 are.
+    fn takes_copy(&self) -> bool {
+        let answers = self.answers.load(Ordering::Relaxed);
+        let next = |copies: u64| ((copies + 1) * 100 <= answers * 3).then_some(copies + 1);
+        let taken = self.copies.fetch_update(Ordering::Relaxed, Ordering::Relaxed, next);
+        taken.is_ok()
+    }
+}
+
 pub struct Shared {
     pub number: usize,
     pub id: String,
@@ -45,11 +64,8 @@
     fences: Mutex<Vec<(u16, u16, u64)>>,
     released: Mutex<Vec<(u16, u16, u64, String)>>,
     pub ended: AtomicBool,
-    /// Answers given, and how many of them were sent once more, since the trouble began.
-    pub answers: AtomicU64,
-    pub copies: AtomicU64,
-    /// Answers to orders that may still be sent a second time, late.
-    pub repeats_left: AtomicU64,
+    /// The trouble that the server is in.
+    pub trouble: Mutex<Option<Arc<Trouble>>>,
     handovers: AtomicU64,
     owed: Mutex<Vec<(Instant, TcpStream, Vec<u8>)>>,
 }
@@ -109,9 +125,7 @@
             fences: Mutex::default(),
             released: Mutex::default(),
             ended: AtomicBool::new(false),
-            answers: AtomicU64::new(0),
-            copies: AtomicU64::new(0),
-            repeats_left: AtomicU64::new(0),
+            trouble: Mutex::default(),
             handovers: AtomicU64::new(0),
             owed: Mutex::default(),
         });
@@ -179,7 +193,9 @@
             let Some(bytes) = bytes else {
                 return;
             };
-            self.answers.fetch_add(1, Ordering::Relaxed);
+            if let Some(trouble) = &*self.trouble.lock().unwrap() {
+                trouble.answers.fetch_add(1, Ordering::Relaxed);
+            }
             last_answer = is_order.then(|| bytes.clone());
             if self.ended.load(Ordering::Relaxed) || writer.write_all(&bytes).is_err() {
                 return;
@@ -287,11 +303,14 @@
     fn send_copies(&self) {
         let mut owed = self.owed.lock().unwrap();
         owed.retain(|(since, _, _)| since.elapsed() < LONGEST_LATENESS);
+        let trouble = self.trouble.lock().unwrap().clone();
+        let Some(trouble) = trouble else {
+            return;
+        };
         for (since, mut writer, answer) in owed.drain(..) {
-            if !self.may_repeat() {
+            if !trouble.takes_copy() {
                 break;
             }
-            self.copies.fetch_add(1, Ordering::Relaxed);
             let (id, record) = (self.id.clone(), self.record.clone());
             thread::spawn(move || {
                 thread::sleep(LATENESS);
@@ -304,13 +323,6 @@
         }
     }
 
-    /// Whether one more answer may be sent twice.
-    fn may_repeat(&self) -> bool {
-        let left = |left: u64| left.checked_sub(1);
-        let taken = self.repeats_left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, left);
-        taken.is_ok()
-    }
-
     fn request(&self, request: &Message, probe: &TcpStream) -> Option<Vec<u8>> {
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         let not_run = |status: &str| {
