--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,6 +3,7 @@
 //! `standins-3 CASE RECORD` plays a case and writes its record. Exits with 1 if the rule was broken, 0 if
 //! it held and 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
+mod additional_refusals;
 mod cut_bodies;
 mod hosts;
 mod http;
@@ -25,6 +26,7 @@
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::create(&path);
     let code = match case.as_str() {
+        "additional-refusals" => additional_refusals::run(&record, with_trouble),
         "cut-bodies" => cut_bodies::run(&record, with_trouble),
         "odd-entries" => odd_entries::run(&record, with_trouble),
         "run-and-refused" => run_and_refused::run(&record, with_trouble),
