--- a/review/standins-3/cut_bodies.rs
+++ b/review/standins-3/cut_bodies.rs
@@ -85,6 +85,7 @@
             }
             continue;
         }
+        shared.record.line(&format!("{own_id} runs {id}"));
         thread::sleep(Duration::from_millis(20));
         let body = body_of(&id);
         let answer = answers.fetch_add(1, Ordering::Relaxed);
@@ -188,6 +189,10 @@
         }
         match read_response(&mut reader) {
             Ok(Some(answer)) if (200..300).contains(&answer.status()) => {
+                let bytes = answer.body.len();
+                shared
+                    .record
+                    .line(&format!("{id} answered {}, {bytes} bytes", answer.status()));
                 match fault_of(&answer, &id) {
                     None => counts.lock().unwrap().whole += 1,
                     Some(fault) => {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -8,14 +8,14 @@
 mod hosts;
 mod http;
 mod json;
-mod record;
-mod run_and_refused;
-mod store;
 mod keyed_callers;
 mod late_copies;
 mod ledger;
 mod odd_entries;
+mod order_refusals;
 mod owning_server;
+mod record;
+mod store;
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
@@ -29,7 +29,7 @@
         "additional-refusals" => additional_refusals::run(&record, with_trouble),
         "cut-bodies" => cut_bodies::run(&record, with_trouble),
         "odd-entries" => odd_entries::run(&record, with_trouble),
-        "run-and-refused" => run_and_refused::run(&record, with_trouble),
+        "order-refusals" => order_refusals::run(&record, with_trouble),
         "late-copies" => late_copies::run(&record, with_trouble),
         _ => 2,
     };
--- a/review/standins-3/owning_server.rs
+++ b/review/standins-3/owning_server.rs
@@ -33,9 +33,20 @@
     next: u64,
 }
 
-/// Trouble of some servers, which send answers a second time.
+/// What servers in trouble send in addition.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Addition {
+    /// Their last answer to an order, once more.
+    #[default]
+    LastAnswer,
+    /// A refusal, when the next order on a connection that has carried answers arrives.
+    Refusal,
+}
+
+/// Trouble of some servers, which send additional answers.
 #[derive(Default)]
 pub struct Trouble {
+    pub addition: Addition,
     /// Answers that these servers have given since it began.
     pub answers: AtomicU64,
     /// Answers that they have sent a second time.
@@ -176,6 +187,7 @@
         self.hold_slot();
         // The last answer to an order on this connection.
         let mut last_answer: Option<Vec<u8>> = None;
+        let mut is_first_request = true;
         loop {
             let request = match read_request(&mut reader) {
                 Ok(Some(request)) => request,
@@ -184,6 +196,19 @@
             if self.ended.load(Ordering::Relaxed) {
                 return;
             }
+            let is_first = std::mem::take(&mut is_first_request);
+            if !is_first && request.target() == "/grant" && self.adds_refusal() {
+                let body = String::from_utf8_lossy(&request.body).into_owned();
+                self.record.line(&format!(
+                    "{} sends an additional response, 421, as an order arrives: {body}",
+                    self.id
+                ));
+                let headers = [("X-Instance-Id", self.id.clone())];
+                let bytes = response("421 Misdirected Request", &headers, b"");
+                if writer.write_all(&bytes).is_err() {
+                    return;
+                }
+            }
             let is_order = request.method() == "POST"
                 && (request.target() == "/grant" || request.target() == "/release");
             let bytes = match is_order {
@@ -299,11 +324,19 @@
         }
     }
 
+    /// Whether the server sends a refusal that belongs to no order now.
+    fn adds_refusal(&self) -> bool {
+        let trouble = self.trouble.lock().unwrap().clone();
+        let trouble = trouble.filter(|trouble| trouble.addition == Addition::Refusal);
+        trouble.is_some_and(|trouble| trouble.takes_copy())
+    }
+
     /// Sends kept answers once more, late: shortly after an answer on another connection.
     fn send_copies(&self) {
         let mut owed = self.owed.lock().unwrap();
         owed.retain(|(since, _, _)| since.elapsed() < LONGEST_LATENESS);
         let trouble = self.trouble.lock().unwrap().clone();
+        let trouble = trouble.filter(|trouble| trouble.addition == Addition::LastAnswer);
         let Some(trouble) = trouble else {
             return;
         };
