--- a/crates/core/src/ownership/lease_orders.rs
+++ b/crates/core/src/ownership/lease_orders.rs
@@ -5,6 +5,7 @@
         KeyRange, LEASE_DURATION, ORDER_TIMEOUT, OrderFailure, OwnerState, OwnershipPlanner,
         PlanAction, PlanContext, RENEW_INTERVAL, RangePhase, RangeRecord, ServerInstance,
         ownership_planner::{TOKENS_PER_MOVE, current_range_ids},
+        revocation_progress::{RevocationStep, RevocationTarget},
     },
     crate::{ids::ServiceName, time::BootTime},
     std::time::Duration,
@@ -27,31 +28,6 @@
     pub(super) due_at: BootTime,
 }
 
-/// Steps in which a range is revoked from its owner.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum RevocationStep {
-    /// Send a grant with a higher token, so that the server refuses renewals by earlier leaders.
-    #[default]
-    RaiseToken,
-    /// Send a release, which ends the lease.
-    Release,
-    /// The server no longer holds the range.
-    Done,
-}
-
-/// Revocation of one moving range.
-#[derive(Clone, Debug, Default)]
-pub(super) struct RevocationProgress {
-    pub(super) step: RevocationStep,
-    pub(super) in_flight: bool,
-    /// Whether the order sent last is a grant (a raise of the token).
-    pub(super) is_grant: bool,
-    pub(super) due_at: BootTime,
-    /// Number of grants sent to raise the token.
-    pub(super) raises_sent: u64,
-    pub(super) handover: Option<String>,
-}
-
 impl OwnershipPlanner {
     pub(super) fn handle_grant_result(
         &mut self,
@@ -78,9 +54,9 @@
         self.record_result(server, result.err(), now);
         if let Some(progress) = self.revocations.get_mut(&range_id) {
             progress.in_flight = false;
+            progress.failed = result.is_err();
             match result {
                 Ok(()) => progress.step = RevocationStep::Release,
-                Err(OrderFailure::OtherServer) => progress.step = RevocationStep::Done,
                 Err(_) => progress.due_at = now + ORDER_RETRY_DELAY,
             }
         }
@@ -99,6 +75,7 @@
     pub(super) fn handle_release_result(
         &mut self,
         range_id: RangeId,
+        token_offset: u64,
         server: &ServerInstance,
         result: Result<Option<String>, OrderFailure>,
         now: BootTime,
@@ -107,13 +84,20 @@
         let Some(progress) = self.revocations.get_mut(&range_id) else {
             return;
         };
+        // A raise of the token that was sent meanwhile has given the range back to the server.
+        if token_offset != progress.release_offset() {
+            return;
+        }
         progress.in_flight = false;
+        progress.failed = result.is_err();
         match (result, progress.step) {
             (Ok(handover), RevocationStep::Release) => {
                 progress.step = RevocationStep::Done;
                 progress.handover = handover;
             }
-            (Err(OrderFailure::OtherServer), _) => progress.step = RevocationStep::Done,
+            (Ok(_), _) if progress.asked_later_start.as_ref() == Some(server) => {
+                progress.step = RevocationStep::Done;
+            }
             // The release was sent before the token was raised, as the server did not respond or
             // no token was left. The usual steps follow.
             (Ok(_), _) => {}
@@ -137,7 +121,8 @@
                 if !is_unchanged(self.pending.as_ref(), service, record) {
                     continue;
                 }
-                if self.end_proof(plan_context.fleet, owner).is_some() {
+                // A later start of the owner would carry out the renewal with a token that has been used.
+                if self.has_ended(owner) || plan_context.later_start(owner).is_some() {
                     continue;
                 }
                 // An unresponsive server gets no renewals: each could extend its lease.
@@ -168,7 +153,12 @@
     }
 
     /// Revokes the moving ranges from their owners.
-    pub(super) fn revoke(&mut self, now: BootTime, actions: &mut Vec<PlanAction>) {
+    pub(super) fn revoke(
+        &mut self,
+        plan_context: PlanContext<'_>,
+        now: BootTime,
+        actions: &mut Vec<PlanAction>,
+    ) {
         for (service, owners) in &self.state.services {
             for record in &owners.ranges {
                 let RangePhase::Moving { owner, token, .. } = &record.phase else {
@@ -181,23 +171,36 @@
                 }
                 let range_id = (service.clone(), record.range, *token);
                 let progress = self.revocations.entry(range_id).or_default();
-                if progress.in_flight
-                    || now < progress.due_at
-                    || progress.step == RevocationStep::Done
-                {
+                if progress.step == RevocationStep::Done {
+                    continue;
+                }
+                let is_due = !progress.in_flight && now >= progress.due_at;
+                if !is_due && !progress.is_prompted(plan_context.fleet, owner) {
                     continue;
                 }
+                let has_ended = |start: &ServerInstance| self.ended_instances.contains(start);
+                let later_start = plan_context.later_start(owner);
+                let target = progress.choose_target(
+                    owner.address,
+                    has_ended(owner),
+                    later_start.filter(|start| !has_ended(start)),
+                );
+                let server = match target {
+                    RevocationTarget::Owner => owner.clone(),
+                    RevocationTarget::LaterStart(start) => start,
+                    RevocationTarget::Nobody => continue,
+                };
                 let unresponsive = self
                     .responsiveness
-                    .get(owner)
+                    .get(&server)
                     .is_some_and(|responsiveness| responsiveness.is_unresponsive(now));
-                let (service, server, range, token) =
-                    (service.clone(), owner.clone(), record.range, *token);
+                let (service, range, token) = (service.clone(), record.range, *token);
                 // A release, unlike a grant, cannot extend the lease, so an unresponsive server
                 // gets only releases. The same holds when no token is left to raise to: the
                 // range then moves when the lease has ended.
                 let token_offset = progress.raises_sent;
                 let release_only = unresponsive
+                    || progress.asked_later_start.is_some()
                     || (progress.step == RevocationStep::RaiseToken
                         && token_offset + 1 >= TOKENS_PER_MOVE);
                 progress.in_flight = true;
@@ -220,7 +223,7 @@
                         server,
                         range,
                         token,
-                        token_offset: token_offset.saturating_sub(1),
+                        token_offset: progress.release_offset(),
                         limit: match unresponsive {
                             true => ORDER_TIMEOUT,
                             false => RELEASE_TIMEOUT,
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -7,9 +7,9 @@
 //! the old owner's lease has ended, so no key ever has two owners.
 
 mod elector_list;
-mod end_proof;
 mod hot_keys;
 mod key_range;
+mod later_start;
 mod lease_bounds;
 mod lease_orders;
 mod load_estimate;
@@ -24,12 +24,12 @@
 mod range_load;
 mod range_moves;
 mod refusal_table;
+mod revocation_progress;
 mod target_queue;
 mod zone_load;
 
 pub use {
     elector_list::ElectorList,
-    end_proof::EndProof,
     hot_keys::{MAX_KEY_SHARES, choose_key_shares},
     key_range::{KeyRange, LAST_KEY},
     lease_bounds::{
--- a/crates/core/src/ownership/move_planning.rs
+++ b/crates/core/src/ownership/move_planning.rs
@@ -4,7 +4,7 @@
     super::{
         AssignableServer, ChosenMoves, KeyRange, OwnerState, OwnershipPlanner, PlanContext,
         RangeLoad, RangePhase, RangeRecord, ServerInstance, ServiceOwners, choose_moves,
-        lease_orders::RevocationStep, ownership_planner::TOKENS_PER_MOVE,
+        ownership_planner::TOKENS_PER_MOVE, revocation_progress::RevocationStep,
     },
     crate::{fleet::ServerPhase, ids::ServiceName, time::BootTime},
     std::{borrow::Cow, collections::HashSet, time::Duration},
@@ -48,7 +48,7 @@
                 .entry(service.clone())
                 .or_insert_with(|| ServiceOwners::new(first_token));
             let assignable = self.assignable_servers(plan_context, service, owners, now);
-            self.complete_moves(plan_context, service, owners, &assignable, now);
+            self.complete_moves(service, owners, &assignable, now);
             moves_chosen |= self.start_moves(plan_context, service, owners, &assignable, now);
             owners.merge();
         }
@@ -105,7 +105,7 @@
                 incarnation: entry.incarnation,
                 address: entry.address,
             };
-            if self.is_unresponsive(&instance, now) || self.ended_instances.contains(&instance) {
+            if self.is_unresponsive(&instance, now) || self.has_ended(&instance) {
                 continue;
             }
             let known = plan_context.capacity.get(&entry.id).copied();
@@ -143,7 +143,6 @@
     /// Assigns moving ranges that no server can hold any more to their next owners.
     pub(super) fn complete_moves(
         &mut self,
-        plan_context: PlanContext<'_>,
         service: &ServiceName,
         owners: &mut ServiceOwners,
         assignable: &[AssignableServer],
@@ -170,14 +169,14 @@
                     && !self.has_renewal_in_flight(service, record.range)
             };
             // Only an owner that gives its range back shows that no lost successor has granted it.
-            let proof = self.freeing_proof(plan_context.fleet, owner);
-            let has_lost_range = || proof.is_some() || expired();
+            let has_ended = self.has_ended(owner);
+            let has_lost_range = || has_ended || expired();
             if !(released || now > self.lost_successor_end && has_lost_range()) {
                 continue;
             }
             let handover = progress.and_then(|progress| progress.handover.clone());
-            if let Some(proof) = proof.filter(|_| !released) {
-                self.record_end(owner, proof);
+            if has_ended && !released {
+                self.record_end(owner);
             }
             let is_assignable = |instance: &ServerInstance| {
                 assignable
@@ -219,9 +218,9 @@
         }
         for record in &mut owners.ranges {
             if let RangePhase::Owned { owner, .. } = &record.phase
-                && let Some(proof) = self.freeing_proof(plan_context.fleet, owner)
+                && self.has_ended(owner)
             {
-                self.record_end(owner, proof);
+                self.record_end(owner);
                 record.phase = RangePhase::Free;
             }
         }
--- a/crates/core/src/ownership/ownership_planner.rs
+++ b/crates/core/src/ownership/ownership_planner.rs
@@ -8,11 +8,13 @@
 
 use {
     super::{
-        AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, ChosenMoves, ElectorList, EndProof,
-        LeaseBounds, MAJORITY_REPORT_MAX_AGE, OrderFailure, OwnerState, PlanAction, PlanInput,
-        RangeLoad, RangePhase, RecoveryPhase, ServerInstance,
+        AUTHORITY_LIMIT, AUTHORITY_LIMIT_WITHOUT_MAJORITY, ChosenMoves, ElectorList, LeaseBounds,
+        MAJORITY_REPORT_MAX_AGE, OrderFailure, OwnerState, PlanAction, PlanInput, RangeLoad,
+        RangePhase, RecoveryPhase, ServerInstance,
+        later_start::later_start,
         lease_bounds::{LEASE_DURATION, ORDER_TIMEOUT, max_lease_duration},
-        lease_orders::{GrantProgress, RangeId, RevocationProgress},
+        lease_orders::{GrantProgress, RangeId},
+        revocation_progress::RevocationProgress,
     },
     crate::{
         fleet::{EvacuationTable, FleetView},
@@ -79,8 +81,8 @@
     pub(super) ended_instances: HashSet<ServerInstance>,
     /// Owners whose keys were given up because they have ended.
     pub(super) ended_owners: HashSet<ServerInstance>,
-    /// Those of them that have not been logged, each with the proof.
-    pub(super) unlogged_ends: Vec<(ServerInstance, EndProof)>,
+    /// Those of them that have not been logged.
+    pub(super) unlogged_ends: Vec<ServerInstance>,
     /// Chosen moves that have not been logged.
     pub(super) unlogged_moves: Vec<ChosenMoves>,
     pub(super) fleet_size: usize,
@@ -114,6 +116,11 @@
 }
 
 impl PlanContext<'_> {
+    /// Later start of an owner under its id, by its entry.
+    pub(super) fn later_start(&self, owner: &ServerInstance) -> Option<ServerInstance> {
+        later_start(self.fleet, owner)
+    }
+
     /// Whether the entry of an owner has to be awaited: the fleet is behind and has not shown it yet.
     pub(super) fn awaits_entry(&self, owner: &ServerInstance) -> bool {
         self.fleet_is_behind && !self.fleet.has_known(&owner.id, owner.incarnation)
@@ -275,39 +282,21 @@
         responsiveness.failed = !answered;
     }
 
-    /// What shows that the server instance has ended.
-    pub(super) fn end_proof(
-        &self,
-        fleet: &FleetView,
-        instance: &ServerInstance,
-    ) -> Option<EndProof> {
-        match self.ended_instances.contains(instance) {
-            true => Some(EndProof::OtherServerAnswered),
-            false => EndProof::find(fleet, instance),
-        }
-    }
-
-    /// Like [`end_proof`](Self::end_proof), if also no server can hold keys through orders to the
-    /// instance.
-    pub(super) fn freeing_proof(
-        &self,
-        fleet: &FleetView,
-        instance: &ServerInstance,
-    ) -> Option<EndProof> {
-        let proof = self.end_proof(fleet, instance)?;
-        (!proof.leaves_keys_held(instance)).then_some(proof)
+    /// Whether another server has answered at the address of the server instance.
+    pub(super) fn has_ended(&self, instance: &ServerInstance) -> bool {
+        self.ended_instances.contains(instance)
     }
 
     /// Records that keys are given up without a release or the end of their leases. Each owner is
     /// logged once a term, as the write that follows may fail and be planned again.
-    pub(super) fn record_end(&mut self, owner: &ServerInstance, proof: EndProof) {
+    pub(super) fn record_end(&mut self, owner: &ServerInstance) {
         if self.ended_owners.insert(owner.clone()) {
-            self.unlogged_ends.push((owner.clone(), proof));
+            self.unlogged_ends.push(owner.clone());
         }
     }
 
-    /// Owners that were found to have ended since the last call, each with the proof.
-    pub fn take_unlogged_ends(&mut self) -> Vec<(ServerInstance, EndProof)> {
+    /// Owners that were found to have ended since the last call.
+    pub fn take_unlogged_ends(&mut self) -> Vec<ServerInstance> {
         std::mem::take(&mut self.unlogged_ends)
     }
 
@@ -388,9 +377,16 @@
                 service,
                 range,
                 token,
+                token_offset,
                 server,
                 result,
-            } => self.handle_release_result((service, range, token), &server, result, now),
+            } => self.handle_release_result(
+                (service, range, token),
+                token_offset,
+                &server,
+                result,
+                now,
+            ),
         }
     }
 
@@ -440,7 +436,7 @@
         // write may have replaced its takeover, as revisions are given out again.
         if !self.state.may_lack_owners {
             self.renew(plan_context, now, &mut actions);
-            self.revoke(now, &mut actions);
+            self.revoke(plan_context, now, &mut actions);
         }
         if self.pending.is_none()
             && now.since(self.planned_at) >= PLANNING_INTERVAL
--- a/crates/core/src/ownership/plan_events.rs
+++ b/crates/core/src/ownership/plan_events.rs
@@ -76,6 +76,8 @@
         range: KeyRange,
         /// Token of the record that the order was for.
         token: u64,
+        /// Added to `token` to give the token of the order itself.
+        token_offset: u64,
         /// Server instance that the order is sent to.
         server: ServerInstance,
         /// State for the next owner, if the server gave any, or why the release failed.
--- a/crates/core/tests/range_ownership.rs
+++ b/crates/core/tests/range_ownership.rs
@@ -19,6 +19,9 @@
         fault_chance: 0.0,
         slow_clock: 1.02,
         write_delay: Duration::from_millis(5),
+        entry_chance: 0.0,
+        end_chance: 0.0,
+        work_chance: 0.0,
     }
 }
 
@@ -29,6 +32,9 @@
         fault_chance: 0.006,
         slow_clock: 1.02,
         write_delay: Duration::from_millis(250),
+        entry_chance: 0.0,
+        end_chance: 0.0,
+        work_chance: 0.0,
     }
 }
 
--- a/crates/core/tests/support/planner_driver.rs
+++ b/crates/core/tests/support/planner_driver.rs
@@ -102,23 +102,33 @@
         }
     }
 
-    /// Polls for the time of two leases, while all servers answer. Returns the grants that gave keys of
-    /// `owner`, up to `last_key`, to another server before `owner` had released them.
+    /// The same right after another leader, whose leases may run on.
+    pub fn succeeding(state: OwnerState, servers: &[u16]) -> Self {
+        Self {
+            planner: OwnershipPlanner::new(state.clone(), START, START),
+            ..Self::new(state, servers)
+        }
+    }
+
+    /// Polls for the time of two leases, while all servers answer. `owner` answers at its address, and
+    /// nowhere else. Returns the grants that gave keys of `owner`, up to `last_key`, to another server before
+    /// `owner` had released them.
     pub fn early_grants(&mut self, owner: &ServerInstance, last_key: u16) -> Vec<PlanAction> {
         let mut released = false;
         let mut early = Vec::new();
         for _ in 0..120 {
             for action in self.poll() {
+                let failure = misses_owner(&action, owner).then_some(OrderFailure::OtherServer);
                 match &action {
                     PlanAction::Release { server, .. } => released |= server == owner,
                     PlanAction::Grant { server, range, .. }
                         if server != owner && range.first <= last_key && !released =>
                     {
-                        early.push(action.clone());
+                        early.extend(failure.is_none().then(|| action.clone()));
                     }
                     PlanAction::Grant { .. } | PlanAction::Write(_) => {}
                 }
-                self.finish(&action, None);
+                self.finish(&action, failure);
             }
         }
         early
@@ -178,11 +188,13 @@
                 server,
                 range,
                 token,
+                token_offset,
                 ..
             } => PlanInput::ReleaseDone {
                 service,
                 range,
                 token,
+                token_offset,
                 server,
                 result: failure.map_or(Ok(None), Err),
             },
@@ -224,6 +236,16 @@
     }
 }
 
+/// Whether `owner` runs, and the order goes to another address under its id, or to another server at its
+/// address.
+fn misses_owner(action: &PlanAction, owner: &ServerInstance) -> bool {
+    let server = match action {
+        PlanAction::Write(_) => return false,
+        PlanAction::Grant { server, .. } | PlanAction::Release { server, .. } => server,
+    };
+    (server.id == owner.id) != (server.address == owner.address)
+}
+
 pub fn owner_of(state: &OwnerState, key: u16) -> Option<ServerId> {
     let owners = state.services.get(&service())?;
     let mut ranges = owners.ranges.iter();
--- a/crates/core/tests/support/range_simulation.rs
+++ b/crates/core/tests/support/range_simulation.rs
@@ -3,10 +3,24 @@
 //! Servers have slow clocks and hold leases that start when an order arrives. Orders are
 //! lost or carried out late, servers crash and restart, leaders take over, and the store
 //! has outages. Each step checks that no key has two owners.
-
+//!
+//! Beside that, servers leave, are replaced at their addresses or start again at others, and other
+//! programs leave entries of any kind in the store; `entry_faults` draws these from random numbers of their
+//! own.
+#![allow(dead_code)]
+
+#[path = "entry_faults.rs"]
+mod entry_faults;
+#[path = "server_entries.rs"]
+mod server_entries;
+#[path = "sim_server.rs"]
+mod sim_server;
+
+#[allow(unused_imports)]
+pub use entry_faults::ServerEnd;
 use {
     camphorcove_core::{
-        fleet::{EvacuationTable, FleetView, ServerEntry, ServerPhase},
+        fleet::{EvacuationTable, FleetView},
         ids::{HostId, ServerId, ServiceName},
         ownership::{
             AUTHORITY_LIMIT, KeyRange, LeaderRecord, ORDER_TIMEOUT, OrderFailure, OwnerState,
@@ -19,6 +33,11 @@
     rand_chacha::ChaCha8Rng,
     std::{collections::HashMap, time::Duration},
 };
+use {
+    entry_faults::PendingStart,
+    server_entries::ServerEntries,
+    sim_server::{HeldLease, SimServer},
+};
 
 /// Virtual time that one simulation step takes.
 const STEP: Duration = Duration::from_millis(10);
@@ -26,9 +45,6 @@
 /// Interval at which a leader asks the store to confirm its leadership.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Time after a crash at which the server's entry expires.
-const ENTRY_EXPIRY_TIME: Duration = Duration::from_millis(2_600);
-
 /// Faults that the simulation injects.
 #[derive(Clone, Copy, Debug)]
 pub struct SimFaults {
@@ -42,30 +58,13 @@
     pub slow_clock: f64,
     /// Longest time until the store applies a write, and from then until its answer arrives.
     pub write_delay: Duration,
-}
-
-/// Lease of a server on a range.
-#[derive(Clone, Debug)]
-struct HeldLease {
-    range: KeyRange,
-    token: u64,
-    end: BootTime,
-}
-
-#[derive(Debug)]
-struct SimServer {
-    instance: ServerInstance,
-    up: bool,
-    started_at: BootTime,
-    crashed_at: Option<BootTime>,
-    /// Until then, no leader reaches the server.
-    cut_until: BootTime,
-    /// Until then, the newest leader does not reach the server; earlier ones do.
-    newest_cut_until: BootTime,
-    draining: bool,
-    leases: Vec<HeldLease>,
-    /// Ranges and tokens of all grants that the server accepted since its start.
-    accepted_grants: Vec<(KeyRange, u64)>,
+    /// Probability that another program writes an entry, or that leaders see an older copy of the
+    /// entries, in each step.
+    pub entry_chance: f64,
+    /// Probability in each step that a server ends, and one starts at its address or under its id.
+    pub end_chance: f64,
+    /// Share of releases that find work on their keys and are answered when it has ended.
+    pub work_chance: f64,
 }
 
 struct SimLeader {
@@ -105,6 +104,10 @@
     /// When the leader stops waiting for the answer.
     times_out_at: BootTime,
     ran: bool,
+    /// When the server answers an order that it has carried out, as work on its keys has to end.
+    answers_at: BootTime,
+    /// Answer of the server, and the start that gives it.
+    result: Option<(Result<(), OrderFailure>, ServerInstance)>,
     /// Whether the leader has been told the result.
     reported: bool,
 }
@@ -126,9 +129,15 @@
 pub struct RangeSimulation {
     now: BootTime,
     random: ChaCha8Rng,
+    /// Draws the faults of entries and addresses, and the work on keys.
+    entry_random: ChaCha8Rng,
     faults: SimFaults,
     service: ServiceName,
     servers: Vec<SimServer>,
+    /// Servers that are about to start.
+    starts: Vec<PendingStart>,
+    entries: ServerEntries,
+    next_server: u16,
     leaders: Vec<SimLeader>,
     /// Stored assignment and its revision.
     store: Option<(OwnerState, u64)>,
@@ -136,6 +145,9 @@
     orders: Vec<OrderInFlight>,
     writes: Vec<WriteInFlight>,
     next_nonce: u64,
+    /// Sum over the steps of the keys that no running server held, times the length of a step in
+    /// seconds.
+    pub unheld_key_seconds: f64,
     /// Descriptions of all violations of exclusive ownership found so far.
     pub violations: Vec<String>,
 }
@@ -143,35 +155,25 @@
 impl RangeSimulation {
     pub fn new(seed: u64, servers: usize, faults: SimFaults) -> Self {
         let now = BootTime::from_millis(100_000);
-        let servers = (0..servers)
-            .map(|at| SimServer {
-                instance: ServerInstance {
-                    id: format!("s-{at}").parse().expect("valid id"),
-                    incarnation: 1,
-                    address: ([127, 0, 0, 1], 7_000 + u16::try_from(at).unwrap_or(0)).into(),
-                },
-                up: true,
-                started_at: BootTime::default(),
-                crashed_at: None,
-                cut_until: BootTime::default(),
-                newest_cut_until: BootTime::default(),
-                draining: false,
-                leases: Vec::new(),
-                accepted_grants: Vec::new(),
-            })
-            .collect();
+        let count = u16::try_from(servers).expect("few servers");
+        let servers = (0..count).map(SimServer::new).collect();
         let mut simulation = Self {
             now,
             random: ChaCha8Rng::seed_from_u64(seed),
+            entry_random: ChaCha8Rng::seed_from_u64(seed ^ u64::MAX),
             faults,
             service: "boats".parse().expect("valid name"),
             servers,
+            starts: Vec::new(),
+            entries: ServerEntries::default(),
+            next_server: count,
             leaders: Vec::new(),
             store: None,
             store_down_until: BootTime::default(),
             orders: Vec::new(),
             writes: Vec::new(),
             next_nonce: 1,
+            unheld_key_seconds: 0.0,
             violations: Vec::new(),
         };
         simulation.take_over();
@@ -194,13 +196,17 @@
     /// Ends all faults, except lost and late orders, slow clocks and write delays.
     pub fn end_faults(&mut self) {
         self.faults.fault_chance = 0.0;
+        self.faults.entry_chance = 0.0;
+        self.faults.end_chance = 0.0;
+        self.entries.end_faults();
         self.store_down_until = self.now;
-        for server in &mut self.servers {
+        for at in 0..self.servers.len() {
+            let server = &mut self.servers[at];
             server.cut_until = self.now;
             server.newest_cut_until = self.now;
             server.draining = false;
             if !server.up {
-                server.restart(self.now);
+                self.restart(at);
             }
         }
         for leader in &mut self.leaders {
@@ -231,6 +237,11 @@
 
     /// Whether a running server holds a lease on every key.
     pub fn all_keys_served(&self) -> bool {
+        self.unheld_keys() == 0
+    }
+
+    /// Number of keys on which no running server holds a lease.
+    fn unheld_keys(&self) -> u32 {
         let mut held: Vec<KeyRange> = Vec::new();
         for server in self.servers.iter().filter(|server| server.up) {
             let live = server
@@ -240,14 +251,12 @@
             held.extend(live.map(|held_lease| held_lease.range));
         }
         held.sort();
-        let mut next: u32 = 0;
+        let (mut unheld, mut next) = (0, 0);
         for range in held {
-            if u32::from(range.first) > next {
-                return false;
-            }
+            unheld += u32::from(range.first).saturating_sub(next);
             next = next.max(u32::from(range.last) + 1);
         }
-        next > u32::from(u16::MAX)
+        unheld + (u32::from(u16::MAX) + 1 - next)
     }
 
     /// Number of moving ranges in the stored assignment.
@@ -271,10 +280,19 @@
         if self.random.random::<f64>() < self.faults.fault_chance {
             self.inject_fault();
         }
+        if self.entry_random.random::<f64>() < self.faults.entry_chance {
+            self.inject_entry_fault();
+        }
+        if self.entry_random.random::<f64>() < self.faults.end_chance {
+            self.inject_end();
+        }
+        self.end_and_start_servers();
+        self.entries.update(&self.servers, &self.service, self.now);
         self.deliver_orders();
         self.finish_writes();
         self.poll_leaders();
         self.check_holders();
+        self.unheld_key_seconds += f64::from(self.unheld_keys()) * STEP.as_secs_f64();
     }
 
     /// Injects a random fault.
@@ -284,7 +302,7 @@
         let until = self.now + span;
         match self.random.random_range(0..9) {
             0 => self.servers[at].crash(self.now),
-            1 => self.servers[at].restart(self.now),
+            1 => self.restart(at),
             2 => self.servers[at].cut_until = until,
             3 => self.servers[at].draining = !self.servers[at].draining,
             4 => self.store_down_until = until,
@@ -302,6 +320,17 @@
         }
     }
 
+    /// Restarts a server, unless another one runs at its address.
+    fn restart(&mut self, at: usize) {
+        let address = self.servers[at].instance.address;
+        let mut others = self.servers.iter().enumerate();
+        if !others
+            .any(|(other, server)| other != at && server.up && server.instance.address == address)
+        {
+            self.servers[at].restart(self.now);
+        }
+    }
+
     fn store_up(&self) -> bool {
         self.now >= self.store_down_until
     }
@@ -342,30 +371,11 @@
         });
     }
 
-    /// Fleet as leaders see it: all servers whose entry has not expired.
+    /// Fleet as leaders see it.
     fn fleet(&self) -> FleetView {
         let mut fleet = FleetView::default();
-        for server in &self.servers {
-            let entry_expired = server
-                .crashed_at
-                .is_some_and(|at| self.now.since(at) > ENTRY_EXPIRY_TIME);
-            if entry_expired {
-                continue;
-            }
-            let entry = ServerEntry {
-                id: server.instance.id.clone(),
-                incarnation: server.instance.incarnation,
-                service: self.service.clone(),
-                address: server.instance.address,
-                zone: "z".parse().expect("valid name"),
-                slots: 3,
-                phase: match server.draining {
-                    true => ServerPhase::Draining,
-                    false => ServerPhase::Ready,
-                },
-                warmup: Duration::ZERO,
-            };
-            fleet.upsert(entry, self.now);
+        for entry in self.entries.listed(self.now) {
+            fleet.upsert(entry.clone(), self.now);
         }
         fleet
     }
@@ -538,6 +548,8 @@
             answered: !is_lost && !is_late,
             times_out_at: self.now + limit,
             ran: false,
+            answers_at: self.now,
+            result: None,
             reported: false,
         });
     }
@@ -548,14 +560,17 @@
         for order in &mut orders {
             if !order.ran && self.now >= order.runs_at {
                 order.ran = true;
-                let result = self.execute_order(order);
-                if order.answered
-                    && !order.reported
-                    && let Some(result) = result
-                {
-                    order.reported = true;
-                    self.report_result(order, result);
-                }
+                order.result = self.execute_order(order);
+                order.answers_at = self.work_end(order);
+            }
+            if order.answered
+                && !order.reported
+                && self.now >= order.answers_at
+                && let Some((result, server)) = order.result.take()
+                && self.is_running(&server)
+            {
+                order.reported = true;
+                self.report_result(order, result);
             }
             if !order.reported && self.now >= order.times_out_at {
                 order.reported = true;
@@ -567,12 +582,13 @@
         self.orders = orders;
     }
 
-    /// Carries out an order at its server; `None` if the order does not reach the server.
-    fn execute_order(&mut self, order: &OrderInFlight) -> Option<Result<(), OrderFailure>> {
-        // Orders name the id of the server only, so a server that has started again carries out
-        // those for its earlier incarnation which arrive now.
+    /// Carries out an order at the server with its address; `None` if it does not reach a server.
+    fn execute_order(
+        &mut self,
+        order: &OrderInFlight,
+    ) -> Option<(Result<(), OrderFailure>, ServerInstance)> {
         let at = self.servers.iter().position(|server| {
-            server.instance.id == order.server.id
+            server.instance.address == order.server.address
                 && server.up
                 && server.started_at <= order.arrives_at
         })?;
@@ -583,15 +599,47 @@
         if !order.arrives || cut {
             return None;
         }
-        match order.kind {
+        let instance = server.instance.clone();
+        // Orders name the id of the server only, so a server that has started again carries out
+        // those for its earlier incarnation which arrive now.
+        if instance.id != order.server.id {
+            return Some((Err(OrderFailure::OtherServer), instance));
+        }
+        let result = match order.kind {
             OrderKind::Release => {
+                self.begin_work(at, order.range);
                 self.servers[at].release(order.range);
-                Some(Ok(()))
+                Ok(())
             }
-            OrderKind::Grant { lease } => Some(self.grant(at, order, lease)),
+            OrderKind::Grant { lease } => self.grant(at, order, lease),
+        };
+        Some((result, instance))
+    }
+
+    /// Draws whether requests on held keys of the range run on after their release.
+    fn begin_work(&mut self, at: usize, range: KeyRange) {
+        let chance: f64 = self.entry_random.random();
+        let length = Duration::from_millis(self.entry_random.random_range(100..1_800));
+        if chance < self.faults.work_chance {
+            self.servers[at].begin_work(range, self.now, self.now + length);
         }
     }
 
+    /// Time at which the server can answer the order.
+    fn work_end(&self, order: &OrderInFlight) -> BootTime {
+        let is_release = matches!(order.kind, OrderKind::Release);
+        let mut servers = self.servers.iter();
+        let server = servers.find(|server| {
+            is_release && server.up && server.instance.address == order.server.address
+        });
+        server.map_or(self.now, |server| server.work_end(order.range, self.now))
+    }
+
+    fn is_running(&self, instance: &ServerInstance) -> bool {
+        let mut servers = self.servers.iter();
+        servers.any(|server| server.up && server.instance == *instance)
+    }
+
     /// Grants a lease, unless the server has seen a higher token.
     fn grant(
         &mut self,
@@ -657,6 +705,7 @@
                 service,
                 range,
                 token,
+                token_offset: order.order_token - token,
                 server,
                 result: result.map(|()| None),
             },
@@ -676,6 +725,9 @@
             {
                 held.push((held_lease.range, &server.instance.id, held_lease.token));
             }
+            for work in server.work.iter().filter(|work| work.end > now) {
+                held.push((work.range, &server.instance.id, work.token));
+            }
         }
         for (at, (range, id, token)) in held.iter().enumerate() {
             for (other, other_id, other_token) in &held[at + 1..] {
@@ -689,47 +741,3 @@
         }
     }
 }
-
-impl SimServer {
-    fn crash(&mut self, now: BootTime) {
-        if !self.up {
-            return;
-        }
-        self.up = false;
-        self.crashed_at = Some(now);
-        self.leases.clear();
-    }
-
-    /// Restarts under the same id without any state.
-    fn restart(&mut self, now: BootTime) {
-        self.up = true;
-        self.started_at = now;
-        self.crashed_at = None;
-        self.instance.incarnation += 1;
-        self.leases.clear();
-        self.accepted_grants.clear();
-        self.draining = false;
-    }
-
-    /// Releases the leases on a range; leases that overlap it partly keep the rest.
-    fn release(&mut self, range: KeyRange) {
-        let mut kept = Vec::new();
-        for held_lease in self.leases.drain(..) {
-            if !held_lease.range.overlaps(range) {
-                kept.push(held_lease);
-                continue;
-            }
-            if held_lease.range.first < range.first {
-                let mut lower = held_lease.clone();
-                lower.range.last = range.first - 1;
-                kept.push(lower);
-            }
-            if held_lease.range.last > range.last {
-                let mut upper = held_lease.clone();
-                upper.range.first = range.last + 1;
-                kept.push(upper);
-            }
-        }
-        self.leases = kept;
-    }
-}
--- a/crates/gateway/src/leader/leader_actor.rs
+++ b/crates/gateway/src/leader/leader_actor.rs
@@ -274,13 +274,13 @@
             capacity: &capacity,
         };
         let actions = planner.poll(plan_context, now);
-        for (owner, proof) in planner.take_unlogged_ends() {
+        for owner in planner.take_unlogged_ends() {
             log::info!(
                 term,
                 server = owner.id.as_str(),
                 incarnation = owner.incarnation,
                 address:% = owner.address,
-                proof:% = proof;
+                proof = "another server answers at its address";
                 "owner has ended, its keys need no release"
             );
         }
--- a/crates/gateway/src/leader/order_sender.rs
+++ b/crates/gateway/src/leader/order_sender.rs
@@ -105,6 +105,7 @@
                     service,
                     range,
                     token,
+                    token_offset,
                     server,
                     result,
                 })
