--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -34,8 +34,8 @@
 pub enum ConnectionUse {
     /// An idle connection is reused if there is one.
     Reused,
-    /// A new connection is opened and closed afterwards, so that the response cannot be a late
-    /// one to an earlier request.
+    /// A new connection is opened, so that the response cannot be a late one to an earlier request. It is
+    /// kept afterwards.
     New,
 }
 
@@ -189,9 +189,7 @@
             connection.carried_failure = true;
         }
         connection.used_at = Instant::now();
-        if connection_use == ConnectionUse::Reused {
-            self.store_idle(address, connection);
-        }
+        self.store_idle(address, connection);
         Ok(reply)
     }
 
