--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -6,6 +6,7 @@
 //! moving, the second names the new owner. Between the two, the leader makes sure that
 //! the old owner's lease has ended, so no key ever has two owners.
 
+mod answer_verdict;
 mod elector_list;
 mod hot_keys;
 mod key_range;
@@ -29,6 +30,7 @@
 mod zone_load;
 
 pub use {
+    answer_verdict::AnswerVerdict,
     elector_list::ElectorList,
     hot_keys::{MAX_KEY_SHARES, choose_key_shares},
     key_range::{KeyRange, LAST_KEY},
--- a/crates/core/tests/entry_search.rs
+++ b/crates/core/tests/proof_search.rs
@@ -1,8 +1,8 @@
 //! Random search for keys with two owners while servers leave, crash, are replaced at their addresses or start
-//! again elsewhere, other programs leave entries of any kind in the store, and leaders see older copies of
-//! the entries, in any order and at any moment.
+//! again elsewhere, other programs leave entries of any kind in the store, leaders see older copies of
+//! the entries, and servers add answers that belong to no order, in any order and at any moment.
 //!
-//! `ENTRY_SEEDS=0..4000 cargo test -p camphorcove-core --test entry_search -- --nocapture` plays the given seeds;
+//! `ENTRY_SEEDS=0..4000 cargo test -p camphorcove-core --test proof_search -- --nocapture` plays the given seeds;
 //! without it, fixed seeds are played.
 
 #[path = "support/range_simulation.rs"]
@@ -29,6 +29,7 @@
         write_delay: Duration::from_millis(5),
         entry_chance: 0.0,
         end_chance: 0.0,
+        extra_answers: 0.0,
         work_chance: 0.0,
     }
 }
@@ -46,6 +47,15 @@
     }
 }
 
+/// Answers that belong to no order, and ends of servers.
+fn answer_faults() -> SimFaults {
+    SimFaults {
+        entry_chance: 0.0,
+        extra_answers: 0.05,
+        ..entry_faults()
+    }
+}
+
 /// Ends of servers, and nothing else.
 fn ends_only() -> SimFaults {
     SimFaults {
@@ -67,9 +77,22 @@
 /// Guards against an entry that passes for the end of an owner, which is at work on its keys.
 #[rstest]
 fn no_key_has_two_owners_whatever_the_entries_say(#[values(0, 1, 2, 3, 4, 5, 6, 7)] block: u64) {
+    assert_eq!(seeds_with_two_owners(block, entry_faults()), []);
+}
+
+/// Guards against an answer on a kept connection that passes for the end of an owner, or for the answer to
+/// another order.
+#[rstest]
+fn no_key_has_two_owners_whatever_servers_add_to_answers(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] block: u64,
+) {
+    assert_eq!(seeds_with_two_owners(block, answer_faults()), []);
+}
+
+fn seeds_with_two_owners(block: u64, faults: SimFaults) -> Vec<u64> {
     let mut failed = Vec::new();
     for seed in seeds(block) {
-        let mut simulation = RangeSimulation::new(seed, SERVERS, entry_faults());
+        let mut simulation = RangeSimulation::new(seed, SERVERS, faults);
 
         simulation.run(Duration::from_secs(60));
 
@@ -81,8 +104,7 @@
             failed.push(seed);
         }
     }
-
-    assert_eq!(failed, Vec::<u64>::new());
+    failed
 }
 
 /// Guards against ends of servers that are noticed only when their leases have ended. Prints the time
--- a/crates/core/tests/range_ownership.rs
+++ b/crates/core/tests/range_ownership.rs
@@ -21,6 +21,7 @@
         write_delay: Duration::from_millis(5),
         entry_chance: 0.0,
         end_chance: 0.0,
+        extra_answers: 0.0,
         work_chance: 0.0,
     }
 }
@@ -34,6 +35,7 @@
         write_delay: Duration::from_millis(250),
         entry_chance: 0.0,
         end_chance: 0.0,
+        extra_answers: 0.0,
         work_chance: 0.0,
     }
 }
--- a/crates/core/tests/support/range_simulation.rs
+++ b/crates/core/tests/support/range_simulation.rs
@@ -11,6 +11,8 @@
 
 #[path = "entry_faults.rs"]
 mod entry_faults;
+#[path = "kept_connections.rs"]
+mod kept_connections;
 #[path = "server_entries.rs"]
 mod server_entries;
 #[path = "sim_server.rs"]
@@ -23,9 +25,9 @@
         fleet::{EvacuationTable, FleetView},
         ids::{HostId, ServerId, ServiceName},
         ownership::{
-            AUTHORITY_LIMIT, KeyRange, LeaderRecord, ORDER_TIMEOUT, OrderFailure, OwnerState,
-            OwnershipPlanner, PlanAction, PlanContext, PlanInput, RangePhase, ServerInstance,
-            ServiceOwners,
+            AUTHORITY_LIMIT, AnswerVerdict, KeyRange, LeaderRecord, ORDER_TIMEOUT, OrderFailure,
+            OwnerState, OwnershipPlanner, PlanAction, PlanContext, PlanInput, RangePhase,
+            ServerInstance, ServiceOwners,
         },
         time::BootTime,
     },
@@ -35,6 +37,7 @@
 };
 use {
     entry_faults::PendingStart,
+    kept_connections::{KeptConnections, OrderAnswer},
     server_entries::ServerEntries,
     sim_server::{HeldLease, SimServer},
 };
@@ -63,6 +66,8 @@
     pub entry_chance: f64,
     /// Probability in each step that a server ends, and one starts at its address or under its id.
     pub end_chance: f64,
+    /// Share of answers on kept connections before which servers write one that belongs to no order.
+    pub extra_answers: f64,
     /// Share of releases that find work on their keys and are answered when it has ended.
     pub work_chance: f64,
 }
@@ -107,9 +112,11 @@
     /// When the server answers an order that it has carried out, as work on its keys has to end.
     answers_at: BootTime,
     /// Answer of the server, and the start that gives it.
-    result: Option<(Result<(), OrderFailure>, ServerInstance)>,
+    result: Option<(OrderAnswer, ServerInstance)>,
     /// Whether the leader has been told the result.
     reported: bool,
+    /// Whether the order has been sent again, on a new connection, as its answer was in doubt.
+    repeated: bool,
 }
 
 struct WriteInFlight {
@@ -143,6 +150,7 @@
     store: Option<(OwnerState, u64)>,
     store_down_until: BootTime,
     orders: Vec<OrderInFlight>,
+    connections: KeptConnections,
     writes: Vec<WriteInFlight>,
     next_nonce: u64,
     /// Sum over the steps of the keys that no running server held, times the length of a step in
@@ -171,6 +179,7 @@
             store: None,
             store_down_until: BootTime::default(),
             orders: Vec::new(),
+            connections: KeptConnections::new(seed),
             writes: Vec::new(),
             next_nonce: 1,
             unheld_key_seconds: 0.0,
@@ -551,6 +560,7 @@
             answers_at: self.now,
             result: None,
             reported: false,
+            repeated: false,
         });
     }
 
@@ -569,11 +579,11 @@
                 && let Some((result, server)) = order.result.take()
                 && self.is_running(&server)
             {
-                order.reported = true;
-                self.report_result(order, result);
+                self.receive_answer(order, result, &server);
             }
             if !order.reported && self.now >= order.times_out_at {
                 order.reported = true;
+                self.connections.close(order.leader, &order.server);
                 self.report_result(order, Err(OrderFailure::Unanswered));
             }
         }
@@ -582,11 +592,42 @@
         self.orders = orders;
     }
 
-    /// Carries out an order at the server with its address; `None` if it does not reach a server.
-    fn execute_order(
+    /// Takes an answer for that to an order, as the leader's host does. Releases and repetitions have
+    /// connections of their own.
+    fn receive_answer(
         &mut self,
-        order: &OrderInFlight,
-    ) -> Option<(Result<(), OrderFailure>, ServerInstance)> {
+        order: &mut OrderInFlight,
+        result: OrderAnswer,
+        server: &ServerInstance,
+    ) {
+        let is_release = matches!(order.kind, OrderKind::Release);
+        let (result, is_first) = match order.repeated || is_release {
+            true => (result, true),
+            false => self.connections.receive(
+                (order.leader, &order.server),
+                (result, server),
+                self.faults.extra_answers,
+            ),
+        };
+        let verdict = AnswerVerdict::of(result.err(), is_first);
+        if verdict == AnswerVerdict::AskAgain {
+            order.repeated = true;
+            order.ran = false;
+            order.arrives_at = self.now + STEP;
+            order.runs_at = order.arrives_at;
+            return;
+        }
+        let result = match (verdict, order.repeated) {
+            (AnswerVerdict::Unknown, _) => Err(OrderFailure::Unanswered),
+            (_, true) => AnswerVerdict::after_repetition(result),
+            (_, false) => result,
+        };
+        order.reported = true;
+        self.report_result(order, result);
+    }
+
+    /// Carries out an order at the server with its address; `None` if it does not reach a server.
+    fn execute_order(&mut self, order: &OrderInFlight) -> Option<(OrderAnswer, ServerInstance)> {
         let at = self.servers.iter().position(|server| {
             server.instance.address == order.server.address
                 && server.up
--- a/crates/net/src/http/http_client.rs
+++ b/crates/net/src/http/http_client.rs
@@ -46,8 +46,8 @@
 pub struct OpenConnection {
     sender: Sender,
     head_limit: HeadLimit,
-    /// Whether it has carried a response that reports no success.
-    carried_failure: bool,
+    /// Whether it has carried a response.
+    carried_response: bool,
     /// When its last response was complete, or when it was opened.
     used_at: Instant,
 }
@@ -58,6 +58,15 @@
     }
 }
 
+/// Response of a server.
+#[derive(Debug)]
+pub struct ServerReply {
+    /// The response, with its whole body.
+    pub response: Response<Bytes>,
+    /// Whether it is the first one on its connection, so that it belongs to this request.
+    pub is_first: bool,
+}
+
 /// Why an exchange failed.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub))]
@@ -85,7 +94,7 @@
     idle_time_limit: Option<Duration>,
     response_limit: usize,
     abortive_close: bool,
-    doubts_repeated_failures: bool,
+    doubts_later_failures: bool,
 }
 
 impl Default for HttpClient {
@@ -104,7 +113,7 @@
             idle_time_limit: None,
             response_limit: RESPONSE_LIMIT,
             abortive_close: false,
-            doubts_repeated_failures: false,
+            doubts_later_failures: false,
         }
     }
 
@@ -135,11 +144,11 @@
         self
     }
 
-    /// Takes a response that reports no success for no response, and closes the connection, if it
-    /// has carried such a response before: a server in trouble may write the earlier one once more,
-    /// and responses that name no request cannot be told apart.
-    pub fn with_doubt_of_repeated_failures(mut self) -> Self {
-        self.doubts_repeated_failures = true;
+    /// Closes a connection after a response that reports no success, unless it is the first one there: a
+    /// server in trouble may write one behind a complete response, and responses that name no
+    /// request cannot be told apart.
+    pub fn with_doubt_of_later_failures(mut self) -> Self {
+        self.doubts_later_failures = true;
         self
     }
 
@@ -152,8 +161,10 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        self.exchange_on(address, request, timeout, ConnectionUse::Reused)
+        let connection_use = ConnectionUse::Reused;
+        self.exchange_on(address, request, timeout, connection_use)
             .await
+            .map(|reply| reply.response)
     }
 
     /// Like [`exchange`](Self::exchange), on a connection of this kind.
@@ -163,7 +174,7 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
         connection_use: ConnectionUse,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+    ) -> Result<ServerReply, ExchangeError> {
         let deadline = Instant::now() + timeout;
         let mut connection = match connection_use {
             ConnectionUse::Reused => self.connection(address, deadline).await?,
@@ -181,16 +192,15 @@
             self.close_idle(address);
             return no_reply("timed out");
         };
-        let reply = reply?;
-        if !reply.status().is_success() {
-            if self.doubts_repeated_failures && connection.carried_failure {
-                return no_reply("may be an earlier response, sent once more");
-            }
-            connection.carried_failure = true;
-        }
+        let response = reply?;
+        let is_first = !connection.carried_response;
+        let is_doubted = self.doubts_later_failures && !is_first && !response.status().is_success();
+        connection.carried_response = true;
         connection.used_at = Instant::now();
-        self.store_idle(address, connection);
-        Ok(reply)
+        if !is_doubted {
+            self.store_idle(address, connection);
+        }
+        Ok(ServerReply { response, is_first })
     }
 
     /// Sends a request and returns the head of the response, whose body is not limited by the client.
@@ -215,6 +225,7 @@
 
     /// Lets a connection be used again after the whole body of its response has been read.
     pub fn finish_response(&self, address: SocketAddr, mut connection: OpenConnection) {
+        connection.carried_response = true;
         connection.used_at = Instant::now();
         self.store_idle(address, connection);
     }
@@ -258,7 +269,7 @@
         Ok(OpenConnection {
             sender,
             head_limit,
-            carried_failure: false,
+            carried_response: false,
             used_at: Instant::now(),
         })
     }
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -14,6 +14,6 @@
     body_framing::{ends_with_connection, has_other_coding},
     caller_stream::{CallerStream, ReadAhead, ReceivedHeads},
     framing_guard::{FramingGuard, PipelinedHead},
-    http_client::{ConnectionUse, ExchangeError, HttpClient, OpenConnection},
+    http_client::{ConnectionUse, ExchangeError, HttpClient, OpenConnection, ServerReply},
     server_stream::{HeadLimit, ServerStream},
 };
