--- a/crates/gateway/src/forward/connection_pool.rs
+++ b/crates/gateway/src/forward/connection_pool.rs
@@ -82,6 +82,13 @@
     is_new: bool,
 }
 
+impl PooledConnection {
+    /// Whether it has carried no response yet, so that the next one is that to the next request.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+}
+
 /// Identifies the server process, so that a connection to one incarnation of a server is
 /// never used for another.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/gateway/src/forward/refusal_history.rs
+++ b/crates/gateway/src/forward/refusal_history.rs
@@ -30,11 +30,6 @@
         self.refused.contains(&hash_of(id))
     }
 
-    /// Whether no refusal has been recorded, so that a refusal without id is no copy.
-    pub fn is_empty(&self) -> bool {
-        self.refused.is_empty()
-    }
-
     /// Whether the connection is to be closed instead of carrying another request.
     pub fn is_full(&self) -> bool {
         self.refused.len() >= MAX_REFUSALS
--- a/crates/gateway/src/forward/server_call.rs
+++ b/crates/gateway/src/forward/server_call.rs
@@ -247,8 +247,8 @@
     let status = response.status();
     match &head.id {
         Some(id) if *id == call.id => {}
-        // On a connection that has carried a refusal, it may be a copy of that one.
-        None if is_refusal(&head, status) && pooled.refusals.is_empty() => {}
+        // Behind another answer, it may be an additional one that belongs to no request.
+        None if is_refusal(&head, status) && pooled.is_new() => {}
         _ => return Err(ExchangeFailure::Unknown("answer to another request".into())),
     }
     if !head.signed && !is_refusal(&head, status) {
--- a/crates/gateway/tests/repeated_refusals.rs
+++ b/crates/gateway/tests/repeated_refusals.rs
@@ -101,6 +101,34 @@
     assert_eq!(server.log().requests.len(), 2);
 }
 
+/// Guards against a request that ran twice, or that ran although its caller was told "not run": a refusal
+/// without id, which came behind the complete answer to another request, was taken for the answer to it.
+#[rstest]
+#[tokio::test]
+async fn refusal_behind_a_complete_answer_does_not_answer_the_next_request(
+    #[values("503 Busy", "429 Too many", "421 Not mine", "408 Too late")] status: &str,
+    #[values("/write/a", "/read/a")] path: &str,
+    #[values(0, 1, 3, 30)] gap_ms: u64,
+) {
+    let gap = Duration::from_millis(gap_ms);
+    let extra = refusal(status, "");
+    let scripts = vec![
+        repeated_later(complete_response("fine"), gap, extra),
+        slow_response(),
+    ];
+    let server = ScriptedServer::start(scripts).await;
+    let host = start_host(&server).await;
+
+    let first = call(host.address, &request("POST", path, "r1", "", "x")).await;
+    let next = call(host.address, &request("POST", path, "r2", "", "x")).await;
+    sleep(WORK_TIME * 2).await;
+
+    let runs = arrivals(&server, "r2");
+    assert_eq!(first.status, 200);
+    assert!(runs == 1 || path == "/read/a", "ran {runs} times");
+    assert!(matches!(next.status, 200 | 502), "{}", next.status);
+}
+
 /// Guards against a refusal without id on a connection that has carried none before, which is
 /// no copy: the caller would not learn that its request has not run.
 #[tokio::test]
