An incomplete list is repeated until a list is complete

What callers could have seen: servers behind an unreadable page of the store stayed unknown to a host until they changed.

Cause: list() returned 'complete' where it gave way to the leader's messages after a failed repetition, and the host no longer listed by the clock.

Evidence: incomplete_list_is_completed_after_a_failed_repetition, second case, failed before ('never all', 20 s).

Fix: OddParts, which knows what the last list lacked, decides.

--- a/crates/gateway/src/watch/kind_follower.rs
+++ b/crates/gateway/src/watch/kind_follower.rs
@@ -133,7 +133,7 @@
         if state.has_lost_writes_recently() {
             consistency = ReadConsistency::Current;
         }
-        let is_complete = list(
+        list(
             &state,
             &store,
             &mut follower,
@@ -146,9 +146,10 @@
         consistency = ReadConsistency::Current;
         purpose = ListPurpose::CatchUp;
         let pause = INCOMPLETE_LIST_INTERVAL.mul_f64(0.5 + state.random_fraction());
+        let has_gap = odd_parts.has_gap();
         let reason = tokio::select! {
             reason = follow_changes(&state, &store, &mut follower, &mut odd_parts) => reason,
-            () = sleep(pause), if !is_complete => RelistReason::Incomplete,
+            () = sleep(pause), if has_gap => RelistReason::Incomplete,
         };
         match reason {
             RelistReason::Behind => {
@@ -166,8 +167,7 @@
     }
 }
 
-/// Lists the kind, and retries until that succeeds or the leader has sent what was missed. Returns `false`
-/// if objects may be missing in the list.
+/// Lists the kind, and retries until that succeeds or the leader has sent what was missed.
 ///
 /// A stale read is tried only where a revision is known that it has to include. If it lacks that
 /// revision, it is repeated as a current read. Stale data cannot replace newer data, as older
@@ -179,7 +179,7 @@
     mut consistency: ReadConsistency,
     purpose: ListPurpose,
     odd_parts: &mut OddParts,
-) -> bool {
+) {
     let mut pause = MIN_RETRY_DELAY;
     let mut store_unavailable = false;
     loop {
@@ -206,9 +206,8 @@
                     through: listing.version,
                     newest: newest.unwrap_or_default(),
                 };
-                let is_complete = listing.gap.is_none();
                 follower.apply_list(listing, span);
-                return is_complete;
+                return;
             }
             Err(fault) => {
                 consistency = ReadConsistency::Current;
@@ -220,7 +219,7 @@
                 sleep(pause.mul_f64(0.5 + state.random_fraction())).await;
                 let has_feed = !state.feed_time_left(F::STORE_KIND).is_zero();
                 if has_feed && purpose == ListPurpose::CatchUp && !state.is_behind(F::STORE_KIND) {
-                    return true;
+                    return;
                 }
                 let longest = match has_feed {
                     true => MAX_RETRY_DELAY_WITH_FEED,
--- a/crates/gateway/src/watch/odd_parts.rs
+++ b/crates/gateway/src/watch/odd_parts.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Whether the last list that was read lacks objects.
+    pub fn has_gap(&self) -> bool {
+        self.has_gap
+    }
+
     /// Logs that parts of an answer name no object.
     pub fn report_unnamed(&mut self, kind: &str, reason: &str) {
         if !self.has_unnamed {
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -276,3 +276,34 @@
     assert_eq!([first, again, after_use], [true, false, true]);
     assert_eq!(others.filter(|is_news| *is_news).count(), 255);
 }
+
+/// Guards against servers that a host never learns of: it took an incomplete list for complete when the
+/// repetition failed, as the store was down, while messages of the leader arrived.
+#[rstest]
+#[case::store_up(false)]
+#[case::store_down_for_a_while(true)]
+#[tokio::test]
+async fn incomplete_list_is_completed_after_a_failed_repetition(#[case] is_down: bool) {
+    let (store, address) = store_with_server().await;
+    store.set_page_objects(2);
+    for number in 2..=4 {
+        store.put("servers", &format!("s-{number}"), server(9_000 + number));
+    }
+    store.refuse_pages();
+    let host = following_host(address).await;
+    until("first page", || servers(&host) == ["s-1", "s-2"]).await;
+    let fed = host.clone();
+    tokio::spawn(async move {
+        loop {
+            fed.record_digest(false);
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+
+    store.set_down(is_down);
+    sleep(Duration::from_secs(9)).await;
+    store.set_down(false);
+    store.accept_pages();
+
+    until("all", || servers(&host) == ["s-1", "s-2", "s-3", "s-4"]).await;
+}
