A failure after the run is not passed on as 'not run' (REFUSED)

What callers saw: a 503 for a booking that had run; they booked again.

Cause: a signed 503 that does not say 'not run' was passed on for a request that may run only once, though callers take the status for that promise.

Evidence: failure_of_a_request_that_has_run_is_no_promise, 6 of 6 cases failed before.

Fix: such an answer (503, 429, 408) is replaced by a 502 without signature.

--- a/crates/gateway/src/serve/request_attempts.rs
+++ b/crates/gateway/src/serve/request_attempts.rs
@@ -247,6 +247,17 @@
                 if !failed && matches!(response.body(), ResponseBody::Buffered(_)) {
                     self.record_answer(routed);
                 }
+                // The caller would take the status for the promise that it has not run, which this answer
+                // does not give.
+                if !idempotent && promises_not_run(response.status()) {
+                    self.log_failed_attempt(routed, &entry, "answer may have run");
+                    return Some(self.give_up(
+                        routed,
+                        std::mem::take(history),
+                        Refusal::AnswerLost,
+                        None,
+                    ));
+                }
                 if !failed || !idempotent {
                     self.state.counters.answered.fetch_add(1, Ordering::Relaxed);
                     return Some(forward_response(response));
@@ -468,3 +479,14 @@
     *response.version_mut() = Version::HTTP_11;
     response
 }
+
+/// Whether callers take the status for the promise that their request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- a/crates/gateway/tests/odd_status.rs
+++ b/crates/gateway/tests/odd_status.rs
@@ -5,7 +5,7 @@
 use {
     camphorcove_platform_standin::{
         caller::{CallerResponse, read_response, request},
-        scripted_server::{IDLE_LOAD_LINE, NOT_RUN_LINE, ScriptedServer, response},
+        scripted_server::{IDLE_LOAD_LINE, NOT_RUN_LINE, SIGNATURE_LINE, ScriptedServer, response},
     },
     rstest::rstest,
     support::fixtures::{entry, start_host_with},
@@ -57,3 +57,29 @@
 
     assert_eq!(response.status, 502);
 }
+
+/// Guards against a request that is made twice: a server failed it after its run with a status that promises
+/// "not run", without saying so, and the caller sent it again.
+#[rstest]
+#[tokio::test]
+async fn failure_of_a_request_that_has_run_is_no_promise(
+    #[values("503 Busy", "429 Too many", "408 Too late")] status: &str,
+    #[values(None, Some(IDLE_LOAD_LINE))] line: Option<&str>,
+) {
+    let response = call_server(status, true, line, "POST").await;
+
+    assert_eq!(response.status, 502);
+    assert!(!response.head.contains(SIGNATURE_LINE), "{}", response.head);
+}
+
+/// Guards against another status than the server's for a failure that promises nothing.
+#[rstest]
+#[tokio::test]
+async fn other_failures_are_passed_on(
+    #[values("500 Failed", "504 Too late", "400 Bad", "409 Conflict")] status: &str,
+) {
+    let response = call_server(status, true, Some(IDLE_LOAD_LINE), "POST").await;
+
+    assert_eq!(Some(response.status), status[..3].parse().ok());
+    assert!(response.head.contains(SIGNATURE_LINE), "{}", response.head);
+}
