Checks of the way to servers pass over services that no configuration has

What callers could have seen: a host that takes itself for cut off from servers, as the check tried entries of another program, at addresses where nothing listens, before the servers.

Evidence: way_to_servers_is_checked_with_configured_services_only failed before.

Fix: the check, its comparison, and the count of ready servers beside vanished entries take entries of configured services only.

--- a/crates/gateway/src/state/fleet_tracking.rs
+++ b/crates/gateway/src/state/fleet_tracking.rs
@@ -342,10 +342,18 @@
         }
     }
 
+    /// Whether the configuration, if one is known, has the service of the entry. Another program may write
+    /// entries of other services; they name no server to use.
+    pub(super) fn is_configured(&self, entry: &ServerEntry) -> bool {
+        let table = self.table.as_ref();
+        table.is_none_or(|table| table.services.contains_key(&entry.service))
+    }
+
     /// What the removal of `removed` entries means: an outage of the store removes many at once.
     fn removal_rule(&self, removed: usize, now: BootTime) -> RemovalRule {
         let entries = self.fleet.entries();
-        let ready = entries.filter(|entry| entry.phase == ServerPhase::Ready);
+        let ready =
+            entries.filter(|entry| entry.phase == ServerPhase::Ready && self.is_configured(entry));
         self.outage_guard.rule(removed, ready.count(), now)
     }
 
--- a/crates/gateway/src/state/reach_tracking.rs
+++ b/crates/gateway/src/state/reach_tracking.rs
@@ -59,7 +59,7 @@
         let fleet = inner.fleet.clone();
         let mut entries: Vec<&ServerEntry> = fleet
             .entries()
-            .filter(|entry| entry.phase == ServerPhase::Ready)
+            .filter(|entry| entry.phase == ServerPhase::Ready && inner.is_configured(entry))
             .collect();
         entries.shuffle(&mut inner.random);
         entries.sort_by_key(|entry| inner.server_reach.has_failed(&entry.id));
@@ -78,6 +78,7 @@
         let mut entries: Vec<&ServerEntry> = fleet
             .entries()
             .filter(|entry| entry.phase == ServerPhase::Ready && entry.id != *server)
+            .filter(|entry| inner.is_configured(entry))
             .collect();
         let (chosen, _) = entries.partial_shuffle(&mut inner.random, count);
         chosen.iter().map(|entry| entry.address).collect()
