--- a/crates/core/tests/proof_search.rs
+++ b/crates/core/tests/proof_search.rs
@@ -20,20 +20,6 @@
 /// Seeds of one block that are played without `ENTRY_SEEDS`.
 const BLOCK_SEEDS: u64 = 8;
 
-fn no_faults() -> SimFaults {
-    SimFaults {
-        late_orders: 0.0,
-        lost_orders: 0.0,
-        fault_chance: 0.0,
-        slow_clock: 1.02,
-        write_delay: Duration::from_millis(5),
-        entry_chance: 0.0,
-        end_chance: 0.0,
-        extra_answers: 0.0,
-        work_chance: 0.0,
-    }
-}
-
 fn entry_faults() -> SimFaults {
     SimFaults {
         late_orders: 0.05,
@@ -43,7 +29,7 @@
         entry_chance: 0.006,
         end_chance: 0.004,
         work_chance: 0.5,
-        ..no_faults()
+        ..SimFaults::slow_clocks_only()
     }
 }
 
@@ -60,7 +46,7 @@
 fn ends_only() -> SimFaults {
     SimFaults {
         end_chance: 0.003,
-        ..no_faults()
+        ..SimFaults::slow_clocks_only()
     }
 }
 
@@ -141,7 +127,7 @@
     #[values(200, 1_000, 3_000)] wait_ms: u64,
     #[values(1, 2, 3, 4)] seed: u64,
 ) {
-    let mut simulation = RangeSimulation::new(seed, SERVERS, no_faults());
+    let mut simulation = RangeSimulation::new(seed, SERVERS, SimFaults::slow_clocks_only());
     simulation.run(Duration::from_millis(6_000 + seed * 130));
 
     simulation.end_server(0, end, Duration::from_millis(wait_ms));
--- a/crates/core/tests/range_ownership.rs
+++ b/crates/core/tests/range_ownership.rs
@@ -12,36 +12,18 @@
 
 const SERVERS: usize = 4;
 
-fn slow_clocks_only() -> SimFaults {
-    SimFaults {
-        late_orders: 0.0,
-        lost_orders: 0.0,
-        fault_chance: 0.0,
-        slow_clock: 1.02,
-        write_delay: Duration::from_millis(5),
-        entry_chance: 0.0,
-        end_chance: 0.0,
-        extra_answers: 0.0,
-        work_chance: 0.0,
-    }
-}
-
 fn many_faults() -> SimFaults {
     SimFaults {
         late_orders: 0.25,
         lost_orders: 0.1,
         fault_chance: 0.006,
-        slow_clock: 1.02,
         write_delay: Duration::from_millis(250),
-        entry_chance: 0.0,
-        end_chance: 0.0,
-        extra_answers: 0.0,
-        work_chance: 0.0,
+        ..SimFaults::slow_clocks_only()
     }
 }
 
 fn started(seed: u64, faults: SimFaults) -> RangeSimulation {
-    let mut simulation = RangeSimulation::new(seed, SERVERS, slow_clocks_only());
+    let mut simulation = RangeSimulation::new(seed, SERVERS, SimFaults::slow_clocks_only());
     simulation.run(Duration::from_secs(3));
     simulation.set_faults(faults);
     simulation
@@ -68,7 +50,7 @@
     simulation.run(Duration::from_secs(20));
 
     simulation.end_faults();
-    simulation.set_faults(slow_clocks_only());
+    simulation.set_faults(SimFaults::slow_clocks_only());
     simulation.run(Duration::from_secs(20));
 
     assert!(
@@ -83,7 +65,7 @@
 /// within which a key must be served again after the loss of its owner.
 #[rstest]
 fn lost_owner_is_replaced_within_5_s(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
-    let mut simulation = started(seed, slow_clocks_only());
+    let mut simulation = started(seed, SimFaults::slow_clocks_only());
     simulation.run(Duration::from_millis(700 + seed * 130));
 
     simulation.crash_largest_owner();
@@ -96,7 +78,7 @@
 /// keep running.
 #[rstest]
 fn servers_keep_keys_when_all_leaders_are_lost(#[values(1, 2, 3, 4)] seed: u64) {
-    let mut simulation = started(seed, slow_clocks_only());
+    let mut simulation = started(seed, SimFaults::slow_clocks_only());
 
     simulation.lose_all_leaders();
     simulation.run(Duration::from_secs(6));
