--- a/crates/core/tests/support/range_simulation.rs
+++ b/crates/core/tests/support/range_simulation.rs
@@ -34,12 +34,13 @@
     },
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
+    entry_faults::PendingStart,
+    kept_connections::KeptConnections,
+    server_entries::ServerEntries,
+    sim_orders::OrderInFlight,
+    sim_server::SimServer,
     std::{collections::HashMap, time::Duration},
 };
-use {
-    entry_faults::PendingStart, kept_connections::KeptConnections, server_entries::ServerEntries,
-    sim_orders::OrderInFlight, sim_server::SimServer,
-};
 #[allow(unused_imports)]
 pub use {entry_faults::ServerEnd, sim_faults::SimFaults};
 
