--- a/crates/gateway/tests/lost_writes.rs
+++ b/crates/gateway/tests/lost_writes.rs
@@ -25,7 +25,7 @@
         leader_hosts::LeaderHost,
         owned_region::{
             OwnedRegion, is_owned, move_keys, next_token, owned_region, owners_of, start_host,
-            start_hosts, stored, until,
+            start_hosts, stored, until, until_settled,
         },
     },
     tokio::time::sleep,
@@ -285,8 +285,7 @@
     } = owned_region().await;
     let backup = store.back_up();
     move_keys(&hosts, &store).await;
-    sleep(Duration::from_millis(500)).await;
-    let known = stored(&store).expect("an assignment");
+    let known = until_settled(&store).await;
     let leader = hosts
         .iter()
         .find(|host| host.state.is_leader())
--- a/crates/gateway/tests/support/owned_region.rs
+++ b/crates/gateway/tests/support/owned_region.rs
@@ -23,6 +23,9 @@
 /// Longest wait for a condition.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time without a move after which none follows, if no more requests come: several rounds of placement.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
 pub async fn until(what: &str, condition: impl Fn() -> bool) -> Duration {
     let started = Instant::now();
     while !condition() {
@@ -121,6 +124,24 @@
     move_busy_keys(hosts, store, 0..200).await;
 }
 
+/// Waits until no more keys have moved for a time in which hosts report the last requests and the load is
+/// balanced.
+pub async fn until_settled(store: &StoreStandin) -> OwnerState {
+    let started = Instant::now();
+    let mut known = stored(store).expect("an assignment");
+    let mut since = Instant::now();
+    while since.elapsed() < SETTLE_TIME {
+        assert!(started.elapsed() < WAIT_LIMIT, "keys go on moving");
+        sleep(Duration::from_millis(50)).await;
+        let state = stored(store).expect("an assignment");
+        if owners_of(&state) != owners_of(&known) || !is_owned(&state) {
+            since = Instant::now();
+        }
+        known = state;
+    }
+    known
+}
+
 /// Moves keys because many requests are for `busy`.
 pub async fn move_busy_keys(hosts: &[LeaderHost], store: &StoreStandin, busy: Range<u16>) {
     let before = stored(store).expect("an assignment");
